--- /dev/null
+++ b/crates/workshold-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/workshold-cli/src/commands/stop.rs
@@ -0,0 +1,150 @@
+//! `workshold stop`: takes an instance out of service with a plan.
+
+use std::path::PathBuf;
+
+use bpaf::Parser;
+use serde::Serialize;
+use workshold_node::dump::InstanceRow;
+use workshold_node::dump::Status;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::record::Fact;
+use workshold_protocol::record::StopRequest;
+
+use crate::commands::Command;
+use crate::commands::key_arg;
+use crate::commands::log_arg;
+use crate::commands::node_arg;
+use crate::commands::wait_arg;
+use crate::error::CliError;
+use crate::operator_key;
+use crate::output::Output;
+use crate::remote;
+
+/// Arguments of `stop`.
+#[derive(Debug, Clone)]
+pub struct Args {
+    key: PathBuf,
+    log: String,
+    node: String,
+    wait: u64,
+    plan: bool,
+    undo: bool,
+    instance: String,
+}
+
+/// The parser of `stop`.
+pub fn parser() -> impl Parser<Command> {
+    let key = key_arg();
+    let log = log_arg();
+    let node = node_arg();
+    let wait = wait_arg();
+    let plan = bpaf::long("plan").help("Print the plan and change nothing").switch();
+    let undo = bpaf::long("undo").help("Let the instance serve again").switch();
+    let instance = bpaf::positional::<String>("INSTANCE").help("The instance");
+    bpaf::construct!(Args { key, log, node, wait, plan, undo, instance })
+        .map(Command::Stop)
+        .to_options()
+        .descr("Prints the plan for taking an instance out of service, and carries it out. No request in flight is cut off.")
+        .footer("Example: workshold stop --key alice.key engine-3\n         workshold stop --plan engine-3")
+        .command("stop")
+        .help("Take an instance out of service with a plan")
+}
+
+/// What a planned stop will do.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct StopPlan {
+    /// The instance.
+    pub instance: String,
+    /// The steps in their order.
+    pub steps: Vec<String>,
+    /// Whether the group is down for a while.
+    pub downtime: bool,
+}
+
+#[derive(Debug, Serialize)]
+struct Stopped {
+    instance: String,
+    stopped: bool,
+}
+
+/// Prints the plan, and carries it out unless only the plan was asked for.
+///
+/// # Errors
+///
+/// [`CliError::NotYet`] if the instance is not free in time; the stop goes on.
+pub async fn run(args: &Args, out: Output) -> Result<(), CliError> {
+    let status = remote::status(&args.node).await?;
+    let plan = plan(&status, &args.instance)?;
+    if args.plan {
+        out.result(&plan, |plan| plan.steps.clone());
+        return Ok(());
+    }
+    let key = operator_key::read(&args.key)?;
+    let instance = InstanceId::new(&args.instance).map_err(CliError::Input)?;
+    let request = StopRequest { instance, stop: !args.undo };
+    if !args.undo {
+        plan.steps.iter().for_each(|step| out.progress(step));
+    }
+    let offset = remote::append(&args.log, &key, Fact::StopRequested(request)).await?;
+    let is_done = |status: &Status| {
+        let row = find(status, &args.instance).ok()?;
+        let is_free = row.claimed_by.is_none() && row.says.is_none();
+        (status.next > offset.0 && (args.undo || is_free)).then_some(())
+    };
+    remote::wait_for(&args.node, args.wait, is_done).await?;
+    let stopped = Stopped { instance: args.instance.clone(), stopped: !args.undo };
+    out.result(&stopped, |done| {
+        vec![if done.stopped {
+            format!("{} is in no group and can be switched off", done.instance)
+        } else {
+            format!("{} may serve again", done.instance)
+        }]
+    });
+    Ok(())
+}
+
+fn find<'a>(status: &'a Status, instance: &str) -> Result<&'a InstanceRow, CliError> {
+    let row = status.instances.iter().find(|row| row.instance.as_str() == instance);
+    row.ok_or_else(|| CliError::Unknown { kind: "instance", name: instance.to_owned() })
+}
+
+/// Works out what stopping an instance will do.
+///
+/// # Errors
+///
+/// [`CliError::Unknown`] if no such instance is listed.
+pub fn plan(status: &Status, instance: &str) -> Result<StopPlan, CliError> {
+    let row = find(status, instance)?;
+    let Some(claim) = &row.claimed_by else {
+        let steps = vec![format!("{instance} is in no group: it will not be taken for one")];
+        return Ok(StopPlan { instance: instance.to_owned(), steps, downtime: false });
+    };
+    let group = status.groups.iter().find(|group| &group.group == claim);
+    let (size, domain) =
+        group.map_or((0, String::new()), |group| (group.members.len(), group.domain.clone()));
+    let free = status
+        .instances
+        .iter()
+        .filter(|other| {
+            let idle = other.claimed_by.is_none() && other.says.is_none();
+            idle && !other.leaving && !other.stopping && other.domain == domain
+        })
+        .count();
+    let has_stand_in = free >= size;
+    let first = if has_stand_in {
+        format!(
+            "form a group of {size} of the {free} free instances of {domain}, and wait until it serves"
+        )
+    } else {
+        format!(
+            "{free} of {size} instances needed are free in {domain}: {claim} is down until others are"
+        )
+    };
+    let steps = vec![
+        first,
+        format!("send {claim} no new work, and let it finish what it has"),
+        format!("end {claim}, and free its {size} instances"),
+        format!("{instance} can then be switched off; the others can be used again"),
+    ];
+    Ok(StopPlan { instance: instance.to_owned(), steps, downtime: !has_stand_in })
+}
--- /dev/null
+++ b/crates/workshold-core/src/bundles.rs
@@ -0,0 +1,97 @@
+//! The aggregate of published and signed-off bundles.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+use workshold_protocol::bundle::Bundle;
+use workshold_protocol::ids::BundleHash;
+use workshold_protocol::ids::Offset;
+use workshold_protocol::record::SignOff;
+
+use crate::state::Rejection;
+
+/// How many published bundles that are not in force are kept.
+const MAX_PENDING: usize = 16;
+
+/// The bundle in force and those that can be signed off.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Bundles {
+    published: BTreeMap<BundleHash, Published>,
+    in_force: Option<InForce>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct Published {
+    bundle: Arc<Bundle>,
+    at: Offset,
+}
+
+/// The bundle in force.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct InForce {
+    /// Its name by content.
+    pub hash: BundleHash,
+    /// Its content.
+    pub bundle: Arc<Bundle>,
+    /// The offset of its sign-off.
+    pub since: Offset,
+    /// How many sign-offs there were, this one included.
+    pub generation: u64,
+}
+
+impl Bundles {
+    /// The bundle in force, if any was ever signed off.
+    pub fn in_force(&self) -> Option<&InForce> {
+        self.in_force.as_ref()
+    }
+
+    /// The bundles that were published and can be signed off.
+    pub fn published(&self) -> impl Iterator<Item = (&BundleHash, &Bundle)> {
+        self.published.iter().map(|(hash, published)| (hash, &*published.bundle))
+    }
+
+    /// Takes note of a published bundle.
+    ///
+    /// # Errors
+    ///
+    /// [`Rejection::Known`] if it is known already.
+    pub fn publish(&mut self, bundle: &Bundle, at: Offset) -> Result<(), Rejection> {
+        let hash = bundle.hash();
+        if self.published.contains_key(&hash) {
+            return Err(Rejection::Known);
+        }
+        self.published.insert(hash, Published { bundle: Arc::new(bundle.clone()), at });
+        self.drop_oldest_pending();
+        Ok(())
+    }
+
+    /// Puts a published bundle in force if its parent still is.
+    ///
+    /// # Errors
+    ///
+    /// [`Rejection::BundleMoved`] names the bundle that was faster;
+    /// [`Rejection::UnknownBundle`] if it was not published before.
+    pub fn sign_off(&mut self, sign_off: &SignOff, at: Offset) -> Result<(), Rejection> {
+        let current = self.in_force.as_ref().map(|in_force| in_force.hash);
+        if current != sign_off.parent {
+            return Err(Rejection::BundleMoved { in_force: current });
+        }
+        let published = self.published.get(&sign_off.bundle).ok_or(Rejection::UnknownBundle)?;
+        let generation = self.in_force.as_ref().map_or(0, |in_force| in_force.generation) + 1;
+        let bundle = Arc::clone(&published.bundle);
+        self.in_force = Some(InForce { hash: sign_off.bundle, bundle, since: at, generation });
+        Ok(())
+    }
+
+    fn drop_oldest_pending(&mut self) {
+        let current = self.in_force.as_ref().map(|in_force| in_force.hash);
+        while self.published.len() > MAX_PENDING {
+            let pending = self.published.iter().filter(|(hash, _)| Some(**hash) != current);
+            let oldest = pending.min_by_key(|(_, published)| published.at).map(|(hash, _)| *hash);
+            let Some(oldest) = oldest else { return };
+            self.published.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/workshold-core/src/gate.rs
@@ -0,0 +1,94 @@
+//! Whether a group serves: the log says it may, and every member says it does.
+
+use std::collections::BTreeSet;
+
+use displaydoc::Display;
+use serde::Serialize;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::record::Member;
+use workshold_protocol::report::Readiness;
+
+use crate::fleet::Group;
+use crate::witness::Witnesses;
+
+/// How long a report is believed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct GateRules {
+    /// A report older than this proves nothing.
+    pub report_ttl: Millis,
+}
+
+/// Why a group gets no new work.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Closed {
+    /// the group is draining or over
+    NotActive,
+    /// nothing recent is known of {0}
+    Unseen(InstanceId),
+    /// {0} died and came back since the group was formed
+    Reborn(InstanceId),
+    /// {0} is not in the group by its own account
+    Elsewhere(InstanceId),
+    /// {0} is not ready yet
+    Loading(InstanceId),
+    /// {0} takes no new work
+    Draining(InstanceId),
+    /// {0} is leaving
+    Leaving(InstanceId),
+}
+
+/// Judges whether `group` may be sent new work at `now`.
+///
+/// # Errors
+///
+/// The first reason why not, in the order of the members.
+pub fn judge(
+    group: &Group,
+    witnesses: &Witnesses,
+    leaving: &BTreeSet<InstanceId>,
+    now: Millis,
+    rules: GateRules,
+) -> Result<(), Closed> {
+    if !group.is_active() {
+        return Err(Closed::NotActive);
+    }
+    group.members.iter().try_for_each(|member| {
+        if leaving.contains(&member.instance) {
+            return Err(Closed::Leaving(member.instance.clone()));
+        }
+        judge_member(group, member, witnesses, now, rules)
+    })
+}
+
+/// Judges one member by its own last report.
+///
+/// # Errors
+///
+/// Why the member does not vouch for the group.
+pub fn judge_member(
+    group: &Group,
+    member: &Member,
+    witnesses: &Witnesses,
+    now: Millis,
+    rules: GateRules,
+) -> Result<(), Closed> {
+    let name = || member.instance.clone();
+    let witness = witnesses
+        .fresh(&member.instance, now, rules.report_ttl)
+        .ok_or_else(|| Closed::Unseen(name()))?;
+    if witness.report.incarnation != member.incarnation {
+        return Err(Closed::Reborn(name()));
+    }
+    let membership = witness.report.membership.as_ref();
+    let membership = membership.ok_or_else(|| Closed::Elsewhere(name()))?;
+    if membership.group != group.id || membership.fence != group.fence {
+        return Err(Closed::Elsewhere(name()));
+    }
+    match membership.readiness {
+        Readiness::Ready => Ok(()),
+        Readiness::Loading => Err(Closed::Loading(name())),
+        Readiness::Draining => Err(Closed::Draining(name())),
+    }
+}
--- /dev/null
+++ b/crates/workshold-core/src/steward.rs
@@ -0,0 +1,125 @@
+//! The steward of a fabric domain: keeps its groups whole, drains what must go.
+//!
+//! A steward holds no office. Any node may plan for any domain at any time: the
+//! log rejects what came late, and instances are believed only by their own
+//! reports. That only one node of a data centre plans for a domain saves work.
+
+mod ending;
+mod forming;
+mod memory;
+mod mending;
+mod plan;
+
+pub use crate::steward::memory::Memory;
+pub use crate::steward::plan::Decision;
+pub use crate::steward::plan::Plan;
+
+use std::collections::BTreeSet;
+
+use workshold_protocol::Millis;
+use workshold_protocol::ids::FabricDomain;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::report::InstanceKind;
+use workshold_protocol::report::ListedInstance;
+
+use crate::gate::GateRules;
+use crate::repair::Expectations;
+use crate::state::State;
+use crate::witness::Witness;
+use crate::witness::Witnesses;
+
+/// The times that a steward keeps to.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StewardRules {
+    /// How long a report is believed, by every node.
+    pub gate: GateRules,
+    /// How far two clocks may drift apart over that time.
+    pub clock_error: Millis,
+    /// How long a member may be silent before its group counts as broken.
+    pub member_grace: Millis,
+    /// How long an instance must be off the list before its claim is dropped.
+    pub gone_after: Millis,
+    /// The least time between two orders to one instance.
+    pub order_every: Millis,
+    /// What one instance reads from the weight store in a second, in MiB.
+    pub load_mib_per_s: u32,
+    /// What is expected of instances that go missing.
+    pub expect: Expectations,
+}
+
+impl StewardRules {
+    /// How long an instance must be seen outside of its old group before it is
+    /// free: no node can still believe an older report after that.
+    pub fn release_wait(&self) -> Millis {
+        self.gate.report_ttl + self.clock_error
+    }
+}
+
+/// All that a steward looks at.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// The domain it plans for.
+    pub domain: &'a FabricDomain,
+    /// What lasts.
+    pub state: &'a State,
+    /// What instances said.
+    pub witnesses: &'a Witnesses,
+    /// The platform's instance list, all of it.
+    pub list: &'a [ListedInstance],
+    /// The steward's own clock.
+    pub now: Millis,
+}
+
+impl View<'_> {
+    /// The engines of the domain, as listed.
+    fn engines(&self) -> impl Iterator<Item = &ListedInstance> {
+        self.list.iter().filter(|listed| match &listed.kind {
+            InstanceKind::Engine { domain, .. } => domain == self.domain,
+            _ => false,
+        })
+    }
+
+    fn listed(&self, instance: &InstanceId) -> Option<&ListedInstance> {
+        self.list.iter().find(|listed| &listed.instance == instance)
+    }
+
+    fn is_leaving(&self, instance: &InstanceId) -> bool {
+        self.listed(instance).is_some_and(|listed| listed.leaving)
+    }
+
+    /// Whether an instance is to take no part in a new group.
+    fn must_go(&self, instance: &InstanceId) -> bool {
+        self.is_leaving(instance) || self.state.fleet.is_stopping(instance)
+    }
+
+    fn fresh(&self, instance: &InstanceId, rules: &StewardRules) -> Option<&Witness> {
+        self.witnesses.fresh(instance, self.now, rules.gate.report_ttl)
+    }
+
+    /// Instances that can be claimed: listed, staying, and idle by their own account.
+    fn free(&self, rules: &StewardRules) -> Vec<&ListedInstance> {
+        self.engines()
+            .filter(|listed| self.state.fleet.claim_of(&listed.instance).is_none())
+            .filter(|listed| !self.must_go(&listed.instance))
+            .filter(|listed| {
+                let witness = self.fresh(&listed.instance, rules);
+                witness.is_some_and(|witness| witness.report.membership.is_none())
+            })
+            .collect()
+    }
+
+    fn leaving(&self) -> BTreeSet<InstanceId> {
+        let leaving = self.list.iter().filter(|listed| listed.leaving);
+        leaving.map(|listed| listed.instance.clone()).collect()
+    }
+}
+
+/// Plans the next steps for one domain.
+pub fn plan(view: &View<'_>, memory: &mut Memory, rules: &StewardRules) -> Plan {
+    let mut plan = Plan::default();
+    ending::carry_out_ends(view, memory, rules, &mut plan);
+    mending::mend_groups(view, memory, rules, &mut plan);
+    forming::form_groups(view, rules, &mut plan);
+    memory.forget_ended(view.state);
+    plan
+}
--- /dev/null
+++ b/crates/workshold-core/src/steward/forming.rs
@@ -0,0 +1,152 @@
+//! Forming groups out of free instances.
+
+use workshold_protocol::bundle::Model;
+use workshold_protocol::bundle::Role;
+use workshold_protocol::ids::FabricDomain;
+use workshold_protocol::ids::GroupId;
+use workshold_protocol::ids::ModelName;
+use workshold_protocol::record::Fact;
+use workshold_protocol::record::Formation;
+use workshold_protocol::record::Member;
+use workshold_protocol::record::Replaced;
+use workshold_protocol::report::ListedInstance;
+
+use crate::bundles::InForce;
+use crate::fleet::Group;
+use crate::gate::judge;
+use crate::rendezvous;
+use crate::state::State;
+use crate::steward::Plan;
+use crate::steward::StewardRules;
+use crate::steward::View;
+
+/// Forms what the bundle asks for and the domain has instances for.
+///
+/// Stewards of other domains may do so at the same time; the log counts.
+/// A domain with a broken group of a model waits for its repair to be decided.
+pub(super) fn form_groups(view: &View<'_>, rules: &StewardRules, plan: &mut Plan) {
+    let Some(in_force) = view.state.bundles.in_force() else { return };
+    if plan.facts.iter().any(|fact| matches!(fact, Fact::GroupFormed(_))) {
+        return;
+    }
+    let mut free = view.free(rules);
+    let mut formed = 0;
+    for (name, model) in by_need(view.state, in_force) {
+        for _ in 0..deficit(view.state, name, model) {
+            let Some(role) = largest_fitting(model, free.len()) else { break };
+            let members: Vec<_> = free.drain(..usize::from(role.instances)).collect();
+            let Some(members) = members_of(view, &members) else { break };
+            let id = group_id(view, formed);
+            formed += 1;
+            plan.decide(&id, format!("forming: {name} lacks a group, {} are free", members.len()));
+            let formation = formation(view, in_force, id, name, model, role, members, None);
+            plan.facts.push(Fact::GroupFormed(formation));
+        }
+    }
+}
+
+/// Models by what share of their groups is missing, worst first.
+fn by_need<'a>(state: &State, in_force: &'a InForce) -> Vec<(&'a ModelName, &'a Model)> {
+    let mut models: Vec<_> = in_force.bundle.models.iter().collect();
+    models.sort_by_key(|(name, model)| {
+        let wanted = usize::from(model.replicas).max(1);
+        std::cmp::Reverse(deficit(state, name, model) * 1000 / wanted)
+    });
+    models
+}
+
+/// How many groups are lacking. One of an old version fills its place until its
+/// turn comes: see [`is_next_old`].
+fn deficit(state: &State, name: &ModelName, model: &Model) -> usize {
+    let running = state.fleet.groups().filter(|group| group.is_active() && &group.model == name);
+    let lasting = running.filter(|group| state.fleet.replacement_of(&group.id).is_none());
+    usize::from(model.replicas).saturating_sub(lasting.count())
+}
+
+fn largest_fitting(model: &Model, free: usize) -> Option<&Role> {
+    model.roles.iter().find(|role| usize::from(role.instances) <= free)
+}
+
+/// Whether `group`, of an old version, is the next to make room.
+///
+/// Old groups go one by one, oldest first: only while none is on its way out,
+/// every new one serves, and nothing more can be formed of what is free. Every
+/// steward reads the same order from the log. A new version that does not come
+/// up therefore stops the rollout.
+pub(super) fn is_next_old(
+    view: &View<'_>,
+    rules: &StewardRules,
+    model: &Model,
+    group: &Group,
+) -> bool {
+    let same_model = || view.state.fleet.groups().filter(|other| other.model == group.model);
+    let is_old = |other: &&Group| other.version != model.version;
+    let any_ending = same_model().filter(is_old).any(|other| !other.is_active());
+    let oldest = same_model().filter(is_old).min_by_key(|other| other.fence);
+    let leaving = view.leaving();
+    let all_new_serve = same_model()
+        .filter(|other| !is_old(other))
+        .all(|other| judge(other, view.witnesses, &leaving, view.now, rules.gate).is_ok());
+    let may_form = deficit(view.state, &group.model, model) > 0
+        && largest_fitting(model, view.free(rules).len()).is_some();
+    let is_oldest = oldest.is_some_and(|oldest| oldest.id == group.id);
+    is_oldest && !any_ending && all_new_serve && !may_form
+}
+
+/// A group of free instances that can stand in for `old`.
+pub(super) fn stand_in(view: &View<'_>, rules: &StewardRules, old: &Group) -> Option<Formation> {
+    let in_force = view.state.bundles.in_force()?;
+    let model = in_force.bundle.models.get(&old.model)?;
+    let role = model.roles.first()?;
+    let free = view.free(rules);
+    let chosen = free.get(..usize::from(role.instances))?;
+    let members = members_of(view, chosen)?;
+    let id = group_id(view, 0);
+    let replaces = Some(Replaced { group: old.id.clone(), fence: old.fence });
+    Some(formation(view, in_force, id, &old.model, model, role, members, replaces))
+}
+
+fn members_of(view: &View<'_>, chosen: &[&ListedInstance]) -> Option<Vec<Member>> {
+    let member = |listed: &&ListedInstance| {
+        let witness = view.witnesses.get(&listed.instance)?;
+        let incarnation = witness.report.incarnation;
+        Some(Member { instance: listed.instance.clone(), incarnation })
+    };
+    chosen.iter().map(member).collect()
+}
+
+#[expect(clippy::too_many_arguments, reason = "each is one field of the record")]
+fn formation(
+    view: &View<'_>,
+    in_force: &InForce,
+    group: GroupId,
+    name: &ModelName,
+    model: &Model,
+    role: &Role,
+    members: Vec<Member>,
+    replaces: Option<Replaced>,
+) -> Formation {
+    Formation {
+        group,
+        bundle: in_force.hash,
+        model: name.clone(),
+        version: model.version.clone(),
+        role: role.name.clone(),
+        domain: view.domain.clone(),
+        members,
+        relied_on: view.state.next(),
+        replaces,
+    }
+}
+
+/// A name that two stewards with the same view give alike, so that the log
+/// takes only one of the two formations.
+fn group_id(view: &View<'_>, nth: usize) -> GroupId {
+    let next = view.state.next();
+    let domain = domain_hash(view.domain);
+    GroupId::new(&format!("g{next}-{domain:08x}-{nth}")).expect("digits and dashes make a name")
+}
+
+fn domain_hash(domain: &FabricDomain) -> u32 {
+    (rendezvous::weight(b"group name", domain.as_str().as_bytes()) >> 32) as u32
+}
--- /dev/null
+++ b/crates/workshold-core/src/witness.rs
@@ -0,0 +1,73 @@
+//! What instances said of themselves, and how long that can be believed.
+
+use std::collections::BTreeMap;
+
+use workshold_protocol::Millis;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::report::Report;
+
+/// A report and since when it is known to have been true.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Witness {
+    /// By this node's clock: the probe was sent no earlier, less the lag that
+    /// the instance admits. What the report says was true at some time since.
+    pub true_since: Millis,
+    /// When this node first had it.
+    pub seen: Millis,
+    /// The report.
+    pub report: Report,
+}
+
+impl Witness {
+    /// Whether it is younger than `ttl`.
+    pub fn is_fresh(&self, now: Millis, ttl: Millis) -> bool {
+        now.since(self.true_since) < ttl
+    }
+}
+
+/// The last report of each instance.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct Witnesses {
+    by_instance: BTreeMap<InstanceId, Witness>,
+}
+
+impl Witnesses {
+    /// Takes a report whose probe was sent at `sent`, by this node's clock.
+    ///
+    /// For a report passed on by a peer, `sent` is when the peer was *asked*
+    /// less the age that it gave. Returns whether the report was news.
+    pub fn take(
+        &mut self,
+        instance: &InstanceId,
+        sent: Millis,
+        seen: Millis,
+        report: Report,
+    ) -> bool {
+        let true_since = sent - report.lag;
+        let newer = self.get(instance).is_none_or(|known| known.true_since < true_since);
+        if newer {
+            self.by_instance.insert(instance.clone(), Witness { true_since, seen, report });
+        }
+        newer
+    }
+
+    /// The last report of `instance`, however old.
+    pub fn get(&self, instance: &InstanceId) -> Option<&Witness> {
+        self.by_instance.get(instance)
+    }
+
+    /// The last report of `instance` if it is younger than `ttl`.
+    pub fn fresh(&self, instance: &InstanceId, now: Millis, ttl: Millis) -> Option<&Witness> {
+        self.get(instance).filter(|witness| witness.is_fresh(now, ttl))
+    }
+
+    /// All of them.
+    pub fn iter(&self) -> impl Iterator<Item = (&InstanceId, &Witness)> {
+        self.by_instance.iter()
+    }
+
+    /// Drops those that are older than `age`.
+    pub fn drop_older(&mut self, now: Millis, age: Millis) {
+        self.by_instance.retain(|_, witness| witness.is_fresh(now, age));
+    }
+}
--- /dev/null
+++ b/crates/workshold-http/src/lib.rs
@@ -0,0 +1,11 @@
+//! Small helpers over `hyper` that every process of workshold uses.
+//!
+//! [`server`] serves a `tower` service with bounds on everything a peer can make
+//! large or slow; [`client`] makes one connection for each request, so that it is
+//! always known whether a byte of it left.
+
+pub mod body;
+pub mod client;
+pub mod server;
+
+pub use crate::body::Body;
--- /dev/null
+++ b/crates/workshold-http/src/server.rs
@@ -0,0 +1,144 @@
+//! Serving a `tower` service on a listener, within bounds.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tower::Service;
+
+use crate::body::Body;
+
+/// What one peer may use up.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Connections at once; more wait in the machine's backlog.
+    pub connections: usize,
+    /// Headers of a request.
+    pub headers: usize,
+    /// Bytes of a request's head.
+    pub head_len: usize,
+    /// Time for a request's head to come.
+    pub head_time: Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            connections: 4096,
+            headers: 64,
+            head_len: 16 * 1024,
+            head_time: Duration::from_secs(10),
+        }
+    }
+}
+
+/// How far the end of a server has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// It serves.
+    Running,
+    /// It accepts nothing and finishes what it has.
+    Finishing,
+    /// It cuts what is left.
+    Cutting,
+}
+
+/// Serves until `stage` says otherwise; returns how many connections were cut.
+pub async fn serve<S>(
+    listener: TcpListener,
+    bounds: Bounds,
+    service: S,
+    mut stage: watch::Receiver<Stage>,
+) -> usize
+where
+    S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>,
+    S: Clone + Send + 'static,
+    S::Future: Send,
+{
+    let permits = Arc::new(Semaphore::new(bounds.connections));
+    let mut connections = JoinSet::new();
+    while *stage.borrow() == Stage::Running {
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { break };
+        let stream = tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(_) => {
+                    // Out of descriptors, say; others may end meanwhile.
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            },
+            _ = stage.changed() => break,
+        };
+        let _ = stream.set_nodelay(true);
+        let service = TowerToHyperService::new(service.clone());
+        let stage = stage.clone();
+        connections.spawn(async move {
+            run_connection(TokioIo::new(stream), bounds, service, stage).await;
+            drop(permit);
+        });
+        while connections.try_join_next().is_some() {}
+    }
+    drop(listener);
+    finish(connections, stage).await
+}
+
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+async fn run_connection<S>(
+    io: TokioIo<tokio::net::TcpStream>,
+    bounds: Bounds,
+    service: TowerToHyperService<S>,
+    mut stage: watch::Receiver<Stage>,
+) where
+    S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>,
+    S: Clone + Send + 'static,
+    S::Future: Send,
+{
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(bounds.head_time)
+        .max_headers(bounds.headers)
+        .max_buf_size(bounds.head_len.max(MIN_BUF_LEN))
+        .serve_connection(io, service);
+    let mut connection = std::pin::pin!(connection);
+    loop {
+        tokio::select! {
+            // A peer that misbehaves or goes away ends only its own connection.
+            _ = connection.as_mut() => return,
+            changed = stage.changed() => match changed.map(|()| *stage.borrow()) {
+                Ok(Stage::Running) => {}
+                Ok(Stage::Finishing) => connection.as_mut().graceful_shutdown(),
+                Ok(Stage::Cutting) | Err(_) => return,
+            },
+        }
+    }
+}
+
+/// What `hyper` asks for at least.
+const MIN_BUF_LEN: usize = 8192;
+
+async fn finish(mut connections: JoinSet<()>, mut stage: watch::Receiver<Stage>) -> usize {
+    loop {
+        tokio::select! {
+            ended = connections.join_next() => if ended.is_none() { return 0 },
+            changed = stage.changed() => {
+                if changed.is_err() || *stage.borrow() == Stage::Cutting {
+                    while connections.try_join_next().is_some() {}
+                    return connections.len();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/workshold-node/src/callers/at_most_once.rs
@@ -0,0 +1,271 @@
+//! Requests that run at most once, whatever happens.
+//!
+//! A record of intent in the log gives the key to one node, in one of its lives;
+//! only that node sends, and only after it has read the record back. Whoever
+//! asks again with the key, here or elsewhere, gets the first one's answer, or
+//! "unknown"; never a second run.
+
+use std::future::Future;
+use std::sync::Arc;
+
+use hyper::Response;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use workshold_core::keys::KeyStatus;
+use workshold_core::keys::Owner;
+use workshold_core::keys::key_time;
+use workshold_http::Body;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::KeyDigest;
+use workshold_protocol::ids::RequestDigest;
+use workshold_protocol::ids::TeamName;
+use workshold_protocol::peer::AnswerBody;
+use workshold_protocol::peer::Ask;
+use workshold_protocol::peer::StoredAnswer;
+use workshold_protocol::problem::Code;
+use workshold_protocol::problem::Problem;
+use workshold_protocol::record::Intent;
+use workshold_protocol::signing::SealPurpose;
+
+use crate::callers::problems;
+use crate::keytable::Begin;
+use crate::keytable::stored;
+use crate::node::Node;
+use crate::tasks::intents::IntentOutcome;
+use crate::tasks::intents::IntentRequest;
+
+/// A call that must run at most once.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Whose it is; keys of different teams never meet.
+    pub team: TeamName,
+    /// The caller's key.
+    pub key: String,
+    /// What it asks for.
+    pub request: RequestDigest,
+    /// When the caller gives up.
+    pub deadline: Millis,
+}
+
+/// How far a caller's clock may run ahead of this node's.
+const MAX_KEY_AHEAD: Millis = Millis(60_000);
+const RETRY_WHEN_LOG_IS_AWAY: Millis = Millis(3_000);
+const RETRY_WHILE_RUNNING: Millis = Millis(1_000);
+
+/// Names what a request asks for.
+pub fn digest(parts: &[&[u8]]) -> RequestDigest {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    RequestDigest::of(hasher.finalize().as_bytes())
+}
+
+/// A call that has been given its key's digest and time.
+#[derive(Debug, Clone)]
+struct Keyed {
+    key: KeyDigest,
+    time: Millis,
+    call: Call,
+}
+
+/// Runs `work` if this call is the one that may, and answers the caller.
+///
+/// `work` gives its answer either way; `Err` marks one that did not run.
+pub async fn run<F, W>(node: &Arc<Node>, call: Call, work: W) -> Response<Body>
+where
+    W: FnOnce() -> F + Send + 'static,
+    F: Future<Output = Result<StoredAnswer, StoredAnswer>> + Send,
+{
+    let keyed = match check_key(node, call) {
+        Ok(keyed) => keyed,
+        Err(problem) => return problems::response(&problem),
+    };
+    // Runs on if the caller goes away: what was begun is to be known in the end.
+    let node = Arc::clone(node);
+    let task = tokio::spawn(async move { run_keyed(&node, keyed, work).await });
+    match task.await {
+        Ok(Ok(answer)) => respond(&answer),
+        Ok(Err(problem)) => problems::response(&problem),
+        Err(_) => problems::response(&Problem::unknown(Code::UpstreamFailed, "the run broke off")),
+    }
+}
+
+fn respond(answer: &StoredAnswer) -> Response<Body> {
+    match serde_json::from_slice::<Problem>(&answer.body) {
+        Ok(problem) if answer.content_type == workshold_protocol::problem::PROBLEM_JSON => {
+            problems::response(&problem)
+        }
+        _ => problems::stored_response(answer),
+    }
+}
+
+fn check_key(node: &Node, call: Call) -> Result<Keyed, Problem> {
+    let bad = |why: String| Problem::not_run(Code::BadRequest, why);
+    let time = key_time(&call.key).map_err(|err| bad(format!("{err}; {}", err.help())))?;
+    let wall = node.clock.wall();
+    if time > wall + MAX_KEY_AHEAD {
+        return Err(bad("the idempotency key was made in the future".to_owned()));
+    }
+    // Keys near the end of the window are refused here already, so that none is
+    // forgotten while its request still runs.
+    let window = Millis(node.settings.times.key_window.0 / 2);
+    if time + window < wall {
+        let why = "the idempotency key is older than what is remembered";
+        return Err(Problem::unknown(Code::KeyExpired, why));
+    }
+    let named =
+        [call.team.as_str().as_bytes(), b"\0", call.key.to_ascii_lowercase().as_bytes()].concat();
+    let seal = node.checked.cluster_key.seal(SealPurpose::IdempotencyKey, &named);
+    Ok(Keyed { key: KeyDigest::of(&seal), time, call })
+}
+
+async fn run_keyed<F, W>(node: &Node, keyed: Keyed, work: W) -> Result<StoredAnswer, Problem>
+where
+    W: FnOnce() -> F,
+    F: Future<Output = Result<StoredAnswer, StoredAnswer>>,
+{
+    if let Some(owner) = owner_elsewhere(node, &keyed)? {
+        return ask_owner(node, &keyed, &owner).await;
+    }
+    let running = match node.keys.begin(&keyed.key, keyed.time) {
+        Begin::Mine(running) => running,
+        Begin::Others(answer) => return wait_for_other(node, &keyed, answer).await,
+    };
+    match record(node, &keyed).await {
+        IntentOutcome::Granted => {
+            let (Ok(answer) | Err(answer)) = work().await;
+            running.finish(&answer);
+            Ok(answer)
+        }
+        IntentOutcome::NotRecorded => {
+            // The record may still come to stand in the log. Only this node could
+            // run under it, and with this answer kept it never will.
+            let problem = Problem::not_run(
+                Code::LogUnavailable,
+                "what must last cannot be written; it was not run. Ask again with a new key",
+            );
+            let problem = problem.retry_after(RETRY_WHEN_LOG_IS_AWAY);
+            running.finish(&stored(&problem));
+            Err(problem)
+        }
+        IntentOutcome::Lost => {
+            let found = owner_elsewhere(node, &keyed);
+            let answer = match found {
+                Ok(Some(owner)) => ask_owner(node, &keyed, &owner).await,
+                Ok(None) => Err(expired()),
+                Err(problem) => Err(problem),
+            };
+            let kept = match &answer {
+                Ok(answer) => answer.clone(),
+                Err(problem) => stored(problem),
+            };
+            running.finish(&kept);
+            answer
+        }
+    }
+}
+
+fn expired() -> Problem {
+    Problem::unknown(Code::KeyExpired, "the idempotency key is older than what is remembered")
+}
+
+/// Who else has the key; none if it is free, or this node's in this life.
+fn owner_elsewhere(node: &Node, keyed: &Keyed) -> Result<Option<Owner>, Problem> {
+    let look = |state: &workshold_core::state::State| match state.keys.status(
+        &keyed.key,
+        keyed.time,
+        &keyed.call.request,
+    ) {
+        KeyStatus::Free => Ok(None),
+        KeyStatus::Owned(owner) if is_me(node, owner) => Ok(None),
+        KeyStatus::Owned(owner) => Ok(Some(owner.clone())),
+        KeyStatus::Reused => Err(Problem::not_run(
+            Code::KeyReused,
+            "the idempotency key was used for another request",
+        )),
+        KeyStatus::Forgotten => Err(expired()),
+    };
+    node.with_state(look).unwrap_or_else(|| Err(Problem::not_run(Code::NotReady, "no state")))
+}
+
+fn is_me(node: &Node, owner: &Owner) -> bool {
+    &owner.node == node.name() && owner.incarnation == node.incarnation
+}
+
+/// Asks the node that has the key what came of it.
+async fn ask_owner(node: &Node, keyed: &Keyed, owner: &Owner) -> Result<StoredAnswer, Problem> {
+    let gone = || {
+        Problem::unknown(
+            Code::UpstreamFailed,
+            "the node that had the request is gone; whether it ran is not known",
+        )
+    };
+    if &owner.node == node.name() {
+        return Err(gone());
+    }
+    let known = node.known_peers();
+    let Some(address) = known.get(&owner.node) else { return Err(gone()) };
+    let within = node.settings.times.probe_every.to_duration();
+    let link = node.link(&owner.node, address);
+    let ask = Ask::KeyResult { key: keyed.key };
+    let key = &node.checked.cluster_key;
+    match link.ask(node.name(), ask, key, &node.counters, within).await {
+        Ok(AnswerBody::KeyResult(Some(answer))) => Ok(answer),
+        Ok(_) if has_same_life(node, owner) => Err(in_progress()),
+        Ok(_) => Err(gone()),
+        Err(_) => Err(gone().retry_after(RETRY_WHILE_RUNNING)),
+    }
+}
+
+/// Whether the owner still lives the life in which it took the key.
+fn has_same_life(node: &Node, owner: &Owner) -> bool {
+    let membership = node.membership.read();
+    let peer = membership.peers().find(|(name, _)| *name == &owner.node);
+    peer.is_none_or(|(_, peer)| peer.status.incarnation == owner.incarnation)
+}
+
+fn in_progress() -> Problem {
+    let detail = "the request with this key is still running at another node";
+    Problem::unknown(Code::KeyInProgress, detail).retry_after(RETRY_WHILE_RUNNING)
+}
+
+/// Waits for the request that had the key first at this node.
+async fn wait_for_other(
+    node: &Node,
+    keyed: &Keyed,
+    mut answer: watch::Receiver<Option<StoredAnswer>>,
+) -> Result<StoredAnswer, Problem> {
+    let left = keyed.call.deadline.since(node.now()).to_duration();
+    let known = tokio::time::timeout(left, answer.wait_for(Option::is_some)).await;
+    match known {
+        Ok(Ok(answer)) => answer.clone().ok_or_else(in_progress),
+        Ok(Err(_)) | Err(_) => Err(in_progress()),
+    }
+}
+
+async fn record(node: &Node, keyed: &Keyed) -> IntentOutcome {
+    if !node.lasting.read().log_answers {
+        return IntentOutcome::NotRecorded;
+    }
+    let (done, outcome) = oneshot::channel();
+    let until = keyed.call.deadline.min(node.now() + node.settings.times.intent_wait);
+    let intent = Intent {
+        key: keyed.key,
+        key_time: keyed.time,
+        request: keyed.call.request,
+        node: node.name().clone(),
+        incarnation: node.incarnation,
+    };
+    let request = IntentRequest { intent, until, done };
+    if node.intents.try_send(request).is_err() {
+        return IntentOutcome::NotRecorded;
+    }
+    let left = until.since(node.now()).to_duration();
+    match tokio::time::timeout(left, outcome).await {
+        Ok(Ok(outcome)) => outcome,
+        // Whatever comes of it later, this node never runs it.
+        Ok(Err(_)) | Err(_) => IntentOutcome::NotRecorded,
+    }
+}
--- /dev/null
+++ b/crates/workshold-node/src/callers/completions.rs
@@ -0,0 +1,312 @@
+//! `/v1/completions` and `/v1/chat/completions`.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use serde::Deserialize;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use workshold_core::course::Repeatability;
+use workshold_core::prefix::PrefixChain;
+use workshold_http::Body;
+use workshold_http::body;
+use workshold_protocol::bundle::Bundle;
+use workshold_protocol::ids::AdapterName;
+use workshold_protocol::ids::ModelName;
+use workshold_protocol::ids::TeamName;
+use workshold_protocol::peer::StoredAnswer;
+use workshold_protocol::problem::Code;
+use workshold_protocol::problem::Problem;
+
+use crate::callers::at_most_once;
+use crate::callers::check_ready;
+use crate::callers::generation;
+use crate::callers::generation::Job;
+use crate::callers::generation::Piece;
+use crate::callers::headers::REQUEST_ID;
+use crate::callers::headers::Wishes;
+use crate::callers::identity;
+use crate::callers::problems;
+use crate::callers::read_body;
+use crate::callers::sse;
+use crate::keytable::stored;
+use crate::node::Node;
+
+/// Which of the two shapes a caller reads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Style {
+    /// Plain text.
+    Text,
+    /// Messages.
+    Chat,
+}
+
+impl Style {
+    /// What a chunk calls itself.
+    pub const fn chunk_object(self) -> &'static str {
+        match self {
+            Self::Text => "text_completion",
+            Self::Chat => "chat.completion.chunk",
+        }
+    }
+
+    /// What a whole answer calls itself.
+    pub const fn whole_object(self) -> &'static str {
+        match self {
+            Self::Text => "text_completion",
+            Self::Chat => "chat.completion",
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct CompletionBody {
+    model: String,
+    prompt: Option<String>,
+    messages: Option<Vec<MessageBody>>,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct MessageBody {
+    role: String,
+    content: String,
+}
+
+/// Tokens of an answer whose caller does not say how many.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+/// Pieces that wait for a caller who reads slowly.
+const PIECES_WAITING: usize = 64;
+
+/// Serves one completion.
+///
+/// # Errors
+///
+/// The final answer if nothing was generated.
+pub async fn handle(
+    node: &Arc<Node>,
+    req: Request<Incoming>,
+    style: Style,
+) -> Result<Response<Body>, Problem> {
+    check_ready(node)?;
+    let bundle = node.bundle().ok_or_else(|| Problem::not_run(Code::NotReady, "no bundle"))?;
+    let team = identity::team(req.headers(), &bundle)?;
+    let wishes = Wishes::read(req.headers(), &node.settings.times)?;
+    let bytes = read_body(node, req.into_body()).await?;
+    let parsed = parse(&bytes)?;
+    let is_stream = parsed.stream;
+    let job = make_job(node, &bundle, team, &wishes, parsed, style)?;
+    if let Some(key) = wishes.idempotency_key {
+        return once(node, job, &key, &bytes, is_stream).await;
+    }
+    check_limits(node, &bundle, &job)?;
+    if is_stream { streamed(node, job).await } else { Ok(whole(node, job).await) }
+}
+
+fn parse(bytes: &[u8]) -> Result<CompletionBody, Problem> {
+    serde_json::from_slice(bytes)
+        .map_err(|err| Problem::not_run(Code::BadRequest, format!("the body: {err}")))
+}
+
+fn make_job(
+    node: &Node,
+    bundle: &Bundle,
+    team: TeamName,
+    wishes: &Wishes,
+    parsed: CompletionBody,
+    style: Style,
+) -> Result<Job, Problem> {
+    let (model, adapter) = find_model(bundle, &parsed.model)?;
+    let prompt = prompt(style, parsed.prompt, parsed.messages)?;
+    let max_tokens = parsed.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+    let limit = node.settings.bounds.max_tokens;
+    if max_tokens == 0 || max_tokens > limit {
+        let why = format!("max_tokens must be 1 to {limit}");
+        return Err(Problem::not_run(Code::BadRequest, why));
+    }
+    let mut chain = PrefixChain::of(model.as_str(), &prompt);
+    if let Some(session) = wishes.session.as_ref().filter(|_| chain.hashes().is_empty()) {
+        chain = PrefixChain::of_session(model.as_str(), session);
+    }
+    let share = bundle.teams.get(&team).map_or(1.0, |team| team.share);
+    Ok(Job {
+        team,
+        share,
+        model,
+        adapter,
+        prompt,
+        chain: Arc::new(chain),
+        max_tokens,
+        priority: wishes.priority,
+        deadline: node.now() + wishes.patience,
+        repeatability: Repeatability::Repeatable,
+        style,
+    })
+}
+
+/// A model's name, or `model:adapter`.
+fn find_model(bundle: &Bundle, wanted: &str) -> Result<(ModelName, Option<AdapterName>), Problem> {
+    let unknown = || Problem::not_run(Code::NotFound, "there is no such model or adapter");
+    let (name, adapter) = match wanted.split_once(':') {
+        Some((name, adapter)) => (name, Some(AdapterName::new(adapter).map_err(|_| unknown())?)),
+        None => (wanted, None),
+    };
+    let name = ModelName::new(name).map_err(|_| unknown())?;
+    let model = bundle.models.get(&name).ok_or_else(unknown)?;
+    if adapter.as_ref().is_some_and(|adapter| !model.adapters.contains(adapter)) {
+        return Err(unknown());
+    }
+    Ok((name, adapter))
+}
+
+fn prompt(
+    style: Style,
+    prompt: Option<String>,
+    messages: Option<Vec<MessageBody>>,
+) -> Result<String, Problem> {
+    let bad = |why: &str| Problem::not_run(Code::BadRequest, why);
+    let text = match style {
+        Style::Text => prompt.ok_or_else(|| bad("prompt is missing"))?,
+        Style::Chat => {
+            let messages = messages.ok_or_else(|| bad("messages are missing"))?;
+            let lines = messages.iter().map(|m| format!("{}: {}\n", m.role, m.content));
+            lines.collect()
+        }
+    };
+    if text.is_empty() { Err(bad("the prompt is empty")) } else { Ok(text) }
+}
+
+/// Takes the request out of its team's allowance.
+fn check_limits(node: &Node, bundle: &Bundle, job: &Job) -> Result<(), Problem> {
+    let now = node.now();
+    let taken = node.with_team(&job.team, bundle, |desk| {
+        // Tokens are paid for afterwards; a team in debt waits.
+        desk.tokens.take(0.0, now)?;
+        desk.requests.take(1.0, now)
+    });
+    match taken {
+        Some(Err(over)) => {
+            let detail = format!("team {} is over its allowance", job.team);
+            Err(Problem::not_run(Code::TeamLimit, detail).retry_after(over.retry_after))
+        }
+        Some(Ok(())) | None => Ok(()),
+    }
+}
+
+async fn streamed(node: &Arc<Node>, job: Job) -> Result<Response<Body>, Problem> {
+    let (style, model) = (job.style, job.model.clone());
+    let mut rx = start(node, job);
+    let mut id = String::new();
+    // The head of the answer waits for the first token, so that whoever is
+    // refused gets the status of it.
+    let first = loop {
+        match rx.recv().await {
+            Some(Piece::Placed(placed)) => id = placed,
+            Some(Piece::Problem(problem)) => return Err(problem),
+            Some(piece) => break piece,
+            None => return Err(Problem::unknown(Code::UpstreamFailed, "the stream broke off")),
+        }
+    };
+    let pieces = stream::iter([first]).chain(ReceiverStream::new(rx));
+    let events = pieces.map(move |piece| event(style, model.as_str(), piece));
+    let mut res = Response::new(body::stream(events));
+    let headers = res.headers_mut();
+    headers.insert(hyper::header::CONTENT_TYPE, HeaderValue::from_static(sse::EVENT_STREAM));
+    set_request_id(headers, &id);
+    Ok(res)
+}
+
+pub(super) fn event(style: Style, model: &str, piece: Piece) -> Bytes {
+    match piece {
+        Piece::Placed(id) => sse::request_id(&id),
+        Piece::Token { index, text } => sse::token(style, model, index, &text),
+        Piece::Done { tokens } => sse::done(style, model, tokens),
+        Piece::Problem(problem) => sse::problem(&problem),
+    }
+}
+
+pub(super) fn set_request_id(headers: &mut hyper::HeaderMap, id: &str) {
+    if let Ok(value) = HeaderValue::from_str(id) {
+        headers.insert(REQUEST_ID, value);
+    }
+}
+
+fn start(node: &Arc<Node>, job: Job) -> mpsc::Receiver<Piece> {
+    let (tx, rx) = mpsc::channel(PIECES_WAITING);
+    tokio::spawn(generation::run(Arc::clone(node), job, tx));
+    rx
+}
+
+async fn whole(node: &Arc<Node>, job: Job) -> Response<Body> {
+    let (answer, id) = collect(node, job).await;
+    let mut res = problems::stored_response(&answer);
+    set_request_id(res.headers_mut(), &id);
+    if answer.status == StatusCode::OK.as_u16() {
+        return res;
+    }
+    match serde_json::from_slice::<Problem>(&answer.body) {
+        Ok(problem) => problems::response(&problem),
+        Err(_) => res,
+    }
+}
+
+/// Runs the job to its end; gives the whole answer, or the problem as one.
+async fn collect(node: &Arc<Node>, job: Job) -> (StoredAnswer, String) {
+    let (style, model) = (job.style, job.model.clone());
+    let mut rx = start(node, job);
+    let mut text = String::new();
+    let mut id = String::new();
+    while let Some(piece) = rx.recv().await {
+        match piece {
+            Piece::Placed(placed) => id = placed,
+            Piece::Token { text: token, .. } => text.push_str(&token),
+            Piece::Problem(problem) => return (stored(&problem), id),
+            Piece::Done { tokens } => {
+                let body = sse::whole(style, model.as_str(), &id, &text, tokens);
+                let content_type = "application/json".to_owned();
+                return (StoredAnswer { status: 200, content_type, body }, id);
+            }
+        }
+    }
+    let problem = Problem::unknown(Code::UpstreamFailed, "the stream broke off");
+    (stored(&problem), id)
+}
+
+/// A completion under an idempotency key runs at most once, and is answered whole.
+async fn once(
+    node: &Arc<Node>,
+    mut job: Job,
+    key: &str,
+    bytes: &[u8],
+    is_stream: bool,
+) -> Result<Response<Body>, Problem> {
+    if is_stream {
+        let why = "a completion under an idempotency key is answered whole: set stream to false";
+        return Err(Problem::not_run(Code::BadRequest, why));
+    }
+    job.repeatability = Repeatability::AtMostOnce;
+    let call = at_most_once::Call {
+        team: job.team.clone(),
+        key: key.to_owned(),
+        request: at_most_once::digest(&[b"completion", bytes]),
+        deadline: job.deadline,
+    };
+    let runner = Arc::clone(node);
+    let answer = at_most_once::run(node, call, move || async move {
+        if let Some(bundle) = runner.bundle() {
+            check_limits(&runner, &bundle, &job).map_err(|problem| stored(&problem))?;
+        }
+        Ok(collect(&runner, job).await.0)
+    });
+    Ok(answer.await)
+}
--- /dev/null
+++ b/crates/workshold-node/src/callers/identity.rs
@@ -0,0 +1,53 @@
+//! Whose a request is.
+
+use hyper::HeaderMap;
+use hyper::header::AUTHORIZATION;
+use workshold_protocol::bundle::Bundle;
+use workshold_protocol::ids::TeamName;
+use workshold_protocol::problem::Code;
+use workshold_protocol::problem::Problem;
+
+use crate::callers::headers;
+
+/// The team of requests in a deployment that has none.
+const NOBODY: &str = "everybody";
+
+/// Finds the team of a request: that of its key, or, for a team without keys,
+/// the one in the header.
+///
+/// # Errors
+///
+/// [`Code::Unauthorized`] if neither tells.
+pub fn team(headers: &HeaderMap, bundle: &Bundle) -> Result<TeamName, Problem> {
+    if bundle.teams.is_empty() {
+        return TeamName::new(NOBODY).map_err(|err| unauthorized(&err.to_string()));
+    }
+    if let Some(key) = bearer(headers)? {
+        return team_of_key(key, bundle);
+    }
+    let named = headers::value(headers, headers::TEAM)?
+        .ok_or_else(|| unauthorized("show the team's key as a bearer token"))?;
+    let name = TeamName::new(named).map_err(|_| unauthorized("there is no such team"))?;
+    match bundle.teams.get(&name) {
+        Some(team) if team.key_hashes.is_empty() => Ok(name),
+        Some(_) => Err(unauthorized("this team must show its key as a bearer token")),
+        None => Err(unauthorized("there is no such team")),
+    }
+}
+
+fn bearer(headers: &HeaderMap) -> Result<Option<&str>, Problem> {
+    let Some(value) = headers.get(AUTHORIZATION) else { return Ok(None) };
+    let text = value.to_str().ok().and_then(|text| text.strip_prefix("Bearer "));
+    text.map(Some).ok_or_else(|| unauthorized("the authorization header is no bearer token"))
+}
+
+/// Keys are compared by their hashes, so that time tells nothing of the key.
+fn team_of_key(key: &str, bundle: &Bundle) -> Result<TeamName, Problem> {
+    let hash = blake3::hash(key.as_bytes()).to_hex().to_string();
+    let team = bundle.teams.iter().find(|(_, team)| team.key_hashes.contains(&hash));
+    team.map(|(name, _)| name.clone()).ok_or_else(|| unauthorized("no team has this key"))
+}
+
+fn unauthorized(why: &str) -> Problem {
+    Problem::not_run(Code::Unauthorized, why)
+}
--- /dev/null
+++ b/crates/workshold-node/src/callers/info.rs
@@ -0,0 +1,89 @@
+//! What callers can ask about the system itself.
+
+use hyper::Response;
+use hyper::StatusCode;
+use serde::Serialize;
+use workshold_core::membership::Entry;
+use workshold_http::Body;
+use workshold_http::body;
+use workshold_protocol::Millis;
+use workshold_protocol::problem::Code;
+use workshold_protocol::problem::Problem;
+
+use crate::node::Node;
+
+#[derive(Debug, Serialize)]
+struct Health {
+    ready: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    why_not: Option<String>,
+}
+
+#[derive(Debug, Serialize)]
+struct Entries {
+    entries: Vec<Entry>,
+    ttl_ms: Millis,
+}
+
+#[derive(Debug, Serialize)]
+struct Models {
+    object: &'static str,
+    data: Vec<ModelRow>,
+}
+
+#[derive(Debug, Serialize)]
+struct ModelRow {
+    id: String,
+    object: &'static str,
+    version: String,
+    adapters: Vec<String>,
+    serving: bool,
+}
+
+/// Whether this node serves callers.
+pub fn health(node: &Node) -> Response<Body> {
+    match node.readiness() {
+        Ok(()) => body::json(StatusCode::OK, &Health { ready: true, why_not: None }),
+        Err(why) => {
+            let health = Health { ready: false, why_not: Some(why.to_string()) };
+            body::json(StatusCode::SERVICE_UNAVAILABLE, &health)
+        }
+    }
+}
+
+/// Which addresses to use, for how long, and how often each.
+///
+/// # Errors
+///
+/// [`Code::NotReady`] if this node knows of none.
+pub fn entries(node: &Node) -> Result<Response<Body>, Problem> {
+    let entries = node.entries();
+    if entries.is_empty() {
+        let problem = Problem::not_run(Code::NotReady, "no node that serves is known here");
+        return Err(problem.retry_after(NO_ENTRY_RETRY));
+    }
+    let entries = Entries { entries, ttl_ms: node.settings.times.entries_ttl };
+    Ok(body::json(StatusCode::OK, &entries))
+}
+
+const NO_ENTRY_RETRY: Millis = Millis(1_000);
+
+/// Which models there are, and whether a group serves each.
+///
+/// # Errors
+///
+/// [`Code::NotReady`] without a bundle.
+pub fn models(node: &Node) -> Result<Response<Body>, Problem> {
+    let bundle = node.bundle().ok_or_else(|| {
+        Problem::not_run(Code::NotReady, "no bundle is in force here").retry_after(NO_ENTRY_RETRY)
+    })?;
+    let (table, now) = (std::sync::Arc::clone(&node.serving.read()), node.now());
+    let rows = bundle.models.iter().map(|(name, model)| ModelRow {
+        id: name.to_string(),
+        object: "model",
+        version: model.version.to_string(),
+        adapters: model.adapters.iter().map(ToString::to_string).collect(),
+        serving: table.of_model(name, now).next().is_some(),
+    });
+    Ok(body::json(StatusCode::OK, &Models { object: "list", data: rows.collect() }))
+}
--- /dev/null
+++ b/crates/workshold-node/src/callers/problems.rs
@@ -0,0 +1,29 @@
+//! Problems as responses.
+
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+use workshold_http::Body;
+use workshold_http::body;
+use workshold_protocol::peer::StoredAnswer;
+use workshold_protocol::problem::PROBLEM_JSON;
+use workshold_protocol::problem::Problem;
+use workshold_protocol::problem::retry_after_secs;
+
+/// The response that tells a caller of a problem.
+pub fn response(problem: &Problem) -> Response<Body> {
+    let text = serde_json::to_vec(problem).expect("a problem is text");
+    let status = StatusCode::from_u16(problem.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut res = body::with_type(status, PROBLEM_JSON, text);
+    if let Some(after) = problem.retry_after_ms {
+        res.headers_mut().insert(RETRY_AFTER, HeaderValue::from(retry_after_secs(after)));
+    }
+    res
+}
+
+/// An answer that was kept, as a response.
+pub fn stored_response(answer: &StoredAnswer) -> Response<Body> {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    body::with_type(status, &answer.content_type, answer.body.clone())
+}
--- /dev/null
+++ b/crates/workshold-node/src/callers/resume.rs
@@ -0,0 +1,156 @@
+//! Taking up a stream at another node or connection, and cancelling one.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::stream;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use workshold_http::Body;
+use workshold_http::body;
+use workshold_http::client;
+use workshold_protocol::engine::TokenEvent;
+use workshold_protocol::problem::Code;
+use workshold_protocol::problem::Problem;
+
+use crate::callers::completions::Style;
+use crate::callers::completions::event;
+use crate::callers::completions::set_request_id;
+use crate::callers::generation::Lines;
+use crate::callers::generation::Piece;
+use crate::callers::generation::cancel as cancel_upstream;
+use crate::callers::identity;
+use crate::callers::sse;
+use crate::node::Node;
+use crate::requests::StreamPlace;
+
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+
+/// Streams on from the token that the caller names as `?from=`.
+///
+/// # Errors
+///
+/// [`Code::NotFound`] for an id that is not this team's, and
+/// [`Code::ResumeLost`] if the engine does not have the stream any more.
+pub async fn resume(
+    node: &Arc<Node>,
+    req: &Request<Incoming>,
+    id: &str,
+) -> Result<Response<Body>, Problem> {
+    let place = find(node, req, id)?;
+    let from = from(req)?;
+    let lost = |why: &str| Problem::unknown(Code::ResumeLost, why);
+    let address = address(node, &place).ok_or_else(|| lost("its instance is gone"))?;
+    let connected = client::connect(&address, CONNECT_TIME).await;
+    let connected = connected.map_err(|_| lost("its instance cannot be reached"))?;
+    let path = format!("/engine/streams/{}?from={from}", place.stream);
+    let upstream = client::request::<()>(&address, Method::GET, &path, None);
+    let silence = node.settings.times.upstream_silence.to_duration();
+    let sent = connected.send(upstream, silence).await;
+    let (res, driver) = sent.map_err(|_| lost("its instance does not answer"))?;
+    if res.status() != StatusCode::OK {
+        return Err(lost("its instance does not have it any more"));
+    }
+    node.counters.resumed.add(1);
+    let lines = Lines::new(res.into_body(), silence);
+    let (tx, rx) = tokio::sync::mpsc::channel(PIECES_WAITING);
+    tokio::spawn(relay(Arc::clone(node), lines, from, tx, driver));
+    Ok(response(&place, id, rx))
+}
+
+const PIECES_WAITING: usize = 64;
+
+fn response(
+    place: &StreamPlace,
+    id: &str,
+    rx: tokio::sync::mpsc::Receiver<Piece>,
+) -> Response<Body> {
+    let style = if place.is_chat { Style::Chat } else { Style::Text };
+    let model = place.model.to_string();
+    let events = stream::unfold(rx, move |mut rx| {
+        let model = model.clone();
+        async move { rx.recv().await.map(|piece| (event(style, &model, piece), rx)) }
+    });
+    let mut res = Response::new(body::stream(events));
+    let headers = res.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(sse::EVENT_STREAM));
+    set_request_id(headers, id);
+    res
+}
+
+/// Hands on what the engine still generates; whole, or with a problem at its end.
+async fn relay(
+    node: Arc<Node>,
+    mut lines: Lines,
+    from: u32,
+    tx: tokio::sync::mpsc::Sender<Piece>,
+    _driver: client::Driver,
+) {
+    let stall = node.settings.times.caller_stall.to_duration();
+    let mut next = from;
+    loop {
+        let piece = match lines.next().await {
+            Some(TokenEvent::Token { index, .. }) if index < next => continue,
+            Some(TokenEvent::Token { index, text }) if index == next => {
+                next += 1;
+                node.counters.tokens.add(1);
+                Piece::Token { index, text }
+            }
+            Some(TokenEvent::Done { tokens }) if tokens == next => Piece::Done { tokens },
+            _ => {
+                let detail = format!("the stream broke off after token {next}");
+                Piece::Problem(Problem::unknown(Code::ResumeLost, detail))
+            }
+        };
+        let is_last = !matches!(piece, Piece::Token { .. });
+        let told = tokio::time::timeout(stall, tx.send(piece)).await;
+        if is_last || !matches!(told, Ok(Ok(()))) {
+            return;
+        }
+    }
+}
+
+/// Cancels a stream for good.
+///
+/// # Errors
+///
+/// [`Code::NotFound`] for an id that is not this team's.
+pub async fn cancel(
+    node: &Arc<Node>,
+    req: &Request<Incoming>,
+    id: &str,
+) -> Result<Response<Body>, Problem> {
+    let place = find(node, req, id)?;
+    if let Some(address) = address(node, &place) {
+        cancel_upstream(address, place.stream);
+    }
+    Ok(body::json(StatusCode::ACCEPTED, &"the stream is being cancelled"))
+}
+
+/// An id of another team is not told apart from one that is none.
+fn find(node: &Node, req: &Request<Incoming>, id: &str) -> Result<StreamPlace, Problem> {
+    let bundle = node.bundle().ok_or_else(|| Problem::not_run(Code::NotReady, "no bundle"))?;
+    let team = identity::team(req.headers(), &bundle)?;
+    let place = StreamPlace::open(id, &node.checked.cluster_key);
+    place
+        .filter(|place| place.team == team)
+        .ok_or_else(|| Problem::not_run(Code::NotFound, "there is no such request"))
+}
+
+fn from(req: &Request<Incoming>) -> Result<u32, Problem> {
+    let query = req.uri().query().unwrap_or_default();
+    let value = query.split('&').find_map(|pair| pair.strip_prefix("from="));
+    let bad = |_| Problem::not_run(Code::BadRequest, "from must be the number of a token");
+    value.map_or(Ok(0), |text| text.parse().map_err(bad))
+}
+
+fn address(node: &Node, place: &StreamPlace) -> Option<String> {
+    let list = Arc::clone(&node.list.read());
+    let listed = list.iter().find(|listed| listed.instance == place.instance);
+    listed.map(|listed| listed.address.clone())
+}
--- /dev/null
+++ b/crates/workshold-node/src/callers/sse.rs
@@ -0,0 +1,113 @@
+//! Answers in the shape that OpenAI-style clients read.
+
+use bytes::Bytes;
+use serde::Serialize;
+use workshold_protocol::problem::Problem;
+
+use crate::callers::completions::Style;
+
+/// The media type of a stream of events.
+pub const EVENT_STREAM: &str = "text/event-stream";
+
+#[derive(Debug, Serialize)]
+struct Chunk<'a> {
+    object: &'static str,
+    model: &'a str,
+    choices: [Choice<'a>; 1],
+}
+
+#[derive(Debug, Serialize)]
+struct Choice<'a> {
+    index: u32,
+    #[serde(flatten)]
+    content: Content<'a>,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Content<'a> {
+    Text(&'a str),
+    Delta(Message<'a>),
+    Message(Message<'a>),
+}
+
+#[derive(Debug, Serialize)]
+struct Message<'a> {
+    role: &'static str,
+    content: &'a str,
+}
+
+#[derive(Debug, Serialize)]
+struct Whole<'a> {
+    id: &'a str,
+    object: &'static str,
+    model: &'a str,
+    choices: [Choice<'a>; 1],
+    usage: Usage,
+}
+
+#[derive(Debug, Serialize)]
+struct Usage {
+    completion_tokens: u32,
+}
+
+const ASSISTANT: &str = "assistant";
+
+/// The event of one token; its id is the token's place, to resume after.
+pub fn token(style: Style, model: &str, index: u32, text: &str) -> Bytes {
+    let content = match style {
+        Style::Text => Content::Text(text),
+        Style::Chat => Content::Delta(Message { role: ASSISTANT, content: text }),
+    };
+    event(index, style, model, content, None)
+}
+
+/// The events at the end of a whole answer of `tokens` tokens.
+pub fn done(style: Style, model: &str, tokens: u32) -> Bytes {
+    let content = match style {
+        Style::Text => Content::Text(""),
+        Style::Chat => Content::Delta(Message { role: ASSISTANT, content: "" }),
+    };
+    let mut bytes = event(tokens, style, model, content, Some("stop")).to_vec();
+    bytes.extend_from_slice(b"data: [DONE]\n\n");
+    bytes.into()
+}
+
+fn event(
+    id: u32,
+    style: Style,
+    model: &str,
+    content: Content<'_>,
+    finish_reason: Option<&'static str>,
+) -> Bytes {
+    let object = style.chunk_object();
+    let chunk = Chunk { object, model, choices: [Choice { index: 0, content, finish_reason }] };
+    let mut bytes = format!("id: {id}\ndata: ").into_bytes();
+    serde_json::to_writer(&mut bytes, &chunk).expect("a chunk is text");
+    bytes.extend_from_slice(b"\n\n");
+    bytes.into()
+}
+
+/// A comment with the id by which the stream can be resumed from now on.
+pub fn request_id(id: &str) -> Bytes {
+    format!(": request-id {id}\n\n").into()
+}
+
+/// The event that ends a stream which cannot be completed.
+pub fn problem(problem: &Problem) -> Bytes {
+    let text = serde_json::to_string(problem).expect("a problem is text");
+    format!("event: error\ndata: {text}\n\n").into()
+}
+
+/// A whole answer in one piece.
+pub fn whole(style: Style, model: &str, id: &str, text: &str, tokens: u32) -> Vec<u8> {
+    let content = match style {
+        Style::Text => Content::Text(text),
+        Style::Chat => Content::Message(Message { role: ASSISTANT, content: text }),
+    };
+    let choices = [Choice { index: 0, content, finish_reason: Some("stop") }];
+    let usage = Usage { completion_tokens: tokens };
+    let whole = Whole { id, object: style.whole_object(), model, choices, usage };
+    serde_json::to_vec(&whole).expect("an answer is text")
+}
--- /dev/null
+++ b/crates/workshold-node/src/daemon.rs
@@ -0,0 +1,279 @@
+//! Starting a node, and ending it with a plan.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use displaydoc::Display;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
+use tower::service_fn;
+use workshold_http::Body;
+use workshold_http::server;
+use workshold_http::server::Bounds;
+use workshold_http::server::Stage;
+use workshold_protocol::Millis;
+use workshold_protocol::clock::SystemClock;
+
+use crate::callers;
+use crate::dump;
+use crate::events::Event;
+use crate::events::emit;
+use crate::metrics::MetricsSender;
+use crate::node::Node;
+use crate::operators;
+use crate::settings::Checked;
+use crate::tasks;
+use crate::tasks::intents::IntentRequest;
+use crate::tasks::intents::QUEUE_LEN;
+use crate::tasks::peers::ListenError;
+
+/// Why a node did not start, or ended without being told to.
+#[derive(Debug, Display)]
+pub enum DaemonError {
+    /// {address} cannot be listened on: {why}
+    Listen {
+        /// The address.
+        address: String,
+        /// What the machine said.
+        why: io::Error,
+    },
+    /// {0}
+    Peers(ListenError),
+    /// signals cannot be waited for: {0}
+    Signals(io::Error),
+    /// a part of the node has ended
+    TaskEnded,
+}
+
+impl std::error::Error for DaemonError {}
+
+/// How a planned stop went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ended {
+    /// Connections that were cut.
+    pub cut: usize,
+}
+
+struct Servers {
+    callers: JoinHandle<usize>,
+    stage: watch::Sender<Stage>,
+}
+
+const METRICS_EVERY: Duration = Duration::from_secs(10);
+const READY_EVERY: Duration = Duration::from_millis(100);
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// Runs a node until a signal stops it.
+///
+/// # Errors
+///
+/// [`DaemonError`] if it cannot start, or a part of it ends.
+pub async fn run(checked: Checked) -> Result<Ended, DaemonError> {
+    let mut signals = Signals::new().map_err(DaemonError::Signals)?;
+    let (intents, intents_rx) = mpsc::channel(QUEUE_LEN);
+    let node = Node::new(checked, Arc::new(SystemClock::default()), intents);
+    let servers = start_servers(&node).await?;
+    let mut parts = start_tasks(&node, intents_rx).await?;
+    emit(Event::Started, &[("callers", &node.settings.node.callers)]);
+    loop {
+        tokio::select! {
+            _ = parts.join_next() => {
+                emit(Event::TaskEnded, &[]);
+                return Err(DaemonError::TaskEnded);
+            }
+            wanted = signals.next() => match wanted {
+                Wanted::Dump => print_dump(&node),
+                Wanted::Stop => break,
+            },
+        }
+    }
+    let ended = stop(&node, servers, &mut signals).await;
+    emit(Event::Stopped, &[("cut", &ended.cut.to_string())]);
+    Ok(ended)
+}
+
+/// What a signal asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Wanted {
+    Stop,
+    Dump,
+}
+
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    dump: Signal,
+}
+
+impl Signals {
+    fn new() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            dump: signal(SignalKind::user_defined1())?,
+        })
+    }
+
+    async fn next(&mut self) -> Wanted {
+        tokio::select! {
+            _ = self.terminate.recv() => Wanted::Stop,
+            _ = self.interrupt.recv() => Wanted::Stop,
+            _ = self.dump.recv() => Wanted::Dump,
+        }
+    }
+
+    /// Waits for a signal to stop; prints the state for those that ask for it.
+    async fn stop(&mut self, node: &Node) {
+        while self.next().await == Wanted::Dump {
+            print_dump(node);
+        }
+    }
+}
+
+async fn start_servers(node: &Arc<Node>) -> Result<Servers, DaemonError> {
+    let (stage, rx) = watch::channel(Stage::Running);
+    let bounds = Bounds {
+        connections: node.settings.bounds.connections,
+        head_time: node.settings.bounds.read_time.to_duration(),
+        ..Bounds::default()
+    };
+    let listener = bind(&node.settings.node.callers).await?;
+    let for_callers = Arc::clone(node);
+    let service = service_fn(move |req: Request<Incoming>| {
+        infallible(callers::handle(Arc::clone(&for_callers), req))
+    });
+    let callers = tokio::spawn(server::serve(listener, bounds, service, rx.clone()));
+    let listener = bind(&node.settings.node.operators).await?;
+    let for_operators = Arc::clone(node);
+    let service = service_fn(move |req: Request<Incoming>| {
+        infallible(operators::handle(Arc::clone(&for_operators), req))
+    });
+    tokio::spawn(server::serve(listener, Bounds::default(), service, rx));
+    Ok(Servers { callers, stage })
+}
+
+async fn infallible(
+    answer: impl Future<Output = Response<Body>>,
+) -> Result<Response<Body>, Infallible> {
+    Ok(answer.await)
+}
+
+async fn bind(address: &str) -> Result<TcpListener, DaemonError> {
+    let listen = |why| DaemonError::Listen { address: address.to_owned(), why };
+    TcpListener::bind(address).await.map_err(listen)
+}
+
+async fn start_tasks(
+    node: &Arc<Node>,
+    intents: mpsc::Receiver<IntentRequest>,
+) -> Result<JoinSet<()>, DaemonError> {
+    let socket = tasks::peers::listen(node).await.map_err(DaemonError::Peers)?;
+    let mut parts = JoinSet::new();
+    parts.spawn(tasks::peers::answer_all(Arc::clone(node), socket));
+    parts.spawn(tasks::peers::ask_all(Arc::clone(node)));
+    parts.spawn(tasks::listing::run(Arc::clone(node)));
+    parts.spawn(tasks::probing::run(Arc::clone(node)));
+    parts.spawn(tasks::replaying::run(Arc::clone(node)));
+    parts.spawn(tasks::stewarding::run(Arc::clone(node)));
+    parts.spawn(tasks::upkeep::run(Arc::clone(node)));
+    parts.spawn(tasks::dispatching::run(Arc::clone(node)));
+    parts.spawn(tasks::intents::run(Arc::clone(node), intents));
+    parts.spawn(report_readiness(Arc::clone(node)));
+    if let Some(address) = &node.settings.metrics.statsd {
+        parts.spawn(send_metrics(Arc::clone(node), address.clone()));
+    }
+    Ok(parts)
+}
+
+/// Says so whenever the node begins or ceases to serve callers.
+async fn report_readiness(node: Arc<Node>) {
+    let mut last = None;
+    loop {
+        let now = node.readiness();
+        if last != Some(now) {
+            match now {
+                Ok(()) => emit(Event::Ready, &[]),
+                Err(why) => emit(Event::NotReady, &[("why", &why.to_string())]),
+            }
+            last = Some(now);
+        }
+        tokio::time::sleep(READY_EVERY).await;
+    }
+}
+
+async fn send_metrics(node: Arc<Node>, address: String) {
+    let Ok(mut sender) = MetricsSender::new(&address) else {
+        return std::future::pending().await;
+    };
+    loop {
+        tokio::time::sleep(METRICS_EVERY).await;
+        sender.send(&node.counters);
+    }
+}
+
+#[expect(clippy::print_stdout, reason = "the dump goes where the operator reads it")]
+fn print_dump(node: &Node) {
+    match serde_json::to_string(&dump::dump(node)) {
+        Ok(text) => println!("{text}"),
+        Err(err) => println!("the state cannot be written: {err}"),
+    }
+}
+
+/// Leaves the addresses, waits until callers have forgotten this one, finishes
+/// what is in flight, and ends. A second signal cuts what is left.
+async fn stop(node: &Arc<Node>, servers: Servers, signals: &mut Signals) -> Ended {
+    node.leaving.store(true, Ordering::Relaxed);
+    emit(Event::Leaving, &[]);
+    let times = &node.settings.times;
+    // Others hear of it within one question, and callers keep what they were
+    // told for the time it is good for.
+    let forgotten = node.now() + times.probe_every + times.probe_every + times.entries_ttl;
+    let patience = forgotten + times.stop_patience;
+    let finished = async {
+        wait_until(node, forgotten).await;
+        // Whoever comes now did not heed the addresses, and is told others.
+        node.closing.store(true, Ordering::Relaxed);
+        wait_until_idle(node, patience).await;
+    };
+    tokio::select! {
+        () = finished => {}
+        () = signals.stop(node) => {
+            let left = node.in_flight.len().to_string();
+            emit(Event::Cut, &[("in_flight", &left)]);
+        }
+    }
+    let stage = if node.in_flight.is_empty() { Stage::Finishing } else { Stage::Cutting };
+    let cut = node.in_flight.len();
+    servers.stage.send_replace(stage);
+    let ended = tokio::time::timeout(FINISH_TIME, servers.callers).await;
+    let unfinished = ended.ok().and_then(Result::ok).unwrap_or(0);
+    Ended { cut: cut.max(if stage == Stage::Cutting { unfinished } else { 0 }) }
+}
+
+/// Time for answers that are complete to leave the machine.
+const FINISH_TIME: Duration = Duration::from_secs(2);
+
+async fn wait_until(node: &Node, time: Millis) {
+    while node.now() < time {
+        tokio::time::sleep(STOP_POLL).await;
+    }
+}
+
+async fn wait_until_idle(node: &Node, not_after: Millis) {
+    while !node.in_flight.is_empty() && node.now() < not_after {
+        tokio::time::sleep(STOP_POLL).await;
+    }
+}
--- /dev/null
+++ b/crates/workshold-node/src/desk.rs
@@ -0,0 +1,213 @@
+//! The desk of one model: who goes to which group, and who waits.
+
+use std::sync::Arc;
+
+use tokio::sync::oneshot;
+use workshold_core::admission::Arrival;
+use workshold_core::admission::FairQueue;
+use workshold_core::admission::Popped;
+use workshold_core::admission::QueueRules;
+use workshold_core::admission::Refused;
+use workshold_core::outlier::OutlierRules;
+use workshold_core::outlier::Outliers;
+use workshold_core::prefix::PrefixChain;
+use workshold_core::routing::Candidate;
+use workshold_core::routing::Router;
+use workshold_core::routing::RoutingRules;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::GroupId;
+use workshold_protocol::ids::ModelName;
+use workshold_protocol::ids::Version;
+
+use crate::serving::ServingGroup;
+use crate::serving::ServingTable;
+
+/// What a waiting request is told.
+#[derive(Debug)]
+pub enum Turn {
+    /// It goes to this group, and is counted there.
+    Go(Box<ServingGroup>),
+    /// It has waited past its time.
+    Expired,
+}
+
+/// A request that waits.
+#[derive(Debug)]
+pub struct Waiter {
+    chain: Arc<PrefixChain>,
+    turn: oneshot::Sender<Turn>,
+}
+
+/// Where a request goes.
+#[derive(Debug)]
+pub enum Placed {
+    /// To this group, at once.
+    Go(Box<ServingGroup>),
+    /// It waits here for its turn.
+    Waits(oneshot::Receiver<Turn>),
+    /// No group serves the model.
+    NoGroup,
+    /// It could not start in time.
+    Refused(Refused),
+}
+
+/// Routing and queue of one model at this node.
+#[derive(Debug)]
+pub struct ModelDesk {
+    router: Router,
+    queue: FairQueue<Waiter>,
+    outliers: Outliers<GroupId>,
+    service_time: Option<Millis>,
+}
+
+/// Weight of the newest request in the average time of service.
+const SERVICE_TIME_PART: u64 = 10;
+
+impl Default for ModelDesk {
+    fn default() -> Self {
+        Self {
+            router: Router::new(RoutingRules::default()),
+            queue: FairQueue::new(QueueRules::default()),
+            outliers: Outliers::new(OutlierRules::default()),
+            service_time: None,
+        }
+    }
+}
+
+/// What a desk looks at when it places a request.
+#[derive(Debug, Clone, Copy)]
+pub struct DeskView<'a> {
+    /// The model.
+    pub model: &'a ModelName,
+    /// The version that the bundle in force asks for.
+    pub version: &'a Version,
+    /// Which groups serve.
+    pub table: &'a ServingTable,
+    /// The node's clock.
+    pub now: Millis,
+}
+
+impl ModelDesk {
+    /// Finds a group with room for a new request, or lets it wait.
+    pub fn place(
+        &mut self,
+        view: &DeskView<'_>,
+        chain: &Arc<PrefixChain>,
+        arrival: &Arrival<'_>,
+    ) -> Placed {
+        if view.table.of_model(view.model, view.now).next().is_none() {
+            return Placed::NoGroup;
+        }
+        if self.queue.is_empty()
+            && let Some(group) = self.start(view, chain)
+        {
+            return Placed::Go(group);
+        }
+        let (turn, rx) = oneshot::channel();
+        let waiter = Waiter { chain: Arc::clone(chain), turn };
+        match self.queue.push(arrival, waiter, view.now) {
+            Ok(()) => Placed::Waits(rx),
+            Err(refused) => Placed::Refused(refused),
+        }
+    }
+
+    /// Gives turns to those who wait, as far as there is room.
+    pub fn dispatch(&mut self, view: &DeskView<'_>) {
+        self.queue.remove_gone(|waiter| waiter.turn.is_closed());
+        while let Some(waiter) = self.queue.pop_expired(view.now) {
+            let _ = waiter.turn.send(Turn::Expired);
+        }
+        while !self.queue.is_empty() && self.has_room(view) {
+            match self.queue.pop(view.now) {
+                Some(Popped::Start(waiter)) => self.give_turn(view, waiter),
+                Some(Popped::Expired(waiter)) => {
+                    let _ = waiter.turn.send(Turn::Expired);
+                }
+                None => return,
+            }
+        }
+    }
+
+    /// A request at `group` is over; its first token took so long.
+    pub fn on_done(
+        &mut self,
+        group: &GroupId,
+        first_token: Option<Millis>,
+        took: Millis,
+        now: Millis,
+    ) {
+        self.router.on_done(group, now);
+        if let Some(first_token) = first_token {
+            self.outliers.on_answer(group, first_token, now);
+            let mean = self.service_time.unwrap_or(took).0;
+            let mean = (mean * (SERVICE_TIME_PART - 1) + took.0) / SERVICE_TIME_PART;
+            self.service_time = Some(Millis(mean));
+        }
+    }
+
+    /// A request at `group` failed.
+    pub fn on_failed(&mut self, group: &GroupId, now: Millis) {
+        self.router.on_done(group, now);
+        self.outliers.on_failure(group, now);
+    }
+
+    /// What a request takes on average, once it has started.
+    pub fn service_time(&self) -> Millis {
+        self.service_time.unwrap_or_default()
+    }
+
+    /// How many wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Forgets groups that are gone.
+    pub fn retain(&mut self, is_there: impl Fn(&GroupId) -> bool) {
+        self.router.retain(&is_there);
+        self.outliers.retain(is_there);
+    }
+
+    fn give_turn(&mut self, view: &DeskView<'_>, waiter: Waiter) {
+        let Some(group) = self.start(view, &waiter.chain) else { return };
+        if let Err(Turn::Go(group)) = waiter.turn.send(Turn::Go(group)) {
+            // The caller went away between the two.
+            self.router.on_done(&group.group, view.now);
+        }
+    }
+
+    fn start(&mut self, view: &DeskView<'_>, chain: &PrefixChain) -> Option<Box<ServingGroup>> {
+        let rows = self.with_room(view);
+        let candidates: Vec<_> = rows.iter().map(|row| self.candidate(row, view.now)).collect();
+        let chosen = self.router.choose(chain, &candidates)?.clone();
+        let row = rows.into_iter().find(|row| row.group == chosen)?.clone();
+        self.router.on_sent(chain, &chosen, view.now);
+        Some(Box::new(row))
+    }
+
+    fn has_room(&self, view: &DeskView<'_>) -> bool {
+        !self.with_room(view).is_empty()
+    }
+
+    /// Groups with a free slot; those of the wanted version if there are any.
+    fn with_room<'a>(&self, view: &DeskView<'a>) -> Vec<&'a ServingGroup> {
+        let rows = view.table.of_model(view.model, view.now);
+        let rows: Vec<_> = rows
+            .filter(|row| self.router.load(&self.candidate(row, view.now)) < f64::from(row.slots))
+            .collect();
+        let wanted: Vec<_> =
+            rows.iter().filter(|row| &row.version == view.version).copied().collect();
+        if wanted.is_empty() { rows } else { wanted }
+    }
+
+    fn candidate<'a>(&self, row: &'a ServingGroup, now: Millis) -> Candidate<'a> {
+        Candidate {
+            group: &row.group,
+            reported: row.reported,
+            true_since: row.true_since,
+            slots: row.slots,
+            worth: row.worth,
+            is_remote: row.is_remote,
+            is_set_aside: self.outliers.is_set_aside(&row.group, now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/workshold-node/src/keytable.rs
@@ -0,0 +1,110 @@
+//! What became of the requests that this node runs at most once.
+
+use tokio::sync::watch;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::KeyDigest;
+use workshold_protocol::peer::StoredAnswer;
+use workshold_protocol::problem::Code;
+use workshold_protocol::problem::PROBLEM_JSON;
+use workshold_protocol::problem::Problem;
+
+use crate::shards::Shards;
+
+/// The longest answer that is kept for who asks again, in bytes.
+const MAX_KEPT_LEN: usize = 64 * 1024;
+
+#[derive(Debug)]
+struct Entry {
+    key_time: Millis,
+    answer: watch::Receiver<Option<StoredAnswer>>,
+}
+
+/// The keys that this node has taken up since it started.
+#[derive(Debug, Default)]
+pub struct KeyTable {
+    entries: Shards<KeyDigest, Entry>,
+}
+
+/// What a request finds under its key at this node.
+#[derive(Debug)]
+pub enum Begin {
+    /// Nothing: it is this request's to run. The answer goes in here.
+    Mine(Running),
+    /// Another request with the key is running or done; its answer comes here.
+    Others(watch::Receiver<Option<StoredAnswer>>),
+}
+
+/// A request that runs under its key. Dropped without an answer, it leaves
+/// "unknown" behind.
+#[derive(Debug)]
+pub struct Running {
+    answer: watch::Sender<Option<StoredAnswer>>,
+}
+
+impl KeyTable {
+    /// Takes up a key, or finds who did.
+    pub fn begin(&self, key: &KeyDigest, key_time: Millis) -> Begin {
+        self.entries.with_shard(key, |shard| {
+            if let Some(entry) = shard.get(key) {
+                return Begin::Others(entry.answer.clone());
+            }
+            let (tx, rx) = watch::channel(None);
+            shard.insert(*key, Entry { key_time, answer: rx });
+            Begin::Mine(Running { answer: tx })
+        })
+    }
+
+    /// The answer under a key, if it was taken up here and is there.
+    pub fn answer(&self, key: &KeyDigest) -> Option<StoredAnswer> {
+        self.entries.get(key, |entry| entry.answer.borrow().clone()).flatten()
+    }
+
+    /// Forgets keys that everybody refuses.
+    pub fn forget_before(&self, floor: Millis) {
+        self.entries.retain(|_, entry| entry.key_time >= floor);
+    }
+
+    /// How many keys are kept.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether none is kept.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
+
+impl Running {
+    /// Keeps the answer for whoever asks again.
+    pub fn finish(self, answer: &StoredAnswer) {
+        let kept = if answer.body.len() <= MAX_KEPT_LEN {
+            answer.clone()
+        } else {
+            stored(&Problem::unknown(
+                Code::KeyInProgress,
+                "it ran, but its answer was too long to keep",
+            ))
+        };
+        self.answer.send_replace(Some(kept));
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if self.answer.borrow().is_none() {
+            let problem =
+                Problem::unknown(Code::UpstreamFailed, "its caller went away while it ran");
+            self.answer.send_replace(Some(stored(&problem)));
+        }
+    }
+}
+
+/// A problem as an answer.
+pub fn stored(problem: &Problem) -> StoredAnswer {
+    StoredAnswer {
+        status: problem.status,
+        content_type: PROBLEM_JSON.to_owned(),
+        body: serde_json::to_vec(problem).expect("a problem is text"),
+    }
+}
--- /dev/null
+++ b/crates/workshold-node/src/metrics.rs
@@ -0,0 +1,60 @@
+//! Sending counters to a statsd server with `cadence`.
+
+use std::fmt::Write as _;
+use std::net::UdpSocket;
+
+use cadence::Counted;
+use cadence::StatsdClient;
+use cadence::UdpMetricSink;
+
+use crate::counters::Counters;
+
+/// The beginning of every metric's name.
+pub const PREFIX: &str = "workshold";
+
+/// Sends what has changed since the last time.
+#[derive(Debug)]
+pub struct MetricsSender {
+    client: StatsdClient,
+    last: Vec<u64>,
+}
+
+impl MetricsSender {
+    /// A sender to `address`.
+    ///
+    /// # Errors
+    ///
+    /// What the machine says if no socket can be had.
+    pub fn new(address: &str) -> std::io::Result<Self> {
+        let socket = UdpSocket::bind("0.0.0.0:0")?;
+        socket.set_nonblocking(true)?;
+        let sink = UdpMetricSink::from(address, socket).map_err(std::io::Error::other)?;
+        let client = StatsdClient::from_sink(PREFIX, sink);
+        Ok(Self { client, last: vec![0; Counters::METRICS.len()] })
+    }
+
+    /// Sends the changes; a metric that is lost is not sent again.
+    pub fn send(&mut self, counters: &Counters) {
+        let values = counters.values();
+        let changes = Counters::METRICS.iter().zip(values.iter().zip(&self.last));
+        for ((name, _), (now, last)) in changes {
+            let change = i64::try_from(now - last).unwrap_or(i64::MAX);
+            if change > 0 {
+                let _ = self.client.count(name, change);
+            }
+        }
+        self.last = values;
+    }
+}
+
+/// The text of `docs/METRICS.md`.
+pub fn catalogue() -> String {
+    let mut text = String::from(
+        "# Metrics\n\nSent to the statsd server of the settings every ten seconds, as counters.\n\n\
+         | metric | counts |\n| --- | --- |\n",
+    );
+    for (name, what) in Counters::METRICS {
+        let _ = writeln!(text, "| {PREFIX}.{name} | {what} |");
+    }
+    text
+}
--- /dev/null
+++ b/crates/workshold-node/src/peer_link.rs
@@ -0,0 +1,108 @@
+//! Asking another node over a `zeromq` socket.
+
+use std::time::Duration;
+
+use displaydoc::Display;
+use tokio::time::timeout;
+use workshold_protocol::ids::NodeId;
+use workshold_protocol::peer::Answer;
+use workshold_protocol::peer::AnswerBody;
+use workshold_protocol::peer::Ask;
+use workshold_protocol::peer::Question;
+use workshold_protocol::peer::pack;
+use workshold_protocol::peer::unpack;
+use workshold_protocol::signing::ClusterKey;
+use zeromq::ReqSocket;
+use zeromq::Socket;
+use zeromq::SocketRecv;
+use zeromq::SocketSend;
+
+use crate::counters::Counters;
+
+/// Why a peer gave no answer.
+#[derive(Debug, Display)]
+pub enum AskError {
+    /// the peer cannot be reached: {0}
+    Unreachable(String),
+    /// the peer did not answer in time
+    TimedOut,
+    /// the peer's answer is to another question, or its seal does not fit
+    BadAnswer,
+}
+
+impl std::error::Error for AskError {}
+
+/// A link to one other node; asks one question at a time.
+pub struct PeerLink {
+    address: String,
+    socket: tokio::sync::Mutex<Option<ReqSocket>>,
+}
+
+impl std::fmt::Debug for PeerLink {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PeerLink").field("address", &self.address).finish_non_exhaustive()
+    }
+}
+
+impl PeerLink {
+    /// A link to the node at `address`; connects when it is first used.
+    pub fn new(address: &str) -> Self {
+        Self { address: address.to_owned(), socket: tokio::sync::Mutex::default() }
+    }
+
+    /// Where it leads.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// Asks, and waits for the answer no longer than `within`.
+    ///
+    /// # Errors
+    ///
+    /// [`AskError`]; the link is then made anew by the next question, so that a
+    /// late answer meets nobody.
+    pub async fn ask(
+        &self,
+        from: &NodeId,
+        ask: Ask,
+        key: &ClusterKey,
+        counters: &Counters,
+        within: Duration,
+    ) -> Result<AnswerBody, AskError> {
+        let mut slot = self.socket.lock().await;
+        let mut socket = match slot.take() {
+            Some(socket) => socket,
+            None => self.connect(within).await?,
+        };
+        let nonce = rand::random();
+        let question = pack(&Question { nonce, from: from.clone(), ask }, key);
+        counters.questions.add(1);
+        counters.control_sent.add(question.len() as u64);
+        let exchange = timeout(within, exchange(&mut socket, question)).await;
+        let bytes = exchange.map_err(|_| AskError::TimedOut)??;
+        counters.control_received.add(bytes.len() as u64);
+        let answer: Answer = unpack(&bytes, key).map_err(|_| AskError::BadAnswer)?;
+        if answer.nonce != nonce {
+            return Err(AskError::BadAnswer);
+        }
+        *slot = Some(socket);
+        Ok(answer.body)
+    }
+
+    async fn connect(&self, within: Duration) -> Result<ReqSocket, AskError> {
+        let mut socket = ReqSocket::new();
+        let endpoint = format!("tcp://{}", self.address);
+        match timeout(within, socket.connect(&endpoint)).await {
+            Err(_) => Err(AskError::TimedOut),
+            Ok(Err(err)) => Err(AskError::Unreachable(err.to_string())),
+            Ok(Ok(())) => Ok(socket),
+        }
+    }
+}
+
+async fn exchange(socket: &mut ReqSocket, question: Vec<u8>) -> Result<Vec<u8>, AskError> {
+    let unreachable = |err: zeromq::ZmqError| AskError::Unreachable(err.to_string());
+    socket.send(question.into()).await.map_err(unreachable)?;
+    let message = socket.recv().await.map_err(unreachable)?;
+    message.get(0).map(|frame| frame.to_vec()).ok_or(AskError::BadAnswer)
+}
--- /dev/null
+++ b/crates/workshold-node/src/serving.rs
@@ -0,0 +1,147 @@
+//! The table of groups that serve, made anew whenever something changed.
+//!
+//! Each row says until when it may be used: the freshness of the oldest report
+//! that it stands on. So a row is never believed longer than a report is.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use serde::Serialize;
+use workshold_core::fleet::Group;
+use workshold_core::gate;
+use workshold_core::gate::Closed;
+use workshold_core::gate::GateRules;
+use workshold_core::state::State;
+use workshold_core::witness::Witnesses;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::DataCentre;
+use workshold_protocol::ids::Fence;
+use workshold_protocol::ids::GroupId;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::ids::ModelName;
+use workshold_protocol::ids::Version;
+use workshold_protocol::report::ListedInstance;
+
+/// A group that serves.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct ServingGroup {
+    /// Its name.
+    pub group: GroupId,
+    /// Its fencing number.
+    pub fence: Fence,
+    /// The member that serves callers.
+    pub head: InstanceId,
+    /// Where that listens.
+    pub address: String,
+    /// The version it runs.
+    pub version: Version,
+    /// Share of a full group's worth.
+    pub worth: f64,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Requests in it when it last reported.
+    pub reported: u32,
+    /// Since when that is true.
+    pub true_since: Millis,
+    /// Until when it may be sent work on these reports.
+    pub valid_until: Millis,
+    /// Whether it is in another data centre.
+    pub is_remote: bool,
+}
+
+/// All groups, those that serve and those that do not.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct ServingTable {
+    /// Those that serve, by model.
+    pub serving: BTreeMap<ModelName, Vec<ServingGroup>>,
+    /// Those that do not, and why.
+    pub closed: BTreeMap<GroupId, Closed>,
+}
+
+/// What a table is made of.
+#[derive(Debug, Clone, Copy)]
+pub struct Sources<'a> {
+    /// What lasts.
+    pub state: &'a State,
+    /// What instances said.
+    pub witnesses: &'a Witnesses,
+    /// The platform's list.
+    pub list: &'a [ListedInstance],
+    /// This node's data centre.
+    pub data_centre: &'a DataCentre,
+    /// Its clock.
+    pub now: Millis,
+    /// How groups are judged.
+    pub rules: GateRules,
+}
+
+impl ServingTable {
+    /// Judges every group.
+    pub fn make(sources: &Sources<'_>) -> Self {
+        let by_id: BTreeMap<_, _> =
+            sources.list.iter().map(|listed| (&listed.instance, listed)).collect();
+        let leaving: BTreeSet<_> = sources
+            .list
+            .iter()
+            .filter(|listed| listed.leaving)
+            .map(|listed| listed.instance.clone())
+            .collect();
+        let mut table = Self::default();
+        for group in sources.state.fleet.groups() {
+            let judged =
+                gate::judge(group, sources.witnesses, &leaving, sources.now, sources.rules);
+            let row = judged.and_then(|()| {
+                let head = &group.head().instance;
+                let unseen = || Closed::Unseen(head.clone());
+                let listed = by_id.get(head).ok_or_else(unseen)?;
+                sources.row(group, listed).ok_or_else(unseen)
+            });
+            match row {
+                Ok(row) => table.serving.entry(group.model.clone()).or_default().push(row),
+                Err(why) => {
+                    table.closed.insert(group.id.clone(), why);
+                }
+            }
+        }
+        table
+    }
+
+    /// The groups that serve `model` at `now`.
+    pub fn of_model(&self, model: &ModelName, now: Millis) -> impl Iterator<Item = &ServingGroup> {
+        let rows = self.serving.get(model).map(Vec::as_slice).unwrap_or_default();
+        rows.iter().filter(move |row| now < row.valid_until)
+    }
+
+    /// The names of all groups that serve.
+    pub fn serving_ids(&self) -> BTreeSet<GroupId> {
+        self.serving.values().flatten().map(|row| row.group.clone()).collect()
+    }
+}
+
+impl Sources<'_> {
+    fn row(&self, group: &Group, head: &ListedInstance) -> Option<ServingGroup> {
+        let members = group.members.iter();
+        let reports = members.map(|member| self.witnesses.get(&member.instance));
+        let oldest = reports.map(|witness| witness.map(|w| w.true_since)).min()??;
+        let witness = self.witnesses.get(&head.instance)?;
+        Some(ServingGroup {
+            group: group.id.clone(),
+            fence: group.fence,
+            head: head.instance.clone(),
+            address: head.address.clone(),
+            version: group.version.clone(),
+            worth: self.worth(group),
+            slots: witness.report.slots,
+            reported: witness.report.running + witness.report.queued,
+            true_since: witness.true_since,
+            valid_until: oldest + self.rules.report_ttl,
+            is_remote: &head.data_centre != self.data_centre,
+        })
+    }
+
+    fn worth(&self, group: &Group) -> f64 {
+        let in_force = self.state.bundles.in_force();
+        let model = in_force.and_then(|in_force| in_force.bundle.models.get(&group.model));
+        model.and_then(|model| model.role(&group.role)).map_or(1.0, |role| role.worth)
+    }
+}
--- /dev/null
+++ b/crates/workshold-node/src/shards.rs
@@ -0,0 +1,70 @@
+//! A map in shards, each under its own lock.
+
+use std::collections::HashMap;
+use std::hash::BuildHasher;
+use std::hash::Hash;
+
+use parking_lot::Mutex;
+use xxhash_rust::xxh3::Xxh3Builder;
+
+/// Shards of a map; more than the cores of an entry instance.
+const SHARDS: usize = 16;
+
+/// A map whose entries are locked by shard.
+#[derive(Debug)]
+pub struct Shards<K, V> {
+    shards: Vec<Mutex<HashMap<K, V>>>,
+}
+
+impl<K, V> Default for Shards<K, V> {
+    fn default() -> Self {
+        Self { shards: (0..SHARDS).map(|_| Mutex::default()).collect() }
+    }
+}
+
+impl<K: Hash + Eq + Clone, V> Shards<K, V> {
+    /// Runs `work` on the entry of `key`, made by `make` if there is none.
+    pub fn with<R>(&self, key: &K, make: impl FnOnce() -> V, work: impl FnOnce(&mut V) -> R) -> R {
+        let mut shard = self.shard(key).lock();
+        work(shard.entry(key.clone()).or_insert_with(make))
+    }
+
+    /// Runs `work` on the entry of `key`, if there is one.
+    pub fn get<R>(&self, key: &K, work: impl FnOnce(&mut V) -> R) -> Option<R> {
+        self.shard(key).lock().get_mut(key).map(work)
+    }
+
+    /// Runs `work` on the shard that `key` is in.
+    pub fn with_shard<R>(&self, key: &K, work: impl FnOnce(&mut HashMap<K, V>) -> R) -> R {
+        work(&mut self.shard(key).lock())
+    }
+
+    /// Runs `work` on every entry, shard by shard.
+    pub fn for_each(&self, mut work: impl FnMut(&K, &mut V)) {
+        for shard in &self.shards {
+            shard.lock().iter_mut().for_each(|(key, value)| work(key, value));
+        }
+    }
+
+    /// Keeps only the entries that `keep` wants.
+    pub fn retain(&self, mut keep: impl FnMut(&K, &mut V) -> bool) {
+        for shard in &self.shards {
+            shard.lock().retain(|key, value| keep(key, value));
+        }
+    }
+
+    /// How many entries there are.
+    pub fn len(&self) -> usize {
+        self.shards.iter().map(|shard| shard.lock().len()).sum()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn shard(&self, key: &K) -> &Mutex<HashMap<K, V>> {
+        let hash = Xxh3Builder::new().hash_one(key);
+        &self.shards[hash as usize % SHARDS]
+    }
+}
--- /dev/null
+++ b/crates/workshold-node/src/tasks.rs
@@ -0,0 +1,11 @@
+//! What a node does beside answering callers.
+
+pub mod catch_up;
+pub mod dispatching;
+pub mod intents;
+pub mod listing;
+pub mod peers;
+pub mod probing;
+pub mod replaying;
+pub mod stewarding;
+pub mod upkeep;
--- /dev/null
+++ b/crates/workshold-node/src/tasks/catch_up.rs
@@ -0,0 +1,158 @@
+//! Starting from what the log, or a peer, still has.
+
+use workshold_core::replay::Replay;
+use workshold_core::replay::Start;
+use workshold_core::replay::checkpoints_of;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::Offset;
+use workshold_protocol::log_api::ReadRecord;
+use workshold_protocol::log_api::ReadReply;
+use workshold_protocol::peer::AnswerBody;
+use workshold_protocol::peer::Ask;
+use workshold_protocol::record;
+use workshold_protocol::record::Checkpoint;
+use workshold_protocol::record::Envelope;
+
+use crate::events::Event;
+use crate::events::emit;
+use crate::node::Node;
+use crate::tail::Tail;
+
+/// Where records come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// The log itself.
+    Log,
+    /// A peer that relays them as they stand.
+    Peer,
+}
+
+/// Reads on from `from`: the log first, and if it does not answer, any live peer.
+pub async fn read_on(node: &Node, from: Offset, wait: Millis) -> Option<(ReadReply, Source)> {
+    match node.log.read(from, wait).await {
+        Ok(reply) => {
+            let len: usize = reply.records.iter().map(|record| record.data.len()).sum();
+            node.counters.control_received.add(len as u64);
+            Some((reply, Source::Log))
+        }
+        Err(_) => read_from_peers(node, from).await.map(|reply| (reply, Source::Peer)),
+    }
+}
+
+async fn read_from_peers(node: &Node, from: Offset) -> Option<ReadReply> {
+    let within = node.settings.times.probe_every.to_duration();
+    let mut best: Option<ReadReply> = None;
+    for (peer, address) in node.known_peers() {
+        let link = node.link(&peer, &address);
+        let ask = Ask::Records { from };
+        let key = &node.checked.cluster_key;
+        let asked = link.ask(node.name(), ask, key, &node.counters, within).await;
+        let Ok(AnswerBody::Records { records, next }) = asked else { continue };
+        let reply = as_reply(records, next);
+        if best.as_ref().is_none_or(|best| best.end < reply.end) {
+            best = Some(reply);
+        }
+    }
+    best
+}
+
+fn as_reply(records: Vec<(Offset, String)>, next: Offset) -> ReadReply {
+    let first = records.first().map_or(next, |(offset, _)| *offset);
+    let records = records.into_iter().map(|(offset, data)| ReadRecord { offset, data });
+    ReadReply { first, end: next, records: records.collect() }
+}
+
+/// What a node that has no state yet gathers until it has all there is.
+#[derive(Debug, Default)]
+pub struct Gathering {
+    first: Option<Offset>,
+    records: Vec<ReadRecord>,
+}
+
+/// A state and the records it was made of.
+#[derive(Debug)]
+pub struct Started {
+    /// The fold.
+    pub replay: Replay,
+    /// The records as they stand.
+    pub tail: Tail,
+}
+
+/// What gathering has come to.
+#[derive(Debug)]
+pub enum Gathered {
+    /// There is more to read, from this offset on.
+    More(Offset),
+    /// The node can start.
+    Started(Box<Started>),
+    /// Nothing that is left restates the log's beginning.
+    NoCheckpoint,
+    /// There is nothing at all: no world to serve.
+    Empty,
+}
+
+impl Gathering {
+    /// Where to read on.
+    pub fn next(&self) -> Offset {
+        self.records.last().map_or(Offset(0), |record| record.offset.next())
+    }
+
+    /// Takes what was read. A part that does not fit what there is (the log has
+    /// dropped records meanwhile) starts it anew.
+    pub fn take(&mut self, node: &Node, reply: ReadReply) -> Gathered {
+        let follows = reply.records.first().is_none_or(|record| record.offset == self.next());
+        if !follows || self.first.is_none() {
+            self.records.clear();
+            self.first = Some(reply.records.first().map_or(reply.end, |record| record.offset));
+        }
+        let is_last = reply.records.is_empty() || self.end_of(&reply) == reply.end;
+        self.records.extend(reply.records);
+        if !is_last {
+            return Gathered::More(self.next());
+        }
+        if self.records.is_empty() && reply.end == Offset(0) {
+            return Gathered::Empty;
+        }
+        self.start(node)
+    }
+
+    fn end_of(&self, reply: &ReadReply) -> Offset {
+        reply.records.last().map_or(self.next(), |record| record.offset.next())
+    }
+
+    fn start(&self, node: &Node) -> Gathered {
+        let first = self.first.unwrap_or_default();
+        let opened: Vec<_> =
+            self.records.iter().map(|record| (record, open(node, &record.data))).collect();
+        let checkpoints: Vec<Checkpoint> = opened
+            .iter()
+            .filter_map(|(_, envelope)| envelope.as_ref())
+            .flat_map(|envelope| checkpoints_of(envelope).cloned())
+            .collect();
+        let Start::From(mut replay) = Replay::start(first, &checkpoints) else {
+            return Gathered::NoCheckpoint;
+        };
+        let mut tail = Tail::starting_at(first);
+        for (record, envelope) in opened {
+            tail.push(record.offset, &record.data);
+            // A gap cannot be: the records were read without one.
+            if replay.take(record.offset, envelope.as_ref()).is_err() {
+                return Gathered::NoCheckpoint;
+            }
+        }
+        Gathered::Started(Box::new(Started { replay: *replay, tail }))
+    }
+}
+
+/// Opens a record; `None`, counted, for one whose seal or content does not fit.
+pub fn open(node: &Node, text: &str) -> Option<Envelope> {
+    let (key, operators) = (&node.checked.cluster_key, &node.checked.operators);
+    match record::open(text, key, operators) {
+        Ok((envelope, _)) => Some(envelope),
+        Err(err) => {
+            node.counters.records_passed_over.add(1);
+            emit(Event::RecordPassedOver, &[("why", &err.to_string())]);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/workshold-node/src/tasks/peers.rs
@@ -0,0 +1,219 @@
+//! Asking other nodes, and answering them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use displaydoc::Display;
+use tokio::task::JoinSet;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::DataCentre;
+use workshold_protocol::ids::NodeId;
+use workshold_protocol::peer::AgedNode;
+use workshold_protocol::peer::AgedReport;
+use workshold_protocol::peer::Answer;
+use workshold_protocol::peer::AnswerBody;
+use workshold_protocol::peer::Ask;
+use workshold_protocol::peer::Digest;
+use workshold_protocol::peer::Question;
+use workshold_protocol::peer::pack;
+use workshold_protocol::peer::unpack;
+use workshold_protocol::report::InstanceKind;
+use zeromq::RepSocket;
+use zeromq::Socket;
+use zeromq::SocketRecv;
+use zeromq::SocketSend;
+
+use crate::events::Event;
+use crate::events::emit;
+use crate::node::Node;
+
+/// The socket for other nodes could not be had: {0}
+#[derive(Debug, Display)]
+pub struct ListenError(String);
+
+impl std::error::Error for ListenError {}
+
+/// Opens the socket on which other nodes ask.
+///
+/// # Errors
+///
+/// [`ListenError`] if the address is taken.
+pub async fn listen(node: &Node) -> Result<RepSocket, ListenError> {
+    let mut socket = RepSocket::new();
+    let endpoint = format!("tcp://{}", node.settings.node.peers);
+    socket.bind(&endpoint).await.map_err(|err| ListenError(err.to_string()))?;
+    Ok(socket)
+}
+
+/// Answers other nodes for as long as this one runs.
+pub async fn answer_all(node: Arc<Node>, mut socket: RepSocket) {
+    loop {
+        let Ok(message) = socket.recv().await else {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            continue;
+        };
+        let bytes = message.get(0).map(|frame| frame.to_vec()).unwrap_or_default();
+        node.counters.control_received.add(bytes.len() as u64);
+        let reply = match unpack::<Question>(&bytes, &node.checked.cluster_key) {
+            Ok(question) => answer(&node, question),
+            Err(err) => {
+                node.counters.bad_messages.add(1);
+                emit(Event::BadSeal, &[("why", &err.to_string())]);
+                // The socket owes an answer before it hears the next question.
+                Vec::new()
+            }
+        };
+        node.counters.control_sent.add(reply.len() as u64);
+        // An asker that has gone gets nothing; the others go on.
+        let _ = socket.send(reply.into()).await;
+    }
+}
+
+fn answer(node: &Node, question: Question) -> Vec<u8> {
+    let body = match question.ask {
+        Ask::Digest { data_centre } => AnswerBody::Digest(Box::new(digest(node, &data_centre))),
+        Ask::Records { from } => {
+            let lasting = node.lasting.read();
+            let next = lasting.tail.next();
+            AnswerBody::Records { records: lasting.tail.part(from), next }
+        }
+        Ask::KeyResult { key } => AnswerBody::KeyResult(node.keys.answer(&key)),
+    };
+    let answer = Answer { nonce: question.nonce, from: node.name().clone(), body };
+    pack(&answer, &node.checked.cluster_key)
+}
+
+fn digest(node: &Node, asker: &DataCentre) -> Digest {
+    let now = node.now();
+    let is_near = asker == &node.settings.node.data_centre;
+    let near = if is_near { Vec::new() } else { near_nodes(node, now) };
+    Digest { own: node.status(), near, reports: reports(node, is_near, now) }
+}
+
+fn near_nodes(node: &Node, now: Millis) -> Vec<AgedNode> {
+    let rules = node.settings.membership_rules();
+    let membership = node.membership.read();
+    let live = membership.live(now, &rules);
+    let near = live.filter(|(_, peer)| peer.status.data_centre == node.settings.node.data_centre);
+    near.map(|(name, peer)| AgedNode {
+        node: name.clone(),
+        age: now.since(peer.asked),
+        status: peer.status.clone(),
+    })
+    .collect()
+}
+
+/// For a near asker what was probed here, for a far one all of this data centre.
+fn reports(node: &Node, is_near: bool, now: Millis) -> Vec<AgedReport> {
+    let ttl = node.settings.times.report_ttl;
+    let probed = node.probed.read();
+    let list = Arc::clone(&node.list.read());
+    let is_here = |listed: &&workshold_protocol::report::ListedInstance| {
+        matches!(listed.kind, InstanceKind::Engine { .. })
+            && listed.data_centre == node.settings.node.data_centre
+    };
+    let witnesses = node.witnesses.read();
+    list.iter()
+        .filter(is_here)
+        .filter(|listed| !is_near || probed.contains(&listed.instance))
+        .filter_map(|listed| {
+            let witness = witnesses.fresh(&listed.instance, now, ttl)?;
+            // The lag is in the report and is taken off again by who takes it.
+            let sent = witness.true_since + witness.report.lag;
+            Some(AgedReport {
+                instance: listed.instance.clone(),
+                age: now.since(sent),
+                report: witness.report.clone(),
+            })
+        })
+        .collect()
+}
+
+/// Asks other nodes for as long as this one runs.
+pub async fn ask_all(node: Arc<Node>) {
+    let mut tick = tokio::time::interval(node.settings.times.probe_every.to_duration());
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let known: Vec<_> = node.known_peers().into_keys().collect();
+    node.membership.write().expect(known);
+    loop {
+        tick.tick().await;
+        let mut asking = JoinSet::new();
+        for (peer, address) in chosen(&node) {
+            asking.spawn(ask(Arc::clone(&node), peer, address));
+        }
+        while asking.join_next().await.is_some() {}
+        node.forget_gone();
+    }
+}
+
+/// All nodes of this data centre and a few of each other one.
+fn chosen(node: &Node) -> Vec<(NodeId, String)> {
+    let known = node.known_peers();
+    let places = places(node, &known);
+    let rules = node.settings.membership_rules();
+    let membership = node.membership.read();
+    let chosen = membership.to_ask(places.iter().map(|(peer, place)| (peer, place)), &rules);
+    chosen.into_iter().map(|peer| (peer.clone(), known[peer].clone())).collect()
+}
+
+/// Where each known node is, as listed; one that is not counts as near.
+fn places(
+    node: &Node,
+    known: &std::collections::BTreeMap<NodeId, String>,
+) -> Vec<(NodeId, DataCentre)> {
+    let list = Arc::clone(&node.list.read());
+    let place = |peer: &NodeId| {
+        let listed = list.iter().find(|listed| listed.instance.as_str() == peer.as_str());
+        listed.map_or(&node.settings.node.data_centre, |listed| &listed.data_centre).clone()
+    };
+    known.keys().map(|peer| (peer.clone(), place(peer))).collect()
+}
+
+async fn ask(node: Arc<Node>, peer: NodeId, address: String) {
+    let asked = node.now();
+    let within = node.settings.times.probe_every.to_duration();
+    let ask = Ask::Digest { data_centre: node.settings.node.data_centre.clone() };
+    let link = node.link(&peer, &address);
+    let key = &node.checked.cluster_key;
+    let answer = link.ask(node.name(), ask, key, &node.counters, within).await;
+    if let Ok(AnswerBody::Digest(digest)) = answer {
+        take(&node, &peer, asked, *digest);
+    }
+}
+
+/// Takes a digest. Ages count back from when the question was sent: whatever
+/// was `age` old when the answer was written is no older than that.
+fn take(node: &Node, peer: &NodeId, asked: Millis, digest: Digest) {
+    let seen = node.now();
+    {
+        let mut membership = node.membership.write();
+        take_demand(node, peer, &digest.own.demand, asked);
+        membership.on_answer(peer, digest.own, asked);
+        for near in digest.near {
+            let asked = asked - near.age;
+            take_demand(node, &near.node, &near.status.demand, asked);
+            membership.on_answer(&near.node, near.status, asked);
+        }
+    }
+    let mut witnesses = node.witnesses.write();
+    for aged in digest.reports {
+        witnesses.take(&aged.instance, asked - aged.age, seen, aged.report);
+    }
+    drop(witnesses);
+    node.touch();
+}
+
+fn take_demand(
+    node: &Node,
+    peer: &NodeId,
+    demand: &[workshold_protocol::peer::TeamDemand],
+    asked: Millis,
+) {
+    for entry in demand {
+        let requests_per_s = f64::from(entry.requests_per_s);
+        node.teams.get(&entry.team, |desk| {
+            desk.requests.on_peer(peer, requests_per_s, asked);
+            desk.tokens.on_peer(peer, requests_per_s, asked);
+        });
+    }
+}
--- /dev/null
+++ b/crates/workshold-node/src/tasks/probing.rs
@@ -0,0 +1,67 @@
+//! Probing instances for their reports.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use tokio::task::JoinSet;
+use workshold_http::client;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::report::InstanceKind;
+use workshold_protocol::report::ListedInstance;
+use workshold_protocol::report::Report;
+
+use crate::node::Node;
+
+/// Bytes of a probe's request, for the count of control traffic.
+const PROBE_LEN: u64 = 60;
+/// Bytes of a report's answer, for the count of control traffic.
+const REPORT_LEN: u64 = 330;
+
+/// Probes this node's part of the instances for as long as it runs.
+pub async fn run(node: Arc<Node>) {
+    let mut tick = tokio::time::interval(node.settings.times.probe_every.to_duration());
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tick.tick().await;
+        probe_all(&node).await;
+        node.note_lag();
+    }
+}
+
+async fn probe_all(node: &Arc<Node>) {
+    let mine = mine(node);
+    *node.probed.write() =
+        mine.iter().map(|listed| listed.instance.clone()).collect::<BTreeSet<_>>();
+    let mut probes = JoinSet::new();
+    for listed in mine {
+        probes.spawn(probe(Arc::clone(node), listed.instance, listed.address));
+    }
+    while probes.join_next().await.is_some() {}
+    node.touch();
+}
+
+/// The engines of this node's data centre that fall to it.
+fn mine(node: &Node) -> Vec<ListedInstance> {
+    let (now, rules) = (node.now(), node.settings.membership_rules());
+    let list = Arc::clone(&node.list.read());
+    let membership = node.membership.read();
+    let near = list.iter().filter(|listed| {
+        matches!(listed.kind, InstanceKind::Engine { .. })
+            && listed.data_centre == node.settings.node.data_centre
+    });
+    near.filter(|listed| membership.probes(&listed.instance, now, &rules)).cloned().collect()
+}
+
+async fn probe(node: Arc<Node>, instance: InstanceId, address: String) {
+    // Read before anything is sent: the report is no older than this.
+    let sent = node.now();
+    let within = node.settings.times.probe_every.to_duration();
+    node.counters.probes.add(1);
+    node.counters.control_sent.add(PROBE_LEN);
+    let Ok(report) = client::get::<Report>(&address, "/engine/report", within).await else {
+        return;
+    };
+    node.counters.control_received.add(REPORT_LEN);
+    let seen = node.now();
+    node.witnesses.write().take(&instance, sent, seen, report);
+}
--- /dev/null
+++ b/crates/workshold-node/src/tasks/replaying.rs
@@ -0,0 +1,234 @@
+//! Replaying the log, and what each record changes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use workshold_core::replay::Step;
+use workshold_core::replay::checkpoints_of;
+use workshold_core::state::Outcome;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::Offset;
+use workshold_protocol::log_api::ReadRecord;
+use workshold_protocol::log_api::ReadReply;
+use workshold_protocol::record::Envelope;
+use workshold_protocol::record::Fact;
+
+use crate::events::Event;
+use crate::events::emit;
+use crate::node::Lasting;
+use crate::node::Node;
+use crate::tasks::catch_up;
+use crate::tasks::catch_up::Gathered;
+use crate::tasks::catch_up::Gathering;
+use crate::tasks::catch_up::Source;
+
+/// How long a read waits for something new; also how soon an outage shows.
+const READ_WAIT: Millis = Millis(1_000);
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Replays for as long as the node runs.
+pub async fn run(node: Arc<Node>) {
+    loop {
+        start(&node).await;
+        follow(&node).await;
+    }
+}
+
+/// Gathers records until there is a state to go on from.
+async fn start(node: &Node) {
+    let mut gathering = Gathering::default();
+    let mut has_complained = false;
+    loop {
+        let Some((reply, source)) = catch_up::read_on(node, gathering.next(), Millis::ZERO).await
+        else {
+            note_source(node, None);
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        note_source(node, Some(source));
+        match gathering.take(node, reply) {
+            Gathered::More(_) => continue,
+            Gathered::Started(started) => {
+                install(node, *started);
+                return;
+            }
+            Gathered::NoCheckpoint if !has_complained => {
+                has_complained = true;
+                emit(Event::NoCheckpoint, &[]);
+            }
+            Gathered::NoCheckpoint | Gathered::Empty => {}
+        }
+        gathering = Gathering::default();
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+fn install(node: &Node, started: catch_up::Started) {
+    let next = started.replay.state().next();
+    {
+        let mut lasting = node.lasting.write();
+        lasting.tail = started.tail;
+        lasting.replay = Some(started.replay);
+        lasting.checkpoint_seen = node.now();
+    }
+    emit(Event::CaughtUp, &[("next", &next.to_string())]);
+    note_bundle(node);
+    changed(node, next);
+}
+
+/// Goes on until records are missing.
+async fn follow(node: &Node) {
+    loop {
+        let next = node.with_state(|state| state.next()).unwrap_or_default();
+        let Some((reply, source)) = catch_up::read_on(node, next, READ_WAIT).await else {
+            note_source(node, None);
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        note_source(node, Some(source));
+        if source == Source::Peer {
+            tokio::time::sleep(PAUSE).await;
+        }
+        if source == Source::Log && reply.end < next {
+            let fields = [("end", reply.end.to_string()), ("next", next.to_string())];
+            emit(Event::LogWentBack, &[("end", &fields[0].1), ("next", &fields[1].1)]);
+            tokio::time::sleep(READ_WAIT.to_duration()).await;
+            continue;
+        }
+        if !take_all(node, &reply, next) {
+            return;
+        }
+    }
+}
+
+/// Takes what was read; false if records before it are missing.
+fn take_all(node: &Node, reply: &ReadReply, next: Offset) -> bool {
+    let first = reply.records.first().map_or(next, |record| record.offset);
+    if first > next || (reply.records.is_empty() && reply.first > next) {
+        return false;
+    }
+    for record in &reply.records {
+        if !take(node, record) {
+            return false;
+        }
+    }
+    true
+}
+
+fn take(node: &Node, record: &ReadRecord) -> bool {
+    let envelope = catch_up::open(node, &record.data);
+    let step = {
+        let mut lasting = node.lasting.write();
+        take_locked(&mut lasting, record, envelope.as_ref(), node.now())
+    };
+    let Some(step) = step else { return false };
+    match step {
+        Step::Old => {}
+        Step::Diverged { next } => emit(Event::Diverged, &[("next", &next.to_string())]),
+        Step::Applied(outcomes) => {
+            node.counters.records.add(1);
+            if let Some(envelope) = &envelope {
+                note_facts(node, envelope, &outcomes);
+            }
+            changed(node, record.offset.next());
+        }
+    }
+    true
+}
+
+fn take_locked(
+    lasting: &mut Lasting,
+    record: &ReadRecord,
+    envelope: Option<&Envelope>,
+    now: Millis,
+) -> Option<Step> {
+    let step = lasting.replay.as_mut()?.take(record.offset, envelope).ok()?;
+    match step {
+        Step::Diverged { .. } => lasting.is_diverged = true,
+        Step::Applied(_) => lasting.tail.push(record.offset, &record.data),
+        Step::Old => {}
+    }
+    if let Some(checkpoint) = envelope.and_then(|envelope| checkpoints_of(envelope).last()) {
+        lasting.checkpoint_seen = now;
+        lasting.tail.drop_before(checkpoint.next);
+    }
+    Some(step)
+}
+
+fn changed(node: &Node, next: Offset) {
+    node.touch();
+    node.refresh_serving();
+    node.replayed.send_replace(next);
+}
+
+/// Notes whether the log answers, and says so when that changes.
+fn note_source(node: &Node, source: Option<Source>) {
+    let now = node.now();
+    let answers = source == Some(Source::Log);
+    let mut lasting = node.lasting.write();
+    let did = lasting.log_answers;
+    let first_time = lasting.log_heard.is_none();
+    lasting.log_answers = answers;
+    if answers {
+        lasting.log_heard = Some(now);
+    }
+    drop(lasting);
+    match (did, answers) {
+        (true, false) => emit(Event::LogUnreachable, &[]),
+        (false, true) if !first_time => emit(Event::LogBack, &[]),
+        _ => {}
+    }
+    if did && source == Some(Source::Peer) {
+        emit(Event::FromPeers, &[]);
+    }
+}
+
+fn note_facts(node: &Node, envelope: &Envelope, outcomes: &[Outcome]) {
+    for (fact, outcome) in envelope.facts.iter().zip(outcomes) {
+        match outcome {
+            Ok(()) => note_fact(node, fact),
+            Err(why) => {
+                emit(Event::FactRejected, &[("kind", fact.kind()), ("why", &why.to_string())]);
+            }
+        }
+    }
+}
+
+fn note_fact(node: &Node, fact: &Fact) {
+    match fact {
+        Fact::BundleSignedOff(_) => note_bundle(node),
+        Fact::GroupFormed(formed) => emit(
+            Event::GroupFormed,
+            &[("group", formed.group.as_str()), ("model", formed.model.as_str())],
+        ),
+        Fact::GroupDraining(end) => emit(
+            Event::GroupDraining,
+            &[("group", end.group.as_str()), ("cause", &format!("{:?}", end.cause))],
+        ),
+        Fact::GroupDissolved(end) => emit(
+            Event::GroupDissolved,
+            &[("group", end.group.as_str()), ("cause", &format!("{:?}", end.cause))],
+        ),
+        Fact::StopRequested(request) => emit(
+            Event::StopRequested,
+            &[
+                ("instance", request.instance.as_str()),
+                ("stop", if request.stop { "yes" } else { "no" }),
+            ],
+        ),
+        _ => {}
+    }
+}
+
+fn note_bundle(node: &Node) {
+    let in_force = node.with_state(|state| state.bundles.in_force().cloned()).flatten();
+    let Some(in_force) = in_force else { return };
+    let (name, hash) = (&in_force.bundle.name, in_force.hash.short());
+    let generation = in_force.generation.to_string();
+    emit(Event::BundleInForce, &[("name", name), ("hash", &hash), ("generation", &generation)]);
+    for (team, settings) in &in_force.bundle.teams {
+        if settings.key_hashes.is_empty() {
+            emit(Event::TeamsOpen, &[("team", team.as_str())]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/workshold-node/src/tasks/stewarding.rs
@@ -0,0 +1,116 @@
+//! Stewarding the domains that fall to this node.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Method;
+use workshold_core::steward;
+use workshold_core::steward::Memory;
+use workshold_core::steward::Plan;
+use workshold_core::steward::View;
+use workshold_http::client;
+use workshold_protocol::ids::FabricDomain;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::record::Envelope;
+use workshold_protocol::report::InstanceKind;
+use workshold_protocol::report::ListedInstance;
+use workshold_protocol::report::Order;
+
+use crate::events::Event;
+use crate::events::emit;
+use crate::node::Node;
+use crate::tasks::upkeep::append;
+
+const ORDER_TIME: Duration = Duration::from_secs(1);
+/// How long a steward waits to read what it has appended.
+const READ_BACK: Duration = Duration::from_secs(2);
+
+/// Plans for as long as the node runs.
+pub async fn run(node: Arc<Node>) {
+    let mut memories: BTreeMap<FabricDomain, Memory> = BTreeMap::new();
+    let mut tick = tokio::time::interval(node.settings.times.plan_every.to_duration());
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tick.tick().await;
+        node.refresh_serving();
+        let mine = mine(&node);
+        memories.retain(|domain, _| mine.contains(domain));
+        for domain in mine {
+            let memory = memories.entry(domain.clone()).or_default();
+            if let Some(plan) = plan(&node, &domain, memory) {
+                carry_out(&node, plan).await;
+            }
+        }
+    }
+}
+
+/// The domains of this data centre that fall to this node.
+fn mine(node: &Node) -> BTreeSet<FabricDomain> {
+    if node.is_leaving() {
+        return BTreeSet::new();
+    }
+    let (now, rules) = (node.now(), node.settings.membership_rules());
+    let list = Arc::clone(&node.list.read());
+    let near = list.iter().filter(|l| l.data_centre == node.settings.node.data_centre);
+    let domains: BTreeSet<_> = near
+        .filter_map(|listed| match &listed.kind {
+            InstanceKind::Engine { domain, .. } => Some(domain.clone()),
+            _ => None,
+        })
+        .collect();
+    let membership = node.membership.read();
+    domains.into_iter().filter(|domain| membership.stewards(domain, now, &rules)).collect()
+}
+
+fn plan(node: &Node, domain: &FabricDomain, memory: &mut Memory) -> Option<Plan> {
+    let list = Arc::clone(&node.list.read());
+    let rules = node.settings.steward_rules();
+    let lasting = node.lasting.read();
+    let replay = lasting.replay.as_ref()?;
+    if lasting.is_diverged {
+        return None;
+    }
+    let witnesses = node.witnesses.read();
+    let view =
+        View { domain, state: replay.state(), witnesses: &witnesses, list: &list, now: node.now() };
+    Some(steward::plan(&view, memory, &rules))
+}
+
+async fn carry_out(node: &Arc<Node>, plan: Plan) {
+    let list = Arc::clone(&node.list.read());
+    for (instance, order) in plan.orders {
+        if let Some(address) = address_of(&list, &instance) {
+            tokio::spawn(send_order(Arc::clone(node), address, instance, order));
+        }
+    }
+    for decision in plan.decisions {
+        node.remember(decision);
+    }
+    if plan.facts.is_empty() {
+        return;
+    }
+    let envelope = Envelope::new(node.clock.wall(), plan.facts);
+    // Without an answer the next plan says the same again, if it still holds.
+    if let Some(offset) = append(node, &envelope).await {
+        let mut replayed = node.replayed.subscribe();
+        let read_back = replayed.wait_for(|next| *next > offset);
+        let _ = tokio::time::timeout(READ_BACK, read_back).await;
+    }
+}
+
+fn address_of(list: &[ListedInstance], instance: &InstanceId) -> Option<String> {
+    let listed = list.iter().find(|listed| &listed.instance == instance);
+    listed.map(|listed| listed.address.clone())
+}
+
+async fn send_order(node: Arc<Node>, address: String, instance: InstanceId, order: Order) {
+    node.counters.orders.add(1);
+    let sent: Result<serde_json::Value, _> =
+        client::call(&address, Method::POST, "/engine/orders", Some(&order), ORDER_TIME).await;
+    if let Err(err) = sent {
+        let fields = [("instance", instance.as_str()), ("why", &err.to_string())];
+        emit(Event::OrderFailed, &fields);
+    }
+}
--- /dev/null
+++ b/crates/workshold-node/src/tasks/upkeep.rs
@@ -0,0 +1,75 @@
+//! Keeping the log in order: checkpoints, forgotten keys, and appends in general.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use workshold_core::checkpointing;
+use workshold_core::checkpointing::UpkeepView;
+use workshold_protocol::ids::Offset;
+use workshold_protocol::record::Envelope;
+use workshold_protocol::record::seal_as_node;
+
+use crate::events::Event;
+use crate::events::emit;
+use crate::node::Node;
+
+const EVERY: Duration = Duration::from_secs(1);
+
+/// Writes what is due for as long as the node runs.
+pub async fn run(node: Arc<Node>) {
+    let mut tick = tokio::time::interval(EVERY);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tick.tick().await;
+        if !is_keeper(&node) {
+            continue;
+        }
+        let facts = due(&node);
+        if facts.is_empty() {
+            continue;
+        }
+        let envelope = Envelope::new(node.clock.wall(), facts);
+        if let Some(offset) = append(&node, &envelope).await {
+            emit(Event::CheckpointWritten, &[("offset", &offset.to_string())]);
+        }
+    }
+}
+
+fn is_keeper(node: &Node) -> bool {
+    let (now, rules) = (node.now(), node.settings.membership_rules());
+    let membership = node.membership.read();
+    let live = membership.live(now, &rules).map(|(peer, _)| peer);
+    checkpointing::keeper(live.chain([node.name()])) == Some(node.name())
+}
+
+fn due(node: &Node) -> Vec<workshold_protocol::record::Fact> {
+    let lasting = node.lasting.read();
+    let Some(replay) = &lasting.replay else { return Vec::new() };
+    if lasting.is_diverged || !lasting.log_answers {
+        return Vec::new();
+    }
+    let view = UpkeepView {
+        state: replay.state(),
+        last_checkpoint: replay.last_checkpoint(),
+        checkpoint_seen: lasting.checkpoint_seen,
+        now: node.now(),
+        wall: node.clock.wall(),
+    };
+    checkpointing::due(&view, &node.settings.upkeep_rules())
+}
+
+/// Appends once; without an answer it may stand in the log or not.
+pub async fn append(node: &Node, envelope: &Envelope) -> Option<Offset> {
+    let text = seal_as_node(envelope, &node.checked.cluster_key);
+    node.counters.control_sent.add(text.len() as u64);
+    match node.log.append(&text).await {
+        Ok(offset) => {
+            node.counters.appends.add(1);
+            Some(offset)
+        }
+        Err(_) => {
+            node.counters.append_failures.add(1);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/workshold-standins/src/commands/fault.rs
@@ -0,0 +1,23 @@
+//! `workshold-dev fault`: makes something go wrong in running stand-ins.
+
+use std::time::Duration;
+
+use hyper::Method;
+use workshold_http::client;
+
+use crate::Layout;
+use crate::faults::Fault;
+
+/// Sends the fault, given as JSON.
+///
+/// # Errors
+///
+/// If it is no fault, or the stand-ins do not answer.
+pub async fn run(layout: &Layout, text: &str) -> Result<(), String> {
+    let fault: Fault = serde_json::from_str(text).map_err(|err| err.to_string())?;
+    let sent: Result<serde_json::Value, _> =
+        client::call(&layout.control(), Method::POST, "/faults", Some(&fault), WITHIN).await;
+    sent.map(|_| ()).map_err(|err| err.to_string())
+}
+
+const WITHIN: Duration = Duration::from_secs(5);
--- /dev/null
+++ b/crates/workshold-standins/src/commands/key.rs
@@ -0,0 +1,9 @@
+//! `workshold-dev key`: prints a fresh idempotency key.
+
+use uuid::Uuid;
+
+/// Prints a UUID of version 7.
+#[expect(clippy::print_stdout, reason = "this is where a command prints")]
+pub fn run() {
+    println!("{}", Uuid::now_v7());
+}
--- /dev/null
+++ b/crates/workshold-standins/src/engine.rs
@@ -0,0 +1,485 @@
+//! A model engine: one member of a replica group.
+
+mod streams;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Weak;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use parking_lot::Mutex;
+use workshold_http::Body;
+use workshold_http::body;
+use workshold_protocol::Millis;
+use workshold_protocol::engine::GenerateRequest;
+use workshold_protocol::engine::NOT_STARTED_HEADER;
+use workshold_protocol::engine::TokenEvent;
+use workshold_protocol::ids::Fence;
+use workshold_protocol::ids::GroupId;
+use workshold_protocol::ids::Incarnation;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::ids::ModelName;
+use workshold_protocol::ids::Version;
+use workshold_protocol::report::JoinOrder;
+use workshold_protocol::report::Membership;
+use workshold_protocol::report::Order;
+use workshold_protocol::report::OrderAction;
+use workshold_protocol::report::Readiness;
+use workshold_protocol::report::Report;
+
+use crate::engine::streams::StreamBuffer;
+use crate::faults::Observed;
+use crate::log::number;
+use crate::weights::WeightStore;
+
+/// Whether an engine's process runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// It does.
+    Up,
+    /// It is stopped: connections are taken, nothing is answered.
+    Frozen,
+    /// It is gone.
+    Dead,
+}
+
+/// How an engine behaves.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineRules {
+    /// Whether it refuses old fencing numbers.
+    pub fenced: bool,
+    /// Time of one step.
+    pub step: Millis,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// What it reads from the weight store in a second, in MiB.
+    pub load_mib_per_s: u32,
+}
+
+/// What all engines of a deployment share.
+#[derive(Debug)]
+pub struct Fabric {
+    engines: Mutex<BTreeMap<InstanceId, Arc<Engine>>>,
+    store: WeightStore,
+    /// What was seen.
+    pub observed: Mutex<Observed>,
+}
+
+impl Fabric {
+    /// A fabric without engines.
+    pub fn new(store: WeightStore) -> Arc<Self> {
+        Arc::new(Self { engines: Mutex::default(), store, observed: Mutex::default() })
+    }
+
+    /// Adds an engine.
+    pub fn add(self: &Arc<Self>, id: InstanceId, rules: EngineRules) -> Arc<Engine> {
+        let engine = Engine::new(id.clone(), rules, Arc::downgrade(self));
+        self.engines.lock().insert(id, Arc::clone(&engine));
+        engine
+    }
+
+    fn engine(&self, id: &InstanceId) -> Option<Arc<Engine>> {
+        self.engines.lock().get(id).cloned()
+    }
+}
+
+#[derive(Debug)]
+struct Seat {
+    order: JoinOrder,
+    fence: Fence,
+    ready_at: Instant,
+    is_draining: bool,
+}
+
+#[derive(Debug)]
+struct Inner {
+    incarnation: Incarnation,
+    mode: Mode,
+    mode_since: Instant,
+    seat: Option<Seat>,
+    left_seat: Instant,
+    highest_fence: Fence,
+    loaded: Option<(ModelName, Version)>,
+    slow_factor: u32,
+    running: u32,
+    queued: u32,
+    streams: BTreeMap<String, Arc<StreamBuffer>>,
+}
+
+/// One engine.
+#[derive(Debug)]
+pub struct Engine {
+    id: InstanceId,
+    rules: EngineRules,
+    fabric: Weak<Fabric>,
+    inner: Mutex<Inner>,
+}
+
+const MAX_BODY_LEN: usize = 16 * 1024 * 1024;
+const MAX_BODY_TIME: Duration = Duration::from_secs(10);
+/// How long a whole stream is kept for those who resume.
+const KEEP_STREAM: Duration = Duration::from_secs(20);
+/// Bytes of a prompt that a step prefills.
+const PREFILL_BYTES: usize = 4096;
+
+impl Engine {
+    fn new(id: InstanceId, rules: EngineRules, fabric: Weak<Fabric>) -> Arc<Self> {
+        let now = Instant::now();
+        let inner = Inner {
+            incarnation: Incarnation(1),
+            mode: Mode::Up,
+            mode_since: now,
+            seat: None,
+            left_seat: now,
+            highest_fence: Fence(0),
+            loaded: None,
+            slow_factor: 1,
+            running: 0,
+            queued: 0,
+            streams: BTreeMap::new(),
+        };
+        Arc::new(Self { id, rules, fabric, inner: Mutex::new(inner) })
+    }
+
+    /// Its name.
+    pub fn id(&self) -> &InstanceId {
+        &self.id
+    }
+
+    /// Its mode.
+    pub fn mode(&self) -> Mode {
+        self.inner.lock().mode
+    }
+
+    /// Changes its mode; what it remembers stays.
+    pub fn set_mode(&self, mode: Mode) {
+        let mut inner = self.inner.lock();
+        if inner.mode != mode {
+            inner.mode_since = Instant::now();
+        }
+        inner.mode = mode;
+        if mode == Mode::Dead {
+            inner.streams.values().for_each(|stream| stream.fail("the engine died"));
+            inner.streams.clear();
+        }
+    }
+
+    /// Comes up as another life that remembers nothing.
+    pub fn restart(&self) {
+        self.set_mode(Mode::Dead);
+        let mut inner = self.inner.lock();
+        inner.incarnation.0 += 1;
+        inner.leave_seat();
+        inner.loaded = None;
+        inner.running = 0;
+        inner.queued = 0;
+        drop(inner);
+        self.set_mode(Mode::Up);
+    }
+
+    /// Makes each step take so many times as long.
+    pub fn set_slow(&self, factor: u32) {
+        self.inner.lock().slow_factor = factor.max(1);
+    }
+
+    /// The group it is in by its own account.
+    pub fn group(&self) -> Option<GroupId> {
+        self.inner.lock().seat.as_ref().map(|seat| seat.order.group.clone())
+    }
+
+    /// Answers a request; `None` leaves it without an answer.
+    pub async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Option<Response<Body>> {
+        self.wait_while_frozen().await;
+        let path = req.uri().path().to_owned();
+        let query = req.uri().query().unwrap_or_default().to_owned();
+        match (req.method().clone(), path.as_str()) {
+            (Method::GET, "/engine/report") => Some(body::json(StatusCode::OK, &self.report())),
+            (Method::POST, "/engine/orders") => self.on_order(req).await,
+            (Method::POST, "/engine/generate") => self.on_generate(req).await,
+            (method, path) => match path.strip_prefix("/engine/streams/") {
+                Some(id) if method == Method::GET => Some(self.resume(id, &query)),
+                Some(id) if method == Method::DELETE => Some(self.cancel(id)),
+                _ => Some(body::json(StatusCode::NOT_FOUND, &"no such path")),
+            },
+        }
+    }
+
+    async fn wait_while_frozen(&self) {
+        while self.mode() == Mode::Frozen {
+            tokio::time::sleep(FROZEN_PAUSE).await;
+        }
+    }
+
+    fn report(&self) -> Report {
+        let inner = self.inner.lock();
+        let membership = inner.seat.as_ref().map(|seat| Membership {
+            group: seat.order.group.clone(),
+            fence: seat.fence,
+            readiness: seat.readiness(),
+        });
+        Report {
+            incarnation: inner.incarnation,
+            membership,
+            lag: Millis::ZERO,
+            running: inner.running,
+            queued: inner.queued,
+            slots: self.rules.slots,
+        }
+    }
+
+    async fn on_order(&self, req: Request<Incoming>) -> Option<Response<Body>> {
+        let bytes = body::read(req.into_body(), MAX_BODY_LEN, MAX_BODY_TIME).await.ok()?;
+        let Ok(order) = serde_json::from_slice::<Order>(&bytes) else {
+            return Some(body::json(StatusCode::BAD_REQUEST, &"not an order"));
+        };
+        let mut inner = self.inner.lock();
+        if self.rules.fenced && order.fence < inner.highest_fence {
+            drop(inner);
+            self.observe(|observed| observed.fenced_off += 1);
+            return Some(body::json(StatusCode::CONFLICT, &"an old fencing number"));
+        }
+        inner.highest_fence = inner.highest_fence.max(order.fence);
+        self.obey(&mut inner, order);
+        Some(body::json(StatusCode::OK, &"done"))
+    }
+
+    fn obey(&self, inner: &mut Inner, order: Order) {
+        match order.action {
+            OrderAction::Join(join) => self.join(inner, join, order.fence),
+            OrderAction::Drain { group } => {
+                if let Some(seat) = inner.seat.as_mut().filter(|seat| seat.order.group == group) {
+                    seat.is_draining = true;
+                }
+            }
+            OrderAction::Leave { group } => {
+                if inner.seat.as_ref().is_some_and(|seat| seat.order.group == group) {
+                    let cut = u64::from(inner.running);
+                    inner.streams.values().for_each(|stream| stream.fail("the group has ended"));
+                    inner.leave_seat();
+                    self.observe(|observed| observed.cut_by_leave += cut);
+                }
+            }
+        }
+    }
+
+    fn join(&self, inner: &mut Inner, join: JoinOrder, fence: Fence) {
+        let is_same = inner
+            .seat
+            .as_ref()
+            .is_some_and(|seat| seat.order.group == join.group && seat.fence == fence);
+        if is_same {
+            return;
+        }
+        let wanted = (join.model.clone(), join.version.clone());
+        let has_weights = inner.loaded.as_ref() == Some(&wanted);
+        let ready_at = match self.fabric.upgrade() {
+            Some(fabric) if !has_weights => {
+                fabric.store.load(join.weights_mib, self.rules.load_mib_per_s)
+            }
+            _ => Instant::now(),
+        };
+        inner.leave_seat();
+        inner.loaded = Some(wanted);
+        inner.seat = Some(Seat { order: join, fence, ready_at, is_draining: false });
+    }
+
+    async fn on_generate(self: &Arc<Self>, req: Request<Incoming>) -> Option<Response<Body>> {
+        let bytes = body::read(req.into_body(), MAX_BODY_LEN, MAX_BODY_TIME).await.ok()?;
+        let Ok(generate) = serde_json::from_slice::<GenerateRequest>(&bytes) else {
+            return Some(body::json(StatusCode::BAD_REQUEST, &"not a request"));
+        };
+        if let Err(why) = self.check(&generate) {
+            return Some(not_started(why));
+        }
+        self.observe(|observed| observed.streams_started += 1);
+        let stream = StreamBuffer::new();
+        self.inner.lock().streams.insert(generate.stream.clone(), Arc::clone(&stream));
+        tokio::spawn(Arc::clone(self).generate(generate, Arc::clone(&stream)));
+        Some(stream_response(stream, 0))
+    }
+
+    /// What an engine knows before it starts; also where the breaches are counted.
+    fn check(&self, generate: &GenerateRequest) -> Result<(), &'static str> {
+        let order = {
+            let inner = self.inner.lock();
+            let Some(seat) = &inner.seat else {
+                let missing = Millis(inner.left_seat.elapsed().as_millis() as u64);
+                self.observe_incomplete(missing);
+                return Err("it is in no group");
+            };
+            if seat.order.group != generate.group || seat.fence != generate.fence {
+                let missing = Millis(inner.left_seat.elapsed().as_millis() as u64);
+                self.observe_incomplete(missing);
+                return Err("it is in another group");
+            }
+            if seat.readiness() == Readiness::Draining {
+                self.observe(|observed| observed.sent_to_draining += 1);
+                return Err("it is draining");
+            }
+            seat.order.clone()
+        };
+        match self.missing_member(&order, generate.fence) {
+            None => Ok(()),
+            Some(missing_for) => {
+                self.observe_incomplete(missing_for);
+                Err("a member is missing")
+            }
+        }
+    }
+
+    /// For how long a member of the group has been missing, if one is.
+    fn missing_member(&self, order: &JoinOrder, fence: Fence) -> Option<Millis> {
+        let fabric = self.fabric.upgrade()?;
+        let missing = order.members.iter().filter_map(|member| {
+            let engine = fabric.engine(member)?;
+            let inner = engine.inner.lock();
+            let is_in = inner
+                .seat
+                .as_ref()
+                .is_some_and(|seat| seat.order.group == order.group && seat.fence == fence);
+            let since = if inner.mode != Mode::Up {
+                inner.mode_since
+            } else if !is_in {
+                inner.left_seat
+            } else {
+                return None;
+            };
+            Some(Millis(since.elapsed().as_millis() as u64))
+        });
+        missing.max()
+    }
+
+    async fn generate(self: Arc<Self>, generate: GenerateRequest, stream: Arc<StreamBuffer>) {
+        let order = self.inner.lock().seat.as_ref().map(|seat| seat.order.clone());
+        self.inner.lock().queued += 1;
+        while !self.take_slot() && !stream.is_over() {
+            tokio::time::sleep(self.step()).await;
+        }
+        self.run_steps(&generate, order.as_ref(), &stream).await;
+        self.give_slot_back();
+        tokio::time::sleep(KEEP_STREAM).await;
+        self.inner.lock().streams.remove(&generate.stream);
+    }
+
+    async fn run_steps(
+        &self,
+        generate: &GenerateRequest,
+        order: Option<&JoinOrder>,
+        stream: &StreamBuffer,
+    ) {
+        let prefill = generate.prompt.len() / PREFILL_BYTES + 1;
+        for _ in 0..prefill {
+            tokio::time::sleep(self.step()).await;
+        }
+        let first = generate.generated.len() as u32;
+        for index in first..generate.max_tokens {
+            self.wait_while_frozen().await;
+            let is_whole =
+                order.is_some_and(|order| self.missing_member(order, generate.fence).is_none());
+            if !is_whole {
+                stream.fail("a member of the group is missing");
+            }
+            if stream.is_over() {
+                return;
+            }
+            let text = crate::answer::token(&generate.prompt, index);
+            stream.push(TokenEvent::Token { index, text });
+            tokio::time::sleep(self.step()).await;
+        }
+        stream.push(TokenEvent::Done { tokens: generate.max_tokens });
+    }
+
+    fn step(&self) -> Duration {
+        let factor = self.inner.lock().slow_factor;
+        self.rules.step.to_duration() * factor
+    }
+
+    fn take_slot(&self) -> bool {
+        let mut inner = self.inner.lock();
+        let has_room = inner.running < self.rules.slots;
+        if has_room {
+            inner.running += 1;
+            inner.queued = inner.queued.saturating_sub(1);
+        }
+        has_room
+    }
+
+    fn give_slot_back(&self) {
+        let mut inner = self.inner.lock();
+        inner.running = inner.running.saturating_sub(1);
+    }
+
+    fn resume(&self, id: &str, query: &str) -> Response<Body> {
+        let from = number(query, "from").unwrap_or(0) as u32;
+        match self.inner.lock().streams.get(id) {
+            Some(stream) => stream_response(Arc::clone(stream), from),
+            None => body::json(StatusCode::NOT_FOUND, &"no such stream"),
+        }
+    }
+
+    fn cancel(&self, id: &str) -> Response<Body> {
+        if let Some(stream) = self.inner.lock().streams.remove(id) {
+            stream.fail("cancelled");
+        }
+        body::json(StatusCode::OK, &"done")
+    }
+
+    fn observe(&self, note: impl FnOnce(&mut Observed)) {
+        if let Some(fabric) = self.fabric.upgrade() {
+            note(&mut fabric.observed.lock());
+        }
+    }
+
+    fn observe_incomplete(&self, missing_for: Millis) {
+        self.observe(|observed| {
+            observed.sent_to_incomplete += 1;
+            observed.longest_missing = observed.longest_missing.max(missing_for);
+        });
+    }
+}
+
+const FROZEN_PAUSE: Duration = Duration::from_millis(5);
+
+impl Seat {
+    fn readiness(&self) -> Readiness {
+        if self.is_draining {
+            Readiness::Draining
+        } else if Instant::now() < self.ready_at {
+            Readiness::Loading
+        } else {
+            Readiness::Ready
+        }
+    }
+}
+
+impl Inner {
+    fn leave_seat(&mut self) {
+        if self.seat.take().is_some() {
+            self.left_seat = Instant::now();
+        }
+    }
+}
+
+fn not_started(why: &str) -> Response<Body> {
+    let mut res = body::json(StatusCode::SERVICE_UNAVAILABLE, &why);
+    res.headers_mut().insert(NOT_STARTED_HEADER, HeaderValue::from_static("yes"));
+    res
+}
+
+fn stream_response(stream: Arc<StreamBuffer>, from: u32) -> Response<Body> {
+    let lines = stream.events(from).map(|event| {
+        let mut line = serde_json::to_vec(&event).expect("events are text");
+        line.push(b'\n');
+        Bytes::from(line)
+    });
+    Response::new(body::stream(lines))
+}
--- /dev/null
+++ b/crates/workshold-standins/src/lib.rs
@@ -0,0 +1,20 @@
+//! Development only: small stand-ins for what the platform gives, and a load tool.
+//!
+//! [`Platform`] runs a log service, an instance list, model engines with a
+//! rate-limited weight store, and plain services, each on a port of its own, with
+//! faults switched on by request. [`load`] sends requests and checks every answer.
+
+pub mod answer;
+pub mod commands;
+pub mod engine;
+pub mod faults;
+pub mod layout;
+pub mod list;
+pub mod load;
+pub mod log;
+pub mod platform;
+pub mod service;
+pub mod weights;
+
+pub use crate::layout::Layout;
+pub use crate::platform::Platform;
--- /dev/null
+++ b/crates/workshold-standins/src/load.rs
@@ -0,0 +1,91 @@
+//! The load tool: open-loop arrivals, every answer checked byte for byte.
+
+mod caller;
+mod report;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::task::JoinSet;
+use workshold_protocol::Millis;
+
+pub use crate::load::caller::CallerEnd;
+pub use crate::load::caller::call;
+pub use crate::load::caller::call_engine;
+pub use crate::load::report::Report;
+
+/// What load to make.
+#[derive(Debug, Clone)]
+pub struct Load {
+    /// Any entry nodes' addresses; more are asked for as they are given out.
+    pub entries: Vec<String>,
+    /// The model.
+    pub model: String,
+    /// The team, if the deployment has any.
+    pub team: Option<String>,
+    /// Requests a second.
+    pub rate: f64,
+    /// For how long.
+    pub time: Millis,
+    /// Tokens of each answer, at the least and at the most.
+    pub tokens: (u32, u32),
+    /// Different beginnings that prompts share.
+    pub prefixes: u32,
+    /// Deadline of each request.
+    pub deadline: Millis,
+    /// Seed of all chance.
+    pub seed: u64,
+}
+
+/// One request of the load.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// Its prompt; no two are alike.
+    pub prompt: String,
+    /// Tokens of its answer.
+    pub tokens: u32,
+}
+
+/// Letters of the beginning that prompts share.
+const PREFIX_LEN: usize = 512;
+
+impl Load {
+    /// The `n`th request.
+    pub fn request(&self, rng: &mut ChaCha8Rng, n: u64) -> Request {
+        let prefix = rng.random_range(0..self.prefixes.max(1));
+        let beginning = format!("template {prefix} ").repeat(PREFIX_LEN / 10);
+        let tokens = rng.random_range(self.tokens.0..=self.tokens.1.max(self.tokens.0));
+        Request { prompt: format!("{beginning}request {n} of seed {}", self.seed), tokens }
+    }
+}
+
+/// Runs the load to its end; every request is accounted for.
+pub async fn run(load: Load) -> Report {
+    let mut rng = ChaCha8Rng::seed_from_u64(load.seed);
+    let load = Arc::new(load);
+    let entries = caller::EntryList::new(load.entries.clone());
+    let start = tokio::time::Instant::now();
+    let mut at = Duration::ZERO;
+    let mut calls = JoinSet::new();
+    let mut n = 0;
+    while at < load.time.to_duration() {
+        tokio::time::sleep_until(start + at).await;
+        let request = load.request(&mut rng, n);
+        calls.spawn(call(Arc::clone(&load), Arc::clone(&entries), request));
+        // Arrivals of many independent callers: exponential gaps.
+        let gap = -(1.0 - rng.random::<f64>()).ln() / load.rate;
+        at += Duration::from_secs_f64(gap);
+        n += 1;
+    }
+    let mut report = Report::default();
+    while let Some(end) = calls.join_next().await {
+        match end {
+            Ok(end) => report.take(&end),
+            Err(_) => report.lost += 1,
+        }
+    }
+    report
+}
--- /dev/null
+++ b/crates/workshold-standins/src/load/caller.rs
@@ -0,0 +1,304 @@
+//! One caller: asks which address to use, streams, resumes, checks the answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::Method;
+use hyper::Request as HttpRequest;
+use hyper::StatusCode;
+use hyper::header::HeaderValue;
+use parking_lot::Mutex;
+use serde::Deserialize;
+use tokio::time::Instant;
+use workshold_http::Body;
+use workshold_http::client;
+use workshold_protocol::engine::GenerateRequest;
+use workshold_protocol::engine::TokenEvent;
+use workshold_protocol::problem::Code;
+use workshold_protocol::problem::Problem;
+
+use crate::answer;
+use crate::load::Load;
+use crate::load::Request;
+
+/// What became of one request.
+#[derive(Debug, Clone, Default)]
+pub struct CallerEnd {
+    /// Whether the answer was whole and the caller's own.
+    pub is_right: bool,
+    /// What the caller was told instead.
+    pub problem: Option<Problem>,
+    /// Time to the first token.
+    pub first_token: Option<Duration>,
+    /// Times between tokens.
+    pub gaps: Vec<Duration>,
+    /// How often the stream was taken up elsewhere.
+    pub resumed: u32,
+}
+
+/// The addresses to use, as the system gave them out.
+#[derive(Debug)]
+pub struct EntryList {
+    inner: Mutex<Known>,
+}
+
+#[derive(Debug)]
+struct Known {
+    addresses: Vec<String>,
+    until: Option<Instant>,
+    turn: usize,
+}
+
+#[derive(Debug, Deserialize)]
+struct EntriesReply {
+    entries: Vec<EntryRow>,
+    ttl_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct EntryRow {
+    address: String,
+}
+
+const WITHIN: Duration = Duration::from_secs(2);
+/// The longest silence in a stream before the caller tries elsewhere.
+const SILENCE: Duration = Duration::from_secs(15);
+/// How often a caller tries elsewhere.
+const MAX_MOVES: u32 = 8;
+const MOVE_PAUSE: Duration = Duration::from_millis(100);
+
+impl EntryList {
+    /// A list that knows the addresses of the settings only.
+    pub fn new(addresses: Vec<String>) -> Arc<Self> {
+        Arc::new(Self { inner: Mutex::new(Known { addresses, until: None, turn: 0 }) })
+    }
+
+    /// An address in turn; asks the system again when the list has run out.
+    async fn next(&self) -> String {
+        let (is_old, known) = {
+            let inner = self.inner.lock();
+            (inner.until.is_none_or(|until| Instant::now() >= until), inner.addresses.clone())
+        };
+        if is_old {
+            self.refresh(&known).await;
+        }
+        let mut inner = self.inner.lock();
+        inner.turn += 1;
+        let turn = inner.turn % inner.addresses.len();
+        inner.addresses[turn].clone()
+    }
+
+    async fn refresh(&self, known: &[String]) {
+        for address in known {
+            let reply = client::get::<EntriesReply>(address, "/v1/entries", WITHIN).await;
+            if let Ok(reply) = reply
+                && !reply.entries.is_empty()
+            {
+                let mut inner = self.inner.lock();
+                inner.addresses = reply.entries.into_iter().map(|row| row.address).collect();
+                inner.until = Some(Instant::now() + Duration::from_millis(reply.ttl_ms));
+                return;
+            }
+        }
+    }
+}
+
+/// A stream as one caller follows it.
+#[derive(Debug)]
+struct Follower {
+    started: Instant,
+    last: Option<Instant>,
+    id: Option<String>,
+    tokens: Vec<String>,
+    is_whole: bool,
+    end: CallerEnd,
+}
+
+/// Why a connection was left.
+enum Left {
+    Finished,
+    Broken,
+}
+
+/// Makes one request and follows it to its end, over as many nodes as it takes.
+pub async fn call(load: Arc<Load>, entries: Arc<EntryList>, request: Request) -> CallerEnd {
+    let mut follower = Follower {
+        started: Instant::now(),
+        last: None,
+        id: None,
+        tokens: Vec::new(),
+        is_whole: false,
+        end: CallerEnd::default(),
+    };
+    for _ in 0..MAX_MOVES {
+        let address = entries.next().await;
+        if let Left::Finished = follower.try_at(&load, &address, &request).await {
+            break;
+        }
+        tokio::time::sleep(MOVE_PAUSE).await;
+    }
+    follower.finish(&request)
+}
+
+impl Follower {
+    async fn try_at(&mut self, load: &Load, address: &str, request: &Request) -> Left {
+        let req = match &self.id {
+            None => first_request(load, address, request),
+            Some(id) => {
+                self.end.resumed += 1;
+                let path = format!("/v1/requests/{id}?from={}", self.tokens.len());
+                client::request::<()>(address, Method::GET, &path, None)
+            }
+        };
+        let req = with_team(req, load);
+        let Ok(connected) = client::connect(address, WITHIN).await else { return Left::Broken };
+        let patience = load.deadline.to_duration() + WITHIN;
+        let Ok((res, _driver)) = connected.send(req, patience).await else {
+            return Left::Broken;
+        };
+        if res.status() != StatusCode::OK {
+            return self.on_refusal(res.into_body()).await;
+        }
+        let id = res.headers().get("workshold-request-id").and_then(|id| id.to_str().ok());
+        self.id = id.map(str::to_owned).or(self.id.take());
+        self.read(res.into_body()).await
+    }
+
+    async fn on_refusal(&mut self, body: hyper::body::Incoming) -> Left {
+        let bytes = body.collect().await.map(http_body_util::Collected::to_bytes);
+        let problem = bytes.ok().and_then(|bytes| serde_json::from_slice(&bytes).ok());
+        let Some(problem): Option<Problem> = problem else { return Left::Broken };
+        if matches!(problem.code, Code::Leaving | Code::NotReady) {
+            return Left::Broken;
+        }
+        self.end.problem = Some(problem);
+        Left::Finished
+    }
+
+    async fn read(&mut self, mut body: hyper::body::Incoming) -> Left {
+        let mut buf = BytesMut::new();
+        loop {
+            let Ok(Some(Ok(frame))) = tokio::time::timeout(SILENCE, body.frame()).await else {
+                return Left::Broken;
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            buf.extend_from_slice(&data);
+            while let Some(event) = take_event(&mut buf) {
+                if self.on_event(&event) {
+                    return Left::Finished;
+                }
+            }
+        }
+    }
+
+    /// Takes one event; true at the end of the stream.
+    fn on_event(&mut self, event: &str) -> bool {
+        let mut data = None;
+        let mut is_error = false;
+        for line in event.lines() {
+            if let Some(id) = line.strip_prefix(": request-id ") {
+                self.id = Some(id.to_owned());
+            } else if line == "event: error" {
+                is_error = true;
+            } else if let Some(text) = line.strip_prefix("data: ") {
+                data = Some(text);
+            }
+        }
+        match data {
+            None => false,
+            Some("[DONE]") => {
+                self.is_whole = true;
+                true
+            }
+            Some(text) if is_error => {
+                self.end.problem = serde_json::from_str(text).ok();
+                true
+            }
+            Some(text) => {
+                self.on_chunk(text);
+                false
+            }
+        }
+    }
+
+    fn on_chunk(&mut self, text: &str) {
+        let Ok(chunk) = serde_json::from_str::<serde_json::Value>(text) else { return };
+        let choice = &chunk["choices"][0];
+        if !choice["finish_reason"].is_null() {
+            return;
+        }
+        let now = Instant::now();
+        match self.last {
+            None => self.end.first_token = Some(now - self.started),
+            Some(last) => self.end.gaps.push(now - last),
+        }
+        self.last = Some(now);
+        self.tokens.push(choice["text"].as_str().unwrap_or_default().to_owned());
+    }
+
+    fn finish(mut self, request: &Request) -> CallerEnd {
+        let is_own = self.tokens.concat() == answer::whole(&request.prompt, request.tokens);
+        self.end.is_right = self.is_whole && is_own;
+        self.end
+    }
+}
+
+fn take_event(buf: &mut BytesMut) -> Option<String> {
+    let end = buf.windows(2).position(|pair| pair == b"\n\n")?;
+    let event = buf.split_to(end + 2);
+    Some(String::from_utf8_lossy(&event).into_owned())
+}
+
+fn first_request(load: &Load, address: &str, request: &Request) -> HttpRequest<Body> {
+    let value = serde_json::json!({
+        "model": load.model,
+        "prompt": request.prompt,
+        "max_tokens": request.tokens,
+        "stream": true,
+    });
+    let mut req = client::request(address, Method::POST, "/v1/completions", Some(&value));
+    req.headers_mut().insert("workshold-deadline-ms", HeaderValue::from(load.deadline.0));
+    req
+}
+
+fn with_team(mut req: HttpRequest<Body>, load: &Load) -> HttpRequest<Body> {
+    let team = load.team.as_ref().and_then(|team| HeaderValue::from_str(team).ok());
+    if let Some(team) = team {
+        req.headers_mut().insert("workshold-team", team);
+    }
+    req
+}
+
+/// Asks an engine directly, as a baseline for what an entry node adds.
+pub async fn call_engine(address: &str, mut generate: GenerateRequest) -> CallerEnd {
+    generate.stream = uuid::Uuid::new_v4().to_string();
+    let started = Instant::now();
+    let mut end = CallerEnd::default();
+    let Ok(connected) = client::connect(address, WITHIN).await else { return end };
+    let req = client::request(address, Method::POST, "/engine/generate", Some(&generate));
+    let Ok((res, _driver)) = connected.send(req, WITHIN).await else { return end };
+    let mut body = res.into_body();
+    let mut buf = BytesMut::new();
+    let mut last = None;
+    while let Some(Ok(frame)) = body.frame().await {
+        buf.extend_from_slice(frame.data_ref().map(|data| &data[..]).unwrap_or_default());
+        while let Some(at) = buf.iter().position(|byte| *byte == b'\n') {
+            let line = buf.split_to(at + 1);
+            let now = Instant::now();
+            match serde_json::from_slice(&line) {
+                Ok(TokenEvent::Token { .. }) => {
+                    match last {
+                        None => end.first_token = Some(now - started),
+                        Some(last) => end.gaps.push(now - last),
+                    }
+                    last = Some(now);
+                }
+                Ok(TokenEvent::Done { .. }) => end.is_right = true,
+                _ => {}
+            }
+        }
+    }
+    end
+}
--- /dev/null
+++ b/crates/workshold-standins/src/load/report.rs
@@ -0,0 +1,119 @@
+//! What became of a load.
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::load::caller::CallerEnd;
+
+/// Counts of each end, and times.
+#[derive(Debug)]
+pub struct Report {
+    /// Requests sent.
+    pub sent: u64,
+    /// Whole answers, byte for byte the caller's own.
+    pub answered: u64,
+    /// Requests that were told "not run".
+    pub not_run: u64,
+    /// Requests that were told "unknown".
+    pub unknown: u64,
+    /// Answers that were not the caller's own, or not whole.
+    pub wrong: u64,
+    /// Requests that got no final answer.
+    pub lost: u64,
+    /// Streams that were taken up at another node.
+    pub resumed: u64,
+    /// Milliseconds to the first token, in hundredths.
+    pub first_token: Histogram<u64>,
+    /// Milliseconds between tokens, in hundredths.
+    pub between_tokens: Histogram<u64>,
+    /// Codes of problems, and how many of each.
+    pub codes: std::collections::BTreeMap<String, u64>,
+}
+
+impl Default for Report {
+    fn default() -> Self {
+        let histogram = || Histogram::new(3).expect("three digits are allowed");
+        Self {
+            sent: 0,
+            answered: 0,
+            not_run: 0,
+            unknown: 0,
+            wrong: 0,
+            lost: 0,
+            resumed: 0,
+            first_token: histogram(),
+            between_tokens: histogram(),
+            codes: std::collections::BTreeMap::new(),
+        }
+    }
+}
+
+/// A report as it is printed.
+#[derive(Debug, Serialize)]
+struct Printed<'a> {
+    sent: u64,
+    answered: u64,
+    not_run: u64,
+    unknown: u64,
+    wrong: u64,
+    lost: u64,
+    resumed: u64,
+    codes: &'a std::collections::BTreeMap<String, u64>,
+    first_token_ms: [f64; 3],
+    between_tokens_ms: [f64; 3],
+}
+
+/// Histograms count hundredths of a millisecond.
+const PER_MS: f64 = 100.0;
+
+fn percentiles(histogram: &Histogram<u64>) -> [f64; 3] {
+    [0.5, 0.95, 0.99].map(|q| histogram.value_at_quantile(q) as f64 / PER_MS)
+}
+
+impl Report {
+    /// Counts one request.
+    pub fn take(&mut self, end: &CallerEnd) {
+        self.sent += 1;
+        self.resumed += u64::from(end.resumed);
+        match &end.problem {
+            None if end.is_right => self.answered += 1,
+            None => self.wrong += 1,
+            Some(problem) => {
+                match problem.ran {
+                    workshold_protocol::problem::Ran::No => self.not_run += 1,
+                    workshold_protocol::problem::Ran::Unknown => self.unknown += 1,
+                }
+                *self.codes.entry(format!("{:?}", problem.code)).or_default() += 1;
+            }
+        }
+        let hundredths = |time: std::time::Duration| (time.as_secs_f64() * 1000.0 * PER_MS) as u64;
+        if let Some(first) = end.first_token {
+            let _ = self.first_token.record(hundredths(first));
+        }
+        for gap in &end.gaps {
+            let _ = self.between_tokens.record(hundredths(*gap));
+        }
+    }
+
+    /// Whether every request got its own whole answer, or was told what became of it.
+    pub fn is_clean(&self) -> bool {
+        self.wrong == 0 && self.lost == 0
+    }
+
+    /// The report as JSON; times as p50, p95 and p99.
+    pub fn to_json(&self) -> String {
+        let printed = Printed {
+            sent: self.sent,
+            answered: self.answered,
+            not_run: self.not_run,
+            unknown: self.unknown,
+            wrong: self.wrong,
+            lost: self.lost,
+            resumed: self.resumed,
+            codes: &self.codes,
+            first_token_ms: percentiles(&self.first_token),
+            between_tokens_ms: percentiles(&self.between_tokens),
+        };
+        serde_json::to_string(&printed).expect("a report has only text keys")
+    }
+}
--- /dev/null
+++ b/crates/workshold-standins/src/platform.rs
@@ -0,0 +1,307 @@
+//! All stand-ins of one deployment, each on its port.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tower::service_fn;
+use workshold_http::Body;
+use workshold_http::body;
+use workshold_http::server;
+use workshold_http::server::Bounds;
+use workshold_http::server::Stage;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::FabricDomain;
+use workshold_protocol::ids::InstanceId;
+
+use crate::engine::Engine;
+use crate::engine::EngineRules;
+use crate::engine::Fabric;
+use crate::engine::Mode;
+use crate::faults::Fault;
+use crate::faults::Observed;
+use crate::layout::Layout;
+use crate::list::InstanceList;
+use crate::log::LogService;
+use crate::service::GateService;
+use crate::weights::WeightStore;
+
+/// One engine with the port it listens on while it lives.
+#[derive(Debug)]
+struct EnginePort {
+    engine: Arc<Engine>,
+    address: String,
+    domain: FabricDomain,
+    stage: watch::Sender<Stage>,
+    server: Option<JoinHandle<usize>>,
+}
+
+/// A running set of stand-ins; dropping it ends them all.
+#[derive(Debug)]
+pub struct Platform {
+    layout: Layout,
+    /// The log.
+    pub log: Arc<LogService>,
+    /// The instance list.
+    pub list: Arc<InstanceList>,
+    service: Arc<GateService>,
+    fabric: Arc<Fabric>,
+    engines: tokio::sync::Mutex<Vec<EnginePort>>,
+    stage: watch::Sender<Stage>,
+}
+
+/// Leaves a request without an answer by cutting its connection.
+async fn answer(
+    handled: impl Future<Output = Option<Response<Body>>>,
+) -> Result<Response<Body>, Infallible> {
+    match handled.await {
+        Some(res) => Ok(res),
+        None => std::future::pending().await,
+    }
+}
+
+macro_rules! handler {
+    ($target:expr) => {{
+        let target = Arc::clone(&$target);
+        service_fn(move |req: Request<Incoming>| {
+            let target = Arc::clone(&target);
+            answer(async move { target.handle(req).await })
+        })
+    }};
+}
+
+const BIND_TRIES: u32 = 100;
+const BIND_PAUSE: Duration = Duration::from_millis(20);
+
+/// Binds, and waits a little for a port whose last user is just ending.
+async fn bind(address: &str) -> io::Result<TcpListener> {
+    let mut tries = 0;
+    loop {
+        match TcpListener::bind(address).await {
+            Err(_) if tries < BIND_TRIES => {
+                tries += 1;
+                tokio::time::sleep(BIND_PAUSE).await;
+            }
+            bound => return bound,
+        }
+    }
+}
+
+impl Platform {
+    /// Starts all stand-ins of `layout`.
+    ///
+    /// # Errors
+    ///
+    /// What the machine says if a port cannot be had.
+    pub async fn start(layout: Layout) -> io::Result<Arc<Self>> {
+        let (stage, _) = watch::channel(Stage::Running);
+        let platform = Arc::new(Self {
+            log: LogService::new(layout.appends_per_s),
+            list: InstanceList::new(layout.instances(), Millis(200)),
+            service: GateService::new(),
+            fabric: Fabric::new(WeightStore::new(layout.store_mib_per_s)),
+            engines: tokio::sync::Mutex::default(),
+            stage,
+            layout,
+        });
+        platform.serve_services().await?;
+        platform.start_engines().await?;
+        Ok(platform)
+    }
+
+    /// Where everything listens.
+    pub fn layout(&self) -> &Layout {
+        &self.layout
+    }
+
+    /// What the stand-ins saw so far.
+    pub fn observed(&self) -> Observed {
+        let mut observed = self.fabric.observed.lock().clone();
+        observed.service_runs = self.service.runs();
+        observed.appends = self.log.appends();
+        observed
+    }
+
+    /// Makes something go wrong, or right again.
+    pub async fn inject(&self, fault: Fault) {
+        match fault {
+            Fault::LogDown(is_down) => self.log.set_down(is_down),
+            Fault::LogSlow(slow) => self.log.set_slow(slow),
+            Fault::LoseReplies(count) => self.log.lose_replies(count),
+            Fault::Retain(count) => self.log.retain(count),
+            Fault::ListLag(lag) => self.list.set_lag(lag),
+            Fault::Leaving(instance, leaving) => self.list.set_leaving(&instance, leaving),
+            fault => self.inject_engine(fault).await,
+        }
+    }
+
+    async fn inject_engine(&self, fault: Fault) {
+        let mut engines = self.engines.lock().await;
+        for port in engines.iter_mut() {
+            port.take(&fault).await;
+        }
+    }
+
+    /// The group that each engine says it is in.
+    pub async fn seats(&self) -> Vec<(InstanceId, Option<String>)> {
+        let engines = self.engines.lock().await;
+        let ids = (0..self.layout.engines).map(|i| self.layout.engine_id(i));
+        ids.zip(engines.iter())
+            .map(|(id, port)| (id, port.engine.group().map(|group| group.to_string())))
+            .collect()
+    }
+
+    async fn serve_services(self: &Arc<Self>) -> io::Result<()> {
+        let log = bind(&self.layout.log()).await?;
+        self.spawn(log, handler!(self.log));
+        let list = bind(&self.layout.list()).await?;
+        let shown = Arc::clone(&self.list);
+        self.spawn(
+            list,
+            service_fn(move |_| {
+                let shown = Arc::clone(&shown);
+                async move { Ok(body::json(StatusCode::OK, &shown.shown())) }
+            }),
+        );
+        for i in 0..self.layout.services {
+            let listener = bind(&self.layout.service(i)).await?;
+            self.spawn(listener, handler!(self.service));
+        }
+        let control = bind(&self.layout.control()).await?;
+        // Held weakly, or the stand-ins would keep themselves alive.
+        let weak = Arc::downgrade(self);
+        self.spawn(
+            control,
+            service_fn(move |req| {
+                let platform = weak.upgrade();
+                async move {
+                    match platform {
+                        Some(platform) => Ok(platform.handle_control(req).await),
+                        None => std::future::pending().await,
+                    }
+                }
+            }),
+        );
+        Ok(())
+    }
+
+    fn spawn<S>(&self, listener: TcpListener, service: S)
+    where
+        S: tower::Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>,
+        S: Clone + Send + 'static,
+        S::Future: Send,
+    {
+        let stage = self.stage.subscribe();
+        tokio::spawn(server::serve(listener, Bounds::default(), service, stage));
+    }
+
+    async fn start_engines(&self) -> io::Result<()> {
+        let mut engines = self.engines.lock().await;
+        for i in 0..self.layout.engines {
+            let rules = EngineRules {
+                fenced: self.layout.is_fenced(i),
+                step: self.layout.step,
+                slots: self.layout.slots,
+                load_mib_per_s: self.layout.load_mib_per_s,
+            };
+            let engine = self.fabric.add(self.layout.engine_id(i), rules);
+            let (stage, _) = watch::channel(Stage::Running);
+            let mut port = EnginePort {
+                engine,
+                address: self.layout.engine(i),
+                domain: self.layout.engine_domain(i),
+                stage,
+                server: None,
+            };
+            port.listen().await?;
+            engines.push(port);
+        }
+        Ok(())
+    }
+
+    async fn handle_control(&self, req: Request<Incoming>) -> Response<Body> {
+        match (req.method(), req.uri().path()) {
+            (&Method::GET, "/observed") => body::json(StatusCode::OK, &self.observed()),
+            (&Method::GET, "/seats") => body::json(StatusCode::OK, &self.seats().await),
+            (&Method::POST, "/faults") => self.handle_fault(req).await,
+            _ => body::json(StatusCode::NOT_FOUND, &"no such path"),
+        }
+    }
+
+    async fn handle_fault(&self, req: Request<Incoming>) -> Response<Body> {
+        let bytes = body::read(req.into_body(), 64 * 1024, Duration::from_secs(5)).await;
+        let fault = bytes.ok().and_then(|bytes| serde_json::from_slice::<Fault>(&bytes).ok());
+        let Some(fault) = fault else {
+            return body::json(StatusCode::BAD_REQUEST, &"not a fault");
+        };
+        self.inject(fault).await;
+        body::json(StatusCode::OK, &"done")
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        self.stage.send_replace(Stage::Cutting);
+        for port in self.engines.get_mut() {
+            port.stage.send_replace(Stage::Cutting);
+        }
+    }
+}
+
+impl EnginePort {
+    async fn listen(&mut self) -> io::Result<()> {
+        let listener = bind(&self.address).await?;
+        self.stage.send_replace(Stage::Running);
+        let engine = Arc::clone(&self.engine);
+        let service =
+            service_fn(move |req: Request<Incoming>| answer(Arc::clone(&engine).handle(req)));
+        let stage = self.stage.subscribe();
+        let served = server::serve(listener, Bounds::default(), service, stage);
+        self.server = Some(tokio::spawn(served));
+        Ok(())
+    }
+
+    async fn take(&mut self, fault: &Fault) {
+        let id = self.engine.id();
+        match fault {
+            Fault::Freeze(target, frozen) if target == id => {
+                self.engine.set_mode(if *frozen { Mode::Frozen } else { Mode::Up });
+            }
+            Fault::Kill(target) if target == id => self.kill().await,
+            Fault::Restart(target) if target == id => self.revive(true).await,
+            Fault::Return(target) if target == id => self.revive(false).await,
+            Fault::Slow(target, factor) if target == id => self.engine.set_slow(*factor),
+            Fault::Dark(domain) if domain == &self.domain => self.kill().await,
+            Fault::Light(domain) if domain == &self.domain => self.revive(true).await,
+            _ => {}
+        }
+    }
+
+    async fn kill(&mut self) {
+        self.engine.set_mode(Mode::Dead);
+        self.stage.send_replace(Stage::Cutting);
+        if let Some(server) = self.server.take() {
+            let _ = server.await;
+        }
+    }
+
+    async fn revive(&mut self, as_other_life: bool) {
+        if as_other_life {
+            self.engine.restart();
+        }
+        if self.server.is_none() && self.listen().await.is_err() {
+            return;
+        }
+        self.engine.set_mode(Mode::Up);
+    }
+}
