An exhaustive checker of the promises, and what it found

Cause: nothing showed that the promises hold when parts act in any order.

The checker searches small worlds breadth first and drives the shipped decisions. It found, and this mends: - a node that was cut off, came back while the log was away, and met only a node that had started from it, served an older bundle than had been in force: Crash(0) Cut(1) SignOff(1) Tick x3 Cut(1, false) LogUp(false) Start(0). Nodes now hold custody of what is in force: it comes from the log or from a node that holds it, and is lost when cut off from everybody. - of two reports with one time, the first to come was kept; the later one counts. - the wait before a drained group ends proved nothing: members that drain refuse what arrives late. It is gone, and a planned stop is shorter by report_ttl plus the clock error. - the rule for idempotency keys lived in the daemon; it is now once::next, so that the checker runs what ships.

Ruled out as a breach: a bundle accepted while no running node can read the log; nobody can know of it. Towards instances that ignore fencing a window remains: IgnoreFencing breaks OneGroupEach at depth 21, with a late order and a node that has not read the log meanwhile.

--- a/crates/workshold-core/src/lib.rs
+++ b/crates/workshold-core/src/lib.rs
@@ -8,19 +8,21 @@
 //!   [`fleet`] and [`keys`]; [`replay`] feeds it.
 //! - What is true now: [`witness`] keeps reports, [`gate`] judges a group.
 //! - What to do about it: [`steward`] with [`repair`]; [`checkpointing`].
-//! - Requests: [`course`], [`routing`], [`admission`], [`limits`], [`retry`],
+//! - Requests: [`course`], [`once`], [`routing`], [`admission`], [`limits`], [`retry`],
 //!   [`outlier`].
-//! - Nodes: [`membership`], [`rendezvous`].
+//! - Nodes: [`membership`], [`custody`], [`rendezvous`].
 
 pub mod admission;
 pub mod bundles;
 pub mod checkpointing;
 pub mod course;
+pub mod custody;
 pub mod fleet;
 pub mod gate;
 pub mod keys;
 pub mod limits;
 pub mod membership;
+pub mod once;
 pub mod outlier;
 pub mod prefix;
 pub mod rendezvous;
--- a/crates/workshold-core/src/steward.rs
+++ b/crates/workshold-core/src/steward.rs
@@ -33,8 +33,10 @@
 pub struct StewardRules {
     /// How long a report is believed, by every node.
     pub gate: GateRules,
-    /// How far two clocks may drift apart over that time.
-    pub clock_error: Millis,
+    /// How long an instance must be seen outside of its old group before it is
+    /// free: longer than `report_ttl` and the drift of two clocks over that time,
+    /// so that no node can still believe an older report.
+    pub release_wait: Millis,
     /// How long a member may be silent before its group counts as broken.
     pub member_grace: Millis,
     /// How long an instance must be off the list before its claim is dropped.
@@ -47,14 +49,6 @@
     pub expect: Expectations,
 }
 
-impl StewardRules {
-    /// How long an instance must be seen outside of its old group before it is
-    /// free: no node can still believe an older report after that.
-    pub fn release_wait(&self) -> Millis {
-        self.gate.report_ttl + self.clock_error
-    }
-}
-
 /// All that a steward looks at.
 #[derive(Debug, Clone, Copy)]
 pub struct View<'a> {
--- a/crates/workshold-core/src/steward/ending.rs
+++ b/crates/workshold-core/src/steward/ending.rs
@@ -41,8 +41,11 @@
     order_strays_out(view, memory, rules, plan);
 }
 
-/// A draining group ends when every member has been idle for longer than any
-/// node can believe a report that still says ready, or when a member is lost.
+/// A draining group ends when every member reports that it drains and has nothing
+/// left, or when a member is lost.
+///
+/// A request that was on its way meanwhile is refused by a member that drains, so
+/// one such report of each is enough; the model finds no breach without a wait.
 fn go_on_draining(
     view: &View<'_>,
     memory: &mut Memory,
@@ -54,14 +57,12 @@
 ) {
     let is_lost = group.members.iter().any(|member| is_lost(view, rules, group, member));
     let lost_for = memory.broken_for(&group.id, is_lost, view.now);
-    let is_idle = group.members.iter().all(|member| is_idle(view, rules, group, member));
-    let idle_for = memory.idle_for(&group.id, is_idle, view.now);
     if lost_for > rules.member_grace {
         plan.decide(&group.id, "ended while draining: a member is lost");
         plan.facts.push(dissolved(group, EndCause::MemberLost));
         return;
     }
-    if is_idle && idle_for > rules.release_wait() {
+    if group.members.iter().all(|member| is_idle(view, rules, group, member)) {
         plan.decide(&group.id, "drained: ended");
         plan.facts.push(dissolved(group, cause));
         return;
@@ -94,7 +95,7 @@
         let outside_for = memory.outside_for(&group.id, instance, is_outside, view.now);
         let is_gone = witness.is_none() && view.listed(instance).is_none();
         let gone_for = memory.gone_for(instance, is_gone, view.now);
-        if outside_for > rules.release_wait() || gone_for > rules.gone_after {
+        if outside_for > rules.release_wait || gone_for > rules.gone_after {
             plan.facts.push(released(group, instance));
         } else if witness.is_some() && !is_outside {
             send(view, memory, rules, instance, since.into(), &action, plan);
@@ -183,5 +184,5 @@
 
 /// The time that ending a group takes before its members are free, as planned with.
 pub(super) fn release_time(rules: &StewardRules) -> Millis {
-    rules.release_wait() + rules.order_every + rules.order_every
+    rules.release_wait + rules.order_every + rules.order_every
 }
--- a/crates/workshold-core/src/steward/memory.rs
+++ b/crates/workshold-core/src/steward/memory.rs
@@ -13,7 +13,6 @@
 pub struct Memory {
     broken: BTreeMap<GroupId, Millis>,
     outside: BTreeMap<(GroupId, InstanceId), Millis>,
-    idle: BTreeMap<GroupId, Millis>,
     gone: BTreeMap<InstanceId, Millis>,
     ordered: BTreeMap<InstanceId, Millis>,
 }
@@ -44,11 +43,6 @@
         lasting(&mut self.outside, (group.clone(), member.clone()), is_outside, now)
     }
 
-    /// How long the draining group has had nothing to do.
-    pub(super) fn idle_for(&mut self, group: &GroupId, is_idle: bool, now: Millis) -> Millis {
-        lasting(&mut self.idle, group.clone(), is_idle, now)
-    }
-
     /// How long the instance has been neither listed nor heard of.
     pub(super) fn gone_for(&mut self, instance: &InstanceId, is_gone: bool, now: Millis) -> Millis {
         lasting(&mut self.gone, instance.clone(), is_gone, now)
@@ -66,7 +60,6 @@
     pub(super) fn forget_ended(&mut self, state: &State) {
         let fleet = &state.fleet;
         self.broken.retain(|group, _| fleet.group(group).is_some());
-        self.idle.retain(|group, _| fleet.group(group).is_some());
         self.outside.retain(|(group, _), _| fleet.group(group).is_some());
         self.gone.retain(|instance, _| fleet.claim_of(instance).is_some());
     }
--- a/crates/workshold-core/src/witness.rs
+++ b/crates/workshold-core/src/witness.rs
@@ -35,7 +35,8 @@
     /// Takes a report whose probe was sent at `sent`, by this node's clock.
     ///
     /// For a report passed on by a peer, `sent` is when the peer was *asked*
-    /// less the age that it gave. Returns whether the report was news.
+    /// less the age that it gave. Of two with the same time, the later to come
+    /// counts. Returns whether the report was news.
     pub fn take(
         &mut self,
         instance: &InstanceId,
@@ -44,7 +45,7 @@
         report: Report,
     ) -> bool {
         let true_since = sent - report.lag;
-        let newer = self.get(instance).is_none_or(|known| known.true_since < true_since);
+        let newer = self.get(instance).is_none_or(|known| known.true_since <= true_since);
         if newer {
             self.by_instance.insert(instance.clone(), Witness { true_since, seen, report });
         }
--- /dev/null
+++ b/crates/workshold-model/src/groups/node.rs
@@ -0,0 +1,188 @@
+//! A node of the groups' world: what it has read, heard and remembers.
+
+use std::collections::BTreeSet;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::sync::Arc;
+
+use workshold_core::gate;
+use workshold_core::gate::GateRules;
+use workshold_core::state::State;
+use workshold_core::steward;
+use workshold_core::steward::Memory;
+use workshold_core::steward::Plan;
+use workshold_core::steward::StewardRules;
+use workshold_core::steward::View;
+use workshold_core::witness::Witnesses;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::GroupId;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::report::ListedInstance;
+use workshold_protocol::report::Membership;
+use workshold_protocol::report::Order;
+use workshold_protocol::report::OrderAction;
+use workshold_protocol::report::Readiness;
+use workshold_protocol::report::Report;
+
+use crate::groups::LogEntry;
+use crate::groups::instance::Instance;
+use crate::groups::start;
+use crate::mutation::Mutation;
+
+/// A value that follows from others, and so makes no difference between states.
+#[derive(Debug, Clone)]
+pub(super) struct Derived<T>(Arc<T>);
+
+impl<T> Derived<T> {
+    pub(super) fn get(&self) -> &Arc<T> {
+        &self.0
+    }
+
+    pub(super) fn set(&mut self, value: Arc<T>) {
+        self.0 = value;
+    }
+}
+
+impl<T> PartialEq for Derived<T> {
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
+}
+
+impl<T> Eq for Derived<T> {}
+
+impl<T> Hash for Derived<T> {
+    fn hash<H: Hasher>(&self, _: &mut H) {}
+}
+
+/// Answers to probes that are under way.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) struct Held {
+    sent: Millis,
+    reports: Vec<(usize, Report)>,
+}
+
+/// An entry node.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) struct Node {
+    pub(super) is_steward: bool,
+    pub(super) next: usize,
+    pub(super) state: Derived<State>,
+    pub(super) witnesses: Witnesses,
+    memory: Memory,
+    pub(super) pending: Option<LogEntry>,
+    pub(super) held: Option<Held>,
+}
+
+fn reports(instances: &[Instance]) -> Vec<(usize, Report)> {
+    let up = instances.iter().enumerate().filter(|(_, instance)| instance.is_up);
+    up.map(|(i, instance)| (i, instance.report())).collect()
+}
+
+impl Node {
+    pub(super) fn new(is_steward: bool, state: State) -> Self {
+        Self {
+            is_steward,
+            next: state.next().0 as usize,
+            state: Derived(Arc::new(state)),
+            witnesses: Witnesses::default(),
+            memory: Memory::default(),
+            pending: None,
+            held: None,
+        }
+    }
+
+    fn take(&mut self, i: usize, sent: Millis, report: Report) {
+        // When it came in makes no difference to any rule.
+        self.witnesses.take(&start::instance_id(i), sent, sent, report);
+    }
+
+    pub(super) fn probe(
+        &mut self,
+        instances: &[Instance],
+        now: Millis,
+        mutation: Option<Mutation>,
+    ) {
+        for (i, mut report) in reports(instances) {
+            if self.is_steward && instances[i].is_hidden {
+                continue;
+            }
+            if mutation == Some(Mutation::EndWhileBusy) {
+                report.running = 0;
+            }
+            self.take(i, now, report);
+        }
+    }
+
+    pub(super) fn hold(&mut self, instances: &[Instance], now: Millis) {
+        self.held = Some(Held { sent: now, reports: reports(instances) });
+    }
+
+    pub(super) fn deliver(&mut self, now: Millis, mutation: Option<Mutation>) {
+        let Some(held) = self.held.take() else { return };
+        let sent = match mutation {
+            Some(Mutation::CountFromArrival) => now,
+            _ => held.sent,
+        };
+        for (i, report) in held.reports {
+            self.take(i, sent, report);
+        }
+    }
+
+    /// Takes an order's reply for the instance's own report.
+    pub(super) fn trust(&mut self, i: usize, instance: &Instance, order: &Order, now: Millis) {
+        let OrderAction::Join(join) = &order.action else { return };
+        let membership = Membership {
+            group: join.group.clone(),
+            fence: order.fence,
+            readiness: Readiness::Ready,
+        };
+        let report = Report { membership: Some(membership), ..instance.report() };
+        self.take(i, now, report);
+    }
+
+    pub(super) fn plan(
+        &mut self,
+        rules: &StewardRules,
+        list: &[ListedInstance],
+        now: Millis,
+    ) -> Plan {
+        let domain = start::domain();
+        let state = Arc::clone(self.state.get());
+        let view = View { domain: &domain, state: &state, witnesses: &self.witnesses, list, now };
+        steward::plan(&view, &mut self.memory, rules)
+    }
+
+    /// The groups that it would send work to, each with its fence and members.
+    pub(super) fn serving(
+        &self,
+        leaving: &BTreeSet<InstanceId>,
+        now: Millis,
+        rules: GateRules,
+        mutation: Option<Mutation>,
+    ) -> Vec<(GroupId, u64, Vec<InstanceId>)> {
+        let rules = match mutation {
+            Some(Mutation::BelieveOldReports) => GateRules { report_ttl: Millis(1_000) },
+            _ => rules,
+        };
+        let groups = self.state.get().fleet.groups().filter(|group| match mutation {
+            Some(Mutation::GoByTheLogAlone) => group.is_active(),
+            Some(Mutation::IgnoreIncarnation) => {
+                let mut group = (*group).clone();
+                for member in &mut group.members {
+                    if let Some(witness) = self.witnesses.get(&member.instance) {
+                        member.incarnation = witness.report.incarnation;
+                    }
+                }
+                gate::judge(&group, &self.witnesses, leaving, now, rules).is_ok()
+            }
+            _ => gate::judge(group, &self.witnesses, leaving, now, rules).is_ok(),
+        });
+        groups
+            .map(|group| {
+                let members = group.members.iter().map(|member| member.instance.clone());
+                (group.id.clone(), group.fence.0, members.collect())
+            })
+            .collect()
+    }
+}
--- a/crates/workshold-node/src/callers/at_most_once.rs
+++ b/crates/workshold-node/src/callers/at_most_once.rs
@@ -11,9 +11,11 @@
 use hyper::Response;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
-use workshold_core::keys::KeyStatus;
 use workshold_core::keys::Owner;
 use workshold_core::keys::key_time;
+use workshold_core::once;
+use workshold_core::once::Local;
+use workshold_core::once::Step;
 use workshold_http::Body;
 use workshold_protocol::Millis;
 use workshold_protocol::ids::KeyDigest;
@@ -126,72 +128,90 @@
     W: FnOnce() -> F,
     F: Future<Output = Result<StoredAnswer, StoredAnswer>>,
 {
-    if let Some(owner) = owner_elsewhere(node, &keyed)? {
-        return ask_owner(node, &keyed, &owner).await;
-    }
     let running = match node.keys.begin(&keyed.key, keyed.time) {
         Begin::Mine(running) => running,
         Begin::Others(answer) => return wait_for_other(node, &keyed, answer).await,
     };
-    match record(node, &keyed).await {
-        IntentOutcome::Granted => {
-            let (Ok(answer) | Err(answer)) = work().await;
-            running.finish(&answer);
-            Ok(answer)
-        }
-        IntentOutcome::NotRecorded => {
-            // The record may still come to stand in the log. Only this node could
-            // run under it, and with this answer kept it never will.
-            let problem = Problem::not_run(
-                Code::LogUnavailable,
-                "what must last cannot be written; it was not run. Ask again with a new key",
-            );
-            let problem = problem.retry_after(RETRY_WHEN_LOG_IS_AWAY);
-            running.finish(&stored(&problem));
-            Err(problem)
-        }
-        IntentOutcome::Lost => {
-            let found = owner_elsewhere(node, &keyed);
-            let answer = match found {
-                Ok(Some(owner)) => ask_owner(node, &keyed, &owner).await,
-                Ok(None) => Err(expired()),
-                Err(problem) => Err(problem),
-            };
-            let kept = match &answer {
-                Ok(answer) => answer.clone(),
-                Err(problem) => stored(problem),
-            };
-            running.finish(&kept);
-            answer
-        }
+    let mut step = decide(node, &keyed, Local::Untouched);
+    if step == Decided::Record {
+        step = match record(node, &keyed).await {
+            IntentOutcome::Granted | IntentOutcome::Lost => decide(node, &keyed, Local::Recording),
+            IntentOutcome::NotRecorded => Decided::GiveUp,
+            IntentOutcome::NotTried => Decided::LogAway,
+        };
+    }
+    if step == Decided::Run {
+        let (Ok(answer) | Err(answer)) = work().await;
+        running.finish(&answer);
+        return Ok(answer);
     }
+    let must_keep = step == Decided::GiveUp;
+    let answer = without_running(node, &keyed, step).await;
+    if !must_keep {
+        // Nothing was begun here: whoever asks again looks anew.
+        node.keys.discard(&keyed.key);
+    }
+    running.finish(&match &answer {
+        Ok(answer) => answer.clone(),
+        Err(problem) => stored(problem),
+    });
+    answer
 }
 
-fn expired() -> Problem {
-    Problem::unknown(Code::KeyExpired, "the idempotency key is older than what is remembered")
+/// A step of [`once`] that owns what it names.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Decided {
+    Record,
+    Run,
+    GiveUp,
+    LogAway,
+    AskOwner(Owner),
+    Refuse(Code),
 }
 
-/// Who else has the key; none if it is free, or this node's in this life.
-fn owner_elsewhere(node: &Node, keyed: &Keyed) -> Result<Option<Owner>, Problem> {
-    let look = |state: &workshold_core::state::State| match state.keys.status(
-        &keyed.key,
-        keyed.time,
-        &keyed.call.request,
-    ) {
-        KeyStatus::Free => Ok(None),
-        KeyStatus::Owned(owner) if is_me(node, owner) => Ok(None),
-        KeyStatus::Owned(owner) => Ok(Some(owner.clone())),
-        KeyStatus::Reused => Err(Problem::not_run(
+fn decide(node: &Node, keyed: &Keyed, local: Local) -> Decided {
+    let decided = node.with_state(|state| {
+        let status = state.keys.status(&keyed.key, keyed.time, &keyed.call.request);
+        match once::next(&status, (node.name(), node.incarnation), local) {
+            Step::Record => Decided::Record,
+            Step::Run => Decided::Run,
+            Step::AskOwner(owner) => Decided::AskOwner(owner.clone()),
+            Step::Refuse(code) => Decided::Refuse(code),
+            Step::Wait | Step::AnswerKept => Decided::GiveUp,
+        }
+    });
+    decided.unwrap_or(Decided::GiveUp)
+}
+
+/// The answer of a request that this node does not run.
+async fn without_running(
+    node: &Node,
+    keyed: &Keyed,
+    step: Decided,
+) -> Result<StoredAnswer, Problem> {
+    match step {
+        Decided::AskOwner(owner) => ask_owner(node, keyed, &owner).await,
+        Decided::Refuse(Code::KeyReused) => Err(Problem::not_run(
             Code::KeyReused,
             "the idempotency key was used for another request",
         )),
-        KeyStatus::Forgotten => Err(expired()),
-    };
-    node.with_state(look).unwrap_or_else(|| Err(Problem::not_run(Code::NotReady, "no state")))
-}
-
-fn is_me(node: &Node, owner: &Owner) -> bool {
-    &owner.node == node.name() && owner.incarnation == node.incarnation
+        Decided::Refuse(_) => Err(Problem::unknown(
+            Code::KeyExpired,
+            "the idempotency key is older than what is remembered",
+        )),
+        Decided::LogAway => Err(Problem::not_run(
+            Code::LogUnavailable,
+            "what must last cannot be written; it was not run",
+        )
+        .retry_after(RETRY_WHEN_LOG_IS_AWAY)),
+        // The record may still come to stand in the log. Only this node could run
+        // under it, and with this answer kept it never will.
+        Decided::GiveUp | Decided::Record | Decided::Run => Err(Problem::not_run(
+            Code::LogUnavailable,
+            "what must last cannot be written; it was not run. Ask again with a new key",
+        )
+        .retry_after(RETRY_WHEN_LOG_IS_AWAY)),
+    }
 }
 
 /// Asks the node that has the key what came of it.
@@ -247,7 +267,7 @@
 
 async fn record(node: &Node, keyed: &Keyed) -> IntentOutcome {
     if !node.lasting.read().log_answers {
-        return IntentOutcome::NotRecorded;
+        return IntentOutcome::NotTried;
     }
     let (done, outcome) = oneshot::channel();
     let until = keyed.call.deadline.min(node.now() + node.settings.times.intent_wait);
@@ -260,7 +280,7 @@
     };
     let request = IntentRequest { intent, until, done };
     if node.intents.try_send(request).is_err() {
-        return IntentOutcome::NotRecorded;
+        return IntentOutcome::NotTried;
     }
     let left = until.since(node.now()).to_duration();
     match tokio::time::timeout(left, outcome).await {
--- a/crates/workshold-node/src/keytable.rs
+++ b/crates/workshold-node/src/keytable.rs
@@ -59,6 +59,11 @@
         self.entries.get(key, |entry| entry.answer.borrow().clone()).flatten()
     }
 
+    /// Forgets a key under which nothing was begun here.
+    pub fn discard(&self, key: &KeyDigest) {
+        self.entries.with_shard(key, |shard| shard.remove(key));
+    }
+
     /// Forgets keys that everybody refuses.
     pub fn forget_before(&self, floor: Millis) {
         self.entries.retain(|_, entry| entry.key_time >= floor);
--- a/crates/workshold-node/src/node.rs
+++ b/crates/workshold-node/src/node.rs
@@ -12,6 +12,7 @@
 use parking_lot::RwLock;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use workshold_core::custody::Custody;
 use workshold_core::limits::ShareRules;
 use workshold_core::limits::TeamShare;
 use workshold_core::membership::Entry;
@@ -62,6 +63,8 @@
     pub replay: Option<Replay>,
     /// The records as they stand, for peers.
     pub tail: Tail,
+    /// Whether what was read may be taken for what is in force.
+    pub custody: Custody,
     /// Whether a checkpoint named another history.
     pub is_diverged: bool,
     /// When the log last answered; none if it never did.
@@ -85,6 +88,8 @@
     Diverged,
     /// it is cut off from the log and from all other nodes
     Isolated,
+    /// it was cut off, and nobody has told it yet what is in force
+    NoCustody,
     /// instances name records that it has not read for some time
     Behind,
     /// it is about to stop
@@ -267,12 +272,39 @@
         if replay.state().bundles.in_force().is_none() {
             return Err(Unready::NoBundle);
         }
-        let log_heard = lasting.log_heard.unwrap_or_default();
+        let (log_heard, custody) = (lasting.log_heard.unwrap_or_default(), lasting.custody);
         drop(lasting);
         if self.membership.read().is_isolated(log_heard, now, &rules) {
             return Err(Unready::Isolated);
         }
-        Ok(())
+        if custody.is_held() { Ok(()) } else { Err(Unready::NoCustody) }
+    }
+
+    /// Whether other nodes may take what this one has read for what is in force.
+    pub fn has_custody(&self) -> bool {
+        let rules = self.settings.membership_rules();
+        let (log_heard, custody, is_diverged) = {
+            let lasting = self.lasting.read();
+            (lasting.log_heard.unwrap_or_default(), lasting.custody, lasting.is_diverged)
+        };
+        let is_isolated = self.membership.read().is_isolated(log_heard, self.now(), &rules);
+        custody.is_held() && !is_isolated && !is_diverged
+    }
+
+    /// Gives custody up once this node has been cut off for too long.
+    pub fn note_isolation(&self) {
+        let rules = self.settings.membership_rules();
+        let log_heard = self.lasting.read().log_heard.unwrap_or_default();
+        if self.membership.read().is_isolated(log_heard, self.now(), &rules) {
+            self.lasting.write().custody.on_isolated();
+        }
+    }
+
+    /// Hears what another node says of its custody.
+    pub fn note_peer(&self, is_held: bool, peer_next: Offset) {
+        let mut lasting = self.lasting.write();
+        let own_next = lasting.replay.as_ref().map_or(Offset(0), |replay| replay.state().next());
+        lasting.custody.on_peer(is_held, peer_next, own_next);
     }
 
     /// What this node tells others of itself.
@@ -289,6 +321,7 @@
         NodeStatus {
             incarnation: self.incarnation,
             ready: self.readiness().is_ok(),
+            custody: self.has_custody(),
             leaving: self.is_leaving(),
             data_centre: self.settings.node.data_centre.clone(),
             callers: self.settings.node.callers.clone(),
--- a/crates/workshold-node/src/settings.rs
+++ b/crates/workshold-node/src/settings.rs
@@ -374,7 +374,7 @@
     pub fn steward_rules(&self) -> StewardRules {
         StewardRules {
             gate: self.gate_rules(),
-            clock_error: self.times.clock_error,
+            release_wait: self.times.report_ttl + self.times.clock_error,
             member_grace: self.times.member_grace,
             gone_after: self.times.gone_after,
             order_every: Millis(self.times.probe_every.0 * 2),
--- a/crates/workshold-node/src/tasks/catch_up.rs
+++ b/crates/workshold-node/src/tasks/catch_up.rs
@@ -47,7 +47,8 @@
         let ask = Ask::Records { from };
         let key = &node.checked.cluster_key;
         let asked = link.ask(node.name(), ask, key, &node.counters, within).await;
-        let Ok(AnswerBody::Records { records, next }) = asked else { continue };
+        // What a node without custody has may be older than what is in force.
+        let Ok(AnswerBody::Records { records, next, custody: true }) = asked else { continue };
         let reply = as_reply(records, next);
         if best.as_ref().is_none_or(|best| best.end < reply.end) {
             best = Some(reply);
--- a/crates/workshold-node/src/tasks/intents.rs
+++ b/crates/workshold-node/src/tasks/intents.rs
@@ -37,8 +37,10 @@
     Granted,
     /// The key is another's, or forgotten.
     Lost,
-    /// The log could not be written in time; it must not run.
+    /// The log did not answer in time. The intent may stand there; it must not run.
     NotRecorded,
+    /// Nothing was appended: the log is known to be away, or too much waits.
+    NotTried,
 }
 
 /// Intents in one append at the most.
--- a/crates/workshold-node/src/tasks/peers.rs
+++ b/crates/workshold-node/src/tasks/peers.rs
@@ -73,9 +73,10 @@
     let body = match question.ask {
         Ask::Digest { data_centre } => AnswerBody::Digest(Box::new(digest(node, &data_centre))),
         Ask::Records { from } => {
+            let custody = node.has_custody();
             let lasting = node.lasting.read();
             let next = lasting.tail.next();
-            AnswerBody::Records { records: lasting.tail.part(from), next }
+            AnswerBody::Records { records: lasting.tail.part(from), next, custody }
         }
         Ask::KeyResult { key } => AnswerBody::KeyResult(node.keys.answer(&key)),
     };
@@ -142,6 +143,7 @@
             asking.spawn(ask(Arc::clone(&node), peer, address));
         }
         while asking.join_next().await.is_some() {}
+        node.note_isolation();
         node.forget_gone();
     }
 }
@@ -185,6 +187,7 @@
 /// was `age` old when the answer was written is no older than that.
 fn take(node: &Node, peer: &NodeId, asked: Millis, digest: Digest) {
     let seen = node.now();
+    node.note_peer(digest.own.custody, digest.own.next);
     {
         let mut membership = node.membership.write();
         take_demand(node, peer, &digest.own.demand, asked);
--- a/crates/workshold-node/src/tasks/replaying.rs
+++ b/crates/workshold-node/src/tasks/replaying.rs
@@ -49,6 +49,8 @@
         match gathering.take(node, reply) {
             Gathered::More(_) => continue,
             Gathered::Started(started) => {
+                // A peer's records are only taken from one that has custody.
+                node.lasting.write().custody.on_log();
                 install(node, *started);
                 return;
             }
@@ -98,6 +100,9 @@
         if !take_all(node, &reply, next) {
             return;
         }
+        if source == Source::Log && node.with_state(|state| state.next()) == Some(reply.end) {
+            node.lasting.write().custody.on_log();
+        }
     }
 }
 
--- a/crates/workshold-protocol/src/peer.rs
+++ b/crates/workshold-protocol/src/peer.rs
@@ -77,6 +77,8 @@
         records: Vec<(Offset, String)>,
         /// The first offset that the answering node does not know.
         next: Offset,
+        /// Whether that may be taken for what is in force.
+        custody: bool,
     },
     /// To [`Ask::KeyResult`].
     KeyResult(Option<StoredAnswer>),
@@ -100,6 +102,8 @@
     pub incarnation: Incarnation,
     /// Whether it serves callers.
     pub ready: bool,
+    /// Whether what it has read may be taken for what is in force.
+    pub custody: bool,
     /// Whether it is about to stop.
     pub leaving: bool,
     /// Where it is.
