A node locked itself up while its status was read

Cause: dump::status took the state's read lock inside the value it returned. The lock was held until the whole value was made, which takes the same lock again; a writer that waited in between blocked both for good.

Ruled out: a loop in replaying (the node used no processor), and the order of two different locks (only one is involved).

--- a/crates/workshold-node/src/dump.rs
+++ b/crates/workshold-node/src/dump.rs
@@ -146,6 +146,9 @@
 /// The status as this node sees it.
 pub fn status(node: &Node) -> Status {
     let readiness = node.readiness();
+    // Read here and not below: a lock taken within the value that is returned
+    // would be held while its other parts are read.
+    let log_answers = node.lasting.read().log_answers;
     let (bundle, published, groups, next) = node
         .with_state(|state| {
             let published = state.bundles.published();
@@ -164,7 +167,7 @@
         bundle,
         published,
         next,
-        log_answers: node.lasting.read().log_answers,
+        log_answers,
         nodes: nodes(node),
         groups: group_rows(node, groups),
         instances: instances(node),
