A stream whose group broke was sent back to the same group

Cause: after a failed attempt the router chose again by the last reports, which still said that the group was whole; it refused, and the attempts ran out. A group where a request failed, or was refused before it started, now gets no other until every member has been heard since.

Ruled out: a longer list of attempts (each would meet the same reports), and a list of groups tried by one request (all others would still be sent there).

After: all eight streams of the test end whole and right at the other group. The tests over real processes that found it come with this.

--- a/crates/workshold-node/src/callers/generation.rs
+++ b/crates/workshold-node/src/callers/generation.rs
@@ -257,6 +257,7 @@
                 Ended::By(Event::ConnectFailed | Event::Broken) => {
                     desk.on_failed(&group.group, now);
                 }
+                Ended::By(Event::RefusedBeforeStart) => desk.on_refused(&group.group, now),
                 Ended::By(_) => desk.on_done(&group.group, None, Millis::ZERO, now),
             }
             desk.dispatch(view);
--- a/crates/workshold-node/src/desk.rs
+++ b/crates/workshold-node/src/desk.rs
@@ -1,5 +1,6 @@
 //! The desk of one model: who goes to which group, and who waits.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use tokio::sync::oneshot;
@@ -57,6 +58,9 @@
     router: Router,
     queue: FairQueue<Waiter>,
     outliers: Outliers<GroupId>,
+    /// When a request last failed at a group: until all of its members have been
+    /// heard since, it gets no other.
+    failed_at: HashMap<GroupId, Millis>,
     service_time: Option<Millis>,
 }
 
@@ -69,6 +73,7 @@
             router: Router::new(RoutingRules::default()),
             queue: FairQueue::new(QueueRules::default()),
             outliers: Outliers::new(OutlierRules::default()),
+            failed_at: HashMap::new(),
             service_time: None,
         }
     }
@@ -149,6 +154,14 @@
     pub fn on_failed(&mut self, group: &GroupId, now: Millis) {
         self.router.on_done(group, now);
         self.outliers.on_failure(group, now);
+        self.failed_at.insert(group.clone(), now);
+    }
+
+    /// A group refused a request before it started: what its members reported
+    /// does not hold any more.
+    pub fn on_refused(&mut self, group: &GroupId, now: Millis) {
+        self.router.on_done(group, now);
+        self.failed_at.insert(group.clone(), now);
     }
 
     /// What a request takes on average, once it has started.
@@ -164,6 +177,7 @@
     /// Forgets groups that are gone.
     pub fn retain(&mut self, is_there: impl Fn(&GroupId) -> bool) {
         self.router.retain(&is_there);
+        self.failed_at.retain(|group, _| is_there(group));
         self.outliers.retain(is_there);
     }
 
@@ -192,6 +206,7 @@
     fn with_room<'a>(&self, view: &DeskView<'a>) -> Vec<&'a ServingGroup> {
         let rows = view.table.of_model(view.model, view.now);
         let rows: Vec<_> = rows
+            .filter(|row| !self.is_suspect(row))
             .filter(|row| self.router.load(&self.candidate(row, view.now)) < f64::from(row.slots))
             .collect();
         let wanted: Vec<_> =
@@ -199,6 +214,10 @@
         if wanted.is_empty() { rows } else { wanted }
     }
 
+    fn is_suspect(&self, row: &ServingGroup) -> bool {
+        self.failed_at.get(&row.group).is_some_and(|failed_at| row.proved_since <= *failed_at)
+    }
+
     fn candidate<'a>(&self, row: &'a ServingGroup, now: Millis) -> Candidate<'a> {
         Candidate {
             group: &row.group,
--- a/crates/workshold-node/src/serving.rs
+++ b/crates/workshold-node/src/serving.rs
@@ -43,6 +43,8 @@
     pub reported: u32,
     /// Since when that is true.
     pub true_since: Millis,
+    /// Since when all of the members' reports are true.
+    pub proved_since: Millis,
     /// Until when it may be sent work on these reports.
     pub valid_until: Millis,
     /// Whether it is in another data centre.
@@ -134,6 +136,7 @@
             slots: witness.report.slots,
             reported: witness.report.running + witness.report.queued,
             true_since: witness.true_since,
+            proved_since: oldest,
             valid_until: oldest + self.rules.report_ttl,
             is_remote: &head.data_centre != self.data_centre,
         })
--- a/crates/workshold-node/src/tasks/dispatching.rs
+++ b/crates/workshold-node/src/tasks/dispatching.rs
@@ -1,5 +1,6 @@
 //! Giving turns to waiting requests when reports, not ends of requests, make room.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,14 +8,27 @@
 use crate::node::Node;
 
 const EVERY: Duration = Duration::from_millis(50);
+/// Turns between two looks for groups that are gone.
+const FORGET_EVERY: u64 = 20;
+
+/// Forgets groups that the log does not have any more.
+fn forget_gone(node: &Node) {
+    let groups: Option<BTreeSet<_>> =
+        node.with_state(|state| state.fleet.groups().map(|group| group.id.clone()).collect());
+    let Some(groups) = groups else { return };
+    node.desks.for_each(|_, desk| desk.retain(|group| groups.contains(group)));
+}
 
 /// Looks at every queue for as long as the node runs.
 pub async fn run(node: Arc<Node>) {
     let mut tick = tokio::time::interval(EVERY);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
+    for turn in 0_u64.. {
         tick.tick().await;
         node.refresh_serving();
+        if turn % FORGET_EVERY == 0 {
+            forget_gone(&node);
+        }
         let mut waiting = Vec::new();
         node.desks.for_each(|model, desk| {
             if desk.waiting() > 0 {
--- /dev/null
+++ b/crates/workshold-node/tests/requests.rs
@@ -0,0 +1,193 @@
+//! Requests over real processes: whole answers, at most one run, clear refusals.
+
+mod support;
+
+use std::time::Duration;
+
+use hyper::Method;
+use hyper::StatusCode;
+use workshold_standins::Layout;
+use workshold_standins::answer;
+use workshold_standins::faults::Fault;
+
+use crate::support::Deployment;
+use crate::support::caller;
+use crate::support::caller::Stream;
+use crate::support::caller::ask;
+use crate::support::caller::book;
+
+fn small() -> Layout {
+    Layout { engines: 5, ..Layout::default() }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_a_killed_node_resume_at_another_and_get_their_own_whole_answers() {
+    let mut deployment = Deployment::serving(small()).await;
+    let (first, second) = (deployment.layout.callers(0), deployment.layout.callers(1));
+    let prompts: Vec<_> = (0..8).map(|n| format!("question {n}")).collect();
+    let mut streams = Vec::new();
+    for prompt in &prompts {
+        let mut stream = Stream::open(&first, prompt, 60).await;
+        stream.read(3).await;
+        streams.push(stream);
+    }
+    deployment.kill(0);
+    for (prompt, mut stream) in prompts.iter().zip(streams) {
+        stream.finish().await;
+        assert!(!stream.is_whole, "the node died amid the stream");
+        let mut resumed = Stream::resume(&second, &stream).await.unwrap();
+        resumed.finish().await;
+        assert!(resumed.is_whole);
+        assert_eq!(resumed.text, answer::whole(prompt, 60));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_group_that_loses_a_member_hands_its_streams_to_another_group() {
+    let deployment = Deployment::serving(Layout::default()).await;
+    let address = deployment.layout.callers(0);
+    let mut streams = Vec::new();
+    for n in 0..8 {
+        let mut stream = Stream::open(&address, &format!("question {n}"), 80).await;
+        stream.read(3).await;
+        streams.push(stream);
+    }
+    deployment.platform.inject(Fault::Kill(deployment.layout.engine_id(0))).await;
+    for (n, stream) in streams.iter_mut().enumerate() {
+        stream.finish().await;
+        assert!(stream.is_whole, "stream {n}: {} tokens", stream.tokens);
+        assert_eq!(stream.text, answer::whole(&format!("question {n}"), 80));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booking_runs_once_though_the_append_reply_is_lost_and_it_is_asked_for_elsewhere() {
+    let deployment = Deployment::serving(small()).await;
+    let key = caller::key();
+    deployment.platform.inject(Fault::LoseReplies(1)).await;
+    let (first, second) = (deployment.layout.callers(0), deployment.layout.callers(1));
+    let both = tokio::join!(book(&first, &key, "one seat"), book(&second, &key, "one seat"));
+    let later = book(&deployment.layout.callers(2), &key, "one seat").await.unwrap();
+    for answer in [both.0.unwrap(), both.1.unwrap(), later] {
+        let told_unknown = answer.body["ran"] == "unknown";
+        assert!(answer.status == StatusCode::OK || told_unknown, "{answer:?}");
+    }
+    assert_eq!(deployment.platform.observed().service_runs.get("one seat"), Some(&1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_same_key_elsewhere_gets_the_first_answer_and_another_request_is_refused() {
+    let deployment = Deployment::serving(small()).await;
+    let key = caller::key();
+    let first = book(&deployment.layout.callers(0), &key, "gate 4").await.unwrap();
+    let again = book(&deployment.layout.callers(1), &key, "gate 4").await.unwrap();
+    assert_eq!((first.status, &first.body), (StatusCode::OK, &again.body));
+    let other = book(&deployment.layout.callers(1), &key, "gate 5").await.unwrap();
+    assert_eq!(other.body["code"], "key_reused");
+    assert_eq!(other.body["ran"], "no");
+    let runs = deployment.platform.observed().service_runs;
+    assert_eq!((runs.get("gate 4"), runs.get("gate 5")), (Some(&1), None));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_dies_with_a_key_leaves_unknown_behind_and_nobody_runs_it_again() {
+    let mut deployment = Deployment::serving(small()).await;
+    let key = caller::key();
+    book(&deployment.layout.callers(0), &key, "pass 9").await.unwrap();
+    deployment.kill(0);
+    let again = book(&deployment.layout.callers(1), &key, "pass 9").await.unwrap();
+    assert_eq!(again.body["ran"], "unknown");
+    deployment.start_entry(0);
+    deployment.wait("the node is back", |all| all.iter().all(|status| status.ready)).await;
+    let third = book(&deployment.layout.callers(0), &key, "pass 9").await.unwrap();
+    assert_eq!(third.body["ran"], "unknown");
+    assert_eq!(deployment.platform.observed().service_runs.get("pass 9"), Some(&1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn with_the_log_away_a_booking_is_told_not_run_at_once_and_is_not_run() {
+    let deployment = Deployment::serving(small()).await;
+    deployment.platform.inject(Fault::LogDown(true)).await;
+    deployment.wait("all notice", |all| all.iter().all(|status| !status.log_answers)).await;
+    let key = caller::key();
+    let told = book(&deployment.layout.callers(0), &key, "row 3").await.unwrap();
+    assert_eq!(told.body["code"], "log_unavailable");
+    assert_eq!(told.body["ran"], "no");
+    assert!(told.retry_after.is_some(), "it says when to come back");
+    deployment.platform.inject(Fault::LogDown(false)).await;
+    deployment.wait("the log is back", |all| all.iter().all(|status| status.log_answers)).await;
+    assert_eq!(deployment.platform.observed().service_runs.get("row 3"), None);
+    let ran = book(&deployment.layout.callers(0), &key, "row 3").await.unwrap();
+    assert_eq!(ran.status, StatusCode::OK);
+    assert_eq!(deployment.platform.observed().service_runs.get("row 3"), Some(&1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nobody_reads_or_cancels_the_stream_of_another_team() {
+    let deployment = Deployment::serving(small()).await;
+    let address = deployment.layout.callers(0);
+    let mut stream = Stream::open(&address, "our secret", 60).await;
+    stream.read(2).await;
+    for method in [Method::GET, Method::DELETE] {
+        let path = format!("/v1/requests/{}", stream.id);
+        let headers = [("workshold-team", "shuttle")];
+        let req = hyper::Request::builder().method(method).uri(path).header("host", &address);
+        let req = headers.iter().fold(req, |req, (name, value)| req.header(*name, *value));
+        let req = req.body(workshold_http::body::full("")).unwrap();
+        let connected = workshold_http::client::connect(&address, Duration::from_secs(5)).await;
+        let sent = connected.unwrap().send(req, Duration::from_secs(5)).await;
+        assert_eq!(sent.unwrap().0.status(), StatusCode::NOT_FOUND);
+    }
+    stream.finish().await;
+    assert_eq!(stream.text, answer::whole("our secret", 60));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_bad_request_gets_a_clear_refusal_and_its_neighbours_go_on() {
+    let deployment = Deployment::serving(small()).await;
+    let address = deployment.layout.callers(0);
+    let mut neighbour = Stream::open(&address, "neighbour", 100).await;
+    neighbour.read(1).await;
+    let long = "x".repeat(2 * 1024 * 1024);
+    let completions = "/v1/completions";
+    let good = r#"{"model":"assistant","prompt":"p"}"#;
+    type Case<'a> = (Method, &'a str, Vec<(&'a str, &'a str)>, &'a str, u16, &'a str);
+    let cases: Vec<Case<'_>> = vec![
+        (Method::POST, completions, vec![], "", 400, "bad_request"),
+        (Method::POST, completions, vec![], "{", 400, "bad_request"),
+        (Method::POST, completions, vec![], r#"{"model":"assistant"}"#, 400, "bad_request"),
+        (Method::POST, completions, vec![], r#"{"model":"none","prompt":"p"}"#, 404, "not_found"),
+        (Method::POST, completions, vec![], &long, 413, "too_large"),
+        (
+            Method::POST,
+            completions,
+            vec![("workshold-deadline-ms", "soon")],
+            good,
+            400,
+            "bad_request",
+        ),
+        (Method::POST, completions, vec![("workshold-deadline-ms", "0")], good, 400, "bad_request"),
+        (Method::POST, completions, vec![("workshold-priority", "top")], good, 400, "bad_request"),
+        (
+            Method::POST,
+            completions,
+            vec![("authorization", "Bearer no")],
+            good,
+            401,
+            "unauthorized",
+        ),
+        (Method::GET, completions, vec![], "", 405, "method_not_allowed"),
+        (Method::GET, "/nowhere", vec![], "", 404, "not_found"),
+        (Method::GET, "/v1/requests/none", vec![], "", 404, "not_found"),
+        (Method::POST, "/gate/rebook", vec![], "{}", 400, "key_required"),
+        (Method::POST, "/gate/rebook", vec![("idempotency-key", "7")], "{}", 400, "bad_request"),
+    ];
+    for (method, path, headers, bytes, status, code) in cases {
+        let answer = ask(&address, method, path, &headers, bytes.to_owned()).await.unwrap();
+        let got = (answer.status.as_u16(), answer.body["code"].as_str());
+        assert_eq!(got, (status, Some(code)), "{path} {headers:?}");
+        assert_eq!(answer.body["ran"], "no", "{path} {headers:?}");
+    }
+    neighbour.finish().await;
+    assert_eq!(neighbour.text, answer::whole("neighbour", 100));
+}
--- /dev/null
+++ b/crates/workshold-node/tests/support/cuttable.rs
@@ -0,0 +1,52 @@
+//! A connection that a test can cut: forwards one port to another until told not to.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::io::copy_bidirectional;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+/// A forwarded port.
+pub struct Cuttable {
+    is_cut: Arc<AtomicBool>,
+}
+
+impl Cuttable {
+    /// Forwards `address` to `target`.
+    pub async fn at(address: &str, target: String) -> Self {
+        let listener = TcpListener::bind(address).await.unwrap();
+        let is_cut = Arc::new(AtomicBool::new(false));
+        tokio::spawn(forward(listener, target, Arc::clone(&is_cut)));
+        Self { is_cut }
+    }
+
+    /// Cuts it, also what is under way, or mends it.
+    pub fn cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::SeqCst);
+    }
+}
+
+async fn forward(listener: TcpListener, target: String, is_cut: Arc<AtomicBool>) {
+    while let Ok((mut near, _)) = listener.accept().await {
+        let (target, is_cut) = (target.clone(), Arc::clone(&is_cut));
+        tokio::spawn(async move {
+            if is_cut.load(Ordering::SeqCst) {
+                return;
+            }
+            let Ok(mut far) = TcpStream::connect(target).await else { return };
+            tokio::select! {
+                _ = copy_bidirectional(&mut near, &mut far) => {}
+                () = until_cut(&is_cut) => {}
+            }
+        });
+    }
+}
+
+async fn until_cut(is_cut: &AtomicBool) {
+    while !is_cut.load(Ordering::SeqCst) {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
