Groups that shrank grow again; the promises under failure over real processes

Cause: a group formed in a smaller role while instances were missing kept that role for good, and the instances that came back stood idle. The steward now ends such a group once its members and what is free make the best role.

Twelve tests over real processes cover a paused steward, a log outage with a loss inside it, racing operators, planned stops, a dark domain, frozen members, restarts without the log, checkpoints, and a node cut off from everybody.

--- a/crates/workshold-core/src/steward/mending.rs
+++ b/crates/workshold-core/src/steward/mending.rs
@@ -170,7 +170,19 @@
         let is_next = forming::is_next_old(view, rules, model, group);
         return is_next.then_some(EndCause::OldVersion);
     }
-    is_surplus(fleet, group, usize::from(model.replicas)).then_some(EndCause::NotWanted)
+    if is_surplus(fleet, group, usize::from(model.replicas)) {
+        return Some(EndCause::NotWanted);
+    }
+    is_outgrown(view, rules, model, group).then_some(EndCause::Outgrown)
+}
+
+/// Whether the group took a smaller role, and the best one is possible again.
+fn is_outgrown(view: &View<'_>, rules: &StewardRules, model: &Model, group: &Group) -> bool {
+    let Some(best) = model.roles.first().filter(|best| best.name != group.role) else {
+        return false;
+    };
+    let at_hand = view.free(rules).len() + group.members.len();
+    at_hand >= usize::from(best.instances)
 }
 
 /// Whether enough older groups of the same version fill the model's places.
--- /dev/null
+++ b/crates/workshold-node/tests/failures.rs
@@ -0,0 +1,316 @@
+//! The promises under failure, over real processes.
+
+mod support;
+
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::record::Fact;
+use workshold_protocol::record::StopRequest;
+use workshold_standins::Layout;
+use workshold_standins::Platform;
+use workshold_standins::faults::Fault;
+use workshold_standins::load::Report;
+
+use crate::support::Deployment;
+use crate::support::TIMES;
+use crate::support::caller::Stream;
+use crate::support::caller::load;
+use crate::support::caller::start_load;
+use crate::support::in_force;
+use crate::support::serving;
+
+/// Every request had one end: its own whole answer, or the word what became of it.
+fn assert_all_accounted_for(report: &Report) {
+    eprintln!("{}", report.to_json());
+    assert_eq!((report.wrong, report.lost), (0, 0), "{}", report.to_json());
+    assert!(report.answered > 0);
+}
+
+/// What the engines saw, for the figures in docs/PROOFS.md.
+fn print_observed(platform: &Platform) {
+    let observed = platform.observed();
+    eprintln!(
+        "sent to incomplete groups: {}, longest a member was missing then: {}, cut: {}, fenced off: {}",
+        observed.sent_to_incomplete,
+        observed.longest_missing,
+        observed.cut_by_leave,
+        observed.fenced_off,
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_steward_that_wakes_from_a_long_pause_breaks_nothing() {
+    let layout = Layout { entries: 3, unfenced_every: 2, ..Layout::default() };
+    let deployment = Deployment::serving(layout).await;
+    // Whoever is steward: each node in turn sleeps through the loss of a member.
+    for (i, lost) in [(0, 0), (1, 5), (2, 1)] {
+        let lost = deployment.layout.engine_id(lost);
+        deployment.signal(i, "-STOP");
+        deployment.platform.inject(Fault::Kill(lost.clone())).await;
+        let others: Vec<_> = (0..3).filter(|other| *other != i).collect();
+        wait_at(&deployment, &others, "both groups serve again", 2).await;
+        deployment.signal(i, "-CONT");
+        deployment.wait("all see it alike", |all| all.iter().all(|s| serving(s) == 2)).await;
+        deployment.platform.inject(Fault::Restart(lost)).await;
+    }
+    print_observed(&deployment.platform);
+    // With all instances back, both groups have their full size again.
+    deployment
+        .wait("two groups of four, no instance in both", |all| {
+            all.iter().all(|status| {
+                let members: Vec<_> = status.groups.iter().flat_map(|g| &g.members).collect();
+                let distinct: std::collections::BTreeSet<_> = members.iter().collect();
+                serving(status) == 2 && (members.len(), distinct.len()) == (8, 8)
+            })
+        })
+        .await;
+}
+
+/// Waits until the nodes named say that so many groups serve.
+async fn wait_at(deployment: &Deployment, nodes: &[u16], what: &str, groups: usize) {
+    let deadline = tokio::time::Instant::now() + support::PATIENCE;
+    loop {
+        let mut good = 0;
+        for i in nodes {
+            let status = deployment.status(*i).await;
+            good += usize::from(status.is_some_and(|status| serving(&status) == groups));
+        }
+        if good == nodes.len() {
+            return;
+        }
+        assert!(tokio::time::Instant::now() < deadline, "not in time: {what}");
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn serving_goes_on_through_a_log_outage_and_a_group_lost_in_it_is_mended_after() {
+    let deployment = Deployment::serving(Layout::default()).await;
+    let running = start_load(load(&deployment, 8));
+    deployment.platform.inject(Fault::LogDown(true)).await;
+    deployment.wait("all notice", |all| all.iter().all(|status| !status.log_answers)).await;
+    deployment.platform.inject(Fault::Kill(deployment.layout.engine_id(0))).await;
+    deployment.wait("one group is left", |all| all.iter().all(|s| serving(s) == 1)).await;
+    assert!(deployment.status(0).await.unwrap().ready, "it serves without the log");
+    assert_all_accounted_for(&running.await.unwrap());
+    deployment.platform.inject(Fault::LogDown(false)).await;
+    deployment.wait("both groups serve", |all| all.iter().all(|s| serving(s) == 2)).await;
+    print_observed(&deployment.platform);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_operators_at_once_the_first_in_the_log_wins_everywhere() {
+    let deployment = Deployment::serving(Layout { engines: 5, ..Layout::default() }).await;
+    let first = deployment.bundle("first", "v1").hash();
+    let one = deployment.publish(&deployment.bundle("one", "v1")).await;
+    let two = deployment.publish(&deployment.bundle("two", "v1")).await;
+    tokio::join!(
+        deployment.sign_off("alice", one, Some(first)),
+        deployment.sign_off("bob", two, Some(first)),
+    );
+    deployment
+        .wait("one of the two is in force everywhere", |all| {
+            let winner = in_force(&all[0]).map(str::to_owned);
+            let is_new = winner != Some(first.to_string());
+            is_new && all.iter().all(|status| in_force(status) == winner.as_deref())
+        })
+        .await;
+    let bundle = deployment.status(0).await.unwrap().bundle.unwrap();
+    assert_eq!(bundle.generation, 2, "the loser's sign-off does not count");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_of_a_node_loses_nothing_under_load() {
+    let mut deployment = Deployment::serving(Layout::default()).await;
+    let running = start_load(load(&deployment, 5));
+    deployment.signal(1, "-TERM");
+    let code = deployment.wait_exit(1).await;
+    let report = running.await.unwrap();
+    assert_all_accounted_for(&report);
+    assert_eq!(code, Some(0), "nothing was cut");
+    assert_eq!((report.unknown, report.not_run), (0, 0), "{}", report.to_json());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_of_an_instance_cuts_nothing_under_load() {
+    let deployment = Deployment::serving(Layout::default()).await;
+    let running = start_load(load(&deployment, 6));
+    let instance = deployment.layout.engine_id(0);
+    let request = StopRequest { instance: instance.clone(), stop: true };
+    deployment.append(&deployment.operator("alice"), Fact::StopRequested(request)).await;
+    deployment
+        .wait("the instance is free and both groups serve", |all| {
+            all.iter().all(|status| {
+                let row = status.instances.iter().find(|row| row.instance == instance).unwrap();
+                serving(status) == 2 && row.claimed_by.is_none() && row.says.is_none()
+            })
+        })
+        .await;
+    let report = running.await.unwrap();
+    assert_all_accounted_for(&report);
+    print_observed(&deployment.platform);
+    assert_eq!(deployment.platform.observed().cut_by_leave, 0);
+    assert_eq!(report.unknown, 0, "{}", report.to_json());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_the_platform_takes_away_gets_nothing_new_and_is_replaced() {
+    let deployment = Deployment::serving(Layout::default()).await;
+    let running = start_load(load(&deployment, 5));
+    let leaving = deployment.layout.engine_id(2);
+    deployment.platform.inject(Fault::Leaving(leaving.clone(), true)).await;
+    deployment
+        .wait("both groups serve without it", |all| {
+            all.iter().all(|status| {
+                let is_in = |group: &workshold_node::dump::GroupRow| {
+                    group.serving && group.members.contains(&leaving)
+                };
+                serving(status) == 2 && !status.groups.iter().any(is_in)
+            })
+        })
+        .await;
+    assert_all_accounted_for(&running.await.unwrap());
+    assert_eq!(deployment.platform.observed().cut_by_leave, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_domain_that_goes_dark_takes_only_its_own_groups_with_it() {
+    let deployment = Deployment::serving(Layout::default()).await;
+    let running = start_load(load(&deployment, 6));
+    let domain = deployment.layout.engine_domain(0);
+    deployment.platform.inject(Fault::Dark(domain.clone())).await;
+    deployment.wait("one group is left", |all| all.iter().all(|s| serving(s) == 1)).await;
+    assert_all_accounted_for(&running.await.unwrap());
+    deployment.platform.inject(Fault::Light(domain)).await;
+    deployment.wait("both groups serve", |all| all.iter().all(|s| serving(s) == 2)).await;
+    print_observed(&deployment.platform);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_member_that_freezes_and_wakes_as_if_nothing_happened_is_in_one_group_only() {
+    let deployment = Deployment::serving(Layout { engines: 5, ..Layout::default() }).await;
+    let frozen = deployment.layout.engine_id(0);
+    deployment.platform.inject(Fault::Freeze(frozen.clone(), true)).await;
+    let is_elsewhere = |status: &workshold_node::dump::Status| {
+        let serves = |group: &workshold_node::dump::GroupRow| {
+            group.serving && !group.members.contains(&frozen)
+        };
+        status.groups.iter().any(serves)
+    };
+    deployment.wait("a group without it serves", |all| all.iter().all(is_elsewhere)).await;
+    deployment.platform.inject(Fault::Freeze(frozen.clone(), false)).await;
+    let is_free = |status: &workshold_node::dump::Status| {
+        let row = status.instances.iter().find(|row| row.instance == frozen).unwrap();
+        row.says.is_none() && row.claimed_by.is_none()
+    };
+    deployment.wait("it was ordered out", |all| all.iter().all(is_free)).await;
+    print_observed(&deployment.platform);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_whole_restart_with_the_log_away_serves_nothing_old_and_comes_back_with_the_log() {
+    let mut deployment = Deployment::serving(Layout { engines: 5, ..Layout::default() }).await;
+    let second = deployment.publish(&deployment.bundle("second", "v1")).await;
+    let first = deployment.bundle("first", "v1").hash();
+    deployment.sign_off("alice", second, Some(first)).await;
+    let wanted = second.to_string();
+    deployment
+        .wait("the second is in force", |all| all.iter().all(|s| in_force(s) == Some(&wanted)))
+        .await;
+    deployment.platform.inject(Fault::LogDown(true)).await;
+    (0..3).for_each(|i| deployment.kill(i));
+    (0..3).for_each(|i| deployment.start_entry(i));
+    deployment.wait("all answer", |all| all.len() == 3).await;
+    for i in 0..3 {
+        let status = deployment.status(i).await.unwrap();
+        assert!(!status.ready && status.bundle.is_none(), "{status:?}");
+    }
+    deployment.platform.inject(Fault::LogDown(false)).await;
+    deployment
+        .wait("all serve the second", |all| {
+            all.iter().all(|s| s.ready && in_force(s) == Some(&wanted) && serving(s) == 1)
+        })
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_starts_while_the_log_is_away_learns_from_its_peers() {
+    let mut deployment = Deployment::serving(Layout { engines: 5, ..Layout::default() }).await;
+    deployment.platform.inject(Fault::LogDown(true)).await;
+    deployment.kill(2);
+    deployment.start_entry(2);
+    deployment
+        .wait("it serves", |all| all.len() == 3 && all.iter().all(|s| s.ready && serving(s) == 1))
+        .await;
+    let mut stream = Stream::open(&deployment.layout.callers(2), "a question", 10).await;
+    stream.finish().await;
+    assert!(stream.is_whole);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_node_starts_from_a_checkpoint_when_the_log_has_dropped_its_beginning() {
+    let layout = Layout { engines: 5, ..Layout::default() };
+    let few = |_, text: String| text.replace("[bounds]\n", "[bounds]\ncheckpoint_records = 6\n");
+    let mut deployment = Deployment::start_with(layout, TIMES, few).await;
+    deployment.roll_out_first().await;
+    let key = deployment.operator("alice");
+    let has_checkpoint = |platform: &Platform| {
+        platform.log.records().iter().any(|record| record.data.contains("checkpoint"))
+    };
+    for stop in [true, false, true, false] {
+        let instance = InstanceId::new("engine-4").unwrap();
+        deployment.append(&key, Fact::StopRequested(StopRequest { instance, stop })).await;
+    }
+    deployment.wait_platform("a checkpoint stands in the log", has_checkpoint).await;
+    let records = deployment.platform.log.records();
+    let at = records.iter().rposition(|record| record.data.contains("checkpoint")).unwrap();
+    deployment.platform.inject(Fault::Retain(records.len() - at + 2)).await;
+    assert!(deployment.platform.log.records()[0].offset.0 > 0, "the beginning is gone");
+    deployment.kill(1);
+    deployment.start_entry(1);
+    deployment
+        .wait("it serves as the others do", |all| {
+            let alike =
+                all.iter().all(|s| in_force(s) == in_force(&all[0]) && s.next == all[0].next);
+            all.len() == 3 && alike && all.iter().all(|s| s.ready && serving(s) == 1)
+        })
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_cut_off_from_log_and_peers_steps_out_and_returns() {
+    let layout = Layout { engines: 5, entries: 2, ..Layout::default() };
+    let cuttable = std::sync::Mutex::new(None);
+    // The first node reaches the log through a connection that can be cut.
+    let port = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let via = port.to_string();
+    let through = |i: u16, text: String| {
+        if i > 0 {
+            return text;
+        }
+        let log = text.lines().find_map(|line| line.strip_prefix("log = ")).unwrap().to_owned();
+        *cuttable.lock().unwrap() = Some(log.trim_matches('"').to_owned());
+        text.replace(&format!("log = {log}"), &format!("log = \"{via}\""))
+    };
+    let mut deployment = Deployment::start_with(layout, TIMES, through).await;
+    let target = cuttable.lock().unwrap().clone().unwrap();
+    let link = support::cuttable::Cuttable::at(&via, target).await;
+    deployment.roll_out_first().await;
+
+    link.cut(true);
+    deployment.wait("it notices", |all| !all[0].log_answers).await;
+    // From its peer it still learns what is signed off meanwhile.
+    let first = deployment.bundle("first", "v1").hash();
+    let second = deployment.publish(&deployment.bundle("second", "v1")).await;
+    deployment.sign_off("alice", second, Some(first)).await;
+    let wanted = second.to_string();
+    deployment
+        .wait("both run the second", |all| {
+            all.iter().all(|s| s.ready && in_force(s) == Some(&wanted))
+        })
+        .await;
+
+    deployment.kill(1);
+    deployment.wait("cut off from all, it steps out", |all| !all[0].ready).await;
+    link.cut(false);
+    deployment.wait("with the log, it serves again", |all| all[0].ready).await;
+}
--- a/crates/workshold-protocol/src/record.rs
+++ b/crates/workshold-protocol/src/record.rs
@@ -168,8 +168,8 @@
     NotWanted,
     /// It runs an older version than the bundle in force asks for.
     OldVersion,
-    /// Its members serve better in another group.
-    Merged,
+    /// Its members and what is free make a larger group.
+    Outgrown,
 }
 
 /// See [`Fact::MemberReleased`].
