Stewards that never came to rest: growing groups, and groups of one record

What is free is now kept while a group grows, and a group grows only when nothing that lacks can be formed. Two groups formed by one record also compared as equally old, so that a surplus one was never found; age is now the fence and the name.

The instance list is kept in order, as stewards look an instance up thousands of times in a plan.

Ruled out: the fold (it rejected nothing), and reports that lag.

--- a/crates/workshold-core/src/fleet.rs
+++ b/crates/workshold-core/src/fleet.rs
@@ -94,6 +94,11 @@
         self.members.iter().any(|member| &member.instance == instance)
     }
 
+    /// Orders groups from the oldest; those of one record by name.
+    pub fn age_key(&self) -> (Fence, &GroupId) {
+        (self.fence, &self.id)
+    }
+
     /// Whether it may serve, as far as the log says.
     pub fn is_active(&self) -> bool {
         self.phase == Phase::Active
--- a/crates/workshold-core/src/lib.rs
+++ b/crates/workshold-core/src/lib.rs
@@ -10,7 +10,7 @@
 //! - What to do about it: [`steward`] with [`repair`]; [`checkpointing`].
 //! - Requests: [`course`], [`once`], [`routing`], [`admission`], [`limits`], [`retry`],
 //!   [`outlier`].
-//! - Nodes: [`membership`], [`custody`], [`rendezvous`].
+//! - Nodes: [`membership`], [`listing`], [`custody`], [`rendezvous`].
 
 pub mod admission;
 pub mod bundles;
@@ -21,6 +21,7 @@
 pub mod gate;
 pub mod keys;
 pub mod limits;
+pub mod listing;
 pub mod membership;
 pub mod once;
 pub mod outlier;
--- a/crates/workshold-core/src/routing.rs
+++ b/crates/workshold-core/src/routing.rs
@@ -31,7 +31,7 @@
 
 impl Default for RoutingRules {
     fn default() -> Self {
-        Self { load_bound: 1.25, slack_slots: 1.0, spread: 2, max_hints: 65_536 }
+        Self { load_bound: 2.0, slack_slots: 1.0, spread: 2, max_hints: 65_536 }
     }
 }
 
--- a/crates/workshold-core/src/steward.rs
+++ b/crates/workshold-core/src/steward.rs
@@ -23,6 +23,7 @@
 use workshold_protocol::report::ListedInstance;
 
 use crate::gate::GateRules;
+use crate::listing::Listing;
 use crate::repair::Expectations;
 use crate::state::State;
 use crate::witness::Witness;
@@ -59,7 +60,7 @@
     /// What instances said.
     pub witnesses: &'a Witnesses,
     /// The platform's instance list, all of it.
-    pub list: &'a [ListedInstance],
+    pub list: &'a Listing,
     /// The steward's own clock.
     pub now: Millis,
 }
@@ -74,7 +75,7 @@
     }
 
     fn listed(&self, instance: &InstanceId) -> Option<&ListedInstance> {
-        self.list.iter().find(|listed| &listed.instance == instance)
+        self.list.find(instance)
     }
 
     fn is_leaving(&self, instance: &InstanceId) -> bool {
--- a/crates/workshold-core/src/steward/forming.rs
+++ b/crates/workshold-core/src/steward/forming.rs
@@ -1,10 +1,12 @@
 //! Forming groups out of free instances.
 
+use workshold_protocol::Millis;
 use workshold_protocol::bundle::Model;
 use workshold_protocol::bundle::Role;
 use workshold_protocol::ids::FabricDomain;
 use workshold_protocol::ids::GroupId;
 use workshold_protocol::ids::ModelName;
+use workshold_protocol::record::EndCause;
 use workshold_protocol::record::Fact;
 use workshold_protocol::record::Formation;
 use workshold_protocol::record::Member;
@@ -13,6 +15,7 @@
 
 use crate::bundles::InForce;
 use crate::fleet::Group;
+use crate::fleet::Phase;
 use crate::gate::judge;
 use crate::rendezvous;
 use crate::state::State;
@@ -32,6 +35,9 @@
     let mut free = view.free(rules);
     let mut formed = 0;
     for (name, model) in by_need(view.state, in_force) {
+        if is_growing(view, name) {
+            continue;
+        }
         for _ in 0..deficit(view.state, name, model) {
             let Some(role) = largest_fitting(model, free.len()) else { break };
             let members: Vec<_> = free.drain(..usize::from(role.instances)).collect();
@@ -45,6 +51,27 @@
     }
 }
 
+/// Whether a group of the model ends here so that a larger one can be formed: until
+/// its members are free, what is free is kept for that.
+pub(super) fn is_growing(view: &View<'_>, model: &ModelName) -> bool {
+    view.state.fleet.groups().any(|group| {
+        let cause = match group.phase {
+            Phase::Active => None,
+            Phase::Draining { cause, .. } | Phase::Dissolved { cause, .. } => Some(cause),
+        };
+        let is_here = &group.domain == view.domain && &group.model == model;
+        let waits_for_nobody = group.members.iter().all(|member| {
+            view.witnesses
+                .get(&member.instance)
+                .is_some_and(|witness| view.now.since(witness.seen) < GROWTH_PATIENCE)
+        });
+        is_here && cause == Some(EndCause::Outgrown) && waits_for_nobody
+    })
+}
+
+/// A member that is silent for longer than this is not waited for.
+const GROWTH_PATIENCE: Millis = Millis(10_000);
+
 /// Models by what share of their groups is missing, worst first.
 fn by_need<'a>(state: &State, in_force: &'a InForce) -> Vec<(&'a ModelName, &'a Model)> {
     let mut models: Vec<_> = in_force.bundle.models.iter().collect();
@@ -67,6 +94,16 @@
     model.roles.iter().find(|role| usize::from(role.instances) <= free)
 }
 
+/// Whether a group of the model lacks, and there is room for one here.
+pub(super) fn may_form(
+    view: &View<'_>,
+    rules: &StewardRules,
+    name: &ModelName,
+    model: &Model,
+) -> bool {
+    deficit(view.state, name, model) > 0 && largest_fitting(model, view.free(rules).len()).is_some()
+}
+
 /// Whether `group`, of an old version, is the next to make room.
 ///
 /// Old groups go one by one, oldest first: only while none is on its way out,
@@ -82,15 +119,13 @@
     let same_model = || view.state.fleet.groups().filter(|other| other.model == group.model);
     let is_old = |other: &&Group| other.version != model.version;
     let any_ending = same_model().filter(is_old).any(|other| !other.is_active());
-    let oldest = same_model().filter(is_old).min_by_key(|other| other.fence);
+    let oldest = same_model().filter(is_old).min_by_key(|other| other.age_key());
     let leaving = view.leaving();
     let all_new_serve = same_model()
         .filter(|other| !is_old(other))
         .all(|other| judge(other, view.witnesses, &leaving, view.now, rules.gate).is_ok());
-    let may_form = deficit(view.state, &group.model, model) > 0
-        && largest_fitting(model, view.free(rules).len()).is_some();
     let is_oldest = oldest.is_some_and(|oldest| oldest.id == group.id);
-    is_oldest && !any_ending && all_new_serve && !may_form
+    is_oldest && !any_ending && all_new_serve && !may_form(view, rules, &group.model, model)
 }
 
 /// A group of free instances that can stand in for `old`.
--- a/crates/workshold-core/src/steward/mending.rs
+++ b/crates/workshold-core/src/steward/mending.rs
@@ -181,6 +181,12 @@
     let Some(best) = model.roles.first().filter(|best| best.name != group.role) else {
         return false;
     };
+    // One at a time, and not before what lacks: what is free is spoken for.
+    let is_spoken_for = forming::is_growing(view, &group.model)
+        || forming::may_form(view, rules, &group.model, model);
+    if is_spoken_for {
+        return false;
+    }
     let at_hand = view.free(rules).len() + group.members.len();
     at_hand >= usize::from(best.instances)
 }
@@ -191,9 +197,9 @@
     if replaced.is_some_and(|replaced| fleet.group(&replaced.group).is_some()) {
         return false;
     }
-    let older = fleet
-        .active_of(&group.model, &group.version)
-        .filter(|other| other.fence < group.fence && fleet.replacement_of(&other.id).is_none());
+    let older = fleet.active_of(&group.model, &group.version).filter(|other| {
+        other.age_key() < group.age_key() && fleet.replacement_of(&other.id).is_none()
+    });
     older.count() >= replicas
 }
 
--- a/crates/workshold-model/src/groups.rs
+++ b/crates/workshold-model/src/groups.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use workshold_core::gate::GateRules;
+use workshold_core::listing::Listing;
 use workshold_core::repair::Expectations;
 use workshold_core::state::State;
 use workshold_core::steward::StewardRules;
@@ -19,7 +20,6 @@
 use workshold_protocol::ids::RecordId;
 use workshold_protocol::record::Envelope;
 use workshold_protocol::record::Fact;
-use workshold_protocol::report::ListedInstance;
 use workshold_protocol::report::Order;
 use workshold_protocol::report::OrderAction;
 
@@ -170,20 +170,22 @@
         GateRules { report_ttl: REPORT_TTL }
     }
 
-    fn list(&self) -> Vec<ListedInstance> {
+    fn list(&self) -> Listing {
         let is_leaving = |i: usize| match self.leaving {
             Some((leaving, since)) => leaving == i && self.now > since,
             None => false,
         };
-        (0..self.instances.len()).map(|i| start::listed(i, is_leaving(i))).collect()
+        let rows = (0..self.instances.len()).map(|i| start::listed(i, is_leaving(i)));
+        Listing::new(rows.collect())
     }
 
     fn leaving_set(&self) -> BTreeSet<InstanceId> {
         if self.mutation == Some(Mutation::IgnoreLeaving) {
             return BTreeSet::new();
         }
-        let leaving = self.list().into_iter().filter(|listed| listed.leaving);
-        leaving.map(|listed| listed.instance).collect()
+        let list = self.list();
+        let leaving = list.iter().filter(|listed| listed.leaving);
+        leaving.map(|listed| listed.instance.clone()).collect()
     }
 
     fn state_at(&self, from: &Arc<State>, next: usize) -> Arc<State> {
--- a/crates/workshold-node/src/callers/resume.rs
+++ b/crates/workshold-node/src/callers/resume.rs
@@ -150,7 +150,5 @@
 }
 
 fn address(node: &Node, place: &StreamPlace) -> Option<String> {
-    let list = Arc::clone(&node.list.read());
-    let listed = list.iter().find(|listed| listed.instance == place.instance);
-    listed.map(|listed| listed.address.clone())
+    node.list.read().find(&place.instance).map(|listed| listed.address.clone())
 }
--- a/crates/workshold-node/src/node.rs
+++ b/crates/workshold-node/src/node.rs
@@ -15,6 +15,7 @@
 use workshold_core::custody::Custody;
 use workshold_core::limits::ShareRules;
 use workshold_core::limits::TeamShare;
+use workshold_core::listing::Listing;
 use workshold_core::membership::Entry;
 use workshold_core::membership::Membership;
 use workshold_core::replay::Replay;
@@ -37,7 +38,6 @@
 use workshold_protocol::peer::NodeStatus;
 use workshold_protocol::peer::TeamDemand;
 use workshold_protocol::report::InstanceKind;
-use workshold_protocol::report::ListedInstance;
 
 use crate::callers::plain::ServiceDesk;
 use crate::counters::Counters;
@@ -143,7 +143,7 @@
     /// Links to them.
     pub links: Mutex<BTreeMap<NodeId, Arc<PeerLink>>>,
     /// The platform's instance list as last read.
-    pub list: RwLock<Arc<Vec<ListedInstance>>>,
+    pub list: RwLock<Arc<Listing>>,
     /// Which groups serve.
     pub serving: RwLock<Arc<ServingTable>>,
     /// Routing and queue of each model.
--- a/crates/workshold-node/src/serving.rs
+++ b/crates/workshold-node/src/serving.rs
@@ -11,6 +11,7 @@
 use workshold_core::gate;
 use workshold_core::gate::Closed;
 use workshold_core::gate::GateRules;
+use workshold_core::listing::Listing;
 use workshold_core::state::State;
 use workshold_core::witness::Witnesses;
 use workshold_protocol::Millis;
@@ -68,7 +69,7 @@
     /// What instances said.
     pub witnesses: &'a Witnesses,
     /// The platform's list.
-    pub list: &'a [ListedInstance],
+    pub list: &'a Listing,
     /// This node's data centre.
     pub data_centre: &'a DataCentre,
     /// Its clock.
@@ -80,8 +81,6 @@
 impl ServingTable {
     /// Judges every group.
     pub fn make(sources: &Sources<'_>) -> Self {
-        let by_id: BTreeMap<_, _> =
-            sources.list.iter().map(|listed| (&listed.instance, listed)).collect();
         let leaving: BTreeSet<_> = sources
             .list
             .iter()
@@ -95,7 +94,7 @@
             let row = judged.and_then(|()| {
                 let head = &group.head().instance;
                 let unseen = || Closed::Unseen(head.clone());
-                let listed = by_id.get(head).ok_or_else(unseen)?;
+                let listed = sources.list.find(head).ok_or_else(unseen)?;
                 sources.row(group, listed).ok_or_else(unseen)
             });
             match row {
--- a/crates/workshold-node/src/tasks/listing.rs
+++ b/crates/workshold-node/src/tasks/listing.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use workshold_core::listing::Listing;
 use workshold_http::client;
 use workshold_protocol::report::ListedInstance;
 
@@ -32,8 +33,8 @@
 }
 
 fn take(node: &Node, list: Vec<ListedInstance>) {
-    let changed = **node.list.read() != list;
-    if !changed {
+    let list = Listing::new(list);
+    if **node.list.read() == list {
         return;
     }
     *node.list.write() = Arc::new(list);
--- a/crates/workshold-node/src/tasks/stewarding.rs
+++ b/crates/workshold-node/src/tasks/stewarding.rs
@@ -15,7 +15,6 @@
 use workshold_protocol::ids::InstanceId;
 use workshold_protocol::record::Envelope;
 use workshold_protocol::report::InstanceKind;
-use workshold_protocol::report::ListedInstance;
 use workshold_protocol::report::Order;
 
 use crate::events::Event;
@@ -81,7 +80,7 @@
 async fn carry_out(node: &Arc<Node>, plan: Plan) {
     let list = Arc::clone(&node.list.read());
     for (instance, order) in plan.orders {
-        if let Some(address) = address_of(&list, &instance) {
+        if let Some(address) = list.find(&instance).map(|listed| listed.address.clone()) {
             tokio::spawn(send_order(Arc::clone(node), address, instance, order));
         }
     }
@@ -100,11 +99,6 @@
     }
 }
 
-fn address_of(list: &[ListedInstance], instance: &InstanceId) -> Option<String> {
-    let listed = list.iter().find(|listed| &listed.instance == instance);
-    listed.map(|listed| listed.address.clone())
-}
-
 async fn send_order(node: Arc<Node>, address: String, instance: InstanceId, order: Order) {
     node.counters.orders.add(1);
     let sent: Result<serde_json::Value, _> =
