A spare at hand was left idle while its group was down

Cause: waiting was charged with the rest of the group as stranded, but not with the spare that idles just the same; using the spare was charged with it. A member expected back within seconds therefore always seemed cheaper than one that was there already.

Ruled out: the estimate of when a member returns (it was right).

--- a/crates/workshold-core/src/repair.rs
+++ b/crates/workshold-core/src/repair.rs
@@ -182,9 +182,11 @@
     }
 
     /// The member may come back as another life: then the group is formed anew.
+    /// Spares that could stand in for it idle meanwhile, like the rest.
     fn wait(&self) -> Weighed {
         let hours = self.hours_until_return() + self.rebuild_hours();
-        self.weighed(Repair::Wait, self.situation.worth * hours, self.stranded(self.rest(), hours))
+        let idle = self.rest() + self.situation.spares.min(self.situation.missing);
+        self.weighed(Repair::Wait, self.situation.worth * hours, self.stranded(idle, hours))
     }
 
     fn use_spare(&self) -> Option<Weighed> {
