Examples, catalogues and what holds them to the code

Cause: nothing showed that the examples of settings and bundles are good, that the pages list what nodes log, and that what strangers write is refused.

Tests read every example, compare docs/EVENTS.md and docs/METRICS.md with the code, name all faults of settings and bundles in one go, and try records and messages of strangers and with changed bytes.

--- /dev/null
+++ b/crates/workshold-node/tests/catalogues.rs
@@ -0,0 +1,27 @@
+//! The pages and the code say the same.
+
+use std::collections::BTreeSet;
+use std::path::PathBuf;
+
+use rstest::rstest;
+use workshold_node::events;
+use workshold_node::events::Event;
+use workshold_node::metrics;
+
+fn page(name: &str) -> String {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..");
+    std::fs::read_to_string(root.join("docs").join(name)).unwrap()
+}
+
+#[rstest]
+#[case::events("EVENTS.md", events::catalogue())]
+#[case::metrics("METRICS.md", metrics::catalogue())]
+fn the_page_is_what_the_code_says(#[case] name: &str, #[case] catalogue: String) {
+    assert_eq!(page(name), catalogue, "write it anew: workshold events");
+}
+
+#[test]
+fn every_event_has_a_number_of_its_own() {
+    let numbers: BTreeSet<_> = Event::ALL.iter().map(|event| event.number()).collect();
+    assert_eq!(numbers.len(), Event::ALL.len());
+}
--- /dev/null
+++ b/crates/workshold-node/tests/settings.rs
@@ -0,0 +1,69 @@
+//! Settings are read whole, and every fault is named at once.
+
+use std::path::PathBuf;
+
+use rstest::rstest;
+use workshold_node::settings;
+use workshold_protocol::bundle::Bundle;
+use workshold_protocol::signing::ClusterKey;
+
+fn examples() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../config")
+}
+
+/// A folder with a cluster key and the settings `text`.
+fn written(name: &str, text: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("workshold-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    std::fs::write(folder.join("cluster.key"), ClusterKey::generate_text()).unwrap();
+    std::fs::write(folder.join("entry.toml"), text).unwrap();
+    folder.join("entry.toml")
+}
+
+fn example(name: &str) -> String {
+    std::fs::read_to_string(examples().join(name)).unwrap()
+}
+
+#[rstest]
+#[case("parkowisko-entry.toml")]
+#[case("sifr-entry.toml")]
+fn the_examples_are_good(#[case] name: &str) {
+    let path = written(name, &example(name));
+    assert!(settings::load(&path).is_ok(), "{:?}", settings::load(&path).err());
+}
+
+#[rstest]
+#[case("parkowisko-bundle.toml")]
+#[case("sifr-bundle.toml")]
+fn the_example_bundles_are_good(#[case] name: &str) {
+    let bundle = Bundle::from_toml(&example(name)).unwrap();
+    assert_eq!(bundle.faults(), Vec::new());
+}
+
+#[test]
+fn every_fault_is_named_with_its_key_in_one_go() {
+    let text = example("sifr-entry.toml")
+        .replace("10.7.0.11:7000", "bole:7000")
+        .replace("10.7.0.2:8000", "nowhere")
+        .replace("cluster.key", "no.key")
+        .replace("[times]", "[times]\nprobe_every = 1000\nreport_ttl = 1000")
+        .replace("l2jq6ZzxOScwU6AvZmKkAnGHGxBhAd3Dh0pFC4lyFpQ=", "short");
+    let faults = settings::load(&written("faults", &text)).unwrap_err();
+    let keys: Vec<_> = faults.iter().map(|fault| fault.key.as_str()).collect();
+    let wanted = [
+        "node.callers",
+        "platform.log",
+        "times.report_ttl",
+        "trust.cluster_key_file",
+        "trust.operators",
+    ];
+    assert_eq!(keys, wanted, "{faults:#?}");
+}
+
+#[rstest]
+#[case::unknown_key("[node]\ncolour = \"red\"\n")]
+#[case::no_toml("[node")]
+#[case::empty("")]
+fn what_cannot_be_read_is_refused(#[case] text: &str) {
+    assert!(settings::load(&written("unreadable", text)).is_err());
+}
--- /dev/null
+++ b/crates/workshold-protocol/tests/sealing.rs
@@ -0,0 +1,123 @@
+//! What was not written by who may write it is refused.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use workshold_protocol::Error;
+use workshold_protocol::Millis;
+use workshold_protocol::bundle::Bundle;
+use workshold_protocol::bundle::SignedBundle;
+use workshold_protocol::bundle::Weights;
+use workshold_protocol::ids::BundleHash;
+use workshold_protocol::ids::NodeId;
+use workshold_protocol::ids::OperatorName;
+use workshold_protocol::peer::Ask;
+use workshold_protocol::peer::Question;
+use workshold_protocol::peer::pack;
+use workshold_protocol::peer::unpack;
+use workshold_protocol::record;
+use workshold_protocol::record::Author;
+use workshold_protocol::record::Envelope;
+use workshold_protocol::record::Fact;
+use workshold_protocol::record::KeyFloor;
+use workshold_protocol::record::SignOff;
+use workshold_protocol::signing::ClusterKey;
+use workshold_protocol::signing::OperatorKey;
+use workshold_protocol::signing::TrustedOperators;
+
+fn cluster_key() -> ClusterKey {
+    ClusterKey::from_text(&ClusterKey::generate_text()).unwrap()
+}
+
+fn trusting(key: &OperatorKey) -> TrustedOperators {
+    TrustedOperators::new([(OperatorName::new("alice").unwrap(), key.public())]).unwrap()
+}
+
+fn sign_off() -> Envelope {
+    let fact = Fact::BundleSignedOff(SignOff { bundle: BundleHash::of(b"b"), parent: None });
+    Envelope::new(Millis(1), vec![fact])
+}
+
+fn forget() -> Envelope {
+    Envelope::new(Millis(1), vec![Fact::KeysForgotten(KeyFloor { before: Millis(9) })])
+}
+
+#[test]
+fn records_are_opened_by_who_shares_the_keys() {
+    let (cluster, operator) = (cluster_key(), OperatorKey::generate());
+    let trusted = trusting(&operator);
+    let (envelope, author) =
+        record::open(&record::seal_as_node(&forget(), &cluster), &cluster, &trusted).unwrap();
+    assert_eq!((envelope.facts, author), (forget().facts, Author::Node));
+    let text = record::seal_as_operator(&sign_off(), &operator);
+    let (_, author) = record::open(&text, &cluster, &trusted).unwrap();
+    assert_eq!(author, Author::Operator(OperatorName::new("alice").unwrap()));
+}
+
+#[test]
+fn nodes_do_not_sign_off_and_operators_do_not_write_for_nodes() {
+    let (cluster, operator) = (cluster_key(), OperatorKey::generate());
+    let trusted = trusting(&operator);
+    for text in [
+        record::seal_as_node(&sign_off(), &cluster),
+        record::seal_as_operator(&forget(), &operator),
+    ] {
+        let opened = record::open(&text, &cluster, &trusted);
+        assert!(matches!(opened, Err(Error::NotAllowed { .. })), "{opened:?}");
+    }
+}
+
+#[test]
+fn strangers_are_refused() {
+    let (cluster, operator) = (cluster_key(), OperatorKey::generate());
+    let trusted = trusting(&operator);
+    let other = record::seal_as_node(&forget(), &cluster_key());
+    assert_eq!(record::open(&other, &cluster, &trusted), Err(Error::BadSeal));
+    let stranger = record::seal_as_operator(&sign_off(), &OperatorKey::generate());
+    let opened = record::open(&stranger, &cluster, &trusted);
+    assert!(matches!(opened, Err(Error::UntrustedKey { .. })), "{opened:?}");
+}
+
+#[test]
+fn a_bundle_that_was_changed_after_signing_is_refused() {
+    let (cluster, operator) = (cluster_key(), OperatorKey::generate());
+    let bundle = Bundle {
+        name: "good".to_owned(),
+        weights: Weights::default(),
+        models: BTreeMap::new(),
+        services: BTreeMap::new(),
+        teams: BTreeMap::new(),
+    };
+    let mut signed = SignedBundle::sign(bundle, &operator);
+    signed.bundle.name = "changed".to_owned();
+    let envelope = Envelope::new(Millis(1), vec![Fact::BundlePublished(Box::new(signed))]);
+    let text = record::seal_as_operator(&envelope, &operator);
+    let opened = record::open(&text, &cluster, &trusting(&operator));
+    assert_eq!(opened, Err(Error::BadSignature));
+}
+
+proptest! {
+    #[test]
+    fn any_text_is_a_record_or_an_error(text in ".*") {
+        let operator = OperatorKey::generate();
+        prop_assert!(record::open(&text, &cluster_key(), &trusting(&operator)).is_err());
+    }
+
+    #[test]
+    fn a_message_with_one_byte_changed_is_refused(at in 0_usize..200, flip in 1_u8..=255) {
+        let key = cluster_key();
+        let from = NodeId::new("node-1").unwrap();
+        let ask = Ask::Records { from: workshold_protocol::ids::Offset(7) };
+        let mut bytes = pack(&Question { nonce: 5, from, ask }, &key);
+        let at = at % bytes.len();
+        bytes[at] ^= flip;
+        prop_assert_eq!(unpack::<Question>(&bytes, &key), Err(Error::BadSeal));
+    }
+
+    #[test]
+    fn any_toml_is_a_bundle_or_an_error(text in "[a-z0-9_\\[\\]=\"\\.\n ]{0,200}") {
+        if let Ok(bundle) = Bundle::from_toml(&text) {
+            let _ = bundle.faults();
+        }
+    }
+}
