--- a/crates/workshold-cli/src/commands.rs
+++ b/crates/workshold-cli/src/commands.rs
@@ -99,6 +99,28 @@
     }
 }
 
+/// What every command needs that appends a record and waits for its effect.
+#[derive(Debug, Clone)]
+pub struct Writing {
+    /// The operator's key file.
+    pub key: std::path::PathBuf,
+    /// The log service's address.
+    pub log: String,
+    /// A node's address for operators.
+    pub node: String,
+    /// Seconds to wait.
+    pub wait: u64,
+}
+
+/// The parser of [`Writing`].
+fn writing_args() -> impl Parser<Writing> {
+    let key = key_arg();
+    let log = log_arg();
+    let node = node_arg();
+    let wait = wait_arg();
+    bpaf::construct!(Writing { key, log, node, wait })
+}
+
 /// `--node`, or the variable `WORKSHOLD_NODE`.
 fn node_arg() -> impl Parser<String> {
     bpaf::long("node")
--- a/crates/workshold-cli/src/commands/bundle/publish.rs
+++ b/crates/workshold-cli/src/commands/bundle/publish.rs
@@ -6,11 +6,9 @@
 use serde::Serialize;
 use workshold_protocol::record::Fact;
 
+use crate::commands::Writing;
 use crate::commands::bundle;
-use crate::commands::key_arg;
-use crate::commands::log_arg;
-use crate::commands::node_arg;
-use crate::commands::wait_arg;
+use crate::commands::writing_args;
 use crate::error::CliError;
 use crate::operator_key;
 use crate::output::Output;
@@ -19,21 +17,15 @@
 /// Arguments of `bundle publish`.
 #[derive(Debug, Clone)]
 pub struct Args {
-    key: PathBuf,
-    log: String,
-    node: String,
-    wait: u64,
+    writing: Writing,
     file: PathBuf,
 }
 
 /// The parser of `bundle publish`.
 pub fn parser() -> impl Parser<bundle::Args> {
-    let key = key_arg();
-    let log = log_arg();
-    let node = node_arg();
-    let wait = wait_arg();
+    let writing = writing_args();
     let file = bpaf::positional::<PathBuf>("FILE").help("The signed bundle");
-    bpaf::construct!(Args { key, log, node, wait, file })
+    bpaf::construct!(Args { writing, file })
         .map(bundle::Args::Publish)
         .to_options()
         .descr("Publishes a signed bundle. Nothing changes until it is signed off.")
@@ -57,14 +49,14 @@
 pub async fn run(args: &Args, out: Output) -> Result<(), CliError> {
     let signed = bundle::read_signed(&args.file)?;
     signed.bundle.clone().checked().map_err(CliError::Input)?;
-    let key = operator_key::read(&args.key)?;
+    let key = operator_key::read(&args.writing.key)?;
     let hash = signed.bundle.hash().to_string();
     let fact = Fact::BundlePublished(Box::new(signed));
-    let offset = remote::append(&args.log, &key, fact).await?;
-    out.progress(&format!("appended at {offset}; waiting for {}", args.node));
+    let offset = remote::append(&args.writing.log, &key, fact).await?;
+    out.progress(&format!("appended at {offset}; waiting for {}", args.writing.node));
     let knows =
         |status: &workshold_node::dump::Status| status.published.contains_key(&hash).then_some(());
-    remote::wait_for(&args.node, args.wait, knows).await?;
+    remote::wait_for(&args.writing.node, args.writing.wait, knows).await?;
     let result = Published { hash: hash.clone(), offset: offset.0 };
     out.result(&result, |done| vec![format!("published {}", done.hash)]);
     Ok(())
--- a/crates/workshold-cli/src/commands/bundle/sign_off.rs
+++ b/crates/workshold-cli/src/commands/bundle/sign_off.rs
@@ -1,7 +1,5 @@
 //! `workshold bundle sign-off`: puts a published bundle in force.
 
-use std::path::PathBuf;
-
 use bpaf::Parser;
 use serde::Serialize;
 use workshold_node::dump::Status;
@@ -9,11 +7,9 @@
 use workshold_protocol::record::Fact;
 use workshold_protocol::record::SignOff;
 
+use crate::commands::Writing;
 use crate::commands::bundle;
-use crate::commands::key_arg;
-use crate::commands::log_arg;
-use crate::commands::node_arg;
-use crate::commands::wait_arg;
+use crate::commands::writing_args;
 use crate::error::CliError;
 use crate::operator_key;
 use crate::output::Output;
@@ -22,26 +18,20 @@
 /// Arguments of `bundle sign-off`.
 #[derive(Debug, Clone)]
 pub struct Args {
-    key: PathBuf,
-    log: String,
-    node: String,
-    wait: u64,
+    writing: Writing,
     parent: Option<String>,
     hash: String,
 }
 
 /// The parser of `bundle sign-off`.
 pub fn parser() -> impl Parser<bundle::Args> {
-    let key = key_arg();
-    let log = log_arg();
-    let node = node_arg();
-    let wait = wait_arg();
+    let writing = writing_args();
     let parent = bpaf::long("parent")
         .help("The bundle it replaces (default: the one in force at the node)")
         .argument::<String>("HASH")
         .optional();
     let hash = bpaf::positional::<String>("HASH").help("The published bundle");
-    bpaf::construct!(Args { key, log, node, wait, parent, hash })
+    bpaf::construct!(Args { writing, parent, hash })
         .map(bundle::Args::SignOff)
         .to_options()
         .descr("Puts a published bundle in force everywhere. If another operator was faster, says so and changes nothing.")
@@ -63,9 +53,9 @@
 ///
 /// [`CliError::LostRace`] if another one came first.
 pub async fn run(args: &Args, out: Output) -> Result<(), CliError> {
-    let key = operator_key::read(&args.key)?;
+    let key = operator_key::read(&args.writing.key)?;
     let bundle = parse_hash(&args.hash)?;
-    let before = remote::status(&args.node).await?;
+    let before = remote::status(&args.writing.node).await?;
     if !before.published.contains_key(&args.hash) {
         return Err(CliError::Unknown { kind: "published bundle", name: args.hash.clone() });
     }
@@ -75,10 +65,12 @@
         None => None,
     };
     let fact = Fact::BundleSignedOff(SignOff { bundle, parent });
-    let offset = remote::append(&args.log, &key, fact).await?;
-    out.progress(&format!("appended at {offset}; waiting for {}", args.node));
-    let (winner, generation) =
-        remote::wait_for(&args.node, args.wait, |status| in_force_after(status, offset.0)).await?;
+    let offset = remote::append(&args.writing.log, &key, fact).await?;
+    out.progress(&format!("appended at {offset}; waiting for {}", args.writing.node));
+    let (winner, generation) = remote::wait_for(&args.writing.node, args.writing.wait, |status| {
+        in_force_after(status, offset.0)
+    })
+    .await?;
     if winner != args.hash {
         return Err(CliError::LostRace { in_force: winner });
     }
--- a/crates/workshold-cli/src/commands/stop.rs
+++ b/crates/workshold-cli/src/commands/stop.rs
@@ -1,7 +1,5 @@
 //! `workshold stop`: takes an instance out of service with a plan.
 
-use std::path::PathBuf;
-
 use bpaf::Parser;
 use serde::Serialize;
 use workshold_node::dump::InstanceRow;
@@ -11,10 +9,8 @@
 use workshold_protocol::record::StopRequest;
 
 use crate::commands::Command;
-use crate::commands::key_arg;
-use crate::commands::log_arg;
-use crate::commands::node_arg;
-use crate::commands::wait_arg;
+use crate::commands::Writing;
+use crate::commands::writing_args;
 use crate::error::CliError;
 use crate::operator_key;
 use crate::output::Output;
@@ -23,10 +19,7 @@
 /// Arguments of `stop`.
 #[derive(Debug, Clone)]
 pub struct Args {
-    key: PathBuf,
-    log: String,
-    node: String,
-    wait: u64,
+    writing: Writing,
     plan: bool,
     undo: bool,
     instance: String,
@@ -34,14 +27,11 @@
 
 /// The parser of `stop`.
 pub fn parser() -> impl Parser<Command> {
-    let key = key_arg();
-    let log = log_arg();
-    let node = node_arg();
-    let wait = wait_arg();
+    let writing = writing_args();
     let plan = bpaf::long("plan").help("Print the plan and change nothing").switch();
     let undo = bpaf::long("undo").help("Let the instance serve again").switch();
     let instance = bpaf::positional::<String>("INSTANCE").help("The instance");
-    bpaf::construct!(Args { key, log, node, wait, plan, undo, instance })
+    bpaf::construct!(Args { writing, plan, undo, instance })
         .map(Command::Stop)
         .to_options()
         .descr("Prints the plan for taking an instance out of service, and carries it out. No request in flight is cut off.")
@@ -73,25 +63,25 @@
 ///
 /// [`CliError::NotYet`] if the instance is not free in time; the stop goes on.
 pub async fn run(args: &Args, out: Output) -> Result<(), CliError> {
-    let status = remote::status(&args.node).await?;
+    let status = remote::status(&args.writing.node).await?;
     let plan = plan(&status, &args.instance)?;
     if args.plan {
         out.result(&plan, |plan| plan.steps.clone());
         return Ok(());
     }
-    let key = operator_key::read(&args.key)?;
+    let key = operator_key::read(&args.writing.key)?;
     let instance = InstanceId::new(&args.instance).map_err(CliError::Input)?;
     let request = StopRequest { instance, stop: !args.undo };
     if !args.undo {
         plan.steps.iter().for_each(|step| out.progress(step));
     }
-    let offset = remote::append(&args.log, &key, Fact::StopRequested(request)).await?;
+    let offset = remote::append(&args.writing.log, &key, Fact::StopRequested(request)).await?;
     let is_done = |status: &Status| {
         let row = find(status, &args.instance).ok()?;
         let is_free = row.claimed_by.is_none() && row.says.is_none();
         (status.next > offset.0 && (args.undo || is_free)).then_some(())
     };
-    remote::wait_for(&args.node, args.wait, is_done).await?;
+    remote::wait_for(&args.writing.node, args.writing.wait, is_done).await?;
     let stopped = Stopped { instance: args.instance.clone(), stopped: !args.undo };
     out.result(&stopped, |done| {
         vec![if done.stopped {
