Nodes of other data centres go by vouchers, not by every report

Cause: a node told askers of other data centres every report that it knew. It now tells which groups serve by its own judgement, with the age of the oldest report each stands on; a far node believes that no longer than the reports.

Ruled out: deltas (every report's age changes with every probe).

The checker has a world for it (a node that goes by vouchers only) and a mutation, counting a voucher from when it came in, which breaks promise 1 and is caught. Over processes: six nodes, three data centres, one of them dark; the load ends with every request accounted for.

--- a/crates/workshold-core/src/gate.rs
+++ b/crates/workshold-core/src/gate.rs
@@ -10,6 +10,7 @@
 use workshold_protocol::report::Readiness;
 
 use crate::fleet::Group;
+use crate::witness::Voucher;
 use crate::witness::Witnesses;
 
 /// How long a report is believed.
@@ -62,6 +63,29 @@
     })
 }
 
+/// Judges a group of another data centre by what a node there vouches for.
+///
+/// # Errors
+///
+/// The reason why not; [`Closed::Unseen`] names the head if nobody vouches.
+pub fn judge_elsewhere<'a>(
+    group: &Group,
+    witnesses: &'a Witnesses,
+    leaving: &BTreeSet<InstanceId>,
+    now: Millis,
+    rules: GateRules,
+) -> Result<&'a Voucher, Closed> {
+    if !group.is_active() {
+        return Err(Closed::NotActive);
+    }
+    let gone = group.members.iter().find(|member| leaving.contains(&member.instance));
+    if let Some(member) = gone {
+        return Err(Closed::Leaving(member.instance.clone()));
+    }
+    let voucher = witnesses.voucher(&group.id, group.fence, now, rules.report_ttl);
+    voucher.ok_or_else(|| Closed::Unseen(group.head().instance.clone()))
+}
+
 /// Judges one member by its own last report.
 ///
 /// # Errors
--- a/crates/workshold-core/src/witness.rs
+++ b/crates/workshold-core/src/witness.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 
 use workshold_protocol::Millis;
+use workshold_protocol::ids::Fence;
+use workshold_protocol::ids::GroupId;
 use workshold_protocol::ids::InstanceId;
 use workshold_protocol::report::Report;
 
@@ -25,10 +27,30 @@
     }
 }
 
-/// The last report of each instance.
+/// What a node of another data centre judged of a group there.
+///
+/// It was judged by the reports of every member; `true_since` is that of the
+/// oldest, counted as for any report that is passed on. So it is believed no
+/// longer than the reports themselves.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Voucher {
+    /// The fencing number of the group that was judged.
+    pub fence: Fence,
+    /// Since when all members' reports are known to have been true.
+    pub true_since: Millis,
+    /// Since when the load is known to have been so.
+    pub load_since: Millis,
+    /// Requests in the group.
+    pub reported: u32,
+    /// Requests that it works on at once.
+    pub slots: u32,
+}
+
+/// The last report of each instance, and the vouchers for groups elsewhere.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Witnesses {
     by_instance: BTreeMap<InstanceId, Witness>,
+    vouchers: BTreeMap<GroupId, Voucher>,
 }
 
 impl Witnesses {
@@ -62,7 +84,28 @@
         self.get(instance).filter(|witness| witness.is_fresh(now, ttl))
     }
 
-    /// All of them.
+    /// Takes a voucher for a group; the newest counts.
+    pub fn take_voucher(&mut self, group: &GroupId, voucher: Voucher) {
+        let known = self.vouchers.get(group);
+        if known.is_none_or(|known| known.true_since <= voucher.true_since) {
+            self.vouchers.insert(group.clone(), voucher);
+        }
+    }
+
+    /// The voucher for a group under `fence`, if it is younger than `ttl`.
+    pub fn voucher(
+        &self,
+        group: &GroupId,
+        fence: Fence,
+        now: Millis,
+        ttl: Millis,
+    ) -> Option<&Voucher> {
+        let voucher = self.vouchers.get(group)?;
+        let is_good = voucher.fence == fence && now.since(voucher.true_since) < ttl;
+        is_good.then_some(voucher)
+    }
+
+    /// All reports.
     pub fn iter(&self) -> impl Iterator<Item = (&InstanceId, &Witness)> {
         self.by_instance.iter()
     }
@@ -70,5 +113,6 @@
     /// Drops those that are older than `age`.
     pub fn drop_older(&mut self, now: Millis, age: Millis) {
         self.by_instance.retain(|_, witness| witness.is_fresh(now, age));
+        self.vouchers.retain(|_, voucher| now.since(voucher.true_since) < age);
     }
 }
--- a/crates/workshold-model/src/groups.rs
+++ b/crates/workshold-model/src/groups.rs
@@ -109,7 +109,7 @@
 /// A move of the groups' world.
 #[derive(Debug, Clone)]
 pub enum Move {
-    /// A node probes all instances, and has their answers at once.
+    /// A node probes all instances, or asks for vouchers, and is answered at once.
     Probe(usize),
     /// A node's probes are answered, and the answers are under way.
     Hold(usize),
@@ -313,20 +313,13 @@
 
     fn reader_moves(&self, n: usize, moves: &mut Vec<(Move, Self)>) {
         let node = &self.nodes[n];
-        moves.push((
-            Move::Probe(n),
-            self.with(|w| {
-                w.nodes[n].probe(&self.instances, self.now, self.mutation);
-            }),
-        ));
+        moves.push((Move::Probe(n), self.with(|w| w.hear(n))));
         if self.left.holds > 0 && node.held.is_none() {
-            moves.push((
-                Move::Hold(n),
-                self.with(|w| {
-                    w.left.holds -= 1;
-                    w.nodes[n].hold(&self.instances, self.now);
-                }),
-            ));
+            let hold = |w: &mut Self| {
+                w.left.holds -= 1;
+                w.hold(n);
+            };
+            moves.push((Move::Hold(n), self.with(hold)));
         }
         if node.held.is_some() {
             moves.push((
@@ -341,9 +334,30 @@
         }
     }
 
+    /// A node probes, or, if it is far, asks the steward's which groups serve; the
+    /// answers are under way.
+    fn hold(&mut self, n: usize) {
+        if self.nodes[n].is_far {
+            let vouchers = self.nodes[0].vouchers(self.now, self.gate());
+            self.nodes[n].hold_vouchers(vouchers, self.now);
+        } else {
+            self.nodes[n].hold(&self.instances, self.now);
+        }
+    }
+
+    /// The same, answered at once.
+    fn hear(&mut self, n: usize) {
+        if self.nodes[n].is_far {
+            let vouchers = self.nodes[0].vouchers(self.now, self.gate());
+            self.nodes[n].take_vouchers(vouchers);
+        } else {
+            self.nodes[n].probe(&self.instances, self.now, self.mutation);
+        }
+    }
+
     fn instance_moves(&self, i: usize, moves: &mut Vec<(Move, Self)>) {
         let instance = &self.instances[i];
-        let may_be_lost = self.scenario == Scenario::Loss && i == 0;
+        let may_be_lost = matches!(self.scenario, Scenario::Loss | Scenario::Elsewhere) && i == 0;
         if instance.is_up && !instance.is_hidden && self.left.losses > 0 && may_be_lost {
             moves.push((
                 Move::Lose(i),
--- a/crates/workshold-model/src/groups/node.rs
+++ b/crates/workshold-model/src/groups/node.rs
@@ -5,6 +5,7 @@
 use std::hash::Hasher;
 use std::sync::Arc;
 
+use workshold_core::fleet::Group;
 use workshold_core::gate;
 use workshold_core::gate::GateRules;
 use workshold_core::listing::Listing;
@@ -14,6 +15,7 @@
 use workshold_core::steward::Plan;
 use workshold_core::steward::StewardRules;
 use workshold_core::steward::View;
+use workshold_core::witness::Voucher;
 use workshold_core::witness::Witnesses;
 use workshold_protocol::Millis;
 use workshold_protocol::ids::GroupId;
@@ -60,12 +62,15 @@
 pub(super) struct Held {
     sent: Millis,
     reports: Vec<(usize, Report)>,
+    vouchers: Vec<(GroupId, Voucher)>,
 }
 
 /// An entry node.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(super) struct Node {
     pub(super) is_steward: bool,
+    /// Whether it is of another data centre, and goes by vouchers.
+    pub(super) is_far: bool,
     pub(super) next: usize,
     pub(super) state: Derived<State>,
     pub(super) witnesses: Witnesses,
@@ -80,9 +85,10 @@
 }
 
 impl Node {
-    pub(super) fn new(is_steward: bool, state: State) -> Self {
+    pub(super) fn new(is_steward: bool, is_far: bool, state: State) -> Self {
         Self {
             is_steward,
+            is_far,
             next: state.next().0 as usize,
             state: Derived(Arc::new(state)),
             witnesses: Witnesses::default(),
@@ -115,18 +121,53 @@
     }
 
     pub(super) fn hold(&mut self, instances: &[Instance], now: Millis) {
-        self.held = Some(Held { sent: now, reports: reports(instances) });
+        let reports = reports(instances);
+        self.held = Some(Held { sent: now, reports, vouchers: Vec::new() });
+    }
+
+    /// Asks the other node which groups serve; the answer is under way.
+    pub(super) fn hold_vouchers(&mut self, vouchers: Vec<(GroupId, Voucher)>, now: Millis) {
+        self.held = Some(Held { sent: now, reports: Vec::new(), vouchers });
+    }
+
+    /// What it vouches for to a node of another data centre.
+    pub(super) fn vouchers(&self, now: Millis, rules: GateRules) -> Vec<(GroupId, Voucher)> {
+        let leaving = BTreeSet::new();
+        let groups = self.state.get().fleet.groups();
+        let serving =
+            groups.filter(|g| gate::judge(g, &self.witnesses, &leaving, now, rules).is_ok());
+        let voucher = |group: &Group| {
+            let members = group.members.iter();
+            let reports = members.filter_map(|member| self.witnesses.get(&member.instance));
+            let true_since = reports.map(|witness| witness.true_since).min()?;
+            let (fence, load_since) = (group.fence, true_since);
+            let voucher = Voucher { fence, true_since, load_since, reported: 0, slots: 1 };
+            Some((group.id.clone(), voucher))
+        };
+        serving.filter_map(voucher).collect()
     }
 
     pub(super) fn deliver(&mut self, now: Millis, mutation: Option<Mutation>) {
         let Some(held) = self.held.take() else { return };
         let sent = match mutation {
-            Some(Mutation::CountFromArrival) => now,
+            Some(Mutation::CountFromArrival | Mutation::CountVouchersFromArrival) => now,
             _ => held.sent,
         };
         for (i, report) in held.reports {
             self.take(i, sent, report);
         }
+        let vouchers = held.vouchers.into_iter().map(|(group, voucher)| {
+            // What it says was so old when it was asked for.
+            let true_since = sent - held.sent.since(voucher.true_since);
+            (group, Voucher { true_since, ..voucher })
+        });
+        self.take_vouchers(vouchers.collect());
+    }
+
+    pub(super) fn take_vouchers(&mut self, vouchers: Vec<(GroupId, Voucher)>) {
+        for (group, voucher) in vouchers {
+            self.witnesses.take_voucher(&group, voucher);
+        }
     }
 
     /// Takes an order's reply for the instance's own report.
@@ -171,6 +212,9 @@
                 }
                 gate::judge(&group, &self.witnesses, leaving, now, rules).is_ok()
             }
+            _ if self.is_far => {
+                gate::judge_elsewhere(group, &self.witnesses, leaving, now, rules).is_ok()
+            }
             _ => gate::judge(group, &self.witnesses, leaving, now, rules).is_ok(),
         });
         groups
--- a/crates/workshold-model/src/groups/start.rs
+++ b/crates/workshold-model/src/groups/start.rs
@@ -49,6 +49,8 @@
     Loss,
     /// An operator wants a member out of service.
     Stop,
+    /// A member goes missing; the other node is of another data centre.
+    Elsewhere,
     /// The platform is about to take a member away.
     Leave,
 }
@@ -177,7 +179,10 @@
             })
         };
         let instances: Vec<_> = (0..INSTANCES).map(|i| Instance::new(seat(i))).collect();
-        let mut nodes = vec![Node::new(true, state.clone()), Node::new(false, state)];
+        let mut nodes = vec![
+            Node::new(true, false, state.clone()),
+            Node::new(false, scenario == Scenario::Elsewhere, state),
+        ];
         nodes.iter_mut().for_each(|node| node.probe(&instances, START, None));
         Self {
             mutation,
--- a/crates/workshold-model/src/mutation.rs
+++ b/crates/workshold-model/src/mutation.rs
@@ -27,6 +27,8 @@
     BelieveOldReports breaks WholeGroups;
     /// Freshness counts from when the answer came in, not from when it was asked for.
     CountFromArrival breaks WholeGroups;
+    /// A voucher from elsewhere counts from when it came in.
+    CountVouchersFromArrival breaks WholeGroups;
     /// An instance that came back as another life counts as the same.
     IgnoreIncarnation breaks WholeGroups;
     /// An order's reply counts as the instance's report.
--- a/crates/workshold-model/src/suite.rs
+++ b/crates/workshold-model/src/suite.rs
@@ -73,6 +73,7 @@
             ("bundles, with a checkpoint", Self::Bundles(checkpoints)),
             ("groups, a member lost or hidden", Self::Groups(Scenario::Loss, base)),
             ("groups, answers under way", Self::Groups(Scenario::Loss, held)),
+            ("groups, seen from elsewhere", Self::Groups(Scenario::Elsewhere, held)),
             ("groups, orders copied late", Self::Groups(Scenario::Loss, copies)),
             ("groups, orders late", Self::Groups(Scenario::Loss, late)),
             ("groups, appends made twice", Self::Groups(Scenario::Loss, lost)),
@@ -91,6 +92,9 @@
             | Mutation::GoByTheLogAlone
             | Mutation::SkipReleaseWait => loss(base),
             Mutation::CountFromArrival => loss(groups::Bounds { holds: 1, ..base }),
+            Mutation::CountVouchersFromArrival => {
+                Self::Groups(Scenario::Elsewhere, groups::Bounds { holds: 1, ..base })
+            }
             Mutation::TrustReplies => {
                 loss(groups::Bounds { ticks: 8, orders: Arrival::Late, ..base })
             }
--- a/crates/workshold-node/src/serving.rs
+++ b/crates/workshold-node/src/serving.rs
@@ -21,7 +21,6 @@
 use workshold_protocol::ids::InstanceId;
 use workshold_protocol::ids::ModelName;
 use workshold_protocol::ids::Version;
-use workshold_protocol::report::ListedInstance;
 
 /// A group that serves.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -89,15 +88,7 @@
             .collect();
         let mut table = Self::default();
         for group in sources.state.fleet.groups() {
-            let judged =
-                gate::judge(group, sources.witnesses, &leaving, sources.now, sources.rules);
-            let row = judged.and_then(|()| {
-                let head = &group.head().instance;
-                let unseen = || Closed::Unseen(head.clone());
-                let listed = sources.list.find(head).ok_or_else(unseen)?;
-                sources.row(group, listed).ok_or_else(unseen)
-            });
-            match row {
+            match sources.row(group, &leaving) {
                 Ok(row) => table.serving.entry(group.model.clone()).or_default().push(row),
                 Err(why) => {
                     table.closed.insert(group.id.clone(), why);
@@ -119,25 +110,64 @@
     }
 }
 
+/// What a row stands on.
+struct Basis {
+    proved_since: Millis,
+    load_since: Millis,
+    reported: u32,
+    slots: u32,
+}
+
 impl Sources<'_> {
-    fn row(&self, group: &Group, head: &ListedInstance) -> Option<ServingGroup> {
-        let members = group.members.iter();
-        let reports = members.map(|member| self.witnesses.get(&member.instance));
-        let oldest = reports.map(|witness| witness.map(|w| w.true_since)).min()??;
-        let witness = self.witnesses.get(&head.instance)?;
-        Some(ServingGroup {
+    fn row(&self, group: &Group, leaving: &BTreeSet<InstanceId>) -> Result<ServingGroup, Closed> {
+        let head = &group.head().instance;
+        let unseen = || Closed::Unseen(head.clone());
+        let listed = self.list.find(head).ok_or_else(unseen)?;
+        let is_remote = &listed.data_centre != self.data_centre;
+        let basis = if is_remote {
+            self.vouched(group, leaving)?
+        } else {
+            gate::judge(group, self.witnesses, leaving, self.now, self.rules)?;
+            self.reported(group).ok_or_else(unseen)?
+        };
+        Ok(ServingGroup {
             group: group.id.clone(),
             fence: group.fence,
-            head: head.instance.clone(),
-            address: head.address.clone(),
+            head: head.clone(),
+            address: listed.address.clone(),
             version: group.version.clone(),
             worth: self.worth(group),
-            slots: witness.report.slots,
-            reported: witness.report.running + witness.report.queued,
-            true_since: witness.true_since,
+            slots: basis.slots,
+            reported: basis.reported,
+            true_since: basis.load_since,
+            proved_since: basis.proved_since,
+            valid_until: basis.proved_since + self.rules.report_ttl,
+            is_remote,
+        })
+    }
+
+    /// By the members' own reports.
+    fn reported(&self, group: &Group) -> Option<Basis> {
+        let members = group.members.iter();
+        let reports = members.map(|member| self.witnesses.get(&member.instance));
+        let oldest = reports.map(|witness| witness.map(|w| w.true_since)).min()??;
+        let head = self.witnesses.get(&group.head().instance)?;
+        Some(Basis {
             proved_since: oldest,
-            valid_until: oldest + self.rules.report_ttl,
-            is_remote: &head.data_centre != self.data_centre,
+            load_since: head.true_since,
+            reported: head.report.running + head.report.queued,
+            slots: head.report.slots,
+        })
+    }
+
+    /// By what a node of its own data centre vouches for.
+    fn vouched(&self, group: &Group, leaving: &BTreeSet<InstanceId>) -> Result<Basis, Closed> {
+        let voucher = gate::judge_elsewhere(group, self.witnesses, leaving, self.now, self.rules)?;
+        Ok(Basis {
+            proved_since: voucher.true_since,
+            load_since: voucher.load_since,
+            reported: voucher.reported,
+            slots: voucher.slots,
         })
     }
 
--- a/crates/workshold-node/src/tasks/peers.rs
+++ b/crates/workshold-node/src/tasks/peers.rs
@@ -5,9 +5,11 @@
 
 use displaydoc::Display;
 use tokio::task::JoinSet;
+use workshold_core::witness::Voucher;
 use workshold_protocol::Millis;
 use workshold_protocol::ids::DataCentre;
 use workshold_protocol::ids::NodeId;
+use workshold_protocol::peer::AgedGroup;
 use workshold_protocol::peer::AgedNode;
 use workshold_protocol::peer::AgedReport;
 use workshold_protocol::peer::Answer;
@@ -17,7 +19,6 @@
 use workshold_protocol::peer::Question;
 use workshold_protocol::peer::pack;
 use workshold_protocol::peer::unpack;
-use workshold_protocol::report::InstanceKind;
 use zeromq::RepSocket;
 use zeromq::Socket;
 use zeromq::SocketRecv;
@@ -87,8 +88,28 @@
 fn digest(node: &Node, asker: &DataCentre) -> Digest {
     let now = node.now();
     let is_near = asker == &node.settings.node.data_centre;
-    let near = if is_near { Vec::new() } else { near_nodes(node, now) };
-    Digest { own: node.status(), near, reports: reports(node, is_near, now) }
+    let own = node.status();
+    if is_near {
+        return Digest { own, near: Vec::new(), reports: reports(node, now), groups: Vec::new() };
+    }
+    let (near, groups) = (near_nodes(node, now), groups(node, now));
+    Digest { own, near, reports: Vec::new(), groups }
+}
+
+/// The groups of this data centre that serve by this node's own judgement.
+fn groups(node: &Node, now: Millis) -> Vec<AgedGroup> {
+    let table = Arc::clone(&node.serving.read());
+    let near = table.serving.values().flatten().filter(|row| !row.is_remote);
+    near.filter(|row| now < row.valid_until)
+        .map(|row| AgedGroup {
+            group: row.group.clone(),
+            fence: row.fence,
+            age: now.since(row.proved_since),
+            load_age: now.since(row.true_since),
+            reported: row.reported,
+            slots: row.slots,
+        })
+        .collect()
 }
 
 fn near_nodes(node: &Node, now: Millis) -> Vec<AgedNode> {
@@ -104,25 +125,19 @@
     .collect()
 }
 
-/// For a near asker what was probed here, for a far one all of this data centre.
-fn reports(node: &Node, is_near: bool, now: Millis) -> Vec<AgedReport> {
+/// What this node probed itself and still believes.
+fn reports(node: &Node, now: Millis) -> Vec<AgedReport> {
     let ttl = node.settings.times.report_ttl;
     let probed = node.probed.read();
-    let list = Arc::clone(&node.list.read());
-    let is_here = |listed: &&workshold_protocol::report::ListedInstance| {
-        matches!(listed.kind, InstanceKind::Engine { .. })
-            && listed.data_centre == node.settings.node.data_centre
-    };
     let witnesses = node.witnesses.read();
-    list.iter()
-        .filter(is_here)
-        .filter(|listed| !is_near || probed.contains(&listed.instance))
-        .filter_map(|listed| {
-            let witness = witnesses.fresh(&listed.instance, now, ttl)?;
+    probed
+        .iter()
+        .filter_map(|instance| {
+            let witness = witnesses.fresh(instance, now, ttl)?;
             // The lag is in the report and is taken off again by who takes it.
             let sent = witness.true_since + witness.report.lag;
             Some(AgedReport {
-                instance: listed.instance.clone(),
+                instance: instance.clone(),
                 age: now.since(sent),
                 report: witness.report.clone(),
             })
@@ -202,6 +217,16 @@
     for aged in digest.reports {
         witnesses.take(&aged.instance, asked - aged.age, seen, aged.report);
     }
+    for aged in digest.groups {
+        let voucher = Voucher {
+            fence: aged.fence,
+            true_since: asked - aged.age,
+            load_since: asked - aged.load_age,
+            reported: aged.reported,
+            slots: aged.slots,
+        };
+        witnesses.take_voucher(&aged.group, voucher);
+    }
     drop(witnesses);
     node.touch();
 }
--- a/crates/workshold-node/tests/failures.rs
+++ b/crates/workshold-node/tests/failures.rs
@@ -185,6 +185,22 @@
     print_observed(&deployment.platform);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn groups_of_all_data_centres_serve_callers_of_each_and_one_that_is_lost_costs_no_other() {
+    let layout = Layout { engines: 15, entries: 6, data_centres: 3, ..Layout::default() };
+    let deployment = Deployment::serving(layout).await;
+    let running = start_load(load(&deployment, 6));
+    // All instances of the first data centre are lost; its nodes send elsewhere.
+    let domain = deployment.layout.engine_domain(0);
+    deployment.platform.inject(Fault::Dark(domain)).await;
+    deployment.wait("two groups are left", |all| all.iter().all(|s| serving(s) == 2)).await;
+    let mut stream = Stream::open(&deployment.layout.callers(0), "from afar", 10).await;
+    stream.finish().await;
+    assert!(stream.is_whole, "a node without groups of its own serves by others'");
+    assert_all_accounted_for(&running.await.unwrap());
+    print_observed(&deployment.platform);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_member_that_freezes_and_wakes_as_if_nothing_happened_is_in_one_group_only() {
     let deployment = Deployment::serving(Layout { engines: 5, ..Layout::default() }).await;
--- a/crates/workshold-protocol/src/peer.rs
+++ b/crates/workshold-protocol/src/peer.rs
@@ -12,6 +12,8 @@
 use crate::error::Result;
 use crate::ids::BundleHash;
 use crate::ids::DataCentre;
+use crate::ids::Fence;
+use crate::ids::GroupId;
 use crate::ids::Incarnation;
 use crate::ids::InstanceId;
 use crate::ids::KeyDigest;
@@ -39,8 +41,8 @@
 pub enum Ask {
     /// How are you, and which reports do you have?
     Digest {
-        /// Where the asker is. A node of the same data centre is told what this
-        /// one probed itself; a node of another, all that is known of this one.
+        /// Where the asker is. A node of the same data centre is told the reports
+        /// that this one probed itself; a node of another, which groups serve here.
         data_centre: DataCentre,
     },
     /// The records as they stand, for a node that cannot reach the log.
@@ -91,8 +93,28 @@
     pub own: NodeStatus,
     /// For an asker of another data centre: the other nodes of this one.
     pub near: Vec<AgedNode>,
-    /// Reports it believes, each with its age.
+    /// For an asker of the same data centre: reports it probed, each with its age.
     pub reports: Vec<AgedReport>,
+    /// For an asker of another data centre: the groups of this one that serve.
+    pub groups: Vec<AgedGroup>,
+}
+
+/// A group that a node judged by the reports of every member, and how old the
+/// oldest of them was when the answer was written.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AgedGroup {
+    /// The group.
+    pub group: GroupId,
+    /// Its fencing number.
+    pub fence: Fence,
+    /// Age of the oldest report that it stands on.
+    pub age: Millis,
+    /// Age of its head's report, which has the load.
+    pub load_age: Millis,
+    /// Requests in it by that report.
+    pub reported: u32,
+    /// Requests that it works on at once.
+    pub slots: u32,
 }
 
 /// How a node is.
