--- /dev/null
+++ b/crates/workshold-bench/src/retries.rs
@@ -0,0 +1,58 @@
+//! Retries while upstreams fail: the shipped budget against always trying again.
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use workshold_core::course::Course;
+use workshold_core::course::End;
+use workshold_core::course::Event;
+use workshold_core::course::Next;
+use workshold_core::course::Repeatability;
+use workshold_core::retry::RetryBudget;
+use workshold_core::retry::RetryRules;
+use workshold_protocol::Millis;
+
+use crate::table::Table;
+
+const REQUESTS: u32 = 20_000;
+
+/// Runs all shares of failing upstreams with both policies.
+pub fn run(seed: u64) -> Table {
+    let columns = ["attempts for each request", "answered", "unknown", "not run"];
+    let mut table = Table::new("retries", &columns);
+    for failing in [0.0, 0.1, 0.5, 1.0] {
+        for (name, has_budget) in [("shipped", true), ("always again", false)] {
+            let row = format!("{:.0} in 100 fail, {name}", failing * 100.0);
+            table.row(row, simulate(failing, has_budget, seed));
+        }
+    }
+    table
+}
+
+fn simulate(failing: f64, has_budget: bool, seed: u64) -> Vec<f64> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let rules = RetryRules::default();
+    let mut budget = RetryBudget::new(rules);
+    let (mut attempts, mut answered, mut unknown, mut not_run) = (0, 0, 0, 0);
+    for _ in 0..REQUESTS {
+        let mut course = Course::new(Repeatability::Repeatable, Millis(1_000), rules.max_attempts);
+        budget.on_request();
+        let end = loop {
+            attempts += 1;
+            let attempt = course.attempt();
+            course.on(attempt, Event::Sending, Millis::ZERO, || false);
+            let event = if rng.random::<f64>() < failing { Event::Broken } else { Event::Done };
+            let may_retry = || !has_budget || budget.take();
+            if let Next::Finish(end) = course.on(attempt, event, Millis::ZERO, may_retry) {
+                break end;
+            }
+        };
+        match end {
+            End::Answered => answered += 1,
+            End::Unknown(_) => unknown += 1,
+            End::NotRun(_) => not_run += 1,
+        }
+    }
+    let share = |count: u32| f64::from(count) / f64::from(REQUESTS);
+    vec![share(attempts), share(answered), share(unknown), share(not_run)]
+}
--- /dev/null
+++ b/crates/workshold-standins/src/commands/sample.rs
@@ -0,0 +1,60 @@
+//! `workshold-dev sample`: what one entry node uses up over some time.
+
+use std::time::Duration;
+
+use serde_json::Value;
+use workshold_http::client;
+
+/// Ticks of processor time in a second, as the machine counts them.
+const TICKS_PER_S: f64 = 100.0;
+const WITHIN: Duration = Duration::from_secs(5);
+
+#[derive(Debug)]
+struct Moment {
+    cpu_ticks: f64,
+    counts: Value,
+    memory_kib: u64,
+}
+
+/// Samples the process `pid`, whose operators' address is `operators`.
+///
+/// # Errors
+///
+/// If the process or the node does not answer.
+#[expect(clippy::print_stdout, reason = "this is where a command prints")]
+pub async fn run(pid: u32, operators: &str, secs: u64) -> Result<(), String> {
+    let before = moment(pid, operators).await?;
+    tokio::time::sleep(Duration::from_secs(secs)).await;
+    let after = moment(pid, operators).await?;
+    let per_s = |name: &str| {
+        let value = |moment: &Moment| moment.counts[name].as_f64().unwrap_or_default();
+        (value(&after) - value(&before)) / secs as f64
+    };
+    let cpu = (after.cpu_ticks - before.cpu_ticks) / TICKS_PER_S / secs as f64;
+    let row = serde_json::json!({
+        "core_percent": (cpu * 1000.0).round() / 10.0,
+        "memory_kib": after.memory_kib,
+        "control_sent_per_s": per_s("control_sent").round(),
+        "control_received_per_s": per_s("control_received").round(),
+        "requests_per_s": per_s("requests"),
+        "tokens_per_s": per_s("tokens").round(),
+        "probes_per_s": per_s("probes"),
+        "questions_per_s": per_s("questions"),
+    });
+    println!("{row}");
+    Ok(())
+}
+
+async fn moment(pid: u32, operators: &str) -> Result<Moment, String> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).map_err(|e| e.to_string())?;
+    // After the name in brackets: user and system time are the 12th and 13th.
+    let fields: Vec<_> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or_default();
+    let state: Value =
+        client::get(operators, "/debug/state", WITHIN).await.map_err(|e| e.to_string())?;
+    Ok(Moment {
+        cpu_ticks: ticks(11) + ticks(12),
+        counts: state["counts"].clone(),
+        memory_kib: state["memory_kib"].as_u64().unwrap_or_default(),
+    })
+}
--- a/crates/workshold-standins/src/load.rs
+++ b/crates/workshold-standins/src/load.rs
@@ -13,6 +13,7 @@
 use workshold_protocol::Millis;
 
 pub use crate::load::caller::CallerEnd;
+pub use crate::load::caller::EntryList;
 pub use crate::load::caller::call;
 pub use crate::load::caller::call_engine;
 pub use crate::load::report::Report;
--- a/crates/workshold-standins/src/main.rs
+++ b/crates/workshold-standins/src/main.rs
@@ -16,6 +16,8 @@
     Load { layout: Option<PathBuf>, rate: f64, secs: u64, tokens: u32, team: String, seed: u64 },
     Fault { layout: Option<PathBuf>, fault: String },
     Key,
+    Sample { pid: u32, operators: String, secs: u64 },
+    Compare { layout: Option<PathBuf>, pairs: u32, tokens: u32 },
     Ask { question: Question },
 }
 
@@ -30,7 +32,9 @@
     let fault = fault();
     let key = key();
     let ask = ask();
-    bpaf::construct!([platform, prepare, load, fault, key, ask])
+    let sample = sample();
+    let compare = compare();
+    bpaf::construct!([platform, prepare, load, fault, key, ask, sample, compare])
         .to_options()
         .descr("Stand-ins for the platform and the engines, and a load tool. Development only.")
 }
@@ -90,6 +94,26 @@
         .command("ask")
 }
 
+fn sample() -> impl Parser<Command> {
+    let pid = bpaf::long("pid").argument::<u32>("PID");
+    let operators = bpaf::long("operators").argument::<String>("ADDRESS");
+    let secs = bpaf::long("secs").argument::<u64>("N").fallback(10);
+    bpaf::construct!(Command::Sample { pid, operators, secs })
+        .to_options()
+        .descr("Prints what one entry node uses up over some time.")
+        .command("sample")
+}
+
+fn compare() -> impl Parser<Command> {
+    let layout = layout();
+    let pairs = bpaf::long("pairs").argument::<u32>("N").fallback(300);
+    let tokens = bpaf::long("tokens").argument::<u32>("N").fallback(4);
+    bpaf::construct!(Command::Compare { layout, pairs, tokens })
+        .to_options()
+        .descr("Asks an engine directly and through an entry node in turn, and prints the ratio.")
+        .command("compare")
+}
+
 async fn run(command: Command) -> Result<(), String> {
     match command {
         Command::Platform { layout } => {
@@ -119,6 +143,13 @@
             commands::fault::run(&layout, &fault).await
         }
         Command::Ask { question } => commands::ask::run(question).await,
+        Command::Sample { pid, operators, secs } => {
+            commands::sample::run(pid, &operators, secs).await
+        }
+        Command::Compare { layout, pairs, tokens } => {
+            let layout = commands::platform::read_layout(layout.as_ref())?;
+            commands::compare::run(&layout, pairs, tokens).await
+        }
         Command::Key => {
             commands::key::run();
             Ok(())
