Spares load weights before they are needed

The steward now lets spares load, one at a time, while every group of the domain serves, and takes loaded instances first. A smaller role is also not formed any more when members of an ended group will be free for the best one in a moment.

--- a/crates/workshold-bench/src/fixtures.rs
+++ b/crates/workshold-bench/src/fixtures.rs
@@ -132,7 +132,15 @@
 
 fn report(membership: Option<Membership>) -> Report {
     let incarnation = Incarnation(1);
-    Report { incarnation, membership, lag: Millis::ZERO, running: 3, queued: 0, slots: 64 }
+    Report {
+        incarnation,
+        membership,
+        loaded: None,
+        lag: Millis::ZERO,
+        running: 3,
+        queued: 0,
+        slots: 64,
+    }
 }
 
 fn rules() -> StewardRules {
--- a/crates/workshold-bench/src/repair.rs
+++ b/crates/workshold-bench/src/repair.rs
@@ -15,7 +15,7 @@
     "group-hours down",
     "accelerator-hours stranded",
     "cost",
-    "floor: group-hours",
+    "floor without loaded spares",
     "groups ended",
 ];
 
--- a/crates/workshold-bench/src/repair/fleet.rs
+++ b/crates/workshold-bench/src/repair/fleet.rs
@@ -26,11 +26,14 @@
 use workshold_protocol::ids::GroupId;
 use workshold_protocol::ids::Incarnation;
 use workshold_protocol::ids::InstanceId;
+use workshold_protocol::ids::ModelName;
 use workshold_protocol::ids::RecordId;
+use workshold_protocol::ids::Version;
 use workshold_protocol::record::Envelope;
 use workshold_protocol::record::Fact;
 use workshold_protocol::record::Member;
 use workshold_protocol::record::SignOff;
+use workshold_protocol::report;
 use workshold_protocol::report::InstanceKind;
 use workshold_protocol::report::ListedInstance;
 use workshold_protocol::report::Membership;
@@ -95,7 +98,8 @@
     incarnation: u64,
     back_at: Option<Millis>,
     seat: Option<Seat>,
-    has_weights: bool,
+    /// Since when it has the weights; later than now while it loads.
+    loaded_at: Option<Millis>,
 }
 
 impl Seat {
@@ -215,6 +219,13 @@
     InstanceId::new(&format!("i{i}")).expect("it is a name")
 }
 
+fn weights() -> report::Weights {
+    report::Weights {
+        model: ModelName::new("big").expect("it is a name"),
+        version: Version::new("v1").expect("it is a name"),
+    }
+}
+
 fn index(id: &InstanceId) -> usize {
     id.as_str()[1..].parse().expect("names are made by `instance_id`")
 }
@@ -233,7 +244,7 @@
         };
         let grouped = usize::from(FULL) * 4 + usize::from(HALF);
         let usable = if month.policy.spares { PER_DOMAIN } else { grouped };
-        let fresh = Instance { incarnation: 1, back_at: None, seat: None, has_weights: false };
+        let fresh = Instance { incarnation: 1, back_at: None, seat: None, loaded_at: None };
         let mut domain = Self {
             month,
             name,
@@ -314,7 +325,7 @@
         }
         instance.back_at = Some(instance.back_at.map_or(back_at, |old| old.max(back_at)));
         instance.seat = None;
-        instance.has_weights = false;
+        instance.loaded_at = None;
         instance.incarnation += 1;
     }
 
@@ -378,6 +389,7 @@
             let report = Report {
                 incarnation: Incarnation(instance.incarnation),
                 membership,
+                loaded: instance.loaded_at.filter(|at| *at <= self.now).map(|_| weights()),
                 lag: Millis::ZERO,
                 running: 0,
                 queued: 0,
@@ -398,17 +410,24 @@
                 if is_in {
                     return;
                 }
-                let ready_at = if instance.has_weights {
-                    now
-                } else {
-                    self.store_free = self.store_free.max(now) + share;
-                    self.store_free.max(now + load)
+                let ready_at = match instance.loaded_at {
+                    Some(loaded_at) => loaded_at.max(now),
+                    None => {
+                        self.store_free = self.store_free.max(now) + share;
+                        self.store_free.max(now + load)
+                    }
                 };
-                instance.has_weights = true;
+                instance.loaded_at = Some(ready_at);
                 let (group, fence) = (join.group, order.fence);
                 instance.seat = Some(Seat { group, fence, ready_at, is_draining: false });
             }
             OrderAction::Leave { .. } => instance.seat = None,
+            OrderAction::Load { .. } => {
+                if instance.loaded_at.is_none() {
+                    self.store_free = self.store_free.max(now) + share;
+                    instance.loaded_at = Some(self.store_free.max(now + load));
+                }
+            }
             OrderAction::Drain { .. } => {
                 if let Some(seat) = &mut instance.seat {
                     seat.is_draining = true;
--- a/crates/workshold-core/src/steward.rs
+++ b/crates/workshold-core/src/steward.rs
@@ -9,6 +9,7 @@
 mod memory;
 mod mending;
 mod plan;
+mod preloading;
 
 pub use crate::steward::memory::Memory;
 pub use crate::steward::plan::Decision;
@@ -17,8 +18,10 @@
 use std::collections::BTreeSet;
 
 use workshold_protocol::Millis;
+use workshold_protocol::bundle::Model;
 use workshold_protocol::ids::FabricDomain;
 use workshold_protocol::ids::InstanceId;
+use workshold_protocol::ids::ModelName;
 use workshold_protocol::report::InstanceKind;
 use workshold_protocol::report::ListedInstance;
 
@@ -103,6 +106,12 @@
             .collect()
     }
 
+    /// Whether an instance says that it has these weights in memory.
+    fn has_weights(&self, instance: &InstanceId, name: &ModelName, model: &Model) -> bool {
+        let loaded = self.witnesses.get(instance).and_then(|w| w.report.loaded.as_ref());
+        loaded.is_some_and(|own| &own.model == name && own.version == model.version)
+    }
+
     fn leaving(&self) -> BTreeSet<InstanceId> {
         let leaving = self.list.iter().filter(|listed| listed.leaving);
         leaving.map(|listed| listed.instance.clone()).collect()
@@ -115,6 +124,7 @@
     ending::carry_out_ends(view, memory, rules, &mut plan);
     mending::mend_groups(view, memory, rules, &mut plan);
     forming::form_groups(view, rules, &mut plan);
+    preloading::preload_spares(view, memory, rules, &mut plan);
     memory.forget_ended(view.state);
     plan
 }
--- a/crates/workshold-core/src/steward/forming.rs
+++ b/crates/workshold-core/src/steward/forming.rs
@@ -40,6 +40,10 @@
         }
         for _ in 0..deficit(view.state, name, model) {
             let Some(role) = largest_fitting(model, free.len()) else { break };
+            if is_worth_waiting(view, rules, model, role, free.len()) {
+                break;
+            }
+            loaded_first(view, &mut free, name, model);
             let members: Vec<_> = free.drain(..usize::from(role.instances)).collect();
             let Some(members) = members_of(view, &members) else { break };
             let id = group_id(view, formed);
@@ -133,7 +137,8 @@
     let in_force = view.state.bundles.in_force()?;
     let model = in_force.bundle.models.get(&old.model)?;
     let role = model.roles.first()?;
-    let free = view.free(rules);
+    let mut free = view.free(rules);
+    loaded_first(view, &mut free, &old.model, model);
     let chosen = free.get(..usize::from(role.instances))?;
     let members = members_of(view, chosen)?;
     let id = group_id(view, 0);
@@ -141,6 +146,31 @@
     Some(formation(view, in_force, id, &old.model, model, role, members, replaces))
 }
 
+/// Whether a better role will fit as soon as members of ended groups are free.
+fn is_worth_waiting(
+    view: &View<'_>,
+    rules: &StewardRules,
+    model: &Model,
+    role: &Role,
+    free: usize,
+) -> bool {
+    let is_ending = |group: &&Group| !group.is_active() && &group.domain == view.domain;
+    let members = view.state.fleet.groups().filter(is_ending).flat_map(|group| {
+        let claimed = |m: &&Member| view.state.fleet.claim_of(&m.instance) == Some(&group.id);
+        group.members.iter().filter(claimed)
+    });
+    let is_there = |member: &&Member| {
+        view.fresh(&member.instance, rules).is_some() && !view.must_go(&member.instance)
+    };
+    let soon = free + members.filter(is_there).count();
+    largest_fitting(model, soon).is_some_and(|better| better.instances > role.instances)
+}
+
+/// Puts those that have the weights first.
+fn loaded_first(view: &View<'_>, free: &mut [&ListedInstance], name: &ModelName, model: &Model) {
+    free.sort_by_key(|listed| !view.has_weights(&listed.instance, name, model));
+}
+
 fn members_of(view: &View<'_>, chosen: &[&ListedInstance]) -> Option<Vec<Member>> {
     let member = |listed: &&ListedInstance| {
         let witness = view.witnesses.get(&listed.instance)?;
--- a/crates/workshold-core/src/steward/memory.rs
+++ b/crates/workshold-core/src/steward/memory.rs
@@ -15,6 +15,7 @@
     outside: BTreeMap<(GroupId, InstanceId), Millis>,
     gone: BTreeMap<InstanceId, Millis>,
     ordered: BTreeMap<InstanceId, Millis>,
+    preloaded: Option<Millis>,
 }
 
 /// How long `key` has been so; the first time it is so starts the clock.
@@ -57,6 +58,15 @@
         due
     }
 
+    /// Whether the next spare may load; at most one in `every`.
+    pub(super) fn may_preload(&mut self, every: Millis, now: Millis) -> bool {
+        let due = self.preloaded.is_none_or(|last| now.since(last) >= every);
+        if due {
+            self.preloaded = Some(now);
+        }
+        due
+    }
+
     pub(super) fn forget_ended(&mut self, state: &State) {
         let fleet = &state.fleet;
         self.broken.retain(|group, _| fleet.group(group).is_some());
--- a/crates/workshold-core/src/steward/mending.rs
+++ b/crates/workshold-core/src/steward/mending.rs
@@ -102,7 +102,7 @@
         spares: count(view.free(rules).len() + back),
         other_rests: other_rests(view, rules, group),
         release_time: release_time(rules),
-        load_time: load_time(model, rules),
+        load_time: spare_load_time(view, rules, group, model, lost.len()),
         smaller: smaller
             .map(|role| SmallerRole {
                 role: role.name.clone(),
@@ -117,8 +117,21 @@
     u16::try_from(n).unwrap_or(u16::MAX)
 }
 
+/// What replacing the lost takes: nothing if enough spares have the weights.
+fn spare_load_time(
+    view: &View<'_>,
+    rules: &StewardRules,
+    group: &Group,
+    model: &Model,
+    lost: usize,
+) -> Millis {
+    let free = view.free(rules);
+    let loaded = free.iter().filter(|spare| view.has_weights(&spare.instance, &group.model, model));
+    if loaded.count() >= lost { Millis::ZERO } else { load_time(model, rules) }
+}
+
 /// What one instance needs to read its part of the weights.
-fn load_time(model: &Model, rules: &StewardRules) -> Millis {
+pub(super) fn load_time(model: &Model, rules: &StewardRules) -> Millis {
     Millis(u64::from(model.weights_mib) * 1000 / u64::from(rules.load_mib_per_s.max(1)))
 }
 
--- /dev/null
+++ b/crates/workshold-core/src/steward/preloading.rs
@@ -0,0 +1,75 @@
+//! Loading weights into spares, so that one of them serves seconds after a loss.
+//!
+//! The weight store is rate-limited: a spare loads only while every group of the
+//! domain serves, and one at a time.
+
+use workshold_protocol::bundle::Model;
+use workshold_protocol::ids::Fence;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::ids::ModelName;
+use workshold_protocol::report::OrderAction;
+use workshold_protocol::report::Weights;
+
+use crate::bundles::InForce;
+use crate::gate::judge;
+use crate::steward::Memory;
+use crate::steward::Plan;
+use crate::steward::StewardRules;
+use crate::steward::View;
+use crate::steward::ending::send;
+use crate::steward::mending::load_time;
+
+/// Orders the next spare to load, if nothing more urgent needs the store.
+pub(super) fn preload_spares(
+    view: &View<'_>,
+    memory: &mut Memory,
+    rules: &StewardRules,
+    plan: &mut Plan,
+) {
+    let Some(in_force) = view.state.bundles.in_force() else { return };
+    if !plan.facts.is_empty() || !all_serve(view, rules) {
+        return;
+    }
+    let free = view.free(rules);
+    let Some((name, model)) = least_covered(view, in_force, &free_ids(&free)) else { return };
+    let lacks = |instance: &InstanceId| {
+        let wanted = in_force.bundle.models.iter();
+        !wanted.clone().any(|(name, model)| view.has_weights(instance, name, model))
+    };
+    let Some(spare) = free.iter().find(|listed| lacks(&listed.instance)) else { return };
+    if !memory.may_preload(load_time(model, rules) + rules.order_every, view.now) {
+        return;
+    }
+    let weights = Weights { model: name.clone(), version: model.version.clone() };
+    let action = OrderAction::Load { weights, weights_mib: model.weights_mib };
+    let fence = Fence(view.state.next().0.saturating_sub(1));
+    send(view, memory, rules, &spare.instance, fence, &action, plan);
+}
+
+fn free_ids<'a>(free: &[&'a workshold_protocol::report::ListedInstance]) -> Vec<&'a InstanceId> {
+    free.iter().map(|listed| &listed.instance).collect()
+}
+
+fn all_serve(view: &View<'_>, rules: &StewardRules) -> bool {
+    let leaving = view.leaving();
+    let mut here = view.state.fleet.groups().filter(|group| &group.domain == view.domain);
+    here.all(|group| judge(group, view.witnesses, &leaving, view.now, rules.gate).is_ok())
+}
+
+/// The model whose groups here have the fewest loaded spares each.
+fn least_covered<'a>(
+    view: &View<'_>,
+    in_force: &'a InForce,
+    free: &[&InstanceId],
+) -> Option<(&'a ModelName, &'a Model)> {
+    let groups = |name: &ModelName| {
+        let here = view.state.fleet.groups().filter(|group| &group.domain == view.domain);
+        here.filter(|group| &group.model == name).count()
+    };
+    let covered = |name: &ModelName, model: &Model| {
+        let loaded = free.iter().filter(|instance| view.has_weights(instance, name, model));
+        loaded.count() * 1000 / groups(name)
+    };
+    let models = in_force.bundle.models.iter().filter(|(name, _)| groups(name) > 0);
+    models.min_by_key(|(name, model)| covered(name, model))
+}
--- a/crates/workshold-core/tests/steward.rs
+++ b/crates/workshold-core/tests/steward.rs
@@ -29,6 +29,7 @@
 use workshold_protocol::report::OrderAction;
 use workshold_protocol::report::Readiness;
 use workshold_protocol::report::Report;
+use workshold_protocol::report::Weights;
 use workshold_protocol::signing::OperatorKey;
 
 const STEP: Millis = Millis(500);
@@ -49,6 +50,7 @@
     is_up: bool,
     life: u64,
     seat: Option<Membership>,
+    loaded: Option<Weights>,
 }
 
 fn id(i: u16) -> InstanceId {
@@ -77,7 +79,7 @@
             kind: InstanceKind::Engine { domain: domain(), accelerators: 8, fenced: true },
             leaving: false,
         };
-        let up = |i| (id(i), Instance { is_up: true, life: 1, seat: None });
+        let up = |i| (id(i), Instance { is_up: true, life: 1, ..Instance::default() });
         let mut domain = Self {
             state: State::default(),
             witnesses: Witnesses::default(),
@@ -112,7 +114,7 @@
 
     fn come_back(&mut self, i: u16) {
         let instance = self.up.get_mut(&id(i)).unwrap();
-        *instance = Instance { is_up: true, life: instance.life + 1, seat: None };
+        *instance = Instance { is_up: true, life: instance.life + 1, ..Instance::default() };
     }
 
     fn run(&mut self, secs: u64) {
@@ -128,6 +130,7 @@
             let report = Report {
                 incarnation: Incarnation(instance.life),
                 membership: instance.seat.clone(),
+                loaded: instance.loaded.clone(),
                 lag: Millis::ZERO,
                 running: 0,
                 queued: 0,
@@ -157,6 +160,7 @@
             match order.action {
                 OrderAction::Join(join) => {
                     let (group, fence) = (join.group, order.fence);
+                    instance.loaded = Some(Weights { model: join.model, version: join.version });
                     instance.seat = Some(Membership { group, fence, readiness: Readiness::Ready });
                 }
                 OrderAction::Drain { .. } => {
@@ -165,6 +169,7 @@
                     }
                 }
                 OrderAction::Leave { .. } => instance.seat = None,
+                OrderAction::Load { weights, .. } => instance.loaded = Some(weights),
             }
         }
         if !plan.facts.is_empty() {
@@ -287,3 +292,25 @@
     assert_eq!(domain.shape(), (vec!["full@v1".into(), "half@v1".into(), "half@v1".into()], 0));
     domain.assert_rests();
 }
+
+#[test]
+fn spares_load_what_groups_need_and_are_taken_first() {
+    let mut domain = Domain::new(7, bundle("b", "v1", 1));
+    domain.run(20);
+    domain.run(60);
+    let spares: Vec<_> = domain
+        .up
+        .iter()
+        .filter(|(id, _)| domain.state.fleet.claim_of(id).is_none())
+        .map(|(id, instance)| (id.clone(), instance.loaded.is_some()))
+        .collect();
+    assert!(spares.iter().all(|(_, is_loaded)| *is_loaded), "{spares:?}");
+    // A spare that restarts meanwhile has nothing; one that has the weights goes first.
+    domain.lose(0);
+    domain.run(4);
+    domain.come_back(4);
+    domain.run(12);
+    let taken = domain.state.fleet.claim_of(&id(5)).or(domain.state.fleet.claim_of(&id(6)));
+    let groups: Vec<_> = domain.state.fleet.groups().collect();
+    assert!(taken.is_some() && domain.state.fleet.claim_of(&id(4)).is_none(), "{groups:#?}");
+}
--- a/crates/workshold-model/src/groups.rs
+++ b/crates/workshold-model/src/groups.rs
@@ -464,10 +464,11 @@
     }
 }
 
-/// Orders that name a group; used when traces are read.
-pub fn names(action: &OrderAction) -> &GroupId {
+/// The group that an order names.
+pub fn names(action: &OrderAction) -> Option<&GroupId> {
     match action {
-        OrderAction::Join(join) => &join.group,
-        OrderAction::Drain { group } | OrderAction::Leave { group } => group,
+        OrderAction::Join(join) => Some(&join.group),
+        OrderAction::Drain { group } | OrderAction::Leave { group } => Some(group),
+        OrderAction::Load { .. } => None,
     }
 }
--- a/crates/workshold-model/src/groups/instance.rs
+++ b/crates/workshold-model/src/groups/instance.rs
@@ -55,6 +55,7 @@
         Report {
             incarnation: self.incarnation,
             membership: self.seat.clone(),
+            loaded: None,
             lag: Millis::ZERO,
             running: u32::from(self.running),
             queued: 0,
@@ -102,7 +103,7 @@
             return false;
         }
         self.highest = self.highest.max(order.fence);
-        let named = names(&order.action).clone();
+        let Some(named) = names(&order.action).cloned() else { return false };
         let is_in = self.seat.as_ref().is_some_and(|seat| seat.group == named);
         match &order.action {
             OrderAction::Join(_) => {
@@ -126,7 +127,9 @@
                 self.seat = None;
                 std::mem::take(&mut self.running) > 0
             }
-            OrderAction::Drain { .. } | OrderAction::Leave { .. } => false,
+            OrderAction::Drain { .. } | OrderAction::Leave { .. } | OrderAction::Load { .. } => {
+                false
+            }
         }
     }
 
--- a/crates/workshold-protocol/src/report.rs
+++ b/crates/workshold-protocol/src/report.rs
@@ -25,6 +25,8 @@
     pub incarnation: Incarnation,
     /// The group that it is in.
     pub membership: Option<Membership>,
+    /// The weights that it has in memory, whole.
+    pub loaded: Option<Weights>,
     /// How old what it says may be, as it admits itself.
     pub lag: Millis,
     /// Requests that it is working on.
@@ -35,6 +37,15 @@
     pub slots: u32,
 }
 
+/// Weights of a model in one version.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Weights {
+    /// The model.
+    pub model: ModelName,
+    /// The version.
+    pub version: Version,
+}
+
 /// The group an instance says it is in, and how far it has come.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Membership {
@@ -74,6 +85,13 @@
 pub enum OrderAction {
     /// Load the model and serve it together with the other members.
     Join(JoinOrder),
+    /// Load weights while in no group, to be ready sooner for one.
+    Load {
+        /// Which.
+        weights: Weights,
+        /// Their size, in MiB.
+        weights_mib: u32,
+    },
     /// Take nothing new for this group.
     Drain {
         /// The group.
--- a/crates/workshold-standins/src/engine.rs
+++ b/crates/workshold-standins/src/engine.rs
@@ -27,14 +27,13 @@
 use workshold_protocol::ids::GroupId;
 use workshold_protocol::ids::Incarnation;
 use workshold_protocol::ids::InstanceId;
-use workshold_protocol::ids::ModelName;
-use workshold_protocol::ids::Version;
 use workshold_protocol::report::JoinOrder;
 use workshold_protocol::report::Membership;
 use workshold_protocol::report::Order;
 use workshold_protocol::report::OrderAction;
 use workshold_protocol::report::Readiness;
 use workshold_protocol::report::Report;
+use workshold_protocol::report::Weights;
 
 use crate::engine::streams::StreamBuffer;
 use crate::faults::Observed;
@@ -108,7 +107,9 @@
     seat: Option<Seat>,
     left_seat: Instant,
     highest_fence: Fence,
-    loaded: Option<(ModelName, Version)>,
+    loaded: Option<Weights>,
+    /// When what is named there is whole.
+    loaded_at: Instant,
     slow_factor: u32,
     running: u32,
     queued: u32,
@@ -142,6 +143,7 @@
             left_seat: now,
             highest_fence: Fence(0),
             loaded: None,
+            loaded_at: now,
             slow_factor: 1,
             running: 0,
             queued: 0,
@@ -229,6 +231,7 @@
         Report {
             incarnation: inner.incarnation,
             membership,
+            loaded: inner.loaded.clone().filter(|_| inner.loaded_at <= Instant::now()),
             lag: Millis::ZERO,
             running: inner.running,
             queued: inner.queued,
@@ -255,6 +258,11 @@
     fn obey(&self, inner: &mut Inner, order: Order) {
         match order.action {
             OrderAction::Join(join) => self.join(inner, join, order.fence),
+            OrderAction::Load { weights, weights_mib } => {
+                if inner.seat.is_none() {
+                    self.load(inner, weights, weights_mib);
+                }
+            }
             OrderAction::Drain { group } => {
                 if let Some(seat) = inner.seat.as_mut().filter(|seat| seat.order.group == group) {
                     seat.is_draining = true;
@@ -271,6 +279,17 @@
         }
     }
 
+    /// Begins to load weights, unless it has them or loads them already.
+    fn load(&self, inner: &mut Inner, wanted: Weights, weights_mib: u32) {
+        if inner.loaded.as_ref() == Some(&wanted) {
+            return;
+        }
+        if let Some(fabric) = self.fabric.upgrade() {
+            inner.loaded_at = fabric.store.load(weights_mib, self.rules.load_mib_per_s);
+        }
+        inner.loaded = Some(wanted);
+    }
+
     fn join(&self, inner: &mut Inner, join: JoinOrder, fence: Fence) {
         let is_same = inner
             .seat
@@ -279,16 +298,10 @@
         if is_same {
             return;
         }
-        let wanted = (join.model.clone(), join.version.clone());
-        let has_weights = inner.loaded.as_ref() == Some(&wanted);
-        let ready_at = match self.fabric.upgrade() {
-            Some(fabric) if !has_weights => {
-                fabric.store.load(join.weights_mib, self.rules.load_mib_per_s)
-            }
-            _ => Instant::now(),
-        };
+        let wanted = Weights { model: join.model.clone(), version: join.version.clone() };
+        self.load(inner, wanted, join.weights_mib);
+        let ready_at = inner.loaded_at;
         inner.leave_seat();
-        inner.loaded = Some(wanted);
         inner.seat = Some(Seat { order: join, fence, ready_at, is_draining: false });
     }
 
