Callers who stop reading are noticed

Cause: what is sent but not read by a caller went into the machine's buffer, which grows to megabytes; a whole answer fitted, and the stall was never seen. The listeners for callers and operators bound it to 128 KB a connection.

Ruled out: the channel between relay and connection (64 pieces, it fills).

--- a/crates/workshold-node/src/daemon.rs
+++ b/crates/workshold-node/src/daemon.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -150,13 +152,13 @@
         head_time: node.settings.bounds.read_time.to_duration(),
         ..Bounds::default()
     };
-    let listener = bind(&node.settings.node.callers).await?;
+    let listener = bind(&node.settings.node.callers)?;
     let for_callers = Arc::clone(node);
     let service = service_fn(move |req: Request<Incoming>| {
         infallible(callers::handle(Arc::clone(&for_callers), req))
     });
     let callers = tokio::spawn(server::serve(listener, bounds, service, rx.clone()));
-    let listener = bind(&node.settings.node.operators).await?;
+    let listener = bind(&node.settings.node.operators)?;
     let for_operators = Arc::clone(node);
     let service = service_fn(move |req: Request<Incoming>| {
         infallible(operators::handle(Arc::clone(&for_operators), req))
@@ -171,9 +173,24 @@
     Ok(answer.await)
 }
 
-async fn bind(address: &str) -> Result<TcpListener, DaemonError> {
-    let listen = |why| DaemonError::Listen { address: address.to_owned(), why };
-    TcpListener::bind(address).await.map_err(listen)
+fn bind(address: &str) -> Result<TcpListener, DaemonError> {
+    bind_bounded(address).map_err(|why| DaemonError::Listen { address: address.to_owned(), why })
+}
+
+/// What is sent but not yet read by one caller, in bytes. Left to the machine, it
+/// grows to megabytes, and a caller who has stopped reading is not noticed.
+const SEND_BUFFER: u32 = 128 * 1024;
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+fn bind_bounded(address: &str) -> io::Result<TcpListener> {
+    let address: SocketAddr = address.parse().map_err(io::Error::other)?;
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    // Connections that are accepted have the listener's bound.
+    socket.set_send_buffer_size(SEND_BUFFER)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
 }
 
 async fn start_tasks(
--- /dev/null
+++ b/crates/workshold-node/tests/slow_callers.rs
@@ -0,0 +1,65 @@
+//! A caller who stops reading, or goes away, frees its place upstream.
+
+mod support;
+
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
+use workshold_standins::Layout;
+
+use crate::support::Deployment;
+use crate::support::TIMES;
+
+const TOKENS: u32 = 16_000;
+
+/// Asks for a long stream over a bare connection.
+async fn ask(deployment: &Deployment) -> TcpStream {
+    let address = deployment.layout.callers(0);
+    let mut stream = TcpStream::connect(&address).await.unwrap();
+    let body = format!(
+        "{{\"model\":\"assistant\",\"prompt\":\"p\",\"max_tokens\":{TOKENS},\"stream\":true}}"
+    );
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: {address}\r\nworkshold-team: travel\r\n\
+         content-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(body.as_bytes()).await.unwrap();
+    let mut first = [0; 64];
+    stream.read_exact(&mut first).await.unwrap();
+    assert!(first.starts_with(b"HTTP/1.1 200"), "{}", String::from_utf8_lossy(&first));
+    stream
+}
+
+async fn wait_until_nothing_is_in_flight(deployment: &Deployment) {
+    deployment
+        .wait("nothing is in flight", |all| {
+            all.iter().all(|status| status.nodes.iter().all(|node| node.in_flight == 0))
+        })
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_who_goes_away_is_cancelled_upstream() {
+    let deployment = Deployment::serving(Layout { engines: 5, ..Layout::default() }).await;
+    let stream = ask(&deployment).await;
+    drop(stream);
+    wait_until_nothing_is_in_flight(&deployment).await;
+    let counts = &deployment.dump(0).await["counts"];
+    assert_eq!((counts["cancelled"].as_u64(), counts["answered"].as_u64()), (Some(1), Some(0)));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_who_stops_reading_is_cancelled_after_the_stall() {
+    let layout = Layout { engines: 5, step: workshold_protocol::Millis(1), ..Layout::default() };
+    let times = format!("{TIMES}caller_stall = 500\ndefault_deadline = 300000\n");
+    let deployment = Deployment::start_with(layout, &times, |_, text| text).await;
+    deployment.roll_out_first().await;
+    let stream = ask(&deployment).await;
+    // The buffers on the way fill up, then the node waits for half a second.
+    wait_until_nothing_is_in_flight(&deployment).await;
+    let counts = &deployment.dump(0).await["counts"];
+    assert_eq!((counts["cancelled"].as_u64(), counts["answered"].as_u64()), (Some(1), Some(0)));
+    drop(stream);
+}
