A peer that dies does not take the node with it

Cause: the library's reply socket panicked once when its asker was killed between question and answer; the task ended, and with it the node (W107), as designed for parts that end. The socket is now served by a task of its own and opened anew when that breaks (W505).

Ruled out: the seal or the content of a message (both are checked before).

Before: the ninth of nine runs of the process tests failed, a_node_cut_off_from_log_and_peers_steps_out_and_returns, its node gone.

--- a/crates/workshold-node/src/events.rs
+++ b/crates/workshold-node/src/events.rs
@@ -73,6 +73,7 @@
     PeerLost = 501, Warn, "a node does not answer", "Look after the node or the network.";
     PeerBack = 502, Info, "a node answers", "Nothing.";
     BadSeal = 503, Warn, "a message between nodes was dropped: its seal does not fit", "Compare cluster_key in the settings of all nodes.";
+    PeerSocketLost = 505, Warn, "the socket for other nodes broke and is opened anew", "Nothing; report it if it comes often.";
     ListUnreachable = 504, Warn, "the instance list does not answer", "What was last read goes on being used.";
     RequestFailed = 601, Debug, "a request ended without an answer", "Nothing; the caller was told.";
     AttemptFailed = 602, Debug, "an attempt failed; another one follows", "Nothing.";
--- a/crates/workshold-node/src/tasks/peers.rs
+++ b/crates/workshold-node/src/tasks/peers.rs
@@ -47,7 +47,27 @@
 }
 
 /// Answers other nodes for as long as this one runs.
+///
+/// The library's socket has been seen to panic when an asker died at the wrong
+/// moment. That must not take the node with it: the socket is opened anew.
 pub async fn answer_all(node: Arc<Node>, mut socket: RepSocket) {
+    loop {
+        let answering = tokio::spawn(answer_until_broken(Arc::clone(&node), socket));
+        if let Err(err) = answering.await {
+            emit(Event::PeerSocketLost, &[("why", &err.to_string())]);
+        }
+        socket = loop {
+            match listen(&node).await {
+                Ok(socket) => break socket,
+                Err(_) => tokio::time::sleep(REOPEN_PAUSE).await,
+            }
+        };
+    }
+}
+
+const REOPEN_PAUSE: Duration = Duration::from_millis(50);
+
+async fn answer_until_broken(node: Arc<Node>, mut socket: RepSocket) {
     loop {
         let Ok(message) = socket.recv().await else {
             tokio::time::sleep(Duration::from_millis(1)).await;
--- /dev/null
+++ b/crates/workshold-node/tests/peers.rs
@@ -0,0 +1,71 @@
+//! Other nodes that die at any moment do not take this one with them.
+
+mod support;
+
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+use workshold_node::counters::Counters;
+use workshold_node::peer_link::PeerLink;
+use workshold_protocol::ids::DataCentre;
+use workshold_protocol::ids::NodeId;
+use workshold_protocol::peer::Ask;
+use workshold_protocol::signing::ClusterKey;
+use workshold_standins::Layout;
+use zeromq::ReqSocket;
+use zeromq::Socket;
+use zeromq::SocketSend;
+
+use crate::support::Deployment;
+
+const ROUNDS: usize = 12;
+const AT_ONCE: usize = 20;
+
+/// Asks, and is gone before the answer.
+async fn ask_and_die(address: String, wait: Duration) {
+    let ask = async {
+        let mut socket = ReqSocket::new();
+        if socket.connect(&format!("tcp://{address}")).await.is_ok() {
+            let _ = socket.send(vec![0_u8; 64].into()).await;
+            tokio::time::sleep(wait).await;
+        }
+    };
+    // The asker's own side may wait for good for a connection that broke.
+    let _ = tokio::time::timeout(Duration::from_secs(1), ask).await;
+}
+
+/// Whether a node that shares the key is answered.
+async fn is_answered(deployment: &Deployment) -> bool {
+    let text = std::fs::read_to_string(deployment.folder.join("cluster.key")).unwrap();
+    let key = ClusterKey::from_text(&text).unwrap();
+    let link = PeerLink::new(&deployment.layout.peers(0));
+    let from = NodeId::new("asker").unwrap();
+    let data_centre = DataCentre::new("dc-0").unwrap();
+    let within = Duration::from_secs(5);
+    for _ in 0..10 {
+        let ask = Ask::Digest { data_centre: data_centre.clone() };
+        if link.ask(&from, ask, &key, &Counters::default(), within).await.is_ok() {
+            return true;
+        }
+    }
+    false
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn askers_that_die_before_their_answer_leave_the_node_whole() {
+    let layout = Layout { entries: 1, engines: 5, ..Layout::default() };
+    let deployment = Deployment::serving(layout).await;
+    for round in 0..ROUNDS {
+        let mut asking = JoinSet::new();
+        for n in 0..AT_ONCE {
+            let wait = Duration::from_micros((round * AT_ONCE + n) as u64 % 700);
+            asking.spawn(ask_and_die(deployment.layout.peers(0), wait));
+        }
+        while asking.join_next().await.is_some() {}
+    }
+    let status = deployment.status(0).await.expect("the node still answers");
+    assert!(status.ready);
+    let counts = &deployment.dump(0).await["counts"];
+    assert!(counts["bad_messages"].as_u64() > Some(0), "{counts}");
+    assert!(is_answered(&deployment).await, "the node answers other nodes");
+}
