One beginning of a node's life in the model; dead and roundabout code out

The model wrote a fresh node twice, the preloading copied names out of a list it could pass on, and Router::in_flight had no caller.

--- a/crates/workshold-core/src/routing.rs
+++ b/crates/workshold-core/src/routing.rs
@@ -93,11 +93,6 @@
         Self { rules, hints: HashMap::new(), hint_order: VecDeque::new(), own: HashMap::new() }
     }
 
-    /// Requests that this node has under way at `group`.
-    pub fn in_flight(&self, group: &GroupId) -> u32 {
-        self.own.get(group).map_or(0, |own| own.in_flight)
-    }
-
     /// Requests at a candidate: what it reported, plus what this node sent since
     /// and less what came back. Never below what this node has there.
     pub fn load(&self, candidate: &Candidate<'_>) -> f64 {
--- a/crates/workshold-core/src/steward/preloading.rs
+++ b/crates/workshold-core/src/steward/preloading.rs
@@ -7,6 +7,7 @@
 use workshold_protocol::ids::Fence;
 use workshold_protocol::ids::InstanceId;
 use workshold_protocol::ids::ModelName;
+use workshold_protocol::report::ListedInstance;
 use workshold_protocol::report::OrderAction;
 use workshold_protocol::report::Weights;
 
@@ -31,7 +32,7 @@
         return;
     }
     let free = view.free(rules);
-    let Some((name, model)) = least_covered(view, in_force, &free_ids(&free)) else { return };
+    let Some((name, model)) = least_covered(view, in_force, &free) else { return };
     let lacks = |instance: &InstanceId| {
         let wanted = in_force.bundle.models.iter();
         !wanted.clone().any(|(name, model)| view.has_weights(instance, name, model))
@@ -46,10 +47,6 @@
     send(view, memory, rules, &spare.instance, fence, &action, plan);
 }
 
-fn free_ids<'a>(free: &[&'a workshold_protocol::report::ListedInstance]) -> Vec<&'a InstanceId> {
-    free.iter().map(|listed| &listed.instance).collect()
-}
-
 fn all_serve(view: &View<'_>, rules: &StewardRules) -> bool {
     let leaving = view.leaving();
     let mut here = view.state.fleet.groups().filter(|group| &group.domain == view.domain);
@@ -60,14 +57,14 @@
 fn least_covered<'a>(
     view: &View<'_>,
     in_force: &'a InForce,
-    free: &[&InstanceId],
+    free: &[&ListedInstance],
 ) -> Option<(&'a ModelName, &'a Model)> {
     let groups = |name: &ModelName| {
         let here = view.state.fleet.groups().filter(|group| &group.domain == view.domain);
         here.filter(|group| &group.model == name).count()
     };
     let covered = |name: &ModelName, model: &Model| {
-        let loaded = free.iter().filter(|instance| view.has_weights(instance, name, model));
+        let loaded = free.iter().filter(|listed| view.has_weights(&listed.instance, name, model));
         loaded.count() * 1000 / groups(name)
     };
     let models = in_force.bundle.models.iter().filter(|(name, _)| groups(name) > 0);
--- a/crates/workshold-model/src/once.rs
+++ b/crates/workshold-model/src/once.rs
@@ -104,11 +104,11 @@
     RequestDigest::of(b"request")
 }
 
-impl OnceWorld {
-    /// Nobody has asked yet.
-    pub fn new(bounds: Bounds, mutation: Option<Mutation>) -> Self {
-        let node = Node {
-            life: 1,
+impl Node {
+    /// A node at the beginning of a life: it has read and done nothing.
+    fn in_life(life: u64) -> Self {
+        Self {
+            life,
             next: 0,
             local: Local::Untouched,
             copies: 0,
@@ -116,7 +116,14 @@
             about_to_send: false,
             told_not_run: false,
             runs_after_not_run: 0,
-        };
+        }
+    }
+}
+
+impl OnceWorld {
+    /// Nobody has asked yet.
+    pub fn new(bounds: Bounds, mutation: Option<Mutation>) -> Self {
+        let node = Node::in_life(1);
         Self { mutation, left: bounds, log: Vec::new(), nodes: vec![node; NODES], runs: 0 }
     }
 
@@ -227,16 +234,8 @@
             // The append was under way: it takes effect after the crash.
             self.log.push(Item::Intent { node: i, life });
         }
-        self.nodes[i] = Node {
-            life: life + 1,
-            next: 0,
-            local: Local::Untouched,
-            copies: 0,
-            is_asked: false,
-            about_to_send: false,
-            told_not_run: false,
-            runs_after_not_run: self.nodes[i].runs_after_not_run,
-        };
+        let runs_after_not_run = self.nodes[i].runs_after_not_run;
+        self.nodes[i] = Node { runs_after_not_run, ..Node::in_life(life + 1) };
     }
 
     fn with(&self, change: impl FnOnce(&mut Self)) -> Self {
