--- /dev/null
+++ b/crates/workshold-core/src/hosted.rs
@@ -0,0 +1,21 @@
+//! Decisions for a deployment whose platform keeps the state.
+//!
+//! The platform's store holds the newest configuration and what every instance
+//! says of itself, its group included. So nothing of ours is folded or replayed
+//! here: the instances' statements are the state, and what is left is to read
+//! them, to order instances safely, and to place requests.
+//!
+//! - What is to be served: [`catalog`], and how fresh it is: [`currency`].
+//! - What there is: [`roster`] with [`groups`]; who cannot be reached: [`suspicion`].
+//! - What should be: [`steward`].
+//! - Requests: [`placement`], [`silence`], [`tries`].
+
+pub mod catalog;
+pub mod currency;
+pub mod groups;
+pub mod placement;
+pub mod roster;
+pub mod silence;
+pub mod steward;
+pub mod suspicion;
+pub mod tries;
--- /dev/null
+++ b/crates/workshold-core/src/hosted/steward.rs
@@ -0,0 +1,503 @@
+//! The steward of fabric domains: forms groups, opens them, breaks them up.
+//!
+//! A steward has the right to order the instances of the domains in one part of
+//! the store's lease, under a fence that only rises. An order without an answer may
+//! be carried out seconds later, after newer ones. What keeps groups whole all the
+//! same:
+//!
+//! - Epochs rise over all stewards: the fence is their upper half. A late order to
+//!   join meets a newer epoch, or a newer fence, and is refused.
+//! - A group is opened only by the steward that formed it, and only when every
+//!   member states that it is ready in this formation.
+//! - A group is broken up from its head: until the head has stated a newer epoch, or
+//!   none, no other member is taken. So a late order to open finds no whole group
+//!   to open, or one that is whole.
+
+mod choosing;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use smol_str::SmolStr;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::GroupId;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::ids::ModelName;
+
+use super::catalog::Engine;
+use super::groups;
+use super::groups::Group;
+use super::roster::Entry;
+use super::roster::Instance;
+use super::roster::ListTrust;
+use super::roster::MemberState;
+use super::suspicion::Loss;
+
+/// What an instance is told to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Order {
+    /// Be a member.
+    Join {
+        /// The group.
+        group: GroupId,
+        /// Its formation.
+        epoch: u64,
+        /// What it serves.
+        model: ModelName,
+        /// All members, the head first.
+        members: Vec<InstanceId>,
+    },
+    /// Serve, to a head that is ready.
+    Open {
+        /// The group.
+        group: GroupId,
+        /// Its formation.
+        epoch: u64,
+    },
+    /// Take nothing new, to a head.
+    Close {
+        /// The group.
+        group: GroupId,
+        /// Its formation.
+        epoch: u64,
+        /// Whether what runs is cut off.
+        is_cut: bool,
+    },
+    /// Be in no group.
+    Leave {
+        /// The group.
+        group: GroupId,
+        /// Its formation.
+        epoch: u64,
+    },
+    /// Fetch weights to the host.
+    Stage {
+        /// Whose weights.
+        model: ModelName,
+    },
+}
+
+/// An order with its addressee.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Command {
+    /// Who is told.
+    pub to: InstanceId,
+    /// Where it listens.
+    pub address: SmolStr,
+    /// What it is told.
+    pub order: Order,
+    /// The right under which it is told.
+    pub fence: u64,
+    /// Why, for logs.
+    pub why: &'static str,
+}
+
+/// What an instance answered to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderReply {
+    /// It has begun.
+    Begun,
+    /// It held already.
+    Done,
+    /// It does not fit the instance's state.
+    Unfit,
+    /// A higher fence or epoch was there before.
+    Outranked,
+    /// Another instance listens there.
+    Elsewhere,
+    /// No answer: it may come about yet.
+    Unknown,
+}
+
+/// The times that a steward keeps to.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StewardRules {
+    /// An order that shows no effect is sent again after this.
+    pub order_again: Millis,
+    /// An order to load, after this.
+    pub load_again: Millis,
+    /// Before traffic, the list must have been quiet for this long.
+    pub list_settles: Millis,
+    /// A formation that is not whole after its load and this is given up.
+    pub patience: Millis,
+    /// The window in which loads are counted.
+    pub load_window: Millis,
+}
+
+impl Default for StewardRules {
+    fn default() -> Self {
+        Self {
+            order_again: Millis(180),
+            load_again: Millis(600),
+            list_settles: Millis(700),
+            patience: Millis(4_000),
+            load_window: Millis(5_000),
+        }
+    }
+}
+
+/// All that a steward looks at in one domain.
+#[derive(Clone, Copy)]
+pub struct Situation<'a> {
+    /// What the operator says of the engines.
+    pub engine: &'a Engine,
+    /// The domain's engines.
+    pub entries: &'a [&'a Entry],
+    /// Whether entries can be taken at their word.
+    pub trust: &'a ListTrust,
+    /// Who cannot be reached.
+    pub loss: &'a dyn Fn(&InstanceId) -> Loss,
+    /// Groups' worth of work that waits or runs, by model, over all domains.
+    pub demand: &'a BTreeMap<ModelName, f64>,
+    /// Groups that serve or will, by model, over all domains.
+    pub groups: &'a BTreeMap<ModelName, f64>,
+    /// Whether no request has come yet: loads are quick and free.
+    pub before_traffic: bool,
+    /// This steward's part of all loads, 0 to 1.
+    pub load_part: f64,
+    /// When an instance last appeared.
+    pub last_new: Millis,
+    /// The clock.
+    pub now: Millis,
+}
+
+#[derive(Debug, Clone)]
+struct Forming {
+    group: GroupId,
+    model: ModelName,
+    members: Vec<InstanceId>,
+    give_up_at: Millis,
+}
+
+/// What a group is to the steward.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    /// It serves, or will, or finishes: its members are taken.
+    Held,
+    /// Its head serves nobody: its members can be taken, the head first.
+    Idle,
+}
+
+/// The steward of one part of the lease.
+#[derive(Debug)]
+pub struct Steward {
+    rules: StewardRules,
+    part: u64,
+    fence: u64,
+    counter: u64,
+    forming: BTreeMap<u64, Forming>,
+    sent: BTreeMap<(InstanceId, u64, &'static str), Millis>,
+    staging: BTreeMap<InstanceId, (ModelName, Millis)>,
+    closed: BTreeSet<u64>,
+    released: BTreeSet<u64>,
+    loads: VecDeque<Millis>,
+}
+
+/// Bits of an epoch below the fence: those of the part, and of the count.
+const PART_BITS: u64 = 10;
+const COUNT_BITS: u64 = 14;
+
+impl Steward {
+    /// The steward of `part` under `fence`.
+    pub fn new(rules: StewardRules, part: u64, fence: u64) -> Self {
+        Self {
+            rules,
+            part,
+            fence,
+            counter: 0,
+            forming: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            staging: BTreeMap::new(),
+            closed: BTreeSet::new(),
+            released: BTreeSet::new(),
+            loads: VecDeque::new(),
+        }
+    }
+
+    /// The lease was renewed under a higher number.
+    pub fn raise_fence(&mut self, fence: u64) {
+        self.fence = self.fence.max(fence);
+    }
+
+    /// Whether anything is under way that needs a fresh list.
+    pub fn is_busy(&self) -> bool {
+        !self.forming.is_empty()
+    }
+
+    /// Adds groups that are being formed to `counts`, but for those in `known`.
+    pub fn count_forming(&self, known: &BTreeSet<u64>, counts: &mut BTreeMap<ModelName, f64>) {
+        let forming = self.forming.iter().filter(|(epoch, _)| !known.contains(epoch));
+        for (_, forming) in forming {
+            *counts.entry(forming.model.clone()).or_default() += 1.0;
+        }
+    }
+
+    /// Takes the answer to an order.
+    ///
+    /// Returns whether it shows that another steward has a higher fence: a late copy
+    /// of an order that has been overtaken by this steward's own is refused, too.
+    pub fn on_reply(&mut self, command: &Command, reply: OrderReply) -> bool {
+        let was_current = match &command.order {
+            Order::Join { epoch, .. } => self.forming.contains_key(epoch),
+            Order::Stage { .. } => self.staging.contains_key(&command.to),
+            _ => false,
+        };
+        let is_over = matches!(reply, OrderReply::Done);
+        match &command.order {
+            Order::Close { epoch, .. } if is_over => {
+                self.closed.insert(*epoch);
+            }
+            Order::Leave { epoch, .. } if is_over || reply == OrderReply::Begun => {
+                self.released.insert(*epoch);
+            }
+            Order::Join { epoch, .. } if reply == OrderReply::Outranked => {
+                self.forming.remove(epoch);
+            }
+            Order::Stage { .. } if !matches!(reply, OrderReply::Begun | OrderReply::Unknown) => {
+                self.staging.remove(&command.to);
+            }
+            _ => {}
+        }
+        was_current && reply == OrderReply::Outranked
+    }
+
+    /// What is to be ordered in a domain now.
+    pub fn plan(&mut self, s: &Situation<'_>) -> Vec<Command> {
+        let mut commands = Vec::new();
+        let groups = groups::collate(s.entries.iter().copied());
+        self.give_up_formations(s);
+        let mut idle = Vec::new();
+        for group in &groups {
+            if self.judge(group, s, &mut commands) == Standing::Idle {
+                idle.push(group);
+            }
+        }
+        let pool = self.pool(s, &groups, &idle);
+        self.form(s, &pool);
+        self.carry_on(s, &groups, &mut commands);
+        self.stage(s, &pool, &mut commands);
+        self.tidy(s);
+        commands
+    }
+
+    fn next_epoch(&mut self) -> u64 {
+        self.counter += 1;
+        let part = self.part & ((1 << PART_BITS) - 1);
+        let count = self.counter & ((1 << COUNT_BITS) - 1);
+        (self.fence << (PART_BITS + COUNT_BITS)) | (part << COUNT_BITS) | count
+    }
+
+    fn give_up_formations(&mut self, s: &Situation<'_>) {
+        let is_fit = |id: &InstanceId| {
+            let entry = s.entries.iter().find(|entry| &entry.instance.id == id);
+            entry.is_some_and(|entry| s.can_serve(entry))
+        };
+        let here = |id: &InstanceId| s.entries.iter().any(|entry| &entry.instance.id == id);
+        self.forming.retain(|_, forming| {
+            if !forming.members.iter().any(here) {
+                // Of another domain, or all of it is gone.
+                return s.now < forming.give_up_at;
+            }
+            s.now < forming.give_up_at && forming.members.iter().all(is_fit)
+        });
+    }
+
+    fn judge(&mut self, group: &Group, s: &Situation<'_>, commands: &mut Vec<Command>) -> Standing {
+        let Some(head) = group.head() else { return Standing::Idle };
+        if self.forming.contains_key(&group.epoch) {
+            return self.judge_forming(group, head, s);
+        }
+        if s.is_lost(&head.id) {
+            return Standing::Idle;
+        }
+        if self.closed.contains(&group.epoch) {
+            return Standing::Idle;
+        }
+        match group.state() {
+            Some(MemberState::Open) => self.judge_open(group, head, s, commands),
+            Some(MemberState::Closing) => {
+                if s.has_lost_member(group) {
+                    self.close(group, head, true, "a closing group lost a member", s, commands);
+                }
+                Standing::Held
+            }
+            _ => Standing::Idle,
+        }
+    }
+
+    fn judge_forming(&mut self, group: &Group, head: &Instance, s: &Situation<'_>) -> Standing {
+        if group.state() == Some(MemberState::Open) {
+            self.forming.remove(&group.epoch);
+        }
+        if s.is_lost(&head.id) { Standing::Idle } else { Standing::Held }
+    }
+
+    fn judge_open(
+        &mut self,
+        group: &Group,
+        head: &Instance,
+        s: &Situation<'_>,
+        commands: &mut Vec<Command>,
+    ) -> Standing {
+        if s.has_lost_member(group) {
+            self.close(group, head, true, "a member is lost", s, commands);
+        } else if s.has_leaving_member(group) {
+            self.close(group, head, false, "a member is leaving", s, commands);
+        }
+        Standing::Held
+    }
+
+    fn close(
+        &mut self,
+        group: &Group,
+        head: &Instance,
+        is_cut: bool,
+        why: &'static str,
+        s: &Situation<'_>,
+        commands: &mut Vec<Command>,
+    ) {
+        let kind = if is_cut { "cut" } else { "close" };
+        let order = Order::Close { group: group.id.clone(), epoch: group.epoch, is_cut };
+        self.send(head, group.epoch, kind, order, why, s.now, commands);
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the parts of one order")]
+    fn send(
+        &mut self,
+        to: &Instance,
+        epoch: u64,
+        kind: &'static str,
+        order: Order,
+        why: &'static str,
+        now: Millis,
+        commands: &mut Vec<Command>,
+    ) {
+        let again = if kind == "stage" { self.rules.load_again } else { self.rules.order_again };
+        let key = (to.id.clone(), epoch, kind);
+        if self.sent.get(&key).is_some_and(|at| now.since(*at) < again) {
+            return;
+        }
+        self.sent.insert(key, now);
+        let address = to.address.clone();
+        commands.push(Command { to: to.id.clone(), address, order, fence: self.fence, why });
+    }
+
+    /// Goes on with every formation: joins that are due, then opening.
+    fn carry_on(&mut self, s: &Situation<'_>, groups: &[Group], commands: &mut Vec<Command>) {
+        let epochs: Vec<u64> = self.forming.keys().copied().collect();
+        for epoch in epochs {
+            let forming = self.forming[&epoch].clone();
+            let members: Option<Vec<&Instance>> = forming
+                .members
+                .iter()
+                .map(|id| s.entry(id).map(|entry| entry.instance.as_ref()))
+                .collect();
+            let Some(members) = members else { continue };
+            let has_joined = |member: &&Instance| {
+                member.membership.as_ref().is_some_and(|own| own.epoch == epoch)
+            };
+            for member in members.iter().filter(|member| !has_joined(member)) {
+                self.join(member, epoch, &forming, s, groups, commands);
+            }
+            let is_ready = |member: &&Instance| {
+                let own = member.membership.as_ref();
+                own.is_some_and(|own| own.epoch == epoch && own.state == MemberState::Ready)
+            };
+            if members.iter().all(is_ready) {
+                let order = Order::Open { group: forming.group.clone(), epoch };
+                self.send(members[0], epoch, "open", order, "all are ready", s.now, commands);
+            }
+        }
+    }
+
+    fn join(
+        &mut self,
+        member: &Instance,
+        epoch: u64,
+        forming: &Forming,
+        s: &Situation<'_>,
+        groups: &[Group],
+        commands: &mut Vec<Command>,
+    ) {
+        if let Some((group, head)) = self.bound_by(member, s, groups) {
+            let is_taken = self.forming.values().any(|other| other.members.contains(&head.id));
+            if !is_taken {
+                let order = Order::Leave { group: group.id.clone(), epoch: group.epoch };
+                let why = "its member is needed elsewhere";
+                self.send(head, group.epoch, "leave", order, why, s.now, commands);
+            }
+            return;
+        }
+        let order = Order::Join {
+            group: forming.group.clone(),
+            epoch,
+            model: forming.model.clone(),
+            members: forming.members.clone(),
+        };
+        self.send(member, epoch, "join", order, "a group is formed", s.now, commands);
+    }
+
+    /// The group whose head has to go before `member` can be taken out of it.
+    fn bound_by<'a>(
+        &self,
+        member: &Instance,
+        s: &Situation<'a>,
+        groups: &'a [Group],
+    ) -> Option<(&'a Group, &'a Instance)> {
+        let own = member.membership.as_ref().filter(|own| own.rank > 0)?;
+        let group =
+            groups.iter().find(|group| group.epoch == own.epoch && group.id == own.group)?;
+        let head = group.head()?;
+        let is_free = s.is_lost(&head.id) || self.released.contains(&group.epoch);
+        (!is_free).then_some((group, head.as_ref()))
+    }
+
+    fn tidy(&mut self, s: &Situation<'_>) {
+        let window = self.rules.load_window;
+        while self.loads.front().is_some_and(|at| s.now.since(*at) > window) {
+            self.loads.pop_front();
+        }
+        self.sent.retain(|_, at| s.now.since(*at) < Millis::from_secs(10));
+        while self.closed.len() > MOST_REMEMBERED {
+            self.closed.pop_first();
+        }
+        while self.released.len() > MOST_REMEMBERED {
+            self.released.pop_first();
+        }
+    }
+}
+
+/// Groups whose end is remembered.
+const MOST_REMEMBERED: usize = 512;
+
+impl<'a> Situation<'a> {
+    fn entry(&self, id: &InstanceId) -> Option<&'a Entry> {
+        self.entries.iter().copied().find(|entry| &entry.instance.id == id)
+    }
+
+    /// Whether an instance is known to be gone, or out of reach of several nodes.
+    fn is_lost(&self, id: &InstanceId) -> bool {
+        (self.loss)(id) >= Loss::Confirmed
+    }
+
+    /// Whether an instance may be put into a group.
+    fn can_serve(&self, entry: &Entry) -> bool {
+        entry.is_in_service(self.trust, self.now) && (self.loss)(&entry.instance.id) == Loss::None
+    }
+
+    fn has_lost_member(&self, group: &Group) -> bool {
+        let size = self.engine.model(group.model()).map_or(1, |model| model.size);
+        (0..size).any(|rank| match group.members.get(&rank) {
+            Some(member) => self.is_lost(&member.id),
+            None => true,
+        })
+    }
+
+    fn has_leaving_member(&self, group: &Group) -> bool {
+        group.members.values().any(|member| {
+            let entry = self.entry(&member.id);
+            entry.is_none_or(|entry| !entry.is_in_service(self.trust, self.now))
+        })
+    }
+}
--- /dev/null
+++ b/crates/workshold-core/src/hosted/steward/choosing.rs
@@ -0,0 +1,210 @@
+//! Which groups are formed, out of whom, and whose weights are fetched ahead.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use workshold_protocol::Millis;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::ids::ModelName;
+
+use crate::hosted::catalog::ModelShape;
+use crate::hosted::groups;
+use crate::hosted::groups::Group;
+use crate::hosted::roster::Instance;
+
+use super::Command;
+use super::Forming;
+use super::Order;
+use super::Situation;
+use super::Steward;
+
+/// How soon an instance can serve a model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Warmth {
+    /// Its memory has the weights.
+    Loaded,
+    /// Its host has them.
+    Staged,
+    /// They have to be fetched.
+    Cold,
+}
+
+fn warmth(instance: &Instance, model: &ModelName) -> Warmth {
+    if instance.loaded.contains(model) {
+        Warmth::Loaded
+    } else if instance.staged.contains(model) {
+        Warmth::Staged
+    } else {
+        Warmth::Cold
+    }
+}
+
+/// An instance that can be taken, and whether its old head has to go first.
+#[derive(Debug, Clone)]
+pub(super) struct Free {
+    instance: Arc<Instance>,
+    is_bound: bool,
+}
+
+impl Steward {
+    /// Instances that can be put into a new group.
+    pub(super) fn pool(&self, s: &Situation<'_>, groups: &[Group], idle: &[&Group]) -> Vec<Free> {
+        let is_forming = |id: &InstanceId| self.forming.values().any(|f| f.members.contains(id));
+        let mut pool: Vec<Free> = s
+            .entries
+            .iter()
+            .filter(|entry| s.can_serve(entry) && !is_forming(&entry.instance.id))
+            .filter(|entry| match &entry.instance.membership {
+                None => true,
+                Some(own) => idle.iter().any(|group| group.epoch == own.epoch),
+            })
+            .map(|entry| {
+                let instance = Arc::clone(&entry.instance);
+                let is_bound = self.bound_by(&instance, s, groups).is_some();
+                Free { instance, is_bound }
+            })
+            .collect();
+        pool.sort_by(|a, b| {
+            a.is_bound.cmp(&b.is_bound).then_with(|| a.instance.id.cmp(&b.instance.id))
+        });
+        pool
+    }
+
+    /// Starts formations while there is somebody to form them of.
+    pub(super) fn form(&mut self, s: &Situation<'_>, pool: &[Free]) {
+        if s.before_traffic && s.now.since(s.last_new) < self.rules.list_settles {
+            return;
+        }
+        let mut pool = pool.to_vec();
+        pool.retain(|free| !self.is_staging(&free.instance, s));
+        let mut counts = s.groups.clone();
+        loop {
+            let by_need = by_need(s, &counts);
+            let chosen = by_need.iter().find_map(|model| {
+                let members = members_for(model, &pool, s.before_traffic)?;
+                Some((*model, members))
+            });
+            let Some((model, members)) = chosen else { return };
+            pool.retain(|free| !members.contains(&free.instance.id));
+            *counts.entry(model.name.clone()).or_default() += 1.0;
+            self.start_forming(model, members, s.now);
+        }
+    }
+
+    fn start_forming(&mut self, model: &ModelShape, members: Vec<InstanceId>, now: Millis) {
+        let epoch = self.next_epoch();
+        let group = groups::group_id(model.name.as_str(), epoch);
+        let give_up_at = now + model.load + self.rules.patience;
+        let forming = Forming { group, model: model.name.clone(), members, give_up_at };
+        self.forming.insert(epoch, forming);
+    }
+
+    /// Fetches weights to hosts that could complete a group, or stand by.
+    pub(super) fn stage(&mut self, s: &Situation<'_>, pool: &[Free], commands: &mut Vec<Command>) {
+        if s.before_traffic {
+            return;
+        }
+        let is_forming = |id: &InstanceId| self.forming.values().any(|f| f.members.contains(id));
+        let free: Vec<Arc<Instance>> = pool
+            .iter()
+            .filter(|free| !is_forming(&free.instance.id))
+            .map(|free| Arc::clone(&free.instance))
+            .collect();
+        let mut coming: BTreeMap<ModelName, usize> = BTreeMap::new();
+        let mut idle = Vec::new();
+        for instance in free {
+            if let Some(model) = self.staging_model(&instance, s) {
+                *coming.entry(model).or_default() += 1;
+            } else {
+                idle.push(instance);
+            }
+        }
+        for model in by_need(s, s.groups) {
+            let quick = |i: &Arc<Instance>| warmth(i, &model.name) < Warmth::Cold;
+            let have = idle.iter().filter(|i| quick(i)).count();
+            let on_the_way = coming.get(&model.name).copied().unwrap_or_default();
+            let lacking = model.size.saturating_sub(have + on_the_way);
+            let cold: Vec<Arc<Instance>> = idle.iter().filter(|i| !quick(i)).cloned().collect();
+            if lacking == 0 || have + on_the_way + cold.len() < model.size {
+                continue;
+            }
+            for instance in cold.iter().take(lacking) {
+                self.stage_one(instance, model, s, commands);
+            }
+            idle.retain(|i| !quick(i) && !cold.iter().take(lacking).any(|c| c.id == i.id));
+        }
+        for instance in &idle {
+            let is_cold = instance.loaded.is_empty() && instance.staged.is_empty();
+            if let Some(model) = by_need(s, s.groups).first().filter(|_| is_cold) {
+                self.stage_one(instance, model, s, commands);
+            }
+        }
+    }
+
+    fn stage_one(
+        &mut self,
+        instance: &Instance,
+        model: &ModelShape,
+        s: &Situation<'_>,
+        commands: &mut Vec<Command>,
+    ) {
+        let window = self.rules.load_window.as_secs_f64();
+        let most = (s.engine.loads_per_s * window * s.load_part * LOADS_USED).max(1.0);
+        if self.loads.len() as f64 + 1.0 > most {
+            return;
+        }
+        let before = commands.len();
+        let order = Order::Stage { model: model.name.clone() };
+        self.send(instance, 0, "stage", order, "weights will be needed here", s.now, commands);
+        if commands.len() > before {
+            self.loads.push_back(s.now);
+            self.staging.insert(instance.id.clone(), (model.name.clone(), s.now));
+        }
+    }
+
+    fn staging_model(&self, instance: &Instance, s: &Situation<'_>) -> Option<ModelName> {
+        let (model, since) = self.staging.get(&instance.id)?;
+        let load = s.engine.model(model.as_str()).map_or(Millis::ZERO, |model| model.load);
+        let is_done = instance.staged.contains(model);
+        let is_late = s.now.since(*since) > load + load + self.rules.patience;
+        (!is_done && !is_late).then(|| model.clone())
+    }
+
+    fn is_staging(&self, instance: &Instance, s: &Situation<'_>) -> bool {
+        self.staging_model(instance, s).is_some()
+    }
+}
+
+/// Part of the weight store's rate that is used: orders that are carried out late
+/// fall into another window.
+const LOADS_USED: f64 = 0.8;
+
+/// The models, the one that lacks most first.
+fn by_need<'a>(s: &Situation<'a>, counts: &BTreeMap<ModelName, f64>) -> Vec<&'a ModelShape> {
+    let need = |model: &ModelShape| {
+        let demand = s.demand.get(&model.name).copied().unwrap_or(model.share);
+        let groups = counts.get(&model.name).copied().unwrap_or_default();
+        (demand + LEAST_DEMAND) / (groups + LEAST_DEMAND)
+    };
+    let mut models: Vec<&ModelShape> = s.engine.models.iter().collect();
+    models.sort_by(|a, b| need(b).total_cmp(&need(a)));
+    models
+}
+
+/// Keeps models apart that nobody asks for and nobody serves.
+const LEAST_DEMAND: f64 = 0.05;
+
+/// Who would be the quickest group of `model`; the head is one that is not bound.
+fn members_for(model: &ModelShape, pool: &[Free], may_be_cold: bool) -> Option<Vec<InstanceId>> {
+    let mut fit: Vec<&Free> = pool
+        .iter()
+        .filter(|free| may_be_cold || warmth(&free.instance, &model.name) < Warmth::Cold)
+        .collect();
+    fit.sort_by_key(|free| warmth(&free.instance, &model.name));
+    fit.truncate(model.size);
+    if fit.len() < model.size {
+        return None;
+    }
+    fit.sort_by_key(|free| free.is_bound);
+    Some(fit.iter().map(|free| free.instance.id.clone()).collect())
+}
--- /dev/null
+++ b/crates/workshold-core/src/hosted/suspicion.rs
@@ -0,0 +1,128 @@
+//! Which instances cannot be reached, by this node's and its peers' own tries.
+//!
+//! The list is seconds late. A try to connect is not: an instance that is well
+//! answers within a few milliseconds, one without power says nothing, and one
+//! whose process is gone refuses.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use smol_str::SmolStr;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::InstanceId;
+
+/// What a try to reach an instance showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// It answered.
+    Answers,
+    /// It says nothing.
+    Silent,
+    /// Nothing listens there any more: this life of it has ended.
+    Refused,
+}
+
+#[derive(Debug, Clone)]
+struct Doubt {
+    since: Millis,
+    seen_by: BTreeSet<SmolStr>,
+    own: bool,
+    has_ended: bool,
+}
+
+/// How sure a node is that an instance is lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Loss {
+    /// Nothing speaks against it.
+    None,
+    /// Somebody could not reach it: it gets no new work while others can.
+    Doubted,
+    /// This node and another, or all that are asked, cannot reach it.
+    Confirmed,
+    /// Its process is gone.
+    Ended,
+}
+
+/// Doubts by instance.
+#[derive(Debug, Clone, Default)]
+pub struct Suspicions {
+    doubts: BTreeMap<InstanceId, Doubt>,
+}
+
+/// A doubt that nobody renews is dropped after this: the instance may be back.
+const DOUBT_TTL: Millis = Millis::from_secs(30);
+
+impl Suspicions {
+    /// This node tried.
+    pub fn on_own(&mut self, id: &InstanceId, reach: Reach, now: Millis) {
+        if reach == Reach::Answers {
+            self.doubts.remove(id);
+            return;
+        }
+        let doubt = self.doubt(id, now);
+        doubt.own = true;
+        doubt.has_ended |= reach == Reach::Refused;
+    }
+
+    /// A peer tried.
+    pub fn on_peer(&mut self, id: &InstanceId, peer: &str, reach: Reach, now: Millis) {
+        if reach == Reach::Answers {
+            if let Some(doubt) = self.doubts.get_mut(id) {
+                doubt.seen_by.remove(peer);
+                if doubt.seen_by.is_empty() && !doubt.own {
+                    self.doubts.remove(id);
+                }
+            }
+            return;
+        }
+        let doubt = self.doubt(id, now);
+        doubt.seen_by.insert(SmolStr::new(peer));
+        doubt.has_ended |= reach == Reach::Refused;
+    }
+
+    /// How sure this is; `peers` is how many other nodes could be asked.
+    pub fn loss(&self, id: &InstanceId, peers: usize) -> Loss {
+        let Some(doubt) = self.doubts.get(id) else { return Loss::None };
+        if doubt.has_ended {
+            return Loss::Ended;
+        }
+        if doubt.own && (!doubt.seen_by.is_empty() || peers == 0) {
+            return Loss::Confirmed;
+        }
+        Loss::Doubted
+    }
+
+    /// Since when there is doubt.
+    pub fn since(&self, id: &InstanceId) -> Option<Millis> {
+        self.doubts.get(id).map(|doubt| doubt.since)
+    }
+
+    /// Whether this node itself could not reach it.
+    pub fn is_own(&self, id: &InstanceId) -> bool {
+        self.doubts.get(id).is_some_and(|doubt| doubt.own)
+    }
+
+    /// All that are doubted.
+    pub fn iter(&self) -> impl Iterator<Item = &InstanceId> {
+        self.doubts.keys()
+    }
+
+    /// The instance said something new: whatever was, it is there.
+    pub fn clear(&mut self, id: &InstanceId) {
+        self.doubts.remove(id);
+    }
+
+    /// Drops old doubts and those of instances that are `forgotten`.
+    pub fn forget(&mut self, now: Millis, is_known: impl Fn(&InstanceId) -> bool) {
+        self.doubts.retain(|id, doubt| now.since(doubt.since) < DOUBT_TTL && is_known(id));
+    }
+
+    fn doubt(&mut self, id: &InstanceId, now: Millis) -> &mut Doubt {
+        self.doubts.entry(id.clone()).or_insert_with(|| Doubt {
+            since: now,
+            seen_by: BTreeSet::new(),
+            own: false,
+            has_ended: false,
+        })
+    }
+}
--- /dev/null
+++ b/crates/workshold-core/src/hosted/tries.rs
@@ -0,0 +1,129 @@
+//! What may be tried again, and how often over all nodes together.
+
+use std::collections::VecDeque;
+
+use workshold_protocol::Millis;
+
+use super::catalog::Route;
+
+/// How one try ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// No byte of it left this node.
+    NotSent,
+    /// The upstream says that it has not run it and will not.
+    Refused,
+    /// It may have run: the connection broke, or nothing came.
+    Unknown,
+    /// It ran and failed, by the upstream's word.
+    Failed,
+}
+
+/// What a request has used up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Used {
+    /// Upstream instances that it was sent to.
+    pub sent: u32,
+    /// Tries that never left.
+    pub not_sent: u32,
+    /// Whether one of those sends may have run.
+    pub may_have_run: bool,
+}
+
+/// What follows a try.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// Another try elsewhere.
+    Again,
+    /// The caller is told that it has not run.
+    NotRun,
+    /// The caller is told that nobody knows.
+    Unknown,
+    /// The caller is given the upstream's own failure.
+    PassOn,
+}
+
+/// Tries that never left, before a request is given up: more instances than are
+/// usually lost at once.
+const MOST_NOT_SENT: u32 = 4;
+
+/// The one place that says whether a request may be tried again.
+pub fn next(route: &Route, ending: Ending, used: Used, has_budget: bool, has_time: bool) -> Next {
+    let may_send = used.sent < route.attempts.max(1) && has_time;
+    let again = match ending {
+        Ending::NotSent => {
+            let is_first = used.sent == 0;
+            used.not_sent < MOST_NOT_SENT && may_send && (is_first || route.is_repeatable())
+        }
+        Ending::Refused => may_send && has_budget,
+        Ending::Unknown | Ending::Failed => may_send && has_budget && route.is_repeatable(),
+    };
+    if again {
+        return Next::Again;
+    }
+    if ending == Ending::Failed {
+        return Next::PassOn;
+    }
+    if used.may_have_run { Next::Unknown } else { Next::NotRun }
+}
+
+/// How repeats are bounded over all nodes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetRules {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// The time over which they count.
+    pub window: Millis,
+    /// Repeats that all nodes together may make beyond that.
+    pub slack: f64,
+}
+
+/// Part of the allowance that is used; the rest is for nodes whose view is late.
+const USED_PART: f64 = 0.8;
+/// Steps that a window is counted in.
+const STEPS: u64 = 20;
+
+/// One node's part of the budget for one service.
+#[derive(Debug, Clone)]
+pub struct Budget {
+    rules: BudgetRules,
+    steps: VecDeque<(u64, u32, u32)>,
+}
+
+impl Budget {
+    /// Nothing used yet.
+    pub fn new(rules: BudgetRules) -> Self {
+        Self { rules, steps: VecDeque::new() }
+    }
+
+    /// A request came.
+    pub fn on_request(&mut self, now: Millis) {
+        self.step(now).1 += 1;
+    }
+
+    /// Takes one repeat, if this node's part allows it; `nodes` share the slack.
+    pub fn take(&mut self, now: Millis, nodes: usize) -> bool {
+        self.step(now);
+        let requests: u32 = self.steps.iter().map(|step| step.1).sum();
+        let repeats: u32 = self.steps.iter().map(|step| step.2).sum();
+        let own_slack = self.rules.slack / nodes.max(1) as f64;
+        let allowed = (self.rules.ratio * f64::from(requests) + own_slack) * USED_PART;
+        if f64::from(repeats) + 1.0 > allowed {
+            return false;
+        }
+        self.step(now).2 += 1;
+        true
+    }
+
+    fn step(&mut self, now: Millis) -> &mut (u64, u32, u32) {
+        let len = (self.rules.window.0 / STEPS).max(1);
+        let number = now.0 / len;
+        while self.steps.front().is_some_and(|step| step.0 + STEPS <= number) {
+            self.steps.pop_front();
+        }
+        if self.steps.back().is_none_or(|step| step.0 != number) {
+            self.steps.push_back((number, 0, 0));
+        }
+        self.steps.back_mut().expect("one was just pushed")
+    }
+}
--- a/crates/workshold-core/src/lib.rs
+++ b/crates/workshold-core/src/lib.rs
@@ -10,6 +10,7 @@
 //! - What to do about it: [`steward`] with [`repair`]; [`checkpointing`].
 //! - Requests: [`course`], [`once`], [`routing`], [`admission`], [`limits`], [`retry`],
 //!   [`outlier`].
+//! - Where the platform keeps the state: [`hosted`].
 //! - Nodes: [`membership`], [`listing`], [`custody`], [`rendezvous`].
 
 pub mod admission;
@@ -19,6 +20,7 @@
 pub mod custody;
 pub mod fleet;
 pub mod gate;
+pub mod hosted;
 pub mod keys;
 pub mod limits;
 pub mod listing;
--- /dev/null
+++ b/crates/workshold-gateway/src/callers/control.rs
@@ -0,0 +1,84 @@
+//! What other nodes and operators ask of a node: its configuration, list and state.
+
+use bytes::Bytes;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use serde_json::json;
+
+use crate::callers::answers;
+use crate::callers::answers::AnswerBody;
+use crate::node::Node;
+use crate::tasks::following;
+use crate::tasks::gossip;
+
+/// Where operators read a node's state.
+pub const STATE_PATH: &str = "/state";
+
+/// Answers other nodes and operators.
+pub fn answer(node: &Node, req: &Request<Incoming>) -> Response<AnswerBody> {
+    match req.uri().path() {
+        gossip::CONFIG_PATH => match node.config_bytes() {
+            Some(bytes) => Response::new(answers::whole(bytes)),
+            None => answers::own(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
+        },
+        gossip::LIST_PATH => list(node, req.uri().query().unwrap_or_default()),
+        STATE_PATH => Response::new(answers::whole(state(node).into())),
+        _ => answers::own(StatusCode::NOT_FOUND, "no such question"),
+    }
+}
+
+fn list(node: &Node, query: &str) -> Response<AnswerBody> {
+    let from = query.strip_prefix("from=").and_then(|from| from.parse().ok()).unwrap_or(0);
+    let age = node.now().since(node.list.lock().read_at).0;
+    let records = following::peer_records(node, from);
+    let bytes = postcard::to_stdvec(&(age, records)).expect("records have only plain fields");
+    Response::new(answers::whole(Bytes::from(bytes)))
+}
+
+/// The node's state as JSON.
+pub fn state(node: &Node) -> String {
+    let now = node.now();
+    let lease = node.lease.lock().clone();
+    let list = node.list.lock();
+    let instances: Vec<_> = list
+        .roster
+        .iter()
+        .map(|entry| {
+            let own = entry.instance.membership.as_ref();
+            json!({
+                "id": entry.instance.id.as_str(),
+                "is_leaving": entry.instance.is_leaving,
+                "is_listed": entry.unlisted_since.is_none(),
+                "group": own.map(|own| own.group.as_str().to_owned()),
+                "state": own.map(|own| format!("{:?}", own.state)),
+                "requests": node.loads.of(&entry.instance.id),
+                "usual_gap_ms": node.gaps.lock().usual(&entry.instance.id),
+            })
+        })
+        .collect();
+    let list_age = now.since(list.read_at).0;
+    drop(list);
+    let peers: Vec<_> = node
+        .peers
+        .lock()
+        .heard(now)
+        .map(
+            |(address, peer)| json!({ "name": peer.name.as_str(), "address": address.to_string() }),
+        )
+        .collect();
+    let readiness = node.readiness();
+    json!({
+        "node": node.settings().node.name,
+        "readiness": readiness.map_or_else(|why| why.to_string(), |()| "it serves".to_owned()),
+        "config": node.config_age().map(|(version, age)| json!({ "version": version, "age_ms": age.0 })),
+        "list_age_ms": list_age,
+        "store_age_ms": node.store_age().0,
+        "lease": { "generation": lease.generation, "parts": lease.parts.keys().collect::<Vec<_>>() },
+        "requests": node.in_flight(),
+        "peers": peers,
+        "instances": instances,
+    })
+    .to_string()
+}
--- /dev/null
+++ b/crates/workshold-gateway/src/callers/requests.rs
@@ -0,0 +1,195 @@
+//! A caller's request, from its head to what is to be done for it.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use smol_str::SmolStr;
+use workshold_core::hosted::catalog::Caller;
+use workshold_core::hosted::catalog::Catalog;
+use workshold_core::hosted::catalog::Route;
+use workshold_http::body;
+use workshold_http::body::BodyError;
+use workshold_platform::names;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::ServiceName;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::callers::answers;
+use crate::callers::answers::AnswerBody;
+use crate::events::Event;
+use crate::events::emit;
+use crate::node::Node;
+use crate::relay;
+
+/// A request that is allowed, and all that is needed to carry it to an upstream.
+#[derive(Debug)]
+pub struct Job {
+    /// The caller's name for it.
+    pub id: SmolStr,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that takes it.
+    pub service: ServiceName,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query, unchanged.
+    pub path: SmolStr,
+    /// Its headers as upstreams get them, but for those of one attempt.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// The model that it is for.
+    pub model: Option<SmolStr>,
+    /// The last event that the caller has.
+    pub last_event: Option<u64>,
+    /// When it came.
+    pub began: Millis,
+    /// When its time is up.
+    pub ends: Millis,
+}
+
+/// Waits for a caller who names no time of its own.
+const USUAL_TIME: Millis = Millis::from_secs(10);
+/// When to come back if this node lacks what it needs to judge a request.
+const COME_BACK: Millis = Millis(400);
+/// A team's rank goes before a route's: this many ranks of a route are one of a team.
+const ROUTE_RANKS: u8 = 3;
+const LEAST_URGENT: u8 = 9;
+
+/// Answers one request.
+pub async fn answer(node: Arc<Node>, req: Request<Incoming>) -> Response<AnswerBody> {
+    let guard = node.begin_request();
+    node.saw_traffic();
+    let mut res = match prepare(&node, req).await {
+        Ok(job) => relay::run(&node, job, guard).await,
+        Err(res) => *res,
+    };
+    if node.is_closing() {
+        res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    res
+}
+
+async fn prepare(node: &Node, req: Request<Incoming>) -> Result<Job, Box<Response<AnswerBody>>> {
+    let began = node.now();
+    let (parts, incoming) = req.into_parts();
+    let catalog = node.catalog();
+    let catalog = catalog.ok_or_else(|| refuse("this node has no configuration yet"))?;
+    let id = text(&parts.headers, &names::REQUEST_ID).unwrap_or_default();
+    let host = text(&parts.headers, &header::HOST);
+    let host = host.or_else(|| parts.uri.authority().map(|host| SmolStr::new(host.as_str())));
+    let path = parts.uri.path();
+    let route = host.as_deref().and_then(|host| catalog.route(host, path));
+    let route = route.ok_or_else(|| deny(&id, StatusCode::NOT_FOUND, "no such route"))?;
+    let team = authorize(node, &catalog, route, &parts.headers, &id)?;
+    let time = time_of(&parts.headers).min(route.timeout);
+    let body = read_body(incoming, &catalog, time).await.map_err(Box::new)?;
+    let draw = xxh3_64(id.as_bytes());
+    let service = route.target(draw);
+    let service = service.ok_or_else(|| refuse("the route has no service"))?.clone();
+    let mut headers = parts.headers;
+    let model = text(&headers, &names::MODEL);
+    let last_event = text(&headers, &names::LAST_EVENT).and_then(|text| text.parse().ok());
+    let rank = team.as_ref().map_or(0, |(_, rank)| *rank);
+    set_headers(&mut headers, team.map(|(name, _)| name), urgency(rank, route.priority));
+    let path = parts.uri.path_and_query().map_or(path, |path| path.as_str());
+    Ok(Job {
+        id,
+        route: Arc::clone(route),
+        service,
+        method: parts.method,
+        path: SmolStr::new(path),
+        headers,
+        body,
+        model,
+        last_event,
+        began,
+        ends: began + time,
+    })
+}
+
+fn refuse(text: &'static str) -> Box<Response<AnswerBody>> {
+    Box::new(answers::not_run(text, COME_BACK))
+}
+
+fn deny(id: &str, status: StatusCode, text: &'static str) -> Box<Response<AnswerBody>> {
+    let fields = [("request", id), ("why", text), ("status", status.as_str())];
+    emit(Event::RequestNotRun, &fields);
+    Box::new(answers::own(status, text))
+}
+
+type TeamAndRank = (SmolStr, u8);
+
+/// Whose a request is, if it may be believed.
+fn authorize(
+    node: &Node,
+    catalog: &Catalog,
+    route: &Route,
+    headers: &HeaderMap,
+    id: &str,
+) -> Result<Option<TeamAndRank>, Box<Response<AnswerBody>>> {
+    if catalog.needs_key(route) && !node.are_keys_current() {
+        let why = "keys may be out of date here";
+        emit(Event::RequestNotRun, &[("request", id), ("why", why)]);
+        return Err(refuse(why));
+    }
+    let key = text(headers, &names::KEY);
+    match catalog.caller(route, key.as_deref()) {
+        Caller::Anyone => Ok(None),
+        Caller::Team(team) => Ok(Some((SmolStr::new(team.name.as_str()), team.priority))),
+        Caller::Unknown => Err(deny(id, StatusCode::UNAUTHORIZED, "the key is not known")),
+    }
+}
+
+fn urgency(team: u8, route: u8) -> u8 {
+    let route = route.min(ROUTE_RANKS - 1);
+    team.saturating_mul(ROUTE_RANKS).saturating_add(route).min(LEAST_URGENT)
+}
+
+fn time_of(headers: &HeaderMap) -> Millis {
+    let time = text(headers, &names::TIME_LEFT).and_then(|text| text.parse::<f64>().ok());
+    time.map_or(USUAL_TIME, |ms| Millis(ms.max(0.0) as u64))
+}
+
+fn text(headers: &HeaderMap, name: &HeaderName) -> Option<SmolStr> {
+    headers.get(name).and_then(|value| value.to_str().ok()).map(SmolStr::new)
+}
+
+async fn read_body(
+    incoming: Incoming,
+    catalog: &Catalog,
+    time: Millis,
+) -> Result<Bytes, Response<AnswerBody>> {
+    let within = time.min(catalog.limits.idle_time).to_duration();
+    body::read(incoming, catalog.limits.body_len, within).await.map_err(|err| match err {
+        BodyError::TooLarge(_) => {
+            answers::own(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")
+        }
+        BodyError::TooSlow(_) => answers::own(StatusCode::REQUEST_TIMEOUT, "the body did not come"),
+        BodyError::Broken => answers::own(StatusCode::BAD_REQUEST, "the body broke off"),
+    })
+}
+
+/// Sets what upstreams are told beyond the caller's own headers.
+fn set_headers(headers: &mut HeaderMap, team: Option<SmolStr>, urgency: u8) {
+    answers::strip(headers);
+    headers.remove(header::EXPECT);
+    headers.remove(names::KEY);
+    headers.remove(names::TEAM);
+    headers.remove(names::ONLY_AT);
+    headers.remove(names::URGENCY);
+    headers.remove(names::TIME_LEFT);
+    if let Some(team) = team.and_then(|team| HeaderValue::from_str(&team).ok()) {
+        headers.insert(names::TEAM, team);
+    }
+    headers.insert(names::URGENCY, HeaderValue::from(u16::from(urgency)));
+}
--- /dev/null
+++ b/crates/workshold-gateway/src/daemon.rs
@@ -0,0 +1,287 @@
+//! Starting a node, and ending it with a plan.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use displaydoc::Display;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
+use tower::service_fn;
+use workshold_http::server;
+use workshold_http::server::Bounds;
+use workshold_http::server::Stage;
+use workshold_protocol::Millis;
+use workshold_protocol::clock::SystemClock;
+
+use crate::callers::answers::AnswerBody;
+use crate::callers::control;
+use crate::callers::directory;
+use crate::callers::requests;
+use crate::events::Event;
+use crate::events::emit;
+use crate::node::Node;
+use crate::settings;
+use crate::settings::Settings;
+use crate::tasks;
+
+/// Time for the last lines to be written.
+pub const LOG_END_TIME: Duration = Duration::from_millis(300);
+
+/// Why a node did not start, or ended without being told to.
+#[derive(Debug, Display)]
+pub enum DaemonError {
+    /// {address} cannot be listened on: {why}
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the machine said.
+        why: io::Error,
+    },
+    /// the socket for other nodes cannot be opened: {0}
+    Peers(io::Error),
+    /// signals cannot be waited for: {0}
+    Signals(io::Error),
+    /// a part of the node has ended
+    TaskEnded,
+}
+
+impl std::error::Error for DaemonError {}
+
+/// Bytes of a request's head where the operator has not said.
+const HEAD_LEN: usize = 16 * 1024;
+/// A connection rests, or its head stays away, for this long at most: longer than
+/// callers let connections rest.
+const REST_TIME: Duration = Duration::from_secs(16);
+/// Connections to the directory and the like at once.
+const SIDE_CONNECTIONS: usize = 512;
+/// What is sent but not yet read by one caller, in bytes. Left to the machine, it
+/// grows, and a caller who has stopped reading is not noticed.
+const SEND_BUFFER: u32 = 64 * 1024;
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// How often the settings' file is looked at.
+const SETTINGS_EVERY: Duration = Duration::from_secs(1);
+/// How often a stopping node looks whether it is done.
+const STOP_POLL: Duration = Duration::from_millis(25);
+/// A planned stop ends this long before it would be cut.
+const STOP_LEAD: Millis = Millis(700);
+/// Time for answers that are complete to leave the machine.
+const FINISH_TIME: Duration = Duration::from_millis(250);
+/// Callers use addresses for up to this many times as long as they are told.
+const ADDRESSES_KEPT: f64 = 3.0;
+
+/// Runs a node until a signal stops it.
+///
+/// # Errors
+///
+/// [`DaemonError`] if it cannot start, or a part of it ends.
+pub async fn run(settings: Settings, path: PathBuf) -> Result<(), DaemonError> {
+    let mut signals = Signals::new().map_err(DaemonError::Signals)?;
+    let (doubts, doubts_rx) = mpsc::unbounded_channel();
+    let node = Arc::new(Node::new(settings, Box::new(SystemClock::default()), doubts));
+    let (stage, rx) = watch::channel(Stage::Running);
+    let callers = start_servers(&node, &rx)?;
+    let socket = tasks::gossip::open(&node).await.map_err(DaemonError::Peers)?;
+    let socket = Arc::new(socket);
+    let began = node.now();
+    let mut parts = JoinSet::new();
+    parts.spawn(tasks::following::config(Arc::clone(&node)));
+    parts.spawn(tasks::following::list(Arc::clone(&node)));
+    parts.spawn(tasks::gossip::send_pulses(Arc::clone(&node), Arc::clone(&socket)));
+    parts.spawn(tasks::gossip::receive(Arc::clone(&node), Arc::clone(&socket)));
+    parts.spawn(tasks::gossip::catch_up(Arc::clone(&node)));
+    parts.spawn(tasks::doubting::run(Arc::clone(&node), socket, doubts_rx));
+    parts.spawn(tasks::doubting::try_again(Arc::clone(&node)));
+    parts.spawn(tasks::leasing::find_peers(Arc::clone(&node)));
+    parts.spawn(tasks::stewarding::run(Arc::clone(&node)));
+    parts.spawn(tasks::upkeep::run(Arc::clone(&node)));
+    parts.spawn(watch_settings(Arc::clone(&node), path.clone()));
+    let lease = tokio::spawn(tasks::leasing::hold(Arc::clone(&node), began));
+    emit(Event::Started, &[("callers", &node.settings().listen.callers.to_string())]);
+    loop {
+        tokio::select! {
+            _ = parts.join_next() => return Err(DaemonError::TaskEnded),
+            wanted = signals.next() => match wanted {
+                Wanted::Settings => reload(&node, &path),
+                Wanted::Dump => print_state(&node),
+                Wanted::Stop => break,
+            },
+        }
+    }
+    stop(&node, callers, &stage).await;
+    lease.abort();
+    emit(Event::Stopped, &[("in_flight", &node.in_flight().to_string())]);
+    Ok(())
+}
+
+#[expect(clippy::print_stdout, reason = "the dump goes where the operator reads it")]
+fn print_state(node: &Node) {
+    println!("{}", control::state(node));
+}
+
+fn start_servers(
+    node: &Arc<Node>,
+    stage: &watch::Receiver<Stage>,
+) -> Result<JoinHandle<usize>, DaemonError> {
+    let settings = node.settings();
+    let bounds = Bounds {
+        connections: settings.caller_connections(),
+        head_len: HEAD_LEN,
+        head_time: REST_TIME,
+        ..Bounds::default()
+    };
+    let listener = bind(settings.listen.callers)?;
+    let for_callers = Arc::clone(node);
+    let service = service_fn(move |req: Request<Incoming>| {
+        infallible(requests::answer(Arc::clone(&for_callers), req))
+    });
+    let callers = tokio::spawn(server::serve(listener, bounds, service, stage.clone()));
+    serve_side(node, settings.listen.directory, stage, directory::answer)?;
+    serve_side(node, settings.listen.readiness, stage, directory::readiness)?;
+    serve_side(node, settings.listen.control, stage, control::answer)?;
+    Ok(callers)
+}
+
+type SideAnswer = fn(&Node, &Request<Incoming>) -> Response<AnswerBody>;
+
+fn serve_side(
+    node: &Arc<Node>,
+    address: SocketAddr,
+    stage: &watch::Receiver<Stage>,
+    answer: SideAnswer,
+) -> Result<(), DaemonError> {
+    let bounds =
+        Bounds { connections: SIDE_CONNECTIONS, head_time: REST_TIME, ..Bounds::default() };
+    let listener = bind(address)?;
+    let node = Arc::clone(node);
+    let service = service_fn(move |req: Request<Incoming>| {
+        let res = answer(&node, &req);
+        infallible(async move { res })
+    });
+    tokio::spawn(server::serve(listener, bounds, service, stage.clone()));
+    Ok(())
+}
+
+async fn infallible(
+    answer: impl Future<Output = Response<AnswerBody>>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    Ok(answer.await)
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    bind_bounded(address).map_err(|why| DaemonError::Listen { address, why })
+}
+
+fn bind_bounded(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    // Connections that are accepted have the listener's bound.
+    socket.set_send_buffer_size(SEND_BUFFER)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// What a signal asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Wanted {
+    Stop,
+    Settings,
+    Dump,
+}
+
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+    dump: Signal,
+}
+
+impl Signals {
+    fn new() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hang_up: signal(SignalKind::hangup())?,
+            dump: signal(SignalKind::user_defined1())?,
+        })
+    }
+
+    async fn next(&mut self) -> Wanted {
+        tokio::select! {
+            _ = self.terminate.recv() => Wanted::Stop,
+            _ = self.interrupt.recv() => Wanted::Stop,
+            _ = self.hang_up.recv() => Wanted::Settings,
+            _ = self.dump.recv() => Wanted::Dump,
+        }
+    }
+}
+
+/// The file may change without a signal.
+async fn watch_settings(node: Arc<Node>, path: PathBuf) {
+    let modified = |path: &Path| std::fs::metadata(path).and_then(|meta| meta.modified()).ok();
+    let mut last = modified(&path);
+    loop {
+        tokio::time::sleep(SETTINGS_EVERY).await;
+        let now = modified(&path);
+        if now != last {
+            last = now;
+            reload(&node, &path);
+        }
+    }
+}
+
+fn reload(node: &Node, path: &Path) {
+    match settings::load(path) {
+        Ok(settings) if settings == *node.settings() => {}
+        Ok(settings) => {
+            node.set_settings(settings);
+            emit(Event::SettingsTaken, &[]);
+        }
+        Err(err) => emit(Event::SettingsRefused, &[("why", &err.to_string())]),
+    }
+}
+
+/// Leaves the addresses, serves until callers have forgotten this node, finishes
+/// what is in flight, and ends.
+async fn stop(node: &Arc<Node>, callers: JoinHandle<usize>, stage: &watch::Sender<Stage>) {
+    node.leave();
+    emit(Event::Leaving, &[]);
+    let settings = node.settings();
+    let began = node.now();
+    let grace = Millis((settings.bounds.stop_within_s * 1000.0) as u64);
+    let ends = began + grace.since(STOP_LEAD);
+    let kept = Millis((settings.addresses_good_s() * ADDRESSES_KEPT * 1000.0) as u64);
+    let forgotten = (began + kept).min(ends);
+    let half = began + Millis(kept.0 / 2);
+    wait_until(node, half.min(ends)).await;
+    node.close();
+    wait_until(node, forgotten).await;
+    while node.in_flight() > 0 && node.now() < ends {
+        tokio::time::sleep(STOP_POLL).await;
+    }
+    stage.send_replace(Stage::Finishing);
+    // What is left after this is cut by the platform as well.
+    let _ = tokio::time::timeout(FINISH_TIME, callers).await;
+}
+
+async fn wait_until(node: &Node, time: Millis) {
+    while node.now() < time {
+        tokio::time::sleep(STOP_POLL).await;
+    }
+}
--- /dev/null
+++ b/crates/workshold-gateway/src/events.rs
@@ -0,0 +1,39 @@
+//! Numbered events of a node on the platform.
+//!
+//! `docs/EVENTS-PLATFORM.md` is written from this list; a test holds the two together.
+
+use workshold_telemetry::events::catalogue as page;
+
+workshold_telemetry::events! {
+    Started = 1001, Info, "the node has started", "Nothing.";
+    Ready = 1002, Info, "the node serves callers", "Nothing.";
+    NotReady = 1003, Warn, "the node does not serve callers", "Read the reason; it goes away by itself once the store or a peer answers.";
+    Leaving = 1004, Info, "a planned stop has begun", "Nothing.";
+    Stopped = 1005, Info, "the node has stopped", "Nothing.";
+    SettingsTaken = 1006, Info, "changed settings are in force", "Nothing.";
+    SettingsRefused = 1007, Error, "changed settings are not valid; the old ones stay in force", "Mend the file; the fault is in the event.";
+    StoreLost = 1101, Warn, "the store does not answer", "Serving goes on; look after the store.";
+    StoreBack = 1102, Info, "the store answers again", "Nothing.";
+    ConfigTaken = 1103, Info, "a configuration is in force", "Nothing.";
+    ConfigUnreadable = 1104, Error, "a configuration cannot be read and is passed over", "The old one stays in force; mend the new one.";
+    EntryUnreadable = 1105, Warn, "an instance's entry cannot be read and is passed over", "Look at the instance's version.";
+    ConfigFromPeer = 1106, Info, "a configuration came from another node", "Nothing; this node cannot reach the store.";
+    LeaseTaken = 1201, Info, "this node stewards other parts than before", "Nothing.";
+    LeaseLost = 1202, Warn, "this node's right to give orders has ended", "Nothing; another node has it.";
+    Ordered = 1203, Info, "an instance was given an order", "Nothing.";
+    InstanceInDoubt = 1301, Warn, "an instance cannot be reached", "Nothing; its groups get no new work.";
+    InstanceBack = 1302, Info, "an instance in doubt answers", "Nothing.";
+    PeerLost = 1303, Info, "another node is no longer heard", "Nothing.";
+    RequestEnded = 1401, Info, "a request was answered", "Nothing.";
+    RequestNotRun = 1402, Warn, "a request was refused and has not run", "Read the reason; the caller was told when to come back.";
+    RequestUnknown = 1403, Warn, "a request ended and nobody knows whether it ran", "Read the reason and the attempts.";
+    AttemptFailed = 1404, Warn, "an attempt failed", "Read the reason; what follows is in the event.";
+    StreamMoved = 1405, Warn, "a stream goes on at another instance", "Nothing.";
+    StreamCut = 1406, Warn, "a stream was cut before its end", "Read the reason; the caller may resume it.";
+    CallerGone = 1407, Info, "a caller left before the answer was complete", "Nothing; the upstream was told.";
+}
+
+/// The text of `docs/EVENTS-PLATFORM.md`.
+pub fn catalogue() -> String {
+    page("Events of a node on the platform", rows())
+}
--- /dev/null
+++ b/crates/workshold-gateway/src/main.rs
@@ -0,0 +1,66 @@
+//! `workshold-gateway`: one entry node on the users' platform.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Parser;
+use workshold_gateway::daemon;
+use workshold_gateway::settings;
+use workshold_telemetry::log::LevelFilter;
+use workshold_telemetry::writer;
+
+/// The variable that names the settings' file.
+const SETTINGS_VARIABLE: &str = "WORKSHOLD_CONFIG";
+const EXIT_FAILED: u8 = 1;
+const EXIT_SETTINGS: u8 = 2;
+
+#[derive(Debug, Clone)]
+struct Options {
+    settings: PathBuf,
+    is_check: bool,
+}
+
+fn options() -> bpaf::OptionParser<Options> {
+    let settings = bpaf::long("settings")
+        .short('s')
+        .env(SETTINGS_VARIABLE)
+        .help("The node's settings, in TOML")
+        .argument::<PathBuf>("FILE");
+    let is_check = bpaf::long("check").help("Check the settings and end").switch();
+    bpaf::construct!(Options { settings, is_check })
+        .to_options()
+        .descr("Runs one entry node of workshold until a signal stops it.")
+        .footer(
+            "SIGTERM stops it with a plan, SIGHUP reads the settings, SIGUSR1 prints its state.",
+        )
+        .version(env!("CARGO_PKG_VERSION"))
+}
+
+#[expect(clippy::print_stderr, reason = "there are no logs yet")]
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let options = options().run();
+    let settings = match settings::load(&options.settings) {
+        Ok(settings) => settings,
+        Err(err) => {
+            eprintln!("{err}; {}", err.help());
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if options.is_check {
+        return ExitCode::SUCCESS;
+    }
+    let queue = match writer::init(LevelFilter::Info, &settings.node.name) {
+        Ok(queue) => queue,
+        Err(err) => {
+            eprintln!("logs cannot be written: {err}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
+    let ended = daemon::run(settings, options.settings).await;
+    if let Err(err) = &ended {
+        eprintln!("{err}");
+    }
+    queue.end(daemon::LOG_END_TIME);
+    if ended.is_ok() { ExitCode::SUCCESS } else { ExitCode::from(EXIT_FAILED) }
+}
--- /dev/null
+++ b/crates/workshold-gateway/src/node.rs
@@ -0,0 +1,437 @@
+//! What all parts of a node share.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use displaydoc::Display;
+use parking_lot::Mutex;
+use parking_lot::RwLock;
+use smol_str::SmolStr;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+use workshold_core::hosted::catalog::Catalog;
+use workshold_core::hosted::currency::Currency;
+use workshold_core::hosted::roster::ListTrust;
+use workshold_core::hosted::roster::Roster;
+use workshold_core::hosted::silence::Gaps;
+use workshold_core::hosted::silence::SilenceRules;
+use workshold_core::hosted::suspicion::Loss;
+use workshold_core::hosted::suspicion::Reach;
+use workshold_core::hosted::suspicion::Suspicions;
+use workshold_core::hosted::tries::Budget;
+use workshold_core::outlier::OutlierRules;
+use workshold_core::outlier::Outliers;
+use workshold_platform::store::Store;
+use workshold_protocol::Clock;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::ids::ServiceName;
+
+use crate::events::Event;
+use crate::events::emit;
+use crate::loads::Loads;
+use crate::peers::Peers;
+use crate::settings::Settings;
+use crate::table::Table;
+use crate::table::Target;
+
+/// The list of instances as this node has it.
+#[derive(Debug, Default)]
+pub struct List {
+    /// The entries.
+    pub roster: Roster,
+    /// Whether they can be taken at their word.
+    pub trust: ListTrust,
+    /// The next record to read; `None` before the first reading.
+    pub next: Option<u64>,
+    /// When the last reading that was answered was sent.
+    pub read_at: Millis,
+    /// The newest record of each instance as it was read, for peers.
+    pub raw: BTreeMap<SmolStr, (u64, Bytes)>,
+}
+
+/// This node's right to give orders.
+#[derive(Debug, Clone, Default)]
+pub struct Lease {
+    /// The group's number, which serves as the fence.
+    pub generation: u64,
+    /// The parts that are this node's, and since when.
+    pub parts: BTreeMap<u64, Millis>,
+    /// When the last renewal that was answered was sent.
+    pub renewed_at: Millis,
+    /// An instance has refused this number: another node has a higher one.
+    pub outranked: Option<u64>,
+}
+
+/// Why a node does not serve.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum NotReady {
+    /// it has no configuration yet
+    NoConfig,
+    /// its configuration may be out of date
+    StaleConfig,
+    /// it has not read the list of instances
+    NoList,
+    /// nothing can take requests
+    NoTargets,
+    /// it is stopping
+    Leaving,
+}
+
+/// What all parts of a node share.
+pub struct Node {
+    settings: RwLock<Arc<Settings>>,
+    clock: Box<dyn Clock>,
+    /// The store's client.
+    pub store: Store,
+    catalog: RwLock<Option<(Arc<Catalog>, Bytes)>>,
+    currency: Mutex<Currency>,
+    /// The list of instances.
+    pub list: Mutex<List>,
+    table: RwLock<Arc<Table>>,
+    /// Who cannot be reached.
+    pub suspicions: Mutex<Suspicions>,
+    /// Said whenever suspicions change.
+    pub suspicion_changed: watch::Sender<u64>,
+    /// The usual gaps between events.
+    pub gaps: Mutex<Gaps>,
+    /// Instances that fail more than others.
+    pub outliers: Mutex<Outliers<InstanceId>>,
+    /// Requests at instances.
+    pub loads: Loads,
+    budgets: Mutex<HashMap<ServiceName, Budget>>,
+    /// Other nodes.
+    pub peers: Mutex<Peers>,
+    /// The right to give orders.
+    pub lease: Mutex<Lease>,
+    /// Wakes the steward.
+    pub steward_wanted: Notify,
+    /// Wakes the one who sends pulses.
+    pub pulse_wanted: Notify,
+    /// Wakes the one who reads the list.
+    pub list_wanted: Notify,
+    /// Whether the steward waits for statements.
+    pub is_steward_busy: AtomicBool,
+    /// Instances to try to reach, with what to do about others.
+    pub doubts: tokio::sync::mpsc::UnboundedSender<Doubt>,
+    /// When the store last answered.
+    pub store_answered: Mutex<Millis>,
+    has_traffic: AtomicBool,
+    is_leaving: AtomicBool,
+    is_closing: AtomicBool,
+    in_flight: AtomicUsize,
+    looks: Mutex<HashMap<InstanceId, Millis>>,
+    /// How silence is judged.
+    pub silence: SilenceRules,
+}
+
+/// An instance that somebody could not reach.
+#[derive(Debug, Clone)]
+pub struct Doubt {
+    /// Which.
+    pub id: InstanceId,
+    /// Where it listens.
+    pub address: SmolStr,
+    /// What this node's own try showed; `None` if it has still to try.
+    pub seen: Option<Reach>,
+}
+
+/// Failures in a row, and what follows, of plain services and heads.
+const OUTLIERS: OutlierRules = OutlierRules {
+    slow_factor: 4.0,
+    failures: 2,
+    set_aside_for: Millis(1_500),
+    max_share: 0.4,
+    smoothing: 0.2,
+};
+
+/// A look at a group's members serves all its streams for this long.
+const LOOK_GOOD_FOR: Millis = Millis(60);
+
+impl Node {
+    /// A node that knows nothing yet.
+    pub fn new(
+        settings: Settings,
+        clock: Box<dyn Clock>,
+        doubts: tokio::sync::mpsc::UnboundedSender<Doubt>,
+    ) -> Self {
+        let store = Store::new(&settings.store.address);
+        Self {
+            settings: RwLock::new(Arc::new(settings)),
+            clock,
+            store,
+            catalog: RwLock::new(None),
+            currency: Mutex::default(),
+            list: Mutex::default(),
+            table: RwLock::default(),
+            suspicions: Mutex::default(),
+            suspicion_changed: watch::Sender::new(0),
+            gaps: Mutex::default(),
+            outliers: Mutex::new(Outliers::new(OUTLIERS)),
+            loads: Loads::default(),
+            budgets: Mutex::default(),
+            peers: Mutex::default(),
+            lease: Mutex::default(),
+            steward_wanted: Notify::new(),
+            pulse_wanted: Notify::new(),
+            list_wanted: Notify::new(),
+            is_steward_busy: AtomicBool::new(false),
+            doubts,
+            store_answered: Mutex::default(),
+            has_traffic: AtomicBool::new(false),
+            is_leaving: AtomicBool::new(false),
+            is_closing: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+            looks: Mutex::default(),
+            silence: SilenceRules::default(),
+        }
+    }
+
+    /// The node's clock.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> Arc<Settings> {
+        Arc::clone(&self.settings.read())
+    }
+
+    /// Puts changed settings in force.
+    pub fn set_settings(&self, settings: Settings) {
+        *self.settings.write() = Arc::new(settings);
+    }
+
+    /// The configuration in force.
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.catalog.read().as_ref().map(|(catalog, _)| Arc::clone(catalog))
+    }
+
+    /// The configuration as the operator wrote it, for peers.
+    pub fn config_bytes(&self) -> Option<Bytes> {
+        self.catalog.read().as_ref().map(|(_, bytes)| bytes.clone())
+    }
+
+    /// Takes a configuration that was the newest at `at`; an older one changes nothing.
+    pub fn take_config(&self, catalog: Catalog, bytes: Bytes, at: Millis) {
+        let version = catalog.version;
+        {
+            let mut held = self.catalog.write();
+            if !self.currency.lock().take(version, at) {
+                return;
+            }
+            *held = Some((Arc::new(catalog), bytes));
+        }
+        emit(Event::ConfigTaken, &[("version", &version.to_string())]);
+        self.remake_table();
+        self.pulse_wanted.notify_one();
+    }
+
+    /// Somebody saw that `version` was the newest at `at`; whether this node lacks it.
+    pub fn confirm_config(&self, version: u64, at: Millis) -> bool {
+        self.currency.lock().confirm(version, at)
+    }
+
+    /// The version in force and its age.
+    pub fn config_age(&self) -> Option<(u64, Millis)> {
+        let currency = *self.currency.lock();
+        Some((currency.version()?, currency.age(self.now())?))
+    }
+
+    /// Whether keys can be believed now.
+    pub fn are_keys_current(&self) -> bool {
+        let bound = self.settings().keys_believed();
+        self.currency.lock().is_within(self.now(), bound)
+    }
+
+    /// Where requests can be sent.
+    pub fn table(&self) -> Arc<Table> {
+        Arc::clone(&self.table.read())
+    }
+
+    /// Makes the table anew.
+    pub fn remake_table(&self) {
+        let Some(catalog) = self.catalog() else { return };
+        let list = self.list.lock();
+        let table = Table::make(&catalog, &list.roster, &list.trust, self.now());
+        drop(list);
+        *self.table.write() = Arc::new(table);
+    }
+
+    /// Takes one repeat out of the budget of a service.
+    pub fn take_repeat(&self, service: &ServiceName) -> bool {
+        let now = self.now();
+        let nodes = self.peers.lock().heard(now).count() + 1;
+        self.budget(service, |budget| budget.take(now, nodes))
+    }
+
+    /// Counts a request towards the budget of a service.
+    pub fn count_request(&self, service: &ServiceName) {
+        let now = self.now();
+        self.budget(service, |budget| budget.on_request(now));
+    }
+
+    fn budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut budgets = self.budgets.lock();
+        if !budgets.contains_key(service) {
+            budgets.insert(service.clone(), Budget::new(self.settings().budget()));
+        }
+        act(budgets.get_mut(service).expect("it was just put in"))
+    }
+
+    /// How sure it is that an instance is lost.
+    pub fn loss(&self, id: &InstanceId) -> Loss {
+        let peers = self.peers.lock().heard(self.now()).count();
+        self.suspicions.lock().loss(id, peers)
+    }
+
+    /// Whether a member of a target's group cannot be reached from here, or by
+    /// anybody.
+    pub fn is_in_doubt(&self, target: &Target) -> bool {
+        let suspicions = self.suspicions.lock();
+        target.members.iter().any(|member| suspicions.is_own(&member.id))
+    }
+
+    /// What this node's own try to reach an instance showed; tells the others.
+    pub fn on_reach(&self, id: &InstanceId, address: &SmolStr, reach: Reach) {
+        let now = self.now();
+        let was = self.suspicions.lock().is_own(id);
+        let is = reach != Reach::Answers;
+        self.suspicions.lock().on_own(id, reach, now);
+        if was == is {
+            return;
+        }
+        let event = if is { Event::InstanceInDoubt } else { Event::InstanceBack };
+        emit(event, &[("instance", id.as_str()), ("reach", &format!("{reach:?}"))]);
+        let doubt = Doubt { id: id.clone(), address: address.clone(), seen: Some(reach) };
+        // The one who takes doubts lives as long as the node.
+        let _ = self.doubts.send(doubt);
+        self.suspicions_changed();
+    }
+
+    /// Whether a target's members were all seen to answer just now.
+    pub fn was_looked_at(&self, id: &InstanceId) -> bool {
+        let now = self.now();
+        self.looks.lock().get(id).is_some_and(|at| now.since(*at) < LOOK_GOOD_FOR)
+    }
+
+    /// A target's members all answer.
+    pub fn note_look(&self, id: &InstanceId) {
+        let now = self.now();
+        let mut looks = self.looks.lock();
+        looks.retain(|_, at| now.since(*at) < LOOK_GOOD_FOR);
+        looks.insert(id.clone(), now);
+    }
+
+    /// Wakes whoever waits on an instance that may be lost.
+    pub fn suspicions_changed(&self) {
+        self.suspicion_changed.send_modify(|version| *version += 1);
+        self.steward_wanted.notify_one();
+    }
+
+    /// Notes that a request came.
+    pub fn saw_traffic(&self) {
+        if !self.has_traffic.swap(true, Ordering::Relaxed) {
+            self.pulse_wanted.notify_one();
+        }
+    }
+
+    /// Whether requests have come, here or at a peer.
+    pub fn has_traffic(&self) -> bool {
+        let now = self.now();
+        self.has_traffic.load(Ordering::Relaxed)
+            || self.peers.lock().heard(now).any(|(_, peer)| peer.pulse.has_traffic)
+    }
+
+    /// Whether this node itself has seen requests.
+    pub fn has_own_traffic(&self) -> bool {
+        self.has_traffic.load(Ordering::Relaxed)
+    }
+
+    /// Begins a planned stop.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+        self.pulse_wanted.notify_one();
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
+    /// From here on connections end with their answer.
+    pub fn close(&self) {
+        self.is_closing.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether connections end with their answer.
+    pub fn is_closing(&self) -> bool {
+        self.is_closing.load(Ordering::Relaxed)
+    }
+
+    /// One more request is under way, until the guard is dropped.
+    pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        RequestGuard(Arc::clone(self))
+    }
+
+    /// Requests under way.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Whether this node serves callers.
+    ///
+    /// # Errors
+    ///
+    /// [`NotReady`]: the first reason why not.
+    pub fn readiness(&self) -> Result<(), NotReady> {
+        if self.is_leaving() {
+            return Err(NotReady::Leaving);
+        }
+        if self.catalog().is_none() {
+            return Err(NotReady::NoConfig);
+        }
+        if !self.are_keys_current() {
+            return Err(NotReady::StaleConfig);
+        }
+        if self.list.lock().next.is_none() {
+            return Err(NotReady::NoList);
+        }
+        if self.table().is_empty() {
+            return Err(NotReady::NoTargets);
+        }
+        Ok(())
+    }
+
+    /// Where this node's peers send datagrams on a machine.
+    pub fn peer_address(&self, of: SocketAddr) -> SocketAddr {
+        SocketAddr::new(of.ip(), self.settings().listen.peers_port)
+    }
+
+    /// The store answered a question that was sent at `sent`.
+    pub fn store_answered(&self, sent: Millis) {
+        let mut last = self.store_answered.lock();
+        *last = (*last).max(sent);
+    }
+
+    /// How long ago a question was sent that the store answered.
+    pub fn store_age(&self) -> Millis {
+        self.now().since(*self.store_answered.lock())
+    }
+}
+
+/// A request under way.
+pub struct RequestGuard(Arc<Node>);
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/workshold-gateway/src/peers.rs
@@ -0,0 +1,158 @@
+//! What nodes tell each other by datagram, and who is heard.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+use workshold_core::hosted::suspicion::Reach;
+use workshold_protocol::Millis;
+
+/// The form of these messages; another one is passed over.
+pub const VERSION: u8 = 1;
+
+/// A datagram.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// [`VERSION`].
+    pub version: u8,
+    /// The sender's name.
+    pub from: SmolStr,
+    /// What it says.
+    pub message: Message,
+}
+
+/// What a node says.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// How it is; said several times a second.
+    Pulse(Pulse),
+    /// What its try to reach an instance showed; `ask` wants the same try of others.
+    Verdict {
+        /// The instance's short id.
+        instance: u32,
+        /// What was seen.
+        reach: WireReach,
+        /// Whether the others are to try as well.
+        ask: bool,
+    },
+}
+
+/// [`Reach`] as it is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WireReach {
+    /// It answered.
+    Answers,
+    /// It says nothing.
+    Silent,
+    /// Its process is gone.
+    Refused,
+}
+
+impl From<Reach> for WireReach {
+    fn from(reach: Reach) -> Self {
+        match reach {
+            Reach::Answers => Self::Answers,
+            Reach::Silent => Self::Silent,
+            Reach::Refused => Self::Refused,
+        }
+    }
+}
+
+impl From<WireReach> for Reach {
+    fn from(reach: WireReach) -> Self {
+        match reach {
+            WireReach::Answers => Self::Answers,
+            WireReach::Silent => Self::Silent,
+            WireReach::Refused => Self::Refused,
+        }
+    }
+}
+
+/// How a node is.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Pulse {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Its data centre.
+    pub data_centre: SmolStr,
+    /// Whether it serves callers and will go on doing so.
+    pub is_ready: bool,
+    /// Whether it has seen requests.
+    pub has_traffic: bool,
+    /// The configuration that it holds, and how long ago that was the newest, in ms.
+    pub config: Option<(u64, u64)>,
+    /// How long ago it last read the list of instances, in ms.
+    pub list_age_ms: u64,
+    /// How long ago the store last answered it, in ms.
+    pub store_age_ms: u64,
+    /// Requests at instances, by short id, and their usual gap in units of 4 ms.
+    pub loads: Vec<(u32, u8, u8)>,
+}
+
+/// Another node as it is heard.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Its name, once it was heard.
+    pub name: SmolStr,
+    /// Its last pulse.
+    pub pulse: Pulse,
+    /// When that came.
+    pub heard: Millis,
+}
+
+/// All that is known of other nodes.
+#[derive(Debug, Default)]
+pub struct Peers {
+    /// Where to send datagrams, and since when nothing was heard from there.
+    addresses: BTreeMap<SocketAddr, Millis>,
+    by_address: HashMap<SocketAddr, Peer>,
+}
+
+/// A peer that was not heard for this long is not counted on.
+pub const SILENT_AFTER: Millis = Millis(1_100);
+/// An address from which nothing was heard for this long is dropped.
+const FORGET_AFTER: Millis = Millis::from_secs(20);
+
+impl Peers {
+    /// There may be a node at this address.
+    pub fn add(&mut self, address: SocketAddr, now: Millis) {
+        self.addresses.entry(address).or_insert(now);
+    }
+
+    /// A pulse came.
+    pub fn on_pulse(&mut self, from: SocketAddr, name: SmolStr, pulse: Pulse, now: Millis) {
+        self.addresses.insert(from, now);
+        self.by_address.insert(from, Peer { name, pulse, heard: now });
+    }
+
+    /// Everywhere that datagrams go.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.addresses.keys().copied().collect()
+    }
+
+    /// Those that are heard.
+    pub fn heard(&self, now: Millis) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
+        self.by_address.iter().filter(move |(_, peer)| now.since(peer.heard) < SILENT_AFTER)
+    }
+
+    /// Requests at instances by the word of those that are heard.
+    pub fn loads(&self, now: Millis) -> HashMap<u32, u32> {
+        let mut sums = HashMap::new();
+        for (_, peer) in self.heard(now) {
+            for (instance, load, _) in &peer.pulse.loads {
+                *sums.entry(*instance).or_default() += u32::from(*load);
+            }
+        }
+        sums
+    }
+
+    /// Drops addresses that have long been silent.
+    pub fn forget(&mut self, now: Millis) {
+        self.addresses.retain(|_, since| now.since(*since) < FORGET_AFTER);
+        let addresses = &self.addresses;
+        self.by_address.retain(|address, _| addresses.contains_key(address));
+    }
+}
--- /dev/null
+++ b/crates/workshold-gateway/src/relay.rs
@@ -0,0 +1,244 @@
+//! Carrying a request to an upstream and its answer back.
+//!
+//! - [`attempt`]: one send to one instance, up to the head of its answer.
+//! - [`events`]: a stream cut into whole events.
+//! - [`stream`]: passing events on, and going on elsewhere when they stop.
+
+pub mod attempt;
+pub mod events;
+pub mod stream;
+pub mod watching;
+
+use std::sync::Arc;
+
+use hyper::Response;
+use hyper::StatusCode;
+use rand::Rng;
+use workshold_core::hosted::catalog::Kind;
+use workshold_core::hosted::placement;
+use workshold_core::hosted::placement::Candidate;
+use workshold_core::hosted::tries;
+use workshold_core::hosted::tries::Ending;
+use workshold_core::hosted::tries::Next;
+use workshold_core::hosted::tries::Used;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::InstanceId;
+
+use crate::callers::answers;
+use crate::callers::answers::AnswerBody;
+use crate::callers::requests::Job;
+use crate::events::Event;
+use crate::events::emit;
+use crate::node::Node;
+use crate::node::RequestGuard;
+use crate::relay::attempt::Opened;
+use crate::relay::stream::StreamRelay;
+use crate::table::Target;
+
+/// With less time than this left nothing is sent any more.
+pub const LEAST_TIME: Millis = Millis(25);
+/// How long a request waits for a target to come up, as a part of its goal.
+const WAIT_PART: u64 = 6;
+const WAIT_STEP: Millis = Millis(15);
+/// When to come back if nothing serves a model.
+const COME_BACK_NONE: Millis = Millis(500);
+/// When to come back after a refusal by an upstream that is full.
+const COME_BACK_FULL: Millis = Millis(150);
+
+/// Where a request stands.
+pub struct Course {
+    /// What is to be done.
+    pub job: Job,
+    /// What it has used up.
+    pub used: Used,
+    /// Instances that it was tried at.
+    pub tried: Vec<InstanceId>,
+    /// Why the last attempt ended.
+    pub why: &'static str,
+}
+
+impl Course {
+    fn new(job: Job) -> Self {
+        let used = Used { sent: 0, not_sent: 0, may_have_run: false };
+        Self { job, used, tried: Vec::new(), why: "nothing serves it now" }
+    }
+
+    /// Time that is left.
+    pub fn left(&self, node: &Node) -> Millis {
+        self.job.ends.since(node.now())
+    }
+
+    /// Notes how an attempt ended; says what follows.
+    pub fn after(
+        &mut self,
+        node: &Node,
+        target: &Target,
+        ending: Ending,
+        why: &'static str,
+    ) -> Next {
+        self.why = why;
+        self.tried.push(target.id.clone());
+        match ending {
+            Ending::NotSent => self.used.not_sent += 1,
+            Ending::Refused => self.used.sent += 1,
+            Ending::Unknown | Ending::Failed => {
+                self.used.sent += 1;
+                self.used.may_have_run = true;
+            }
+        }
+        let has_time = self.left(node) > LEAST_TIME;
+        let wants_budget = ending != Ending::NotSent && has_time;
+        let may_send = self.used.sent < self.job.route.attempts.max(1);
+        let has_budget = wants_budget && may_send && node.take_repeat(&self.job.service);
+        let next = tries::next(&self.job.route, ending, self.used, has_budget, has_time);
+        emit(
+            Event::AttemptFailed,
+            &[
+                ("request", &self.job.id),
+                ("instance", target.id.as_str()),
+                ("ending", &format!("{ending:?}")),
+                ("why", why),
+                ("next", &format!("{next:?}")),
+                ("sent", &self.used.sent.to_string()),
+            ],
+        );
+        next
+    }
+}
+
+/// Carries one request; the answer is final.
+pub async fn run(node: &Arc<Node>, job: Job, guard: RequestGuard) -> Response<AnswerBody> {
+    node.count_request(&job.service);
+    let mut course = Course::new(job);
+    loop {
+        let Some(target) = wait_for_target(node, &course).await else {
+            let next = if course.used.may_have_run { Next::Unknown } else { Next::NotRun };
+            return give_up(node, &course, next);
+        };
+        let (ending, why, res) = match attempt::open(node, &course, &target).await {
+            Ok(Opened::Whole(res)) if is_worth_repeating(&course, &res) => {
+                (Ending::Failed, "the upstream failed", Some(res))
+            }
+            Ok(Opened::Whole(res)) => {
+                tell_end(node, &course, &target, res.status());
+                return res;
+            }
+            Ok(Opened::Stream(head, current)) => {
+                return StreamRelay::answer(Arc::clone(node), course, guard, head, current);
+            }
+            Err((ending, why)) => (ending, why, None),
+        };
+        node.outliers.lock().on_failure(&target.id, node.now());
+        match (course.after(node, &target, ending, why), res) {
+            (Next::Again, _) => {}
+            (Next::PassOn, Some(res)) => {
+                tell_end(node, &course, &target, res.status());
+                return res;
+            }
+            (next, _) => return give_up(node, &course, next),
+        }
+    }
+}
+
+fn is_worth_repeating(course: &Course, res: &Response<AnswerBody>) -> bool {
+    res.status().is_server_error() && course.job.route.is_repeatable()
+}
+
+fn tell_end(node: &Node, course: &Course, target: &Target, status: StatusCode) {
+    let took = node.now().since(course.job.began);
+    emit(
+        Event::RequestEnded,
+        &[
+            ("request", &course.job.id),
+            ("instance", target.id.as_str()),
+            ("status", status.as_str()),
+            ("ms", &took.0.to_string()),
+        ],
+    );
+}
+
+/// The final answer of a request that is given up, at once.
+fn give_up(node: &Node, course: &Course, next: Next) -> Response<AnswerBody> {
+    let is_time_up = course.left(node) <= LEAST_TIME;
+    let took = node.now().since(course.job.began).0.to_string();
+    let sent = course.used.sent.to_string();
+    let fields =
+        [("request", &*course.job.id), ("why", course.why), ("ms", &*took), ("sent", &*sent)];
+    if next == Next::NotRun {
+        emit(Event::RequestNotRun, &fields);
+        let after = if course.tried.is_empty() { COME_BACK_NONE } else { COME_BACK_FULL };
+        return answers::not_run("it has not run; come back later", spread(after));
+    }
+    emit(Event::RequestUnknown, &fields);
+    let status = if is_time_up { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
+    answers::own(status, "nobody knows whether it has run")
+}
+
+/// One to two times `after`, so that callers do not come back together.
+fn spread(after: Millis) -> Millis {
+    Millis(after.0 + rand::rng().random_range(0..=after.0))
+}
+
+/// Waits a little for a target: a moment without any is often shorter than the
+/// way back to the caller.
+async fn wait_for_target(node: &Node, course: &Course) -> Option<Arc<Target>> {
+    let patience = Millis(course.job.route.goal.0 / WAIT_PART);
+    let until = node.now() + patience;
+    loop {
+        if let Some(target) = pick(node, course) {
+            return Some(target);
+        }
+        if node.now() + WAIT_STEP > until || course.left(node) <= LEAST_TIME {
+            return None;
+        }
+        tokio::time::sleep(WAIT_STEP.to_duration()).await;
+    }
+}
+
+/// The best target that was not tried yet.
+pub fn pick(node: &Node, course: &Course) -> Option<Arc<Target>> {
+    let table = node.table();
+    let job = &course.job;
+    let fits: Vec<&Arc<Target>> = table
+        .of(&job.service)
+        .iter()
+        .filter(|target| target.model.is_none() || target.model == job.model)
+        .filter(|target| !course.tried.contains(&target.id))
+        .collect();
+    let settings = node.settings();
+    let now = node.now();
+    let gaps = node.gaps.lock();
+    let outliers = node.outliers.lock();
+    let candidates: Vec<Candidate> = fits
+        .iter()
+        .map(|target| Candidate {
+            load: node.loads.of(&target.id),
+            slots: target.slots,
+            pace_ms: gaps.usual(&target.id).unwrap_or(target.quiet_gap_ms),
+            is_near: target.data_centre == settings.node.data_centre,
+            is_aside: outliers.is_set_aside(&target.id, now) || node.is_in_doubt(target),
+        })
+        .collect();
+    let chosen = placement::choose(&candidates, rand::rng().random())?;
+    Some(Arc::clone(fits[chosen]))
+}
+
+/// How long a stream or answer may stay away before its instance is looked into,
+/// and before it is tried elsewhere.
+pub fn first_patience(course: &Course, usual_gap_ms: f64) -> (Millis, Millis) {
+    let goal = course.job.route.goal;
+    match course.job.route.kind {
+        Kind::Stream => {
+            let look = Millis((goal.0 * 2 / 5).max((usual_gap_ms * 3.0) as u64));
+            (look, Millis(goal.0 * 4).max(LEAST_FIRST_MOVE))
+        }
+        Kind::Idempotent | Kind::AtMostOnce => {
+            let half = Millis(course.job.ends.since(course.job.began).0 / 2);
+            (Millis(goal.0 * 2 / 3), Millis(goal.0 * 3).min(half))
+        }
+    }
+}
+
+/// A first event that is later than this will not come: longer than the queue of a
+/// busy engine.
+const LEAST_FIRST_MOVE: Millis = Millis(1_200);
--- /dev/null
+++ b/crates/workshold-gateway/src/relay/attempt.rs
@@ -0,0 +1,252 @@
+//! One send to one instance, up to the head of its answer or its first event.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Body as _;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderMap;
+use hyper::header::HeaderValue;
+use hyper::http::response::Parts;
+use workshold_core::hosted::catalog::Kind;
+use workshold_core::hosted::tries::Ending;
+use workshold_http::body::Body;
+use workshold_http::body::full;
+use workshold_http::client;
+use workshold_http::client::CallError;
+use workshold_http::client::Driver;
+use workshold_platform::names;
+use workshold_protocol::Millis;
+
+use crate::callers::answers;
+use crate::callers::answers::AnswerBody;
+use crate::loads::InFlight;
+use crate::node::Doubt;
+use crate::node::Node;
+use crate::relay::Course;
+use crate::relay::LEAST_TIME;
+use crate::relay::events::Framer;
+use crate::relay::first_patience;
+use crate::relay::watching::Patience;
+use crate::relay::watching::Watched;
+use crate::relay::watching::watch;
+use crate::table::Target;
+
+/// Time for a connection to come up.
+const CONNECT_TIME: Millis = Millis(40);
+/// The longest answer that is held until it is whole, in bytes.
+const MOST_HELD: usize = 4 * 1024 * 1024;
+
+/// An answer that has begun.
+pub enum Opened {
+    /// It is there as a whole.
+    Whole(Response<AnswerBody>),
+    /// A stream with its first events.
+    Stream(Parts, Current),
+}
+
+/// A stream at an instance.
+pub struct Current {
+    /// Where it runs.
+    pub target: std::sync::Arc<Target>,
+    /// Its further events.
+    pub body: Incoming,
+    /// Events that are out but not yet passed on.
+    pub ready: Bytes,
+    /// What has been cut into events.
+    pub framer: Framer,
+    /// Whether its end can be told from a break.
+    pub has_length: bool,
+    /// When its last event came.
+    pub since: Millis,
+    /// Whether nothing more comes.
+    pub is_over: bool,
+    _driver: Driver,
+    _in_flight: InFlight,
+}
+
+/// How an attempt failed, and why.
+pub type Failure = (Ending, &'static str);
+
+/// Sends the request to `target`; a stream goes on behind the caller's last event.
+///
+/// # Errors
+///
+/// How the attempt ended without an answer.
+pub async fn open(
+    node: &Node,
+    course: &Course,
+    target: &std::sync::Arc<Target>,
+) -> Result<Opened, Failure> {
+    open_after(node, course, target, course.job.last_event).await
+}
+
+/// As [`open`], behind event `last`.
+///
+/// # Errors
+///
+/// As [`open`].
+pub async fn open_after(
+    node: &Node,
+    course: &Course,
+    target: &std::sync::Arc<Target>,
+    last: Option<u64>,
+) -> Result<Opened, Failure> {
+    let in_flight = node.loads.begin(&target.id);
+    let connected = client::connect(&target.address, CONNECT_TIME.to_duration()).await;
+    let connected = connected.map_err(|_| {
+        let (id, address) = (target.id.clone(), target.address.clone());
+        // The one who takes doubts lives as long as the node.
+        let _ = node.doubts.send(Doubt { id, address, seen: None });
+        (Ending::NotSent, "no connection")
+    })?;
+    let left = course.left(node);
+    if left <= LEAST_TIME {
+        return Err((Ending::NotSent, "no time is left"));
+    }
+    let sent = node.now();
+    let usual = node.gaps.lock().usual(&target.id).unwrap_or(target.quiet_gap_ms);
+    let movable = course.job.route.is_repeatable().then(|| first_patience(course, usual));
+    let patience = Patience { since: sent, movable, ends: course.job.ends };
+    let sending = connected.send(request(course, target, last, left), left.to_duration());
+    let (res, driver) = match watch(node, target, patience, sending).await {
+        Watched::Got(Ok(got)) => got,
+        Watched::Got(Err(CallError::TimedOut { .. })) | Watched::TimeUp => {
+            return Err((Ending::Unknown, "its time was up"));
+        }
+        Watched::Got(Err(_)) => return Err((Ending::Unknown, "the connection broke")),
+        Watched::Lost(why) => return Err((Ending::Unknown, why)),
+    };
+    check_head(course, &res)?;
+    let is_stream = course.job.route.kind == Kind::Stream && res.status().is_success();
+    if !is_stream {
+        let whole = read_whole(node, target, patience, res).await?;
+        let took = node.now().since(sent);
+        node.gaps.lock().on_gap(&target.id, took);
+        node.outliers.lock().on_answer(&target.id, took, node.now());
+        return Ok(Opened::Whole(whole));
+    }
+    let (parts, body) = res.into_parts();
+    let has_length =
+        body.size_hint().exact().is_some() || parts.headers.contains_key(header::TRANSFER_ENCODING);
+    let mut current = Current {
+        target: std::sync::Arc::clone(target),
+        body,
+        ready: Bytes::new(),
+        framer: Framer::after(last),
+        has_length,
+        since: sent,
+        is_over: false,
+        _driver: driver,
+        _in_flight: in_flight,
+    };
+    while current.ready.is_empty() && !current.is_over {
+        current.read(node, patience).await?;
+    }
+    Ok(Opened::Stream(parts, current))
+}
+
+fn request(course: &Course, target: &Target, last: Option<u64>, left: Millis) -> Request<Body> {
+    let job = &course.job;
+    let mut req = Request::new(full(job.body.clone()));
+    *req.method_mut() = job.method.clone();
+    *req.uri_mut() = job.path.parse().expect("the path was one when it came");
+    *req.headers_mut() = job.headers.clone();
+    let headers = req.headers_mut();
+    headers.insert(names::TIME_LEFT, HeaderValue::from(left.0));
+    if let Ok(id) = HeaderValue::from_str(target.id.as_str()) {
+        headers.insert(names::ONLY_AT, id);
+    }
+    if let Some(last) = last {
+        headers.insert(names::LAST_EVENT, HeaderValue::from(last));
+    }
+    req
+}
+
+/// Whether an answer is one to this request, and says that it has run.
+fn check_head(course: &Course, res: &Response<Incoming>) -> Result<(), Failure> {
+    let (status, headers) = (res.status(), res.headers());
+    if headers.contains_key(names::NOT_RUN) {
+        return Err((Ending::Refused, "the upstream has not run it"));
+    }
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return Err((Ending::Refused, "another instance is there"));
+    }
+    if is_foreign(course, headers) {
+        return Err((Ending::Unknown, "an answer to another request"));
+    }
+    if headers.contains_key(header::CONTENT_ENCODING) {
+        return Err((Ending::Unknown, "an answer in an encoding that nobody asked for"));
+    }
+    if status.is_success() && !headers.contains_key(names::STAMP) {
+        return Err((Ending::Unknown, "an answer without its proof"));
+    }
+    // These would tell the caller that it has not run; only the upstream's own word
+    // says so.
+    let promises = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::REQUEST_TIMEOUT,
+    ];
+    if promises.contains(&status) {
+        return Err((Ending::Unknown, "a refusal without the word that it has not run"));
+    }
+    Ok(())
+}
+
+fn is_foreign(course: &Course, headers: &HeaderMap) -> bool {
+    let echoed = headers.get(names::REQUEST_ID);
+    echoed.is_some_and(|echoed| echoed.as_bytes() != course.job.id.as_bytes())
+}
+
+async fn read_whole(
+    node: &Node,
+    target: &Target,
+    patience: Patience,
+    res: Response<Incoming>,
+) -> Result<Response<AnswerBody>, Failure> {
+    let (mut parts, body) = res.into_parts();
+    let collected = watch(node, target, patience, Limited::new(body, MOST_HELD).collect()).await;
+    let bytes = match collected {
+        Watched::Got(Ok(collected)) => collected.to_bytes(),
+        Watched::Got(Err(_)) => return Err((Ending::Unknown, "the answer broke off")),
+        Watched::TimeUp => return Err((Ending::Unknown, "its time was up")),
+        Watched::Lost(why) => return Err((Ending::Unknown, why)),
+    };
+    answers::strip(&mut parts.headers);
+    Ok(Response::from_parts(parts, answers::whole(bytes)))
+}
+
+impl Current {
+    /// Reads on until something comes; whole events are then in `ready`.
+    ///
+    /// # Errors
+    ///
+    /// Why nothing comes any more.
+    pub async fn read(&mut self, node: &Node, patience: Patience) -> Result<(), Failure> {
+        let frame = watch(node, &self.target, patience, self.body.frame()).await;
+        match frame {
+            Watched::Got(Some(Ok(frame))) => {
+                let Ok(data) = frame.into_data() else { return Ok(()) };
+                let ready = self.framer.push(&data);
+                self.ready = ready.ok_or((Ending::Unknown, "bytes that are no events"))?;
+                Ok(())
+            }
+            Watched::Got(Some(Err(_))) => Err((Ending::Unknown, "the stream broke off")),
+            Watched::Got(None) if self.framer.has_rest() && !self.has_length => {
+                Err((Ending::Unknown, "the stream ended within an event"))
+            }
+            Watched::Got(None) => {
+                self.ready = self.framer.take_rest();
+                self.is_over = true;
+                Ok(())
+            }
+            Watched::TimeUp => Err((Ending::Unknown, "its time was up")),
+            Watched::Lost(why) => Err((Ending::Unknown, why)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/workshold-gateway/src/settings.rs
@@ -0,0 +1,240 @@
+//! A node's settings: TOML, checked as a whole before anything starts.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use displaydoc::Display;
+use serde::Deserialize;
+use workshold_core::hosted::tries::BudgetRules;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::DataCentre;
+
+/// All settings of a node.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Who and where it is.
+    pub node: NodeSettings,
+    /// Where it listens.
+    pub listen: Listen,
+    /// How it finds others before the store answers.
+    #[serde(default)]
+    pub peers: PeerSettings,
+    /// The platform's store.
+    pub store: StoreSettings,
+    /// What the machine allows.
+    #[serde(default)]
+    pub limits: MachineLimits,
+    /// What has been promised.
+    #[serde(default)]
+    pub bounds: Bounds,
+}
+
+/// Who and where a node is.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Its name, for logs.
+    pub name: String,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Whether the whole system starts for the first time.
+    #[serde(default)]
+    pub is_first_start: bool,
+}
+
+/// Addresses of a node.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the platform's question whether it serves.
+    pub readiness: SocketAddr,
+    /// For callers who ask which addresses to use.
+    pub directory: SocketAddr,
+    /// For other nodes that lack the configuration; the same port on all.
+    pub control: SocketAddr,
+    /// For other nodes' datagrams; the same port on all.
+    pub peers_port: u16,
+}
+
+/// Other nodes.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PeerSettings {
+    /// Control addresses of some, which may be stale.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// The platform's store.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSettings {
+    /// Where it listens.
+    pub address: String,
+    /// Parts that a lease is dealt out in.
+    #[serde(default = "usual_parts")]
+    pub parts: u64,
+    /// The shortest time that a lease can be held for, in milliseconds.
+    #[serde(default)]
+    pub least_ttl_ms: u64,
+}
+
+/// What the machine allows.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct MachineLimits {
+    /// Descriptors of the process.
+    pub descriptors: usize,
+}
+
+/// What has been promised to callers and operators.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Bounds {
+    /// The longest that a key is believed after it was taken away, in milliseconds.
+    pub keys_believed_ms: u64,
+    /// The time that a planned stop may take, in seconds.
+    pub stop_within_s: f64,
+    /// Repeats for each request.
+    pub repeat_ratio: f64,
+    /// The time over which repeats count, in seconds.
+    pub repeat_window_s: f64,
+    /// Repeats of all nodes beyond the ratio.
+    pub repeat_slack: f64,
+    /// The longest that addresses may be good for, in seconds.
+    pub addresses_good_at_most_s: f64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            keys_believed_ms: 5_000,
+            stop_within_s: 8.0,
+            repeat_ratio: 0.2,
+            repeat_window_s: 10.0,
+            repeat_slack: 20.0,
+            addresses_good_at_most_s: 5.0,
+        }
+    }
+}
+
+impl Default for MachineLimits {
+    fn default() -> Self {
+        Self { descriptors: 1_024 }
+    }
+}
+
+const fn usual_parts() -> u64 {
+    24
+}
+
+/// How long callers may use the addresses that they are told: short, so that a node
+/// that is gone is soon forgotten, and three times of it fit into a planned stop.
+const ADDRESSES_GOOD_S: f64 = 2.0;
+/// Part of [`Bounds::keys_believed_ms`] that is used: the rest is for the time that
+/// a request takes to its upstream.
+const KEYS_BELIEVED_PART: f64 = 0.92;
+/// Descriptors kept for the store, upstreams in doubt, peers and files.
+const DESCRIPTORS_KEPT: usize = 300;
+/// How long a lease is held; a node that dies holds its part up for this long.
+const LEASE_TTL: Millis = Millis(1_500);
+
+impl Settings {
+    /// How long callers may use the addresses that they are told, in seconds.
+    pub fn addresses_good_s(&self) -> f64 {
+        ADDRESSES_GOOD_S.min(self.bounds.addresses_good_at_most_s)
+    }
+
+    /// How old a configuration may be by which keys are believed.
+    pub fn keys_believed(&self) -> Millis {
+        Millis((self.bounds.keys_believed_ms as f64 * KEYS_BELIEVED_PART) as u64)
+    }
+
+    /// How long a lease is held.
+    pub fn lease_ttl(&self) -> Millis {
+        LEASE_TTL.max(Millis(self.store.least_ttl_ms))
+    }
+
+    /// How repeats are bounded.
+    pub fn budget(&self) -> BudgetRules {
+        BudgetRules {
+            ratio: self.bounds.repeat_ratio,
+            window: Millis((self.bounds.repeat_window_s * 1000.0) as u64),
+            slack: self.bounds.repeat_slack,
+        }
+    }
+
+    /// Connections that callers may have open: each may need one to an upstream.
+    pub fn caller_connections(&self) -> usize {
+        (self.limits.descriptors.saturating_sub(DESCRIPTORS_KEPT) / 2).max(64)
+    }
+}
+
+/// Why settings are not taken.
+#[derive(Debug, Display)]
+pub enum SettingsError {
+    /// the settings at {path} cannot be read: {why}
+    Unreadable {
+        /// The file.
+        path: String,
+        /// What the machine said.
+        why: std::io::Error,
+    },
+    /// the settings at {path} are not valid: {why}
+    Invalid {
+        /// The file.
+        path: String,
+        /// What the reader said, with the place.
+        why: String,
+    },
+}
+
+impl std::error::Error for SettingsError {}
+
+impl SettingsError {
+    /// What helps.
+    pub const fn help(&self) -> &'static str {
+        match self {
+            Self::Unreadable { .. } => "name the file with --settings or in WORKSHOLD_CONFIG",
+            Self::Invalid { .. } => "compare it with deploy/entry.toml",
+        }
+    }
+}
+
+/// Reads and checks a file of settings.
+///
+/// # Errors
+///
+/// [`SettingsError`] with the first fault.
+pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|why| SettingsError::Unreadable { path: path.display().to_string(), why })?;
+    parse(&text).map_err(|why| SettingsError::Invalid { path: path.display().to_string(), why })
+}
+
+/// Checks the text of settings.
+///
+/// # Errors
+///
+/// The first fault, in words.
+pub fn parse(text: &str) -> Result<Settings, String> {
+    let settings: Settings = toml::from_str(text).map_err(|err| err.to_string())?;
+    if settings.node.name.is_empty() {
+        return Err("node.name is empty".to_owned());
+    }
+    if settings.store.parts == 0 {
+        return Err("store.parts is zero".to_owned());
+    }
+    let bounds = &settings.bounds;
+    let positive = [
+        ("bounds.stop_within_s", bounds.stop_within_s),
+        ("bounds.repeat_window_s", bounds.repeat_window_s),
+        ("bounds.addresses_good_at_most_s", bounds.addresses_good_at_most_s),
+    ];
+    match positive.iter().find(|(_, value)| !(value.is_finite() && *value > 0.0)) {
+        Some((name, value)) => Err(format!("{name} is {value}, but has to be above zero")),
+        None => Ok(settings),
+    }
+}
--- /dev/null
+++ b/crates/workshold-gateway/src/tasks/following.rs
@@ -0,0 +1,250 @@
+//! Following the store: the configuration, and the list of instances.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+use workshold_platform::config;
+use workshold_platform::entries;
+use workshold_platform::names;
+use workshold_platform::store::Record;
+use workshold_platform::store::Records;
+use workshold_platform::store::StoreError;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::InstanceId;
+
+use crate::events::Event;
+use crate::events::emit;
+use crate::node::Node;
+
+/// How long a read waits for a change. A configuration counts as fresh from when
+/// the read was sent, so this is also what its freshness lags behind.
+const CONFIG_WAIT: Millis = Millis(1_000);
+const LIST_WAIT: Millis = Millis(1_500);
+/// Time for the answer itself, beyond the wait.
+const ANSWER_TIME: Millis = Millis(1_200);
+/// The least time between two reads of the list: each call has its price.
+const LIST_EVERY: Millis = Millis(600);
+/// The same before there is traffic, and while a steward waits for statements.
+const LIST_EVERY_BUSY: Millis = Millis(40);
+/// After a call that failed.
+const RETRY: Millis = Millis(150);
+/// The longest pause after calls that failed.
+const RETRY_MOST: Millis = Millis(600);
+
+/// Follows the configuration until the node ends.
+pub async fn config(node: Arc<Node>) {
+    let mut next = None;
+    let mut pause = RETRY;
+    loop {
+        let sent = node.now();
+        match read_config(&node, next, sent).await {
+            Ok(end) => {
+                next = Some(end);
+                pause = RETRY;
+                note_answer(&node, sent);
+            }
+            Err(StoreError::Gone { .. }) => next = None,
+            Err(err) => {
+                note_failure(&node, &err);
+                tokio::time::sleep(pause.to_duration()).await;
+                pause = (pause + pause).min(RETRY_MOST);
+            }
+        }
+    }
+}
+
+async fn read_config(node: &Node, next: Option<u64>, sent: Millis) -> Result<u64, StoreError> {
+    let topic = names::OPERATOR_TOPIC;
+    let records = match next {
+        Some(next) => node.store.read(topic, next, CONFIG_WAIT, ANSWER_TIME).await?,
+        None => node.store.newest(topic, ANSWER_TIME).await?,
+    };
+    let last = records.records.iter().rfind(|record| record.key == names::CONFIG_KEY);
+    match last {
+        Some(record) => take_config(node, record, sent),
+        None => {
+            // Nothing newer than what this node read before: it is current.
+            if let Some((version, _)) = node.config_age() {
+                node.confirm_config(version, sent);
+            }
+        }
+    }
+    Ok(after(&records, next))
+}
+
+/// Where to read on: what a waiting read brought may end before the topic does.
+fn after(records: &Records, next: Option<u64>) -> u64 {
+    match next {
+        Some(next) => records.records.last().map_or(next, |record| record.offset + 1),
+        None => records.end,
+    }
+}
+
+fn take_config(node: &Node, record: &Record, sent: Millis) {
+    match config::decode(&record.value) {
+        Ok(catalog) => node.take_config(catalog, record.value.clone(), sent),
+        Err(err) => emit(Event::ConfigUnreadable, &[("why", &err.to_string())]),
+    }
+}
+
+/// Follows the list of instances until the node ends.
+pub async fn list(node: Arc<Node>) {
+    let mut pause = RETRY;
+    loop {
+        let sent = node.now();
+        match read_list(&node, sent).await {
+            Ok(()) => {
+                pause = RETRY;
+                note_answer(&node, sent);
+                rest(&node, sent).await;
+            }
+            Err(StoreError::Gone { .. }) => node.list.lock().next = None,
+            Err(err) => {
+                note_failure(&node, &err);
+                let now = node.now();
+                node.list.lock().trust.on_trouble(now);
+                tokio::time::sleep(pause.to_duration()).await;
+                pause = (pause + pause).min(RETRY_MOST);
+            }
+        }
+    }
+}
+
+/// Rests before the next reading: short if a steward waits for statements.
+async fn rest(node: &Node, sent: Millis) {
+    tokio::time::sleep(LIST_EVERY_BUSY.to_duration()).await;
+    if node.is_steward_busy.load(Ordering::Relaxed) || !node.has_traffic() {
+        return;
+    }
+    let left = LIST_EVERY.since(node.now().since(sent));
+    tokio::select! {
+        () = tokio::time::sleep(left.to_duration()) => {}
+        () = node.list_wanted.notified() => {}
+    }
+}
+
+async fn read_list(node: &Node, sent: Millis) -> Result<(), StoreError> {
+    let next = node.list.lock().next;
+    let topic = names::INSTANCES_TOPIC;
+    let records = match next {
+        Some(next) => node.store.read(topic, next, LIST_WAIT, ANSWER_TIME).await?,
+        None => node.store.newest(topic, ANSWER_TIME).await?,
+    };
+    let is_whole = next.is_none();
+    let end = after(&records, next);
+    apply(node, &records, is_whole, sent);
+    let mut list = node.list.lock();
+    list.next = Some(end);
+    list.read_at = sent;
+    Ok(())
+}
+
+fn apply(node: &Node, records: &Records, is_whole: bool, sent: Millis) {
+    let now = node.now();
+    if !is_whole && records.records.is_empty() {
+        return;
+    }
+    let mut seen = BTreeSet::new();
+    for record in &records.records {
+        let Ok(id) = InstanceId::new(&record.key) else {
+            emit(Event::EntryUnreadable, &[("key", &record.key)]);
+            continue;
+        };
+        seen.insert(id.clone());
+        take_entry(node, &id, record, now);
+    }
+    if is_whole {
+        node.list.lock().roster.keep_only(&seen, records.end, sent);
+    }
+    node.remake_table();
+    node.steward_wanted.notify_one();
+}
+
+fn take_entry(node: &Node, id: &InstanceId, record: &Record, now: Millis) {
+    let word = if record.value.is_empty() {
+        None
+    } else {
+        match entries::decode(id, &record.value) {
+            Ok(word) => Some(word),
+            Err(err) => {
+                let why = err.to_string();
+                emit(Event::EntryUnreadable, &[("key", id.as_str()), ("why", &why)]);
+                return;
+            }
+        }
+    };
+    let mut list = node.list.lock();
+    let is_newer = list.raw.get(&record.key).is_none_or(|(offset, _)| *offset <= record.offset);
+    if is_newer {
+        let news = list.roster.get(id).is_some_and(|entry| entry.offset < record.offset);
+        list.raw.insert(record.key.clone(), (record.offset, record.value.clone()));
+        list.roster.apply(record.offset, id, word, now);
+        drop(list);
+        if news && !record.value.is_empty() {
+            node.suspicions.lock().clear(id);
+        }
+    }
+}
+
+fn note_answer(node: &Node, sent: Millis) {
+    if node.store_age() > STORE_LOST_AFTER && node.config_age().is_some() {
+        emit(Event::StoreBack, &[]);
+    }
+    node.store_answered(sent);
+}
+
+fn note_failure(node: &Node, err: &StoreError) {
+    let age = node.store_age();
+    let fields = [("why", &*err.to_string()), ("silent_for", &*age.to_string())];
+    emit(Event::StoreLost, &fields);
+}
+
+/// Waiting reads answer at least this often.
+const STORE_LOST_AFTER: Millis = Millis(3_000);
+
+/// Takes records that a peer has read, for a node that cannot reach the store.
+pub fn take_peer_records(node: &Node, records: &[PeerRecord], age: Millis) {
+    let sent = node.now() - age;
+    let records: Vec<Record> = records
+        .iter()
+        .map(|record| Record {
+            offset: record.offset,
+            key: record.key.clone(),
+            value: Bytes::copy_from_slice(&record.value),
+        })
+        .collect();
+    let end = records.iter().map(|record| record.offset + 1).max().unwrap_or_default();
+    apply(node, &Records { end, records }, false, sent);
+    let mut list = node.list.lock();
+    list.next = Some(list.next.unwrap_or_default().max(end));
+    list.read_at = list.read_at.max(sent);
+}
+
+/// A record as one node passes it on to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerRecord {
+    /// Its place.
+    pub offset: u64,
+    /// The instance.
+    pub key: SmolStr,
+    /// Its entry as it stands in the store; empty if it is gone.
+    pub value: Vec<u8>,
+}
+
+/// The records from `from` on, for a peer.
+pub fn peer_records(node: &Node, from: u64) -> Vec<PeerRecord> {
+    let list = node.list.lock();
+    let newer = list.raw.iter().filter(|(_, (offset, _))| *offset >= from);
+    newer
+        .map(|(key, (offset, value))| PeerRecord {
+            offset: *offset,
+            key: key.clone(),
+            value: value.to_vec(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -0,0 +1,233 @@
+//! Pulses and verdicts between nodes, by datagram; and catching up from a peer.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::Method;
+use hyper::StatusCode;
+use smol_str::SmolStr;
+use tokio::net::UdpSocket;
+use workshold_core::hosted::suspicion::Reach;
+use workshold_http::client;
+use workshold_platform::config;
+use workshold_protocol::Millis;
+
+use crate::events::Event;
+use crate::events::emit;
+use crate::loads::short_id;
+use crate::node::Doubt;
+use crate::node::Node;
+use crate::peers::Datagram;
+use crate::peers::Message;
+use crate::peers::Pulse;
+use crate::peers::VERSION;
+use crate::tasks::following;
+use crate::tasks::following::PeerRecord;
+
+/// How often a node says how it is.
+const PULSE_EVERY: Millis = Millis(300);
+/// The largest datagram that is read.
+const MOST_BYTES: usize = 8 * 1024;
+/// Usual gaps are told in units of this many milliseconds.
+const GAP_UNIT_MS: f64 = 4.0;
+/// How often a node looks whether a peer knows more.
+const CATCH_UP_EVERY: Duration = Duration::from_millis(300);
+/// A list older than this is fetched from a peer: longer than a waiting read.
+const LIST_STALE: Millis = Millis(2_500);
+/// Time for a peer's answer.
+const PEER_TIME: Duration = Duration::from_millis(600);
+
+/// Opens the socket for other nodes.
+///
+/// # Errors
+///
+/// What the machine says.
+pub async fn open(node: &Node) -> io::Result<UdpSocket> {
+    let settings = node.settings();
+    let ip = settings.listen.callers.ip();
+    UdpSocket::bind(SocketAddr::new(ip, settings.listen.peers_port)).await
+}
+
+/// Sends pulses until the node ends.
+pub async fn send_pulses(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    loop {
+        broadcast(&node, &socket, Message::Pulse(pulse(&node))).await;
+        tokio::select! {
+            () = tokio::time::sleep(PULSE_EVERY.to_duration()) => {}
+            () = node.pulse_wanted.notified() => {}
+        }
+    }
+}
+
+/// Sends a message to all nodes that may be there.
+pub async fn broadcast(node: &Node, socket: &UdpSocket, message: Message) {
+    let from = SmolStr::new(&node.settings().node.name);
+    let datagram = Datagram { version: VERSION, from, message };
+    let bytes = postcard::to_stdvec(&datagram).expect("datagrams have only plain fields");
+    let addresses = node.peers.lock().addresses();
+    for address in addresses {
+        // A datagram that cannot be sent is as good as lost, which happens anyway.
+        let _ = socket.send_to(&bytes, address).await;
+    }
+}
+
+fn pulse(node: &Node) -> Pulse {
+    let settings = node.settings();
+    let config = node.config_age().map(|(version, age)| (version, age.0));
+    let gaps = node.gaps.lock();
+    let loads = node.loads.all_own();
+    let loads = loads.iter().map(|(id, load)| {
+        let gap = gaps.usual(id).unwrap_or_default() / GAP_UNIT_MS;
+        (short_id(id), (*load).min(255) as u8, gap.min(255.0) as u8)
+    });
+    Pulse {
+        callers: settings.listen.callers,
+        data_centre: SmolStr::new(settings.node.data_centre.as_str()),
+        is_ready: node.readiness().is_ok(),
+        has_traffic: node.has_own_traffic(),
+        config,
+        list_age_ms: node.now().since(node.list.lock().read_at).0,
+        store_age_ms: node.store_age().0,
+        loads: loads.collect(),
+    }
+}
+
+/// Takes datagrams until the node ends.
+pub async fn receive(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    let mut buf = vec![0; MOST_BYTES];
+    loop {
+        let Ok((len, from)) = socket.recv_from(&mut buf).await else {
+            // The machine reports a refused datagram of ours here.
+            continue;
+        };
+        let Ok(datagram) = postcard::from_bytes::<Datagram>(&buf[..len]) else { continue };
+        if datagram.version == VERSION {
+            take(&node, from, datagram);
+        }
+    }
+}
+
+fn take(node: &Node, from: SocketAddr, datagram: Datagram) {
+    let now = node.now();
+    match datagram.message {
+        Message::Pulse(pulse) => {
+            if let Some((version, age)) = pulse.config {
+                node.confirm_config(version, now - Millis(age) - ON_THE_WAY);
+            }
+            take_gaps(node, &pulse);
+            let mut peers = node.peers.lock();
+            peers.on_pulse(from, datagram.from, pulse, now);
+            let others = peers.loads(now);
+            drop(peers);
+            node.loads.set_others(others);
+        }
+        Message::Verdict { instance, reach, ask } => {
+            take_verdict(node, &datagram.from, instance, reach.into(), ask);
+        }
+    }
+}
+
+/// What a datagram may have taken: its age is only known by its sender's word.
+const ON_THE_WAY: Millis = Millis(200);
+
+fn take_gaps(node: &Node, pulse: &Pulse) {
+    if pulse.loads.is_empty() {
+        return;
+    }
+    let table = node.table();
+    let mut gaps = node.gaps.lock();
+    for target in table.heads() {
+        let short = short_id(&target.id);
+        let told = pulse.loads.iter().find(|(id, _, gap)| *id == short && *gap > 0);
+        if let Some((_, _, gap)) = told {
+            gaps.on_peer(&target.id, f64::from(*gap) * GAP_UNIT_MS);
+        }
+    }
+}
+
+fn take_verdict(node: &Node, peer: &str, instance: u32, reach: Reach, ask: bool) {
+    let list = node.list.lock();
+    let found = list.roster.iter().find(|entry| short_id(&entry.instance.id) == instance);
+    let Some(instance) = found.map(|entry| Arc::clone(&entry.instance)) else { return };
+    drop(list);
+    node.suspicions.lock().on_peer(&instance.id, peer, reach, node.now());
+    if ask {
+        let doubt =
+            Doubt { id: instance.id.clone(), address: instance.address.clone(), seen: None };
+        let _ = node.doubts.send(doubt);
+    }
+    node.suspicions_changed();
+}
+
+/// Fetches from a peer what the store does not give, until the node ends.
+pub async fn catch_up(node: Arc<Node>) {
+    loop {
+        tokio::time::sleep(CATCH_UP_EVERY).await;
+        if let Some(peer) = newer_config(&node) {
+            fetch_config(&node, peer).await;
+        }
+        if let Some(peer) = newer_list(&node) {
+            fetch_list(&node, peer).await;
+        }
+    }
+}
+
+fn newer_config(node: &Node) -> Option<SocketAddr> {
+    let own = node.config_age().map(|(version, _)| version);
+    let peers = node.peers.lock();
+    let heard = peers.heard(node.now());
+    let newer = heard.filter(|(_, peer)| peer.pulse.config.map(|(version, _)| version) > own);
+    newer.map(|(address, _)| *address).next()
+}
+
+fn newer_list(node: &Node) -> Option<SocketAddr> {
+    let own = node.now().since(node.list.lock().read_at);
+    if own < LIST_STALE {
+        return None;
+    }
+    let peers = node.peers.lock();
+    let heard = peers.heard(node.now());
+    let best = heard.min_by_key(|(_, peer)| peer.pulse.list_age_ms)?;
+    (best.1.pulse.list_age_ms + LIST_STALE.0 / 2 < own.0).then_some(*best.0)
+}
+
+/// Where a peer answers for its configuration and list.
+pub const CONFIG_PATH: &str = "/peer/config";
+/// The list, from a record on.
+pub const LIST_PATH: &str = "/peer/list";
+
+async fn fetch_config(node: &Node, peer: SocketAddr) {
+    let Some(bytes) = fetch(node, peer, CONFIG_PATH).await else { return };
+    let Ok(catalog) = config::decode(&bytes) else { return };
+    let version = catalog.version.to_string();
+    // How fresh it is comes with the peer's next pulse.
+    node.take_config(catalog, bytes, Millis::ZERO);
+    emit(Event::ConfigFromPeer, &[("version", &version), ("peer", &peer.to_string())]);
+}
+
+async fn fetch_list(node: &Node, peer: SocketAddr) {
+    let from = node.list.lock().next.unwrap_or_default();
+    let path = format!("{LIST_PATH}?from={from}");
+    let Some(bytes) = fetch(node, peer, &path).await else { return };
+    let Ok((age, records)) = postcard::from_bytes::<(u64, Vec<PeerRecord>)>(&bytes) else { return };
+    following::take_peer_records(node, &records, Millis(age));
+}
+
+async fn fetch(node: &Node, peer: SocketAddr, path: &str) -> Option<Bytes> {
+    let port = node.settings().listen.control.port();
+    let address = SocketAddr::new(peer.ip(), port).to_string();
+    let fetched = async {
+        let connected = client::connect(&address, PEER_TIME).await.ok()?;
+        let req = client::request::<()>(&address, Method::GET, path, None);
+        let (res, _driver) = connected.send(req, PEER_TIME).await.ok()?;
+        if res.status() != StatusCode::OK {
+            return None;
+        }
+        res.into_body().collect().await.ok().map(http_body_util::Collected::to_bytes)
+    };
+    tokio::time::timeout(PEER_TIME, fetched).await.ok().flatten()
+}
--- /dev/null
+++ b/crates/workshold-gateway/src/tasks/leasing.rs
@@ -0,0 +1,100 @@
+//! Holding this node's part of the right to give orders.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use workshold_protocol::Millis;
+
+use crate::events::Event;
+use crate::events::emit;
+use crate::node::Node;
+
+/// The group and topic of the lease.
+const GROUP: &str = "stewards";
+/// How often a lease is renewed.
+const RENEW_EVERY: Duration = Duration::from_millis(450);
+/// Time for the answer.
+const ANSWER_TIME: Millis = Millis(700);
+/// How often a node asks who else there is.
+const OWNERS_EVERY: Duration = Duration::from_millis(3_000);
+/// The same until it has heard of anybody.
+const OWNERS_EVERY_AT_FIRST: Duration = Duration::from_millis(500);
+
+/// The name under which this life of the node holds its lease: where it is heard,
+/// and when it began.
+fn member(node: &Node, began: Millis) -> String {
+    let address = node.peer_address(node.settings().listen.callers);
+    format!("{address}/{}", began.0)
+}
+
+/// Holds the lease until the node leaves, then gives it back.
+pub async fn hold(node: Arc<Node>, began: Millis) {
+    let member = member(&node, began);
+    let ttl = node.settings().lease_ttl();
+    while !node.is_leaving() {
+        let generation = node.lease.lock().generation;
+        let sent = node.now();
+        if let Ok(joined) = node.store.join(GROUP, &member, ttl, generation, ANSWER_TIME).await {
+            node.store_answered(sent);
+            take(&node, joined.generation, &joined.parts, sent);
+        }
+        tokio::time::sleep(RENEW_EVERY).await;
+    }
+    node.lease.lock().parts.clear();
+    // If this is lost, the lease runs out by itself.
+    let _ = node.store.leave(GROUP, &member, ANSWER_TIME).await;
+}
+
+fn take(node: &Node, generation: u64, parts: &[u64], sent: Millis) {
+    let now = node.now();
+    let mut lease = node.lease.lock();
+    let held = std::mem::take(&mut lease.parts);
+    let since = |part: &u64| (*part, held.get(part).copied().unwrap_or(now));
+    let parts: BTreeMap<u64, Millis> = parts.iter().map(since).collect();
+    let is_news = parts.keys().ne(held.keys());
+    lease.parts = parts;
+    lease.generation = generation;
+    lease.renewed_at = sent;
+    if lease.outranked.is_some_and(|outranked| generation > outranked) {
+        lease.outranked = None;
+    }
+    let list: Vec<String> = lease.parts.keys().map(u64::to_string).collect();
+    drop(lease);
+    if is_news {
+        let fields = [("generation", &*generation.to_string()), ("parts", &*list.join(","))];
+        emit(Event::LeaseTaken, &fields);
+        node.steward_wanted.notify_one();
+    }
+}
+
+/// Learns of other nodes by who holds parts of the lease, until the node ends.
+pub async fn find_peers(node: Arc<Node>) {
+    let own = node.peer_address(node.settings().listen.callers);
+    let now = node.now();
+    for seed in &node.settings().peers.seeds {
+        let address = node.peer_address(*seed);
+        if address != own {
+            node.peers.lock().add(address, now);
+        }
+    }
+    loop {
+        let sent = node.now();
+        if let Ok(owners) = node.store.owners(GROUP, ANSWER_TIME).await {
+            node.store_answered(sent);
+            let addresses = owners.iter().filter_map(|owner| address_of(&owner.member));
+            let mut peers = node.peers.lock();
+            addresses
+                .filter(|address| *address != own)
+                .for_each(|address| peers.add(address, sent));
+        }
+        let is_alone = node.peers.lock().heard(node.now()).next().is_none();
+        let pause = if is_alone { OWNERS_EVERY_AT_FIRST } else { OWNERS_EVERY };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+fn address_of(member: &str) -> Option<SocketAddr> {
+    member.split('/').next()?.parse().ok()
+}
--- /dev/null
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -0,0 +1,279 @@
+//! Carrying out what the steward decides for the domains that are this node's.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use workshold_core::hosted::catalog::Engine;
+use workshold_core::hosted::groups;
+use workshold_core::hosted::roster::Entry;
+use workshold_core::hosted::roster::ListTrust;
+use workshold_core::hosted::roster::MemberState;
+use workshold_core::hosted::roster::Roster;
+use workshold_core::hosted::steward::Command;
+use workshold_core::hosted::steward::Situation;
+use workshold_core::hosted::steward::Steward;
+use workshold_core::hosted::steward::StewardRules;
+use workshold_core::hosted::suspicion::Loss;
+use workshold_core::hosted::suspicion::Suspicions;
+use workshold_platform::engines;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::FabricDomain;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::ids::ModelName;
+use workshold_protocol::ids::ServiceName;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::events::Event;
+use crate::events::emit;
+use crate::node::Lease;
+use crate::node::Node;
+
+/// How often a steward looks, if nothing wakes it.
+const LOOK_EVERY: Duration = Duration::from_millis(150);
+/// Time for the answer to an order.
+const ORDER_TIME: Millis = Millis(250);
+/// A part that has just come is left alone for this long: its last steward may have
+/// orders on their way.
+const SETTLE: Millis = Millis(300);
+/// Weight of the newest look at the demand.
+const DEMAND_SMOOTHING: f64 = 0.08;
+
+type Stewards = Arc<Mutex<BTreeMap<u64, Steward>>>;
+
+/// Stewards until the node ends.
+pub async fn run(node: Arc<Node>) {
+    let stewards: Stewards = Arc::default();
+    let mut demand = BTreeMap::new();
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(LOOK_EVERY) => {}
+            () = node.steward_wanted.notified() => {}
+        }
+        measure_demand(&node, &mut demand);
+        let commands = plan(&node, &stewards, &demand);
+        for command in commands {
+            carry_out(Arc::clone(&node), Arc::clone(&stewards), command);
+        }
+    }
+}
+
+/// Groups' worth of requests under way, by model.
+fn measure_demand(node: &Node, demand: &mut BTreeMap<ModelName, f64>) {
+    if !node.has_traffic() {
+        return;
+    }
+    let mut now: BTreeMap<ModelName, f64> = BTreeMap::new();
+    for target in node.table().heads() {
+        let Some(model) = target.model.as_ref().and_then(|name| ModelName::new(name).ok()) else {
+            continue;
+        };
+        let load = f64::from(node.loads.of(&target.id)) / f64::from(target.slots.max(1));
+        *now.entry(model).or_default() += load;
+    }
+    for (model, load) in now {
+        let mean = demand.entry(model).or_insert(load);
+        *mean += DEMAND_SMOOTHING * (load - *mean);
+    }
+}
+
+/// Which part of the lease a domain belongs to.
+fn part_of(domain: &FabricDomain, parts: u64) -> u64 {
+    xxh3_64(domain.as_str().as_bytes()) % parts.max(1)
+}
+
+/// The fence of the lease, if it still gives the right to order.
+fn fence(node: &Node, lease: &Lease) -> Option<u64> {
+    let ttl = node.settings().lease_ttl();
+    let is_outranked = lease.outranked == Some(lease.generation);
+    let is_held = node.now().since(lease.renewed_at) < ttl || is_store_away_for_all(node, lease);
+    (is_held && !is_outranked && !lease.parts.is_empty()).then_some(lease.generation)
+}
+
+/// Whether the store has answered nobody since this lease was renewed: then nobody
+/// else can hold it either.
+fn is_store_away_for_all(node: &Node, lease: &Lease) -> bool {
+    let now = node.now();
+    let age = now.since(lease.renewed_at).0;
+    let peers = node.peers.lock();
+    let mut heard = peers.heard(now).peekable();
+    let ttl = node.settings().lease_ttl().0;
+    heard.peek().is_some() && heard.all(|(_, peer)| peer.pulse.store_age_ms + ttl > age)
+}
+
+fn plan(node: &Node, stewards: &Stewards, demand: &BTreeMap<ModelName, f64>) -> Vec<Command> {
+    let lease = node.lease.lock().clone();
+    let mut stewards = stewards.lock();
+    let Some(fence) = fence(node, &lease) else {
+        stewards.clear();
+        node.is_steward_busy.store(false, Ordering::Relaxed);
+        return Vec::new();
+    };
+    let Some(catalog) = node.catalog() else { return Vec::new() };
+    stewards.retain(|part, _| lease.parts.contains_key(part));
+    let now = node.now();
+    let list = node.list.lock();
+    if list.next.is_none() {
+        return Vec::new();
+    }
+    let peers = node.peers.lock().heard(now).count();
+    let suspicions = node.suspicions.lock().clone();
+    let look = Look {
+        roster: &list.roster,
+        trust: &list.trust,
+        suspicions: &suspicions,
+        peers,
+        demand,
+        before_traffic: !node.has_traffic() && node.settings().node.is_first_start,
+        parts: node.settings().store.parts,
+        lease: &lease,
+        fence,
+        now,
+    };
+    let mut commands = Vec::new();
+    for upstream in catalog.upstreams.values() {
+        if let Some(engine) = upstream.engine.as_ref().filter(|engine| !engine.models.is_empty()) {
+            commands.extend(look.plan(&upstream.name, engine, &mut stewards));
+        }
+    }
+    let is_busy = stewards.values().any(Steward::is_busy);
+    node.is_steward_busy.store(is_busy, Ordering::Relaxed);
+    if is_busy || !commands.is_empty() {
+        node.list_wanted.notify_one();
+    }
+    commands
+}
+
+/// What all domains have in common at one look.
+struct Look<'a> {
+    roster: &'a Roster,
+    trust: &'a ListTrust,
+    suspicions: &'a Suspicions,
+    peers: usize,
+    demand: &'a BTreeMap<ModelName, f64>,
+    before_traffic: bool,
+    parts: u64,
+    lease: &'a Lease,
+    fence: u64,
+    now: Millis,
+}
+
+impl Look<'_> {
+    fn plan(
+        &self,
+        service: &ServiceName,
+        engine: &Engine,
+        stewards: &mut BTreeMap<u64, Steward>,
+    ) -> Vec<Command> {
+        let of_service = |entry: &&Entry| &entry.instance.service == service;
+        let entries: Vec<&Entry> = self.roster.iter().filter(of_service).collect();
+        let domains: BTreeSet<&FabricDomain> =
+            entries.iter().filter_map(|entry| entry.instance.domain.as_ref()).collect();
+        let (known, standing) = self.group_counts(engine, &entries);
+        let loss = |id: &InstanceId| -> Loss { self.suspicions.loss(id, self.peers) };
+        let demand = self.demand_of(engine);
+        let mut commands = Vec::new();
+        for domain in &domains {
+            let part = part_of(domain, self.parts);
+            let Some(since) = self.lease.parts.get(&part) else { continue };
+            if self.now.since(*since) < SETTLE {
+                continue;
+            }
+            let mut counts = standing.clone();
+            stewards.values().for_each(|steward| steward.count_forming(&known, &mut counts));
+            let steward = stewards
+                .entry(part)
+                .or_insert_with(|| Steward::new(StewardRules::default(), part, self.fence));
+            steward.raise_fence(self.fence);
+            let own: Vec<&Entry> = entries
+                .iter()
+                .copied()
+                .filter(|entry| entry.instance.domain.as_ref() == Some(*domain))
+                .collect();
+            commands.extend(steward.plan(&Situation {
+                engine,
+                entries: &own,
+                trust: self.trust,
+                loss: &loss,
+                demand: &demand,
+                groups: &counts,
+                before_traffic: self.before_traffic,
+                load_part: 1.0 / domains.len().max(1) as f64,
+                last_new: self.roster.last_new(),
+                now: self.now,
+            }));
+        }
+        commands
+    }
+
+    /// Groups that serve or are about to, by epoch and counted by model.
+    fn group_counts(
+        &self,
+        engine: &Engine,
+        entries: &[&Entry],
+    ) -> (BTreeSet<u64>, BTreeMap<ModelName, f64>) {
+        let serving = |entry: &&Entry| entry.is_in_service(self.trust, self.now);
+        let serving = entries.iter().copied().filter(serving);
+        let mut known = BTreeSet::new();
+        let mut counts = BTreeMap::new();
+        for group in groups::collate(serving) {
+            let Some(shape) = engine.model(group.model()) else { continue };
+            let is_whole = group.members.len() == shape.size;
+            let is_over =
+                matches!(group.state(), None | Some(MemberState::Closing | MemberState::Broken));
+            if is_whole && !is_over {
+                known.insert(group.epoch);
+                *counts.entry(shape.name.clone()).or_default() += 1.0;
+            }
+        }
+        (known, counts)
+    }
+
+    /// What was seen, or before that what the operator expects: the model's part of
+    /// all instances, in groups.
+    fn demand_of(&self, engine: &Engine) -> BTreeMap<ModelName, f64> {
+        let expected = |model: &workshold_core::hosted::catalog::ModelShape| {
+            let seen = self.demand.get(&model.name).copied();
+            (model.name.clone(), seen.unwrap_or(model.share / model.size as f64))
+        };
+        engine.models.iter().map(expected).collect()
+    }
+}
+
+fn carry_out(node: Arc<Node>, stewards: Stewards, command: Command) {
+    tokio::spawn(async move {
+        let reply = engines::order(&command, ORDER_TIME).await;
+        let mut is_outranked = false;
+        for steward in stewards.lock().values_mut() {
+            is_outranked |= steward.on_reply(&command, reply);
+        }
+        if is_outranked {
+            on_outranked(&node, command.fence);
+        }
+        emit(
+            Event::Ordered,
+            &[
+                ("instance", command.to.as_str()),
+                ("order", &format!("{:?}", command.order)),
+                ("fence", &command.fence.to_string()),
+                ("why", command.why),
+                ("reply", &format!("{reply:?}")),
+            ],
+        );
+        node.steward_wanted.notify_one();
+    });
+}
+
+/// Another node has a higher number, or a newer formation was there before: no more
+/// orders under this one.
+fn on_outranked(node: &Node, fence: u64) {
+    let mut lease = node.lease.lock();
+    if lease.generation == fence && lease.outranked.is_none() {
+        lease.outranked = Some(fence);
+        drop(lease);
+        emit(Event::LeaseLost, &[("fence", &fence.to_string())]);
+    }
+}
--- /dev/null
+++ b/crates/workshold-gateway/src/tasks/upkeep.rs
@@ -0,0 +1,51 @@
+//! Keeping tables current and forgetting what is over.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::events::Event;
+use crate::events::emit;
+use crate::node::Node;
+
+/// How often: entries are excused or not by the clock alone.
+const EVERY: Duration = Duration::from_millis(250);
+
+/// Keeps a node in order until it ends.
+pub async fn run(node: Arc<Node>) {
+    let mut last = None;
+    loop {
+        let readiness = node.readiness();
+        if last != Some(readiness) {
+            match readiness {
+                Ok(()) => emit(Event::Ready, &[]),
+                Err(why) => emit(Event::NotReady, &[("why", &why.to_string())]),
+            }
+            last = Some(readiness);
+            node.pulse_wanted.notify_one();
+        }
+        tokio::time::sleep(EVERY).await;
+        tidy(&node);
+    }
+}
+
+fn tidy(node: &Node) {
+    let now = node.now();
+    node.remake_table();
+    let mut list = node.list.lock();
+    list.roster.forget(now);
+    let known: std::collections::BTreeSet<_> =
+        list.roster.iter().map(|entry| entry.instance.id.clone()).collect();
+    list.raw.retain(|key, (_, value)| {
+        !value.is_empty() || known.iter().any(|id| id.as_str() == key.as_str())
+    });
+    drop(list);
+    node.suspicions.lock().forget(now, |id| known.contains(id));
+    node.gaps.lock().retain(|id| known.contains(id));
+    node.outliers.lock().retain(|id| known.contains(id));
+    node.loads.tidy();
+    let mut peers = node.peers.lock();
+    peers.forget(now);
+    let others = peers.loads(now);
+    drop(peers);
+    node.loads.set_others(others);
+}
--- a/crates/workshold-http/src/server.rs
+++ b/crates/workshold-http/src/server.rs
@@ -6,6 +6,7 @@
 
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body as HttpBody;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -17,8 +18,6 @@
 use tokio::task::JoinSet;
 use tower::Service;
 
-use crate::body::Body;
-
 /// What one peer may use up.
 #[derive(Debug, Clone, Copy)]
 pub struct Bounds {
@@ -55,16 +54,19 @@
 }
 
 /// Serves until `stage` says otherwise; returns how many connections were cut.
-pub async fn serve<S>(
+pub async fn serve<S, B>(
     listener: TcpListener,
     bounds: Bounds,
     service: S,
     mut stage: watch::Receiver<Stage>,
 ) -> usize
 where
-    S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>,
+    S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>,
     S: Clone + Send + 'static,
     S::Future: Send,
+    B: HttpBody + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let permits = Arc::new(Semaphore::new(bounds.connections));
     let mut connections = JoinSet::new();
@@ -96,15 +98,18 @@
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-async fn run_connection<S>(
+async fn run_connection<S, B>(
     io: TokioIo<tokio::net::TcpStream>,
     bounds: Bounds,
     service: TowerToHyperService<S>,
     mut stage: watch::Receiver<Stage>,
 ) where
-    S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>,
+    S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>,
     S: Clone + Send + 'static,
     S::Future: Send,
+    B: HttpBody + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/workshold-node/src/events.rs
+++ b/crates/workshold-node/src/events.rs
@@ -2,47 +2,9 @@
 //!
 //! `docs/EVENTS.md` is written from this list; a test holds the two to each other.
 
-use std::fmt::Write as _;
+use workshold_telemetry::events::catalogue as page;
 
-use log::Level;
-use log::Record;
-
-macro_rules! events {
-    ($($name:ident = $number:literal, $level:ident, $what:literal, $do:literal;)*) => {
-        /// Everything that is ever logged.
-        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-        pub enum Event {
-            $(#[doc = $what] $name,)*
-        }
-
-        impl Event {
-            /// All of them, by number.
-            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
-
-            /// Its number; never used for another one.
-            pub const fn number(self) -> u16 {
-                match self { $(Self::$name => $number,)* }
-            }
-
-            /// Its level.
-            pub const fn level(self) -> Level {
-                match self { $(Self::$name => Level::$level,)* }
-            }
-
-            /// What happened.
-            pub const fn what(self) -> &'static str {
-                match self { $(Self::$name => $what,)* }
-            }
-
-            /// What an operator does about it.
-            pub const fn advice(self) -> &'static str {
-                match self { $(Self::$name => $do,)* }
-            }
-        }
-    };
-}
-
-events! {
+workshold_telemetry::events! {
     Started = 101, Info, "the node has started", "Nothing.";
     Ready = 102, Info, "the node serves callers", "Nothing.";
     NotReady = 103, Warn, "the node does not serve callers", "Read the reason; it goes away by itself once the log or a peer answers.";
@@ -80,39 +42,7 @@
     CallerGone = 603, Debug, "a caller went away or stopped reading; its stream was cancelled", "Nothing.";
 }
 
-impl Event {
-    /// The number as it is written in logs.
-    pub fn code(self) -> String {
-        format!("W{:03}", self.number())
-    }
-}
-
-/// Logs `event` with its fields.
-pub fn emit(event: Event, fields: &[(&'static str, &str)]) {
-    if event.level() > log::max_level() {
-        return;
-    }
-    let code = event.code();
-    let source: Vec<(&str, &str)> = fields.to_vec();
-    log::logger().log(
-        &Record::builder()
-            .level(event.level())
-            .target(&code)
-            .args(format_args!("{}", event.what()))
-            .key_values(&source)
-            .build(),
-    );
-}
-
 /// The text of `docs/EVENTS.md`.
 pub fn catalogue() -> String {
-    let mut text = String::from(
-        "# Events\n\nEvery line that a node logs has a number. Fields follow the text.\n\n\
-         | number | level | what happened | what to do |\n| --- | --- | --- | --- |\n",
-    );
-    for event in Event::ALL {
-        let (code, level) = (event.code(), event.level());
-        let _ = writeln!(text, "| {code} | {level} | {} | {} |", event.what(), event.advice());
-    }
-    text
+    page("Events", rows())
 }
--- /dev/null
+++ b/crates/workshold-telemetry/src/lib.rs
@@ -0,0 +1,13 @@
+//! What every daemon of workshold logs, and how.
+//!
+//! - [`events!`] makes a list of numbered events, which is also their catalogue.
+//! - [`lines`] turns an event into a line of text or JSON.
+//! - [`writer`] takes lines into a bounded queue and writes them from a thread of
+//!   its own, so that a reader who stalls costs no request.
+
+pub mod events;
+pub mod lines;
+pub mod writer;
+
+pub use crate::events::emit;
+pub use log;
