--- a/crates/workshold-core/src/hosted/silence.rs
+++ b/crates/workshold-core/src/hosted/silence.rs
@@ -24,9 +24,9 @@
 impl Default for SilenceRules {
     fn default() -> Self {
         Self {
-            look_factor: 2.0,
-            least: Millis(55),
-            goal_part: 0.45,
+            look_factor: 4.0,
+            least: Millis(100),
+            goal_part: 0.65,
             give_up_factor: 3.0,
             give_up_gaps: 8.0,
         }
--- a/crates/workshold-core/src/hosted/steward.rs
+++ b/crates/workshold-core/src/hosted/steward.rs
@@ -18,6 +18,9 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use smol_str::SmolStr;
 use workshold_protocol::Millis;
@@ -26,6 +29,7 @@
 use workshold_protocol::ids::ModelName;
 
 use super::catalog::Engine;
+use super::catalog::ModelShape;
 use super::groups;
 use super::groups::Group;
 use super::roster::Entry;
@@ -123,6 +127,12 @@
     pub patience: Millis,
     /// The window in which loads are counted.
     pub load_window: Millis,
+    /// Groups of one model are not given up for another more often than this.
+    pub make_room_every: Millis,
+    /// A model whose groups are used above this share is short of groups.
+    pub short_above: f64,
+    /// A model whose groups would still be used below this share can spare one.
+    pub spare_below: f64,
 }
 
 impl Default for StewardRules {
@@ -133,6 +143,9 @@
             list_settles: Millis(700),
             patience: Millis(4_000),
             load_window: Millis(5_000),
+            make_room_every: Millis(2_000),
+            short_above: 0.6,
+            spare_below: 0.6,
         }
     }
 }
@@ -185,13 +198,14 @@
     rules: StewardRules,
     part: u64,
     fence: u64,
-    counter: u64,
+    issued: Arc<AtomicU64>,
     forming: BTreeMap<u64, Forming>,
     sent: BTreeMap<(InstanceId, u64, &'static str), Millis>,
     staging: BTreeMap<InstanceId, (ModelName, Millis)>,
     closed: BTreeSet<u64>,
     released: BTreeSet<u64>,
     loads: VecDeque<Millis>,
+    made_room_at: Option<Millis>,
 }
 
 /// Bits of an epoch below the fence: those of the part, and of the count.
@@ -200,18 +214,22 @@
 
 impl Steward {
     /// The steward of `part` under `fence`.
-    pub fn new(rules: StewardRules, part: u64, fence: u64) -> Self {
+    ///
+    /// `issued` counts the epochs that this process has issued: a part that is given
+    /// up and taken again under the same fence must not begin anew.
+    pub fn new(rules: StewardRules, part: u64, fence: u64, issued: Arc<AtomicU64>) -> Self {
         Self {
             rules,
             part,
             fence,
-            counter: 0,
+            issued,
             forming: BTreeMap::new(),
             sent: BTreeMap::new(),
             staging: BTreeMap::new(),
             closed: BTreeSet::new(),
             released: BTreeSet::new(),
             loads: VecDeque::new(),
+            made_room_at: None,
         }
     }
 
@@ -277,14 +295,16 @@
         self.form(s, &pool);
         self.carry_on(s, &groups, &mut commands);
         self.stage(s, &pool, &mut commands);
+        self.stage_others(s, &mut commands);
+        self.make_room(s, &groups, &pool, &mut commands);
         self.tidy(s);
         commands
     }
 
-    fn next_epoch(&mut self) -> u64 {
-        self.counter += 1;
+    fn next_epoch(&self) -> u64 {
+        let issued = self.issued.fetch_add(1, Ordering::Relaxed) + 1;
         let part = self.part & ((1 << PART_BITS) - 1);
-        let count = self.counter & ((1 << COUNT_BITS) - 1);
+        let count = issued & ((1 << COUNT_BITS) - 1);
         (self.fence << (PART_BITS + COUNT_BITS)) | (part << COUNT_BITS) | count
     }
 
@@ -308,7 +328,7 @@
         if self.forming.contains_key(&group.epoch) {
             return self.judge_forming(group, head, s);
         }
-        if s.is_lost(&head.id) {
+        if s.is_gone(&head.id) {
             return Standing::Idle;
         }
         if self.closed.contains(&group.epoch) {
@@ -330,7 +350,7 @@
         if group.state() == Some(MemberState::Open) {
             self.forming.remove(&group.epoch);
         }
-        if s.is_lost(&head.id) { Standing::Idle } else { Standing::Held }
+        if s.is_gone(&head.id) { Standing::Idle } else { Standing::Held }
     }
 
     fn judge_open(
@@ -357,6 +377,10 @@
         s: &Situation<'_>,
         commands: &mut Vec<Command>,
     ) {
+        if s.is_lost(&head.id) {
+            // Nobody hears it; its members wait until it is known to be gone.
+            return;
+        }
         let kind = if is_cut { "cut" } else { "close" };
         let order = Order::Close { group: group.id.clone(), epoch: group.epoch, is_cut };
         self.send(head, group.epoch, kind, order, why, s.now, commands);
@@ -449,7 +473,7 @@
         let group =
             groups.iter().find(|group| group.epoch == own.epoch && group.id == own.group)?;
         let head = group.head()?;
-        let is_free = s.is_lost(&head.id) || self.released.contains(&group.epoch);
+        let is_free = s.is_gone(&head.id) || self.released.contains(&group.epoch);
         (!is_free).then_some((group, head.as_ref()))
     }
 
@@ -472,6 +496,13 @@
 const MOST_REMEMBERED: usize = 512;
 
 impl<'a> Situation<'a> {
+    /// How far the groups of a model are used if it had `less` of them.
+    fn use_of(&self, model: &ModelShape, less: f64) -> f64 {
+        let demand = self.demand.get(&model.name).copied().unwrap_or_default();
+        let count = self.groups.get(&model.name).copied().unwrap_or_default() - less;
+        if count > 0.0 { demand / count } else { f64::INFINITY }
+    }
+
     fn entry(&self, id: &InstanceId) -> Option<&'a Entry> {
         self.entries.iter().copied().find(|entry| &entry.instance.id == id)
     }
@@ -481,6 +512,15 @@
         (self.loss)(id) >= Loss::Confirmed
     }
 
+    /// Whether an instance is gone for sure: its process has ended, or neither the
+    /// platform nor any of several nodes hears of it. A head that is only out of our
+    /// reach may still serve, and its members are not free.
+    fn is_gone(&self, id: &InstanceId) -> bool {
+        let loss = (self.loss)(id);
+        let is_listed = self.entry(id).is_some_and(|entry| entry.unlisted_since.is_none());
+        loss == Loss::Ended || (loss == Loss::Confirmed && !is_listed)
+    }
+
     /// Whether an instance may be put into a group.
     fn can_serve(&self, entry: &Entry) -> bool {
         entry.is_in_service(self.trust, self.now) && (self.loss)(&entry.instance.id) == Loss::None
--- a/crates/workshold-core/src/hosted/steward/choosing.rs
+++ b/crates/workshold-core/src/hosted/steward/choosing.rs
@@ -11,6 +11,7 @@
 use crate::hosted::groups;
 use crate::hosted::groups::Group;
 use crate::hosted::roster::Instance;
+use crate::hosted::roster::MemberState;
 
 use super::Command;
 use super::Forming;
@@ -78,10 +79,13 @@
         let mut pool = pool.to_vec();
         pool.retain(|free| !self.is_staging(&free.instance, s));
         let mut counts = s.groups.clone();
+        let kept = self.kept_for_short(s, &pool);
         loop {
             let by_need = by_need(s, &counts);
-            let chosen = by_need.iter().find_map(|model| {
-                let members = members_for(model, &pool, s.before_traffic)?;
+            let chosen = by_need.iter().enumerate().find_map(|(i, model)| {
+                let is_open = |free: &&Free| i == 0 || !kept.contains(&free.instance.id);
+                let open: Vec<Free> = pool.iter().filter(is_open).cloned().collect();
+                let members = members_for(model, &open, s.before_traffic)?;
                 Some((*model, members))
             });
             let Some((model, members)) = chosen else { return };
@@ -141,6 +145,82 @@
         }
     }
 
+    /// Fetches another model's weights to hosts whose memory has the first one's: so
+    /// whoever survives a loss can soon be part of a group of either.
+    pub(super) fn stage_others(&mut self, s: &Situation<'_>, commands: &mut Vec<Command>) {
+        let models = by_need(s, s.groups);
+        for entry in s.entries.iter().filter(|entry| s.can_serve(entry)) {
+            let instance = &entry.instance;
+            let is_settled =
+                instance.membership.as_ref().is_some_and(|own| own.state != MemberState::Joining);
+            if !is_settled || instance.loaded.is_empty() || self.is_staging(instance, s) {
+                continue;
+            }
+            let has_other = instance.staged.iter().any(|model| !instance.loaded.contains(model));
+            let other = models.iter().find(|model| !instance.loaded.contains(&model.name));
+            if let Some(other) = other.filter(|_| !has_other) {
+                self.stage_one(instance, other, s, commands);
+            }
+        }
+    }
+
+    /// Gives a group up that its model can spare, if another model is short of one
+    /// and its members would complete it.
+    pub(super) fn make_room(
+        &mut self,
+        s: &Situation<'_>,
+        groups: &[Group],
+        pool: &[Free],
+        commands: &mut Vec<Command>,
+    ) {
+        let every = self.rules.make_room_every;
+        let was_recent = self.made_room_at.is_some_and(|at| s.now.since(at) < every);
+        if s.before_traffic || was_recent || !self.forming.is_empty() {
+            return;
+        }
+        let models = by_need(s, s.groups);
+        let is_short = |model: &&&ModelShape| s.use_of(model, 0.0) > self.rules.short_above;
+        let Some(short) = models.first().filter(is_short) else { return };
+        let quick = |instance: &Instance| warmth(instance, &short.name) < Warmth::Cold;
+        let mut have = pool.iter().filter(|free| quick(&free.instance)).count();
+        let mut donors = Vec::new();
+        let mut given: BTreeMap<&ModelName, f64> = BTreeMap::new();
+        for group in groups.iter().filter(|group| group.state() == Some(MemberState::Open)) {
+            let shape = s.engine.model(group.model()).filter(|shape| shape.name != short.name);
+            let (Some(shape), Some(head)) = (shape, group.head()) else { continue };
+            let less = given.get(&shape.name).copied().unwrap_or_default() + 1.0;
+            let brings = group.members.values().filter(|member| quick(member)).count();
+            let can_spare = s.use_of(shape, less) < self.rules.spare_below;
+            if have >= short.size || brings == 0 || !can_spare {
+                continue;
+            }
+            given.insert(&shape.name, less);
+            have += brings;
+            donors.push((group, head));
+        }
+        if have < short.size || donors.is_empty() {
+            return;
+        }
+        self.made_room_at = Some(s.now);
+        for (group, head) in donors {
+            self.close(group, head, false, "another model is short of groups", s, commands);
+        }
+    }
+
+    /// How many of `pool` are kept for the model that is short of groups: those that
+    /// could soon complete one.
+    fn kept_for_short(&self, s: &Situation<'_>, pool: &[Free]) -> Vec<InstanceId> {
+        let models = by_need(s, s.groups);
+        let is_short = |model: &&&ModelShape| s.use_of(model, 0.0) > self.rules.short_above;
+        let Some(short) = models.first().filter(is_short).filter(|_| !s.before_traffic) else {
+            return Vec::new();
+        };
+        let quick = pool.iter().filter(|free| warmth(&free.instance, &short.name) < Warmth::Cold);
+        let mut kept: Vec<&Free> = quick.collect();
+        kept.sort_by_key(|free| warmth(&free.instance, &short.name));
+        kept.iter().take(short.size).map(|free| free.instance.id.clone()).collect()
+    }
+
     fn stage_one(
         &mut self,
         instance: &Instance,
@@ -150,7 +230,7 @@
     ) {
         let window = self.rules.load_window.as_secs_f64();
         let most = (s.engine.loads_per_s * window * s.load_part * LOADS_USED).max(1.0);
-        if self.loads.len() as f64 + 1.0 > most {
+        if !s.before_traffic && self.loads.len() as f64 + 1.0 > most {
             return;
         }
         let before = commands.len();
--- a/crates/workshold-gateway/src/daemon.rs
+++ b/crates/workshold-gateway/src/daemon.rs
@@ -99,7 +99,6 @@
     let callers = start_servers(&node, &rx)?;
     let socket = tasks::gossip::open(&node).await.map_err(DaemonError::Peers)?;
     let socket = Arc::new(socket);
-    let began = node.now();
     let mut parts = JoinSet::new();
     parts.spawn(tasks::following::config(Arc::clone(&node)));
     parts.spawn(tasks::following::list(Arc::clone(&node)));
@@ -112,7 +111,7 @@
     parts.spawn(tasks::stewarding::run(Arc::clone(&node)));
     parts.spawn(tasks::upkeep::run(Arc::clone(&node)));
     parts.spawn(watch_settings(Arc::clone(&node), path.clone()));
-    let lease = tokio::spawn(tasks::leasing::hold(Arc::clone(&node), began));
+    let lease = tokio::spawn(tasks::leasing::hold(Arc::clone(&node)));
     emit(Event::Started, &[("callers", &node.settings().listen.callers.to_string())]);
     loop {
         tokio::select! {
@@ -154,7 +153,7 @@
     let callers = tokio::spawn(server::serve(listener, bounds, service, stage.clone()));
     serve_side(node, settings.listen.directory, stage, directory::answer)?;
     serve_side(node, settings.listen.readiness, stage, directory::readiness)?;
-    serve_side(node, settings.listen.control, stage, control::answer)?;
+    serve_side(node, settings.control(), stage, control::answer)?;
     Ok(callers)
 }
 
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
@@ -116,6 +116,8 @@
     pub pulse_wanted: Notify,
     /// Wakes the one who reads the list.
     pub list_wanted: Notify,
+    /// Epochs that this process has issued.
+    pub epochs_issued: Arc<AtomicU64>,
     /// Whether the steward waits for statements.
     pub is_steward_busy: AtomicBool,
     /// Instances to try to reach, with what to do about others.
@@ -152,7 +154,7 @@
 };
 
 /// A look at a group's members serves all its streams for this long.
-const LOOK_GOOD_FOR: Millis = Millis(60);
+const LOOK_GOOD_FOR: Millis = Millis(250);
 
 impl Node {
     /// A node that knows nothing yet.
@@ -181,6 +183,7 @@
             steward_wanted: Notify::new(),
             pulse_wanted: Notify::new(),
             list_wanted: Notify::new(),
+            epochs_issued: Arc::default(),
             is_steward_busy: AtomicBool::new(false),
             doubts,
             store_answered: Mutex::default(),
@@ -315,6 +318,14 @@
         self.suspicions_changed();
     }
 
+    /// Whether another target of the same kind has room for one more.
+    pub fn has_room_beside(&self, target: &Target) -> bool {
+        let table = self.table();
+        let others = table.like(target);
+        let mut others = others.filter(|other| other.id != target.id);
+        others.any(|other| self.loads.of(&other.id) < other.slots && !self.is_in_doubt(other))
+    }
+
     /// Whether a target's members were all seen to answer just now.
     pub fn was_looked_at(&self, id: &InstanceId) -> bool {
         let now = self.now();
@@ -410,11 +421,6 @@
         Ok(())
     }
 
-    /// Where this node's peers send datagrams on a machine.
-    pub fn peer_address(&self, of: SocketAddr) -> SocketAddr {
-        SocketAddr::new(of.ip(), self.settings().listen.peers_port)
-    }
-
     /// The store answered a question that was sent at `sent`.
     pub fn store_answered(&self, sent: Millis) {
         let mut last = self.store_answered.lock();
--- a/crates/workshold-gateway/src/relay.rs
+++ b/crates/workshold-gateway/src/relay.rs
@@ -229,7 +229,7 @@
     let goal = course.job.route.goal;
     match course.job.route.kind {
         Kind::Stream => {
-            let look = Millis((goal.0 * 2 / 5).max((usual_gap_ms * 3.0) as u64));
+            let look = Millis((goal.0 * 4 / 5).max((usual_gap_ms * 3.0) as u64));
             (look, Millis(goal.0 * 4).max(LEAST_FIRST_MOVE))
         }
         Kind::Idempotent | Kind::AtMostOnce => {
--- a/crates/workshold-gateway/src/relay/watching.rs
+++ b/crates/workshold-gateway/src/relay/watching.rs
@@ -36,7 +36,7 @@
 }
 
 /// How often an instance that answers but says nothing is looked into again.
-const LOOK_AGAIN: Millis = Millis(150);
+const LOOK_AGAIN: Millis = Millis(250);
 /// A final answer leaves this early, so that it arrives in time.
 const ANSWER_LEAD: Millis = Millis(15);
 
@@ -51,7 +51,7 @@
     let mut changed = node.suspicion_changed.subscribe();
     let ends = patience.ends - ANSWER_LEAD;
     let mut look_at = patience.movable.map(|(look, _)| patience.since + look);
-    let move_at = patience.movable.map(|(_, give_up)| patience.since + give_up);
+    let mut move_at = patience.movable.map(|(_, give_up)| patience.since + give_up);
     // With others' word that a member is lost, less silence is enough.
     let doubt_at = patience.movable.map(|(look, _)| patience.since + Millis(look.0 / 2));
     loop {
@@ -64,7 +64,10 @@
             return Watched::TimeUp;
         }
         if move_at.is_some_and(|at| now >= at) {
-            return Watched::Lost("it has been silent for too long");
+            if node.has_room_beside(target) {
+                return Watched::Lost("it has been silent for too long");
+            }
+            move_at = Some(now + LOOK_AGAIN);
         }
         if look_at.is_some_and(|at| now >= at) {
             tokio::select! {
--- a/crates/workshold-gateway/src/settings.rs
+++ b/crates/workshold-gateway/src/settings.rs
@@ -17,9 +17,6 @@
     pub node: NodeSettings,
     /// Where it listens.
     pub listen: Listen,
-    /// How it finds others before the store answers.
-    #[serde(default)]
-    pub peers: PeerSettings,
     /// The platform's store.
     pub store: StoreSettings,
     /// What the machine allows.
@@ -53,20 +50,11 @@
     pub readiness: SocketAddr,
     /// For callers who ask which addresses to use.
     pub directory: SocketAddr,
-    /// For other nodes that lack the configuration; the same port on all.
-    pub control: SocketAddr,
-    /// For other nodes' datagrams; the same port on all.
+    /// For other nodes' datagrams and, over connections, for those that lack the
+    /// configuration and for operators; the same port on all.
     pub peers_port: u16,
 }
 
-/// Other nodes.
-#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct PeerSettings {
-    /// Control addresses of some, which may be stale.
-    pub seeds: Vec<SocketAddr>,
-}
-
 /// The platform's store.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -142,6 +130,11 @@
 const LEASE_TTL: Millis = Millis(1_500);
 
 impl Settings {
+    /// Where other nodes and operators reach this one.
+    pub fn control(&self) -> SocketAddr {
+        SocketAddr::new(self.listen.callers.ip(), self.listen.peers_port)
+    }
+
     /// How long callers may use the addresses that they are told, in seconds.
     pub fn addresses_good_s(&self) -> f64 {
         ADDRESSES_GOOD_S.min(self.bounds.addresses_good_at_most_s)
--- a/crates/workshold-gateway/src/table.rs
+++ b/crates/workshold-gateway/src/table.rs
@@ -22,6 +22,8 @@
 pub struct Target {
     /// Its id, which every request names.
     pub id: InstanceId,
+    /// The service that it is part of.
+    pub service: ServiceName,
     /// Where it listens.
     pub address: SmolStr,
     /// Where it is.
@@ -75,6 +77,12 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// All targets that serve what `target` does.
+    pub fn like<'a>(&'a self, target: &'a Target) -> impl Iterator<Item = &'a Arc<Target>> {
+        let of_service = self.by_service.get(&target.service).into_iter().flatten();
+        of_service.filter(|other| other.model == target.model)
+    }
+
     /// The heads of all groups that serve.
     pub fn heads(&self) -> impl Iterator<Item = &Arc<Target>> {
         self.by_service.values().flatten().filter(|target| target.model.is_some())
@@ -89,6 +97,7 @@
 fn plain(instance: &Arc<Instance>) -> Target {
     Target {
         id: instance.id.clone(),
+        service: instance.service.clone(),
         address: instance.address.clone(),
         data_centre: instance.data_centre.clone(),
         slots: instance.slots,
@@ -109,6 +118,7 @@
     let head = group.head()?;
     Some(Target {
         id: head.id.clone(),
+        service: head.service.clone(),
         address: head.address.clone(),
         data_centre: head.data_centre.clone(),
         slots: engine.slots,
--- a/crates/workshold-gateway/src/tasks/following.rs
+++ b/crates/workshold-gateway/src/tasks/following.rs
@@ -23,13 +23,15 @@
 
 /// How long a read waits for a change. A configuration counts as fresh from when
 /// the read was sent, so this is also what its freshness lags behind.
-const CONFIG_WAIT: Millis = Millis(1_000);
-const LIST_WAIT: Millis = Millis(1_500);
+const CONFIG_WAIT: Millis = Millis(1_500);
+const LIST_WAIT: Millis = Millis(2_500);
 /// Time for the answer itself, beyond the wait.
 const ANSWER_TIME: Millis = Millis(1_200);
 /// The least time between two reads of the list: each call has its price.
-const LIST_EVERY: Millis = Millis(600);
-/// The same before there is traffic, and while a steward waits for statements.
+const LIST_EVERY: Millis = Millis(900);
+/// The same before there is traffic.
+const LIST_EVERY_EARLY: Millis = Millis(250);
+/// The same while a steward waits for statements.
 const LIST_EVERY_BUSY: Millis = Millis(40);
 /// After a call that failed.
 const RETRY: Millis = Millis(150);
@@ -118,10 +120,11 @@
 /// Rests before the next reading: short if a steward waits for statements.
 async fn rest(node: &Node, sent: Millis) {
     tokio::time::sleep(LIST_EVERY_BUSY.to_duration()).await;
-    if node.is_steward_busy.load(Ordering::Relaxed) || !node.has_traffic() {
+    if node.is_steward_busy.load(Ordering::Relaxed) {
         return;
     }
-    let left = LIST_EVERY.since(node.now().since(sent));
+    let every = if node.has_traffic() { LIST_EVERY } else { LIST_EVERY_EARLY };
+    let left = every.since(node.now().since(sent));
     tokio::select! {
         () = tokio::time::sleep(left.to_duration()) => {}
         () = node.list_wanted.notified() => {}
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -37,7 +37,7 @@
 /// How often a node looks whether a peer knows more.
 const CATCH_UP_EVERY: Duration = Duration::from_millis(300);
 /// A list older than this is fetched from a peer: longer than a waiting read.
-const LIST_STALE: Millis = Millis(2_500);
+const LIST_STALE: Millis = Millis(4_000);
 /// Time for a peer's answer.
 const PEER_TIME: Duration = Duration::from_millis(600);
 
@@ -47,9 +47,7 @@
 ///
 /// What the machine says.
 pub async fn open(node: &Node) -> io::Result<UdpSocket> {
-    let settings = node.settings();
-    let ip = settings.listen.callers.ip();
-    UdpSocket::bind(SocketAddr::new(ip, settings.listen.peers_port)).await
+    UdpSocket::bind(node.settings().control()).await
 }
 
 /// Sends pulses until the node ends.
@@ -201,7 +199,7 @@
 pub const LIST_PATH: &str = "/peer/list";
 
 async fn fetch_config(node: &Node, peer: SocketAddr) {
-    let Some(bytes) = fetch(node, peer, CONFIG_PATH).await else { return };
+    let Some(bytes) = fetch(peer, CONFIG_PATH).await else { return };
     let Ok(catalog) = config::decode(&bytes) else { return };
     let version = catalog.version.to_string();
     // How fresh it is comes with the peer's next pulse.
@@ -212,14 +210,13 @@
 async fn fetch_list(node: &Node, peer: SocketAddr) {
     let from = node.list.lock().next.unwrap_or_default();
     let path = format!("{LIST_PATH}?from={from}");
-    let Some(bytes) = fetch(node, peer, &path).await else { return };
+    let Some(bytes) = fetch(peer, &path).await else { return };
     let Ok((age, records)) = postcard::from_bytes::<(u64, Vec<PeerRecord>)>(&bytes) else { return };
     following::take_peer_records(node, &records, Millis(age));
 }
 
-async fn fetch(node: &Node, peer: SocketAddr, path: &str) -> Option<Bytes> {
-    let port = node.settings().listen.control.port();
-    let address = SocketAddr::new(peer.ip(), port).to_string();
+async fn fetch(peer: SocketAddr, path: &str) -> Option<Bytes> {
+    let address = peer.to_string();
     let fetched = async {
         let connected = client::connect(&address, PEER_TIME).await.ok()?;
         let req = client::request::<()>(&address, Method::GET, path, None);
--- a/crates/workshold-gateway/src/tasks/leasing.rs
+++ b/crates/workshold-gateway/src/tasks/leasing.rs
@@ -23,15 +23,14 @@
 const OWNERS_EVERY_AT_FIRST: Duration = Duration::from_millis(500);
 
 /// The name under which this life of the node holds its lease: where it is heard,
-/// and when it began.
-fn member(node: &Node, began: Millis) -> String {
-    let address = node.peer_address(node.settings().listen.callers);
-    format!("{address}/{}", began.0)
+/// and a number that no other life has, or the lease of the last one would go on.
+fn member(node: &Node) -> String {
+    format!("{}/{:08x}", node.settings().control(), rand::random::<u32>())
 }
 
 /// Holds the lease until the node leaves, then gives it back.
-pub async fn hold(node: Arc<Node>, began: Millis) {
-    let member = member(&node, began);
+pub async fn hold(node: Arc<Node>) {
+    let member = member(&node);
     let ttl = node.settings().lease_ttl();
     while !node.is_leaving() {
         let generation = node.lease.lock().generation;
@@ -71,14 +70,7 @@
 
 /// Learns of other nodes by who holds parts of the lease, until the node ends.
 pub async fn find_peers(node: Arc<Node>) {
-    let own = node.peer_address(node.settings().listen.callers);
-    let now = node.now();
-    for seed in &node.settings().peers.seeds {
-        let address = node.peer_address(*seed);
-        if address != own {
-            node.peers.lock().add(address, now);
-        }
-    }
+    let own = node.settings().control();
     loop {
         let sent = node.now();
         if let Ok(owners) = node.store.owners(GROUP, ANSWER_TIME).await {
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
 use workshold_core::hosted::roster::MemberState;
 use workshold_core::hosted::roster::Roster;
 use workshold_core::hosted::steward::Command;
+use workshold_core::hosted::steward::Order;
+use workshold_core::hosted::steward::OrderReply;
 use workshold_core::hosted::steward::Situation;
 use workshold_core::hosted::steward::Steward;
 use workshold_core::hosted::steward::StewardRules;
@@ -29,6 +32,7 @@
 
 use crate::events::Event;
 use crate::events::emit;
+use crate::node::Doubt;
 use crate::node::Lease;
 use crate::node::Node;
 
@@ -129,6 +133,7 @@
         demand,
         before_traffic: !node.has_traffic() && node.settings().node.is_first_start,
         parts: node.settings().store.parts,
+        issued: &node.epochs_issued,
         lease: &lease,
         fence,
         now,
@@ -156,6 +161,7 @@
     demand: &'a BTreeMap<ModelName, f64>,
     before_traffic: bool,
     parts: u64,
+    issued: &'a Arc<AtomicU64>,
     lease: &'a Lease,
     fence: u64,
     now: Millis,
@@ -184,9 +190,10 @@
             }
             let mut counts = standing.clone();
             stewards.values().for_each(|steward| steward.count_forming(&known, &mut counts));
-            let steward = stewards
-                .entry(part)
-                .or_insert_with(|| Steward::new(StewardRules::default(), part, self.fence));
+            let steward = stewards.entry(part).or_insert_with(|| {
+                let issued = Arc::clone(self.issued);
+                Steward::new(StewardRules::default(), part, self.fence, issued)
+            });
             steward.raise_fence(self.fence);
             let own: Vec<&Entry> = entries
                 .iter()
@@ -253,6 +260,7 @@
         if is_outranked {
             on_outranked(&node, command.fence);
         }
+        look_into(&node, &command, reply);
         emit(
             Event::Ordered,
             &[
@@ -267,6 +275,31 @@
     });
 }
 
+/// An order without an answer, or one to open that does not fit, may come of an
+/// instance that is gone.
+fn look_into(node: &Node, command: &Command, reply: OrderReply) {
+    let doubted: Vec<InstanceId> = match (&command.order, reply) {
+        (_, OrderReply::Unknown) => vec![command.to.clone()],
+        (Order::Open { epoch, .. }, OrderReply::Unfit) => members_of(node, *epoch),
+        _ => return,
+    };
+    for id in doubted {
+        let entry = node.list.lock().roster.get(&id).cloned();
+        if let Some(entry) = entry {
+            let address = entry.instance.address.clone();
+            // The one who takes doubts lives as long as the node.
+            let _ = node.doubts.send(Doubt { id, address, seen: None });
+        }
+    }
+}
+
+fn members_of(node: &Node, epoch: u64) -> Vec<InstanceId> {
+    let list = node.list.lock();
+    let is_member =
+        |entry: &&Entry| entry.instance.membership.as_ref().is_some_and(|own| own.epoch == epoch);
+    list.roster.iter().filter(is_member).map(|entry| entry.instance.id.clone()).collect()
+}
+
 /// Another node has a higher number, or a newer formation was there before: no more
 /// orders under this one.
 fn on_outranked(node: &Node, fence: u64) {
