Loads go to instances without weights; survivors are kept only where a group can be completed

Cause: staging a second model on every host after the start held the weight store's few loads, so that new instances stood idle for 15 s and more; survivors were kept for a model that could not get its last member.

--- a/crates/workshold-core/src/hosted/steward.rs
+++ b/crates/workshold-core/src/hosted/steward.rs
@@ -24,6 +24,7 @@
 
 use smol_str::SmolStr;
 use workshold_protocol::Millis;
+use workshold_protocol::ids::FabricDomain;
 use workshold_protocol::ids::GroupId;
 use workshold_protocol::ids::InstanceId;
 use workshold_protocol::ids::ModelName;
@@ -127,8 +128,11 @@
     pub patience: Millis,
     /// The window in which loads are counted.
     pub load_window: Millis,
-    /// Groups of one model are not given up for another more often than this.
+    /// A domain gives groups of one model up for another no more often than this.
     pub make_room_every: Millis,
+    /// How long a model has to be short of groups before a domain gives some up; up
+    /// to twice that, by domain, so that not all do at once.
+    pub short_for: Millis,
     /// A model whose groups are used above this share is short of groups.
     pub short_above: f64,
     /// A model whose groups would still be used below this share can spare one.
@@ -143,7 +147,8 @@
             list_settles: Millis(700),
             patience: Millis(4_000),
             load_window: Millis(5_000),
-            make_room_every: Millis(2_000),
+            make_room_every: Millis(4_000),
+            short_for: Millis(500),
             short_above: 0.6,
             spare_below: 0.6,
         }
@@ -153,6 +158,8 @@
 /// All that a steward looks at in one domain.
 #[derive(Clone, Copy)]
 pub struct Situation<'a> {
+    /// The domain.
+    pub domain: &'a FabricDomain,
     /// What the operator says of the engines.
     pub engine: &'a Engine,
     /// The domain's engines.
@@ -205,7 +212,39 @@
     closed: BTreeSet<u64>,
     released: BTreeSet<u64>,
     loads: VecDeque<Millis>,
-    made_room_at: Option<Millis>,
+    rooms: BTreeMap<FabricDomain, Room>,
+    seen: Seen,
+}
+
+/// Groups that a domain gives up for a model that is short of them.
+#[derive(Debug, Clone, Default)]
+struct Room {
+    short_since: Option<Millis>,
+    made_at: Option<Millis>,
+    meant: Option<Meant>,
+}
+
+/// Instances that were set free for one purpose.
+#[derive(Debug, Clone)]
+struct Meant {
+    model: ModelName,
+    members: Vec<InstanceId>,
+    until: Millis,
+}
+
+/// What a steward sees in a domain, for logs.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Seen {
+    /// Engines that may serve.
+    pub fit: usize,
+    /// Of these, engines in no group that serves or is being formed.
+    pub free: usize,
+    /// Of these, engines that fetch weights.
+    pub staging: usize,
+    /// Groups being formed.
+    pub forming: usize,
+    /// Each free engine with what it could serve soon.
+    pub who: String,
 }
 
 /// Bits of an epoch below the fence: those of the part, and of the count.
@@ -229,7 +268,8 @@
             closed: BTreeSet::new(),
             released: BTreeSet::new(),
             loads: VecDeque::new(),
-            made_room_at: None,
+            rooms: BTreeMap::new(),
+            seen: Seen::default(),
         }
     }
 
@@ -292,15 +332,27 @@
             }
         }
         let pool = self.pool(s, &groups, &idle);
-        self.form(s, &pool);
+        self.form(s, &groups, &pool);
         self.carry_on(s, &groups, &mut commands);
         self.stage(s, &pool, &mut commands);
         self.stage_others(s, &mut commands);
         self.make_room(s, &groups, &pool, &mut commands);
         self.tidy(s);
+        self.seen = Seen {
+            fit: s.entries.iter().filter(|entry| s.can_serve(entry)).count(),
+            free: pool.len(),
+            staging: pool.iter().filter(|free| self.is_staging(free.instance(), s)).count(),
+            forming: self.forming.len(),
+            who: pool.iter().map(|free| free.tell()).collect::<Vec<_>>().join(" "),
+        };
         commands
     }
 
+    /// What the last look at a domain showed.
+    pub fn seen(&self) -> &Seen {
+        &self.seen
+    }
+
     fn next_epoch(&self) -> u64 {
         let issued = self.issued.fetch_add(1, Ordering::Relaxed) + 1;
         let part = self.part & ((1 << PART_BITS) - 1);
@@ -534,10 +586,15 @@
         })
     }
 
+    /// Whether a member will end. One that the list lacks, but that answers, may only
+    /// be cut off from the store; as long as it is not the head, nothing goes to it.
     fn has_leaving_member(&self, group: &Group) -> bool {
-        group.members.values().any(|member| {
+        group.members.iter().any(|(rank, member)| {
             let entry = self.entry(&member.id);
-            entry.is_none_or(|entry| !entry.is_in_service(self.trust, self.now))
+            entry.is_none_or(|entry| {
+                let is_there = *rank > 0 || entry.is_there(self.trust, self.now);
+                entry.instance.is_leaving || !is_there
+            })
         })
     }
 }
--- a/crates/workshold-core/src/hosted/steward/choosing.rs
+++ b/crates/workshold-core/src/hosted/steward/choosing.rs
@@ -12,9 +12,11 @@
 use crate::hosted::groups::Group;
 use crate::hosted::roster::Instance;
 use crate::hosted::roster::MemberState;
+use crate::rendezvous::weight;
 
 use super::Command;
 use super::Forming;
+use super::Meant;
 use super::Order;
 use super::Situation;
 use super::Steward;
@@ -47,6 +49,23 @@
     is_bound: bool,
 }
 
+impl Free {
+    /// The instance with what it could serve soon, for logs.
+    pub(super) fn tell(&self) -> String {
+        let names = |models: &[ModelName]| {
+            models.iter().map(ModelName::as_str).collect::<Vec<_>>().join("+")
+        };
+        let bound = if self.is_bound { ",bound" } else { "" };
+        let (loaded, staged) = (names(&self.instance.loaded), names(&self.instance.staged));
+        format!("{}(loaded:{loaded},staged:{staged}{bound})", self.instance.id)
+    }
+
+    /// The instance.
+    pub(super) fn instance(&self) -> &Instance {
+        &self.instance
+    }
+}
+
 impl Steward {
     /// Instances that can be put into a new group.
     pub(super) fn pool(&self, s: &Situation<'_>, groups: &[Group], idle: &[&Group]) -> Vec<Free> {
@@ -72,14 +91,15 @@
     }
 
     /// Starts formations while there is somebody to form them of.
-    pub(super) fn form(&mut self, s: &Situation<'_>, pool: &[Free]) {
+    pub(super) fn form(&mut self, s: &Situation<'_>, groups: &[Group], pool: &[Free]) {
         if s.before_traffic && s.now.since(s.last_new) < self.rules.list_settles {
             return;
         }
         let mut pool = pool.to_vec();
         pool.retain(|free| !self.is_staging(&free.instance, s));
+        self.form_meant(s, &mut pool);
         let mut counts = s.groups.clone();
-        let kept = self.kept_for_short(s, &pool);
+        let kept = self.kept_for_short(s, groups, &pool);
         loop {
             let by_need = by_need(s, &counts);
             let chosen = by_need.iter().enumerate().find_map(|(i, model)| {
@@ -147,7 +167,13 @@
 
     /// Fetches another model's weights to hosts whose memory has the first one's: so
     /// whoever survives a loss can soon be part of a group of either.
+    ///
+    /// Only before traffic: later, loads share the weight store's rate, and whoever has
+    /// no weights at all needs it more.
     pub(super) fn stage_others(&mut self, s: &Situation<'_>, commands: &mut Vec<Command>) {
+        if !s.before_traffic {
+            return;
+        }
         let models = by_need(s, s.groups);
         for entry in s.entries.iter().filter(|entry| s.can_serve(entry)) {
             let instance = &entry.instance;
@@ -164,8 +190,8 @@
         }
     }
 
-    /// Gives a group up that its model can spare, if another model is short of one
-    /// and its members would complete it.
+    /// Gives groups up that their models can spare, if another model is short of one
+    /// and their members would complete it.
     pub(super) fn make_room(
         &mut self,
         s: &Situation<'_>,
@@ -173,48 +199,77 @@
         pool: &[Free],
         commands: &mut Vec<Command>,
     ) {
-        let every = self.rules.make_room_every;
-        let was_recent = self.made_room_at.is_some_and(|at| s.now.since(at) < every);
-        if s.before_traffic || was_recent || !self.forming.is_empty() {
-            return;
-        }
         let models = by_need(s, s.groups);
         let is_short = |model: &&&ModelShape| s.use_of(model, 0.0) > self.rules.short_above;
-        let Some(short) = models.first().filter(is_short) else { return };
+        let short = models.first().filter(is_short).filter(|_| !s.before_traffic);
+        let rules = self.rules;
+        let room = self.rooms.entry(s.domain.clone()).or_default();
+        let Some(short) = short else {
+            room.short_since = None;
+            return;
+        };
+        let since = *room.short_since.get_or_insert(s.now);
+        let turn = Millis(weight(s.domain.as_str().as_bytes(), b"room") % rules.short_for.0.max(1));
+        let was_recent = room.made_at.is_some_and(|at| s.now.since(at) < rules.make_room_every);
+        if was_recent || s.now.since(since) < rules.short_for + turn || !self.forming.is_empty() {
+            return;
+        }
+        let Some(donors) = donors(s, short, groups, pool, rules.spare_below) else { return };
         let quick = |instance: &Instance| warmth(instance, &short.name) < Warmth::Cold;
-        let mut have = pool.iter().filter(|free| quick(&free.instance)).count();
-        let mut donors = Vec::new();
-        let mut given: BTreeMap<&ModelName, f64> = BTreeMap::new();
-        for group in groups.iter().filter(|group| group.state() == Some(MemberState::Open)) {
-            let shape = s.engine.model(group.model()).filter(|shape| shape.name != short.name);
-            let (Some(shape), Some(head)) = (shape, group.head()) else { continue };
-            let less = given.get(&shape.name).copied().unwrap_or_default() + 1.0;
-            let brings = group.members.values().filter(|member| quick(member)).count();
-            let can_spare = s.use_of(shape, less) < self.rules.spare_below;
-            if have >= short.size || brings == 0 || !can_spare {
-                continue;
+        let given = donors.iter().flat_map(|group| group.members.values());
+        let own = pool.iter().map(|free| &free.instance).filter(|instance| quick(instance));
+        let mut members: Vec<InstanceId> = own.map(|instance| instance.id.clone()).collect();
+        members.extend(given.filter(|member| quick(member)).map(|member| member.id.clone()));
+        let meant =
+            Meant { model: short.name.clone(), members, until: s.now + rules.make_room_every };
+        let room = self.rooms.entry(s.domain.clone()).or_default();
+        room.made_at = Some(s.now);
+        room.short_since = None;
+        room.meant = Some(meant);
+        for group in donors {
+            if let Some(head) = group.head() {
+                self.close(group, head, false, "another model is short of groups", s, commands);
             }
-            given.insert(&shape.name, less);
-            have += brings;
-            donors.push((group, head));
         }
-        if have < short.size || donors.is_empty() {
+    }
+
+    /// Forms what room was made for, once its members are free.
+    fn form_meant(&mut self, s: &Situation<'_>, pool: &mut Vec<Free>) {
+        let Some(meant) = self.rooms.get(s.domain).and_then(|room| room.meant.clone()) else {
+            return;
+        };
+        let is_meant = |free: &&Free| meant.members.contains(&free.instance.id);
+        let own: Vec<Free> = pool.iter().filter(is_meant).cloned().collect();
+        let model = s.engine.model(meant.model.as_str());
+        let members = model.and_then(|model| Some((model, members_for(model, &own, false)?)));
+        if let Some((model, members)) = members {
+            pool.retain(|free| !members.contains(&free.instance.id));
+            self.start_forming(model, members, s.now);
+        } else if s.now < meant.until {
+            pool.retain(|free| !meant.members.contains(&free.instance.id));
             return;
         }
-        self.made_room_at = Some(s.now);
-        for (group, head) in donors {
-            self.close(group, head, false, "another model is short of groups", s, commands);
+        if let Some(room) = self.rooms.get_mut(s.domain) {
+            room.meant = None;
         }
     }
 
     /// How many of `pool` are kept for the model that is short of groups: those that
     /// could soon complete one.
-    fn kept_for_short(&self, s: &Situation<'_>, pool: &[Free]) -> Vec<InstanceId> {
+    fn kept_for_short(
+        &self,
+        s: &Situation<'_>,
+        groups: &[Group],
+        pool: &[Free],
+    ) -> Vec<InstanceId> {
         let models = by_need(s, s.groups);
         let is_short = |model: &&&ModelShape| s.use_of(model, 0.0) > self.rules.short_above;
         let Some(short) = models.first().filter(is_short).filter(|_| !s.before_traffic) else {
             return Vec::new();
         };
+        if donors(s, short, groups, pool, self.rules.spare_below).is_none() {
+            return Vec::new();
+        }
         let quick = pool.iter().filter(|free| warmth(&free.instance, &short.name) < Warmth::Cold);
         let mut kept: Vec<&Free> = quick.collect();
         kept.sort_by_key(|free| warmth(&free.instance, &short.name));
@@ -250,7 +305,7 @@
         (!is_done && !is_late).then(|| model.clone())
     }
 
-    fn is_staging(&self, instance: &Instance, s: &Situation<'_>) -> bool {
+    pub(super) fn is_staging(&self, instance: &Instance, s: &Situation<'_>) -> bool {
         self.staging_model(instance, s).is_some()
     }
 }
@@ -288,3 +343,32 @@
     fit.sort_by_key(|free| free.is_bound);
     Some(fit.iter().map(|free| free.instance.id.clone()).collect())
 }
+
+/// Open groups of other models, enough to complete one of `short` with the pool's
+/// help, and such that their models stay below `spare_below`.
+fn donors<'a>(
+    s: &Situation<'_>,
+    short: &ModelShape,
+    groups: &'a [Group],
+    pool: &[Free],
+    spare_below: f64,
+) -> Option<Vec<&'a Group>> {
+    let quick = |instance: &Instance| warmth(instance, &short.name) < Warmth::Cold;
+    let mut have = pool.iter().filter(|free| quick(&free.instance)).count();
+    let mut donors = Vec::new();
+    let mut given: BTreeMap<&ModelName, f64> = BTreeMap::new();
+    for group in groups.iter().filter(|group| group.state() == Some(MemberState::Open)) {
+        let shape = s.engine.model(group.model()).filter(|shape| shape.name != short.name);
+        let Some(shape) = shape else { continue };
+        let less = given.get(&shape.name).copied().unwrap_or_default() + 1.0;
+        let brings = group.members.values().filter(|member| quick(member)).count();
+        let can_spare = s.use_of(shape, less) < spare_below;
+        if have >= short.size || brings == 0 || !can_spare {
+            continue;
+        }
+        given.insert(&shape.name, less);
+        have += brings;
+        donors.push(group);
+    }
+    (have >= short.size && !donors.is_empty()).then_some(donors)
+}
--- a/crates/workshold-gateway/src/events.rs
+++ b/crates/workshold-gateway/src/events.rs
@@ -21,6 +21,7 @@
     LeaseTaken = 1201, Info, "this node stewards other parts than before", "Nothing.";
     LeaseLost = 1202, Warn, "this node's right to give orders has ended", "Nothing; another node has it.";
     Ordered = 1203, Info, "an instance was given an order", "Nothing.";
+    DomainSeen = 1204, Info, "what a steward sees in a domain", "Compare demand and groups by model, both in groups' worth.";
     InstanceInDoubt = 1301, Warn, "an instance cannot be reached", "Nothing; its groups get no new work.";
     InstanceBack = 1302, Info, "an instance in doubt answers", "Nothing.";
     PeerLost = 1303, Info, "another node is no longer heard", "Nothing.";
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -17,6 +17,7 @@
 use workshold_core::hosted::steward::Command;
 use workshold_core::hosted::steward::Order;
 use workshold_core::hosted::steward::OrderReply;
+use workshold_core::hosted::steward::Seen;
 use workshold_core::hosted::steward::Situation;
 use workshold_core::hosted::steward::Steward;
 use workshold_core::hosted::steward::StewardRules;
@@ -46,19 +47,24 @@
 /// Weight of the newest look at the demand.
 const DEMAND_SMOOTHING: f64 = 0.08;
 
+/// How often a steward says what a domain looks like.
+const TELL_EVERY: Millis = Millis(2_000);
+
+type Told = Mutex<BTreeMap<FabricDomain, Millis>>;
 type Stewards = Arc<Mutex<BTreeMap<u64, Steward>>>;
 
 /// Stewards until the node ends.
 pub async fn run(node: Arc<Node>) {
     let stewards: Stewards = Arc::default();
     let mut demand = BTreeMap::new();
+    let told = Told::default();
     loop {
         tokio::select! {
             () = tokio::time::sleep(LOOK_EVERY) => {}
             () = node.steward_wanted.notified() => {}
         }
         measure_demand(&node, &mut demand);
-        let commands = plan(&node, &stewards, &demand);
+        let commands = plan(&node, &stewards, &demand, &told);
         for command in commands {
             carry_out(Arc::clone(&node), Arc::clone(&stewards), command);
         }
@@ -108,7 +114,12 @@
     heard.peek().is_some() && heard.all(|(_, peer)| peer.pulse.store_age_ms + ttl > age)
 }
 
-fn plan(node: &Node, stewards: &Stewards, demand: &BTreeMap<ModelName, f64>) -> Vec<Command> {
+fn plan(
+    node: &Node,
+    stewards: &Stewards,
+    demand: &BTreeMap<ModelName, f64>,
+    told: &Told,
+) -> Vec<Command> {
     let lease = node.lease.lock().clone();
     let mut stewards = stewards.lock();
     let Some(fence) = fence(node, &lease) else {
@@ -131,6 +142,7 @@
         suspicions: &suspicions,
         peers,
         demand,
+        told,
         before_traffic: !node.has_traffic() && node.settings().node.is_first_start,
         parts: node.settings().store.parts,
         issued: &node.epochs_issued,
@@ -159,6 +171,7 @@
     suspicions: &'a Suspicions,
     peers: usize,
     demand: &'a BTreeMap<ModelName, f64>,
+    told: &'a Told,
     before_traffic: bool,
     parts: u64,
     issued: &'a Arc<AtomicU64>,
@@ -201,6 +214,7 @@
                 .filter(|entry| entry.instance.domain.as_ref() == Some(*domain))
                 .collect();
             commands.extend(steward.plan(&Situation {
+                domain,
                 engine,
                 entries: &own,
                 trust: self.trust,
@@ -212,10 +226,40 @@
                 last_new: self.roster.last_new(),
                 now: self.now,
             }));
+            self.tell(domain, &counts, &demand, steward.seen());
         }
         commands
     }
 
+    /// Says now and then what a domain looks like.
+    fn tell(
+        &self,
+        domain: &FabricDomain,
+        groups: &BTreeMap<ModelName, f64>,
+        demand: &BTreeMap<ModelName, f64>,
+        seen: &Seen,
+    ) {
+        let mut told = self.told.lock();
+        let last = told.get(domain);
+        if last.is_some_and(|last| self.now.since(*last) < TELL_EVERY) {
+            return;
+        }
+        told.insert(domain.clone(), self.now);
+        emit(
+            Event::DomainSeen,
+            &[
+                ("domain", domain.as_str()),
+                ("fit", &seen.fit.to_string()),
+                ("free", &seen.free.to_string()),
+                ("staging", &seen.staging.to_string()),
+                ("forming", &seen.forming.to_string()),
+                ("who", &seen.who),
+                ("groups", &by_model(groups)),
+                ("demand", &by_model(demand)),
+            ],
+        );
+    }
+
     /// Groups that serve or are about to, by epoch and counted by model.
     fn group_counts(
         &self,
@@ -250,6 +294,11 @@
     }
 }
 
+fn by_model(figures: &BTreeMap<ModelName, f64>) -> String {
+    let figures = figures.iter().map(|(model, figure)| format!("{model}={figure:.2}"));
+    figures.collect::<Vec<_>>().join(" ")
+}
+
 fn carry_out(node: Arc<Node>, stewards: Stewards, command: Command) {
     tokio::spawn(async move {
         let reply = engines::order(&command, ORDER_TIME).await;
