--- a/crates/workshold-core/src/hosted/steward.rs
+++ b/crates/workshold-core/src/hosted/steward.rs
@@ -9,9 +9,9 @@
 //!   join meets a newer epoch, or a newer fence, and is refused.
 //! - A group is opened only by the steward that formed it, and only when every
 //!   member states that it is ready in this formation.
-//! - A group is broken up from its head: until the head has stated a newer epoch, or
-//!   none, no other member is taken. So a late order to open finds no whole group
-//!   to open, or one that is whole.
+//! - A group is broken up from its head: until the head has stated that it has left,
+//!   nobody is taken, itself included. So a late order to open finds no group to
+//!   open, or one that is whole.
 
 mod choosing;
 
@@ -497,12 +497,9 @@
         commands: &mut Vec<Command>,
     ) {
         if let Some((group, head)) = self.bound_by(member, s, groups) {
-            let is_taken = self.forming.values().any(|other| other.members.contains(&head.id));
-            if !is_taken {
-                let order = Order::Leave { group: group.id.clone(), epoch: group.epoch };
-                let why = "its member is needed elsewhere";
-                self.send(head, group.epoch, "leave", order, why, s.now, commands);
-            }
+            let order = Order::Leave { group: group.id.clone(), epoch: group.epoch };
+            let why = "a member is needed elsewhere";
+            self.send(head, group.epoch, "leave", order, why, s.now, commands);
             return;
         }
         let order = Order::Join {
@@ -514,14 +511,15 @@
         self.send(member, epoch, "join", order, "a group is formed", s.now, commands);
     }
 
-    /// The group whose head has to go before `member` can be taken out of it.
+    /// The group whose head has to leave before `member`, the head included, can be
+    /// taken out of it: an order to open may be on its way yet.
     fn bound_by<'a>(
         &self,
         member: &Instance,
         s: &Situation<'a>,
         groups: &'a [Group],
     ) -> Option<(&'a Group, &'a Instance)> {
-        let own = member.membership.as_ref().filter(|own| own.rank > 0)?;
+        let own = member.membership.as_ref()?;
         let group =
             groups.iter().find(|group| group.epoch == own.epoch && group.id == own.group)?;
         let head = group.head()?;
