--- a/crates/workshold-core/src/hosted/steward.rs
+++ b/crates/workshold-core/src/hosted/steward.rs
@@ -168,6 +168,8 @@
     pub trust: &'a ListTrust,
     /// Who cannot be reached.
     pub loss: &'a dyn Fn(&InstanceId) -> Loss,
+    /// Since when somebody could not reach them.
+    pub doubted_since: &'a dyn Fn(&InstanceId) -> Option<Millis>,
     /// Groups' worth of work that waits or runs, by model, over all domains.
     pub demand: &'a BTreeMap<ModelName, f64>,
     /// Groups that serve or will, by model, over all domains.
@@ -545,6 +547,10 @@
 /// Groups whose end is remembered.
 const MOST_REMEMBERED: usize = 512;
 
+/// An instance that leaves may finish requests for this long after it has stopped
+/// taking connections: longer than any request may take.
+const LEAVING_LINGERS: Millis = Millis(10_500);
+
 impl<'a> Situation<'a> {
     /// How far the groups of a model are used if it had `less` of them.
     fn use_of(&self, model: &ModelShape, less: f64) -> f64 {
@@ -565,10 +571,19 @@
     /// Whether an instance is gone for sure: its process has ended, or neither the
     /// platform nor any of several nodes hears of it. A head that is only out of our
     /// reach may still serve, and its members are not free.
+    ///
+    /// One that was leaving refuses connections while it finishes what it has.
     fn is_gone(&self, id: &InstanceId) -> bool {
         let loss = (self.loss)(id);
-        let is_listed = self.entry(id).is_some_and(|entry| entry.unlisted_since.is_none());
-        loss == Loss::Ended || (loss == Loss::Confirmed && !is_listed)
+        let since = (self.doubted_since)(id).unwrap_or(self.now);
+        let entry = self.entry(id);
+        let unlisted = entry.and_then(|entry| entry.unlisted_since);
+        let was_leaving = entry.is_some_and(|entry| entry.instance.is_leaving)
+            || unlisted.is_some_and(|unlisted| unlisted < since);
+        if was_leaving {
+            return loss >= Loss::Confirmed && self.now.since(since) >= LEAVING_LINGERS;
+        }
+        loss == Loss::Ended || (loss == Loss::Confirmed && (unlisted.is_some() || entry.is_none()))
     }
 
     /// Whether an instance may be put into a group.
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -193,6 +193,7 @@
             entries.iter().filter_map(|entry| entry.instance.domain.as_ref()).collect();
         let (known, standing) = self.group_counts(engine, &entries);
         let loss = |id: &InstanceId| -> Loss { self.suspicions.loss(id, self.peers) };
+        let doubted_since = |id: &InstanceId| self.suspicions.since(id);
         let demand = self.demand_of(engine);
         let mut commands = Vec::new();
         for domain in &domains {
@@ -219,6 +220,7 @@
                 entries: &own,
                 trust: self.trust,
                 loss: &loss,
+                doubted_since: &doubted_since,
                 demand: &demand,
                 groups: &counts,
                 before_traffic: self.before_traffic,
