--- a/crates/workshold-core/src/hosted/steward.rs
+++ b/crates/workshold-core/src/hosted/steward.rs
@@ -149,7 +149,7 @@
             load_window: Millis(5_000),
             make_room_every: Millis(4_000),
             short_for: Millis(500),
-            short_above: 0.6,
+            short_above: 0.8,
             spare_below: 0.6,
         }
     }
@@ -176,6 +176,9 @@
     pub groups: &'a BTreeMap<ModelName, f64>,
     /// Whether no request has come yet: loads are quick and free.
     pub before_traffic: bool,
+    /// Whether no domain has given groups up just now: what that brings is not seen
+    /// at once, and all domains see the same want.
+    pub may_make_room: bool,
     /// This steward's part of all loads, 0 to 1.
     pub load_part: f64,
     /// When an instance last appeared.
@@ -350,6 +353,11 @@
         commands
     }
 
+    /// Whether the last look at a domain made it give groups up.
+    pub fn has_made_room(&self, domain: &FabricDomain, now: Millis) -> bool {
+        self.rooms.get(domain).is_some_and(|room| room.made_at == Some(now))
+    }
+
     /// What the last look at a domain showed.
     pub fn seen(&self) -> &Seen {
         &self.seen
--- a/crates/workshold-core/src/hosted/steward/choosing.rs
+++ b/crates/workshold-core/src/hosted/steward/choosing.rs
@@ -211,7 +211,8 @@
         let since = *room.short_since.get_or_insert(s.now);
         let turn = Millis(weight(s.domain.as_str().as_bytes(), b"room") % rules.short_for.0.max(1));
         let was_recent = room.made_at.is_some_and(|at| s.now.since(at) < rules.make_room_every);
-        if was_recent || s.now.since(since) < rules.short_for + turn || !self.forming.is_empty() {
+        let is_turn = s.may_make_room && s.now.since(since) >= rules.short_for + turn;
+        if was_recent || !is_turn || !self.forming.is_empty() {
             return;
         }
         let Some(donors) = donors(s, short, groups, pool, rules.spare_below) else { return };
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -116,6 +116,8 @@
     pub pulse_wanted: Notify,
     /// Wakes the one who reads the list.
     pub list_wanted: Notify,
+    /// When some domain last gave groups up, here or at a peer.
+    pub room_made: Mutex<Millis>,
     /// Epochs that this process has issued.
     pub epochs_issued: Arc<AtomicU64>,
     /// Whether the steward waits for statements.
@@ -183,6 +185,7 @@
             steward_wanted: Notify::new(),
             pulse_wanted: Notify::new(),
             list_wanted: Notify::new(),
+            room_made: Mutex::default(),
             epochs_issued: Arc::default(),
             is_steward_busy: AtomicBool::new(false),
             doubts,
--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -88,6 +88,8 @@
     pub list_age_ms: u64,
     /// How long ago the store last answered it, in ms.
     pub store_age_ms: u64,
+    /// How long ago it gave groups up for another model, in ms.
+    pub room_age_ms: u64,
     /// Requests at instances, by short id, and their usual gap in units of 4 ms.
     pub loads: Vec<(u32, u8, u8)>,
 }
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -90,6 +90,7 @@
         config,
         list_age_ms: node.now().since(node.list.lock().read_at).0,
         store_age_ms: node.store_age().0,
+        room_age_ms: node.now().since(*node.room_made.lock()).0,
         loads: loads.collect(),
     }
 }
@@ -116,6 +117,9 @@
             if let Some((version, age)) = pulse.config {
                 node.confirm_config(version, now - Millis(age) - ON_THE_WAY);
             }
+            let mut room_made = node.room_made.lock();
+            *room_made = (*room_made).max(now - Millis(pulse.room_age_ms));
+            drop(room_made);
             take_gaps(node, &pulse);
             let mut peers = node.peers.lock();
             peers.on_pulse(from, datagram.from, pulse, now);
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -47,6 +47,10 @@
 /// Weight of the newest look at the demand.
 const DEMAND_SMOOTHING: f64 = 0.08;
 
+/// One domain of all gives groups up in this time: as long as it takes to form new
+/// ones and to see what they bring.
+const ROOM_EVERY: Millis = Millis(2_500);
+
 /// How often a steward says what a domain looks like.
 const TELL_EVERY: Millis = Millis(2_000);
 
@@ -143,6 +147,7 @@
         peers,
         demand,
         told,
+        rooms: &node.room_made,
         before_traffic: !node.has_traffic() && node.settings().node.is_first_start,
         parts: node.settings().store.parts,
         issued: &node.epochs_issued,
@@ -156,6 +161,9 @@
             commands.extend(look.plan(&upstream.name, engine, &mut stewards));
         }
     }
+    if *node.room_made.lock() == now {
+        node.pulse_wanted.notify_one();
+    }
     let is_busy = stewards.values().any(Steward::is_busy);
     node.is_steward_busy.store(is_busy, Ordering::Relaxed);
     if is_busy || !commands.is_empty() {
@@ -172,6 +180,7 @@
     peers: usize,
     demand: &'a BTreeMap<ModelName, f64>,
     told: &'a Told,
+    rooms: &'a Mutex<Millis>,
     before_traffic: bool,
     parts: u64,
     issued: &'a Arc<AtomicU64>,
@@ -224,10 +233,14 @@
                 demand: &demand,
                 groups: &counts,
                 before_traffic: self.before_traffic,
+                may_make_room: self.now.since(*self.rooms.lock()) >= ROOM_EVERY,
                 load_part: 1.0 / domains.len().max(1) as f64,
                 last_new: self.roster.last_new(),
                 now: self.now,
             }));
+            if steward.has_made_room(domain, self.now) {
+                *self.rooms.lock() = self.now;
+            }
             self.tell(domain, &counts, &demand, steward.seen());
         }
         commands
