The model: a domain on the users' platform in virtual time, with late orders and racing stewards

400 drawn worlds of 60 s with the shipped steward: late and lost orders, handed-over, frozen and forgetful stewards, instances lost and cut off.

--- /dev/null
+++ b/crates/workshold-model/src/hosted.rs
@@ -0,0 +1,356 @@
+//! A domain on the users' platform, in virtual time: instances that carry orders out
+//! late, stewards that race, freeze and die, and the promises about groups.
+//!
+//! Time matters too much here for a search of all states. So worlds are drawn from
+//! seeds; the steward is the shipped one.
+
+mod engine;
+mod office;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use workshold_core::hosted::catalog::Engine;
+use workshold_core::hosted::catalog::ModelShape;
+use workshold_core::hosted::roster::ListTrust;
+use workshold_core::hosted::roster::Roster;
+use workshold_core::hosted::steward::Command;
+use workshold_core::hosted::steward::OrderReply;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::ids::ModelName;
+
+use crate::checker::Promise;
+
+pub use self::engine::Simulated;
+use self::office::Office;
+
+/// A rule that is broken on purpose.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Broken {
+    /// Instances obey orders whatever their fence and epoch.
+    Fencing,
+    /// A head counts as having left as soon as it was told to.
+    LeaveAwaited,
+    /// Members of a silent head are taken although the list still has it.
+    SilentHeadsWait,
+    /// A steward begins to count its epochs anew.
+    EpochsOnce,
+}
+
+impl Broken {
+    /// All of them, each with the promise that breaks with it.
+    pub const ALL: &'static [(Self, Promise)] = &[
+        (Self::Fencing, Promise::OneGroupEach),
+        (Self::LeaveAwaited, Promise::OneGroupEach),
+        (Self::SilentHeadsWait, Promise::OneGroupEach),
+        (Self::EpochsOnce, Promise::WholeGroups),
+    ];
+}
+
+/// What a world came to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outcome {
+    /// The promise that did not hold, when, and at which instance.
+    pub breach: Option<(Promise, Millis, String)>,
+    /// Groups that were opened: a world in which nothing happens proves nothing.
+    pub opened: usize,
+}
+
+/// How long a world lasts, and how often stewards look.
+const LASTS: Millis = Millis(60_000);
+const TICK: Millis = Millis(25);
+/// The worlds begin here, so that spans before the start do not meet zero.
+const BEGIN: Millis = Millis(100_000);
+/// Until a statement stands in the list.
+const LIST_LAG: Millis = Millis(60);
+/// Three silent check-ins.
+const LAPSE: Millis = Millis(4_000);
+/// Part of the orders that are carried out late, and when.
+const LATE_PART: f64 = 0.3;
+const LATE_FROM: u64 = 2_000;
+const LATE_TO: u64 = 12_000;
+const INSTANCES: usize = 9;
+
+/// An order on its way.
+#[derive(Debug, Clone)]
+struct OnItsWay {
+    arrives: Millis,
+    command: Command,
+    /// Who hears the answer, if anybody does.
+    asker: Option<usize>,
+}
+
+/// Makes the platform's engines for two models, one of three and one of two.
+pub fn engine() -> Engine {
+    let model = |name: &str, size, share| ModelShape {
+        name: ModelName::new(name).expect("a plain name"),
+        size,
+        share,
+        pace: 1.0,
+        load: Millis(3_000),
+        warm: Millis(400),
+    };
+    Engine {
+        slots: 8,
+        stride: 5,
+        step_ms: 8.0,
+        loads_per_s: 5.0,
+        models: vec![model("big", 3, 0.5), model("small", 2, 0.5)],
+    }
+}
+
+/// A world drawn from a seed.
+pub struct HostedWorld {
+    now: Millis,
+    rng: ChaCha8Rng,
+    broken: Option<Broken>,
+    engine: Engine,
+    instances: BTreeMap<InstanceId, Simulated>,
+    roster: Roster,
+    trust: ListTrust,
+    statements: Vec<(Millis, u64, InstanceId)>,
+    next_offset: u64,
+    orders: Vec<OnItsWay>,
+    offices: Vec<Office>,
+    holder: usize,
+    generation: u64,
+    outcome: Outcome,
+}
+
+impl HostedWorld {
+    /// The world of `seed`, with one rule broken if one is given.
+    pub fn new(seed: u64, broken: Option<Broken>) -> Self {
+        let mut world = Self {
+            now: BEGIN,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            broken,
+            engine: engine(),
+            instances: BTreeMap::new(),
+            roster: Roster::default(),
+            trust: ListTrust::default(),
+            statements: Vec::new(),
+            next_offset: 0,
+            orders: Vec::new(),
+            offices: (0..2).map(|_| Office::new(broken)).collect(),
+            holder: 0,
+            generation: 1,
+            outcome: Outcome { breach: None, opened: 0 },
+        };
+        (0..INSTANCES).for_each(|i| world.add_instance(&format!("i-{i}")));
+        world.offices[0].take(1);
+        world
+    }
+
+    /// Plays it to its end or its first breach.
+    pub fn run(mut self) -> Outcome {
+        while self.now < BEGIN + LASTS && self.outcome.breach.is_none() {
+            self.now = self.now + TICK;
+            self.trouble();
+            self.deliver_orders();
+            self.advance_instances();
+            self.publish();
+            self.steward();
+        }
+        self.outcome
+    }
+
+    fn add_instance(&mut self, name: &str) {
+        let id = InstanceId::new(name).expect("a plain name");
+        self.instances.insert(id.clone(), Simulated::new(id.clone()));
+        self.state(&id);
+    }
+
+    /// An instance states how it is.
+    fn state(&mut self, id: &InstanceId) {
+        self.next_offset += 1;
+        self.statements.push((self.now + LIST_LAG, self.next_offset, id.clone()));
+    }
+
+    fn trouble(&mut self) {
+        let chance = self.rng.random::<f64>();
+        let ids: Vec<InstanceId> = self.instances.keys().cloned().collect();
+        let id = ids[self.rng.random_range(0..ids.len())].clone();
+        let now = self.now;
+        if chance < 0.004 {
+            self.lose(&id);
+        } else if chance < 0.007 {
+            let until = now + Millis(self.rng.random_range(1_000..8_000));
+            if let Some(instance) = self.instances.get_mut(&id) {
+                instance.cut_until = until;
+            }
+        } else if chance < 0.010 {
+            self.hand_over();
+        } else if chance < 0.013 {
+            let until = now + Millis(self.rng.random_range(500..4_000));
+            let frozen = self.holder;
+            self.offices[frozen].frozen_until = until;
+        } else if chance < 0.016 {
+            let holder = self.holder;
+            self.offices[holder].restart();
+        }
+    }
+
+    /// Silent for good; another life comes up elsewhere.
+    fn lose(&mut self, id: &InstanceId) {
+        let Some(instance) = self.instances.get_mut(id).filter(|instance| instance.is_alive) else {
+            return;
+        };
+        instance.is_alive = false;
+        instance.died_at = self.now;
+        let name = format!("{}x", id.as_str());
+        self.add_instance(&name);
+    }
+
+    /// The lease passes on; the last holder may not have noticed.
+    fn hand_over(&mut self) {
+        self.generation += 1;
+        let last = self.holder;
+        self.holder = 1 - self.holder;
+        let holder = self.holder;
+        let generation = self.generation;
+        self.offices[holder].take(generation);
+        let notices = self.now + Millis(self.rng.random_range(0..1_500));
+        self.offices[last].loses_at = Some(notices);
+    }
+
+    fn deliver_orders(&mut self) {
+        let now = self.now;
+        let due: Vec<OnItsWay> = self.orders.extract_if(.., |order| order.arrives <= now).collect();
+        for order in due {
+            let reply = self.carry_out(&order.command);
+            if let Some(asker) = order.asker {
+                self.offices[asker].hear(&order.command, reply);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, command: &Command) -> OrderReply {
+        let ignores = self.broken == Some(Broken::Fencing);
+        let Some(instance) = self.instances.get_mut(&command.to) else {
+            return OrderReply::Unknown;
+        };
+        if !instance.is_alive {
+            return OrderReply::Unknown;
+        }
+        let before = instance.membership.clone();
+        let reply = instance.obey(command, self.now, ignores);
+        let after = instance.membership.clone();
+        let is_moved = before.as_ref().map(|own| own.epoch) != after.as_ref().map(|own| own.epoch);
+        if is_moved && after.is_some() {
+            self.check_taken(&command.to, before);
+        }
+        self.state(&command.to.clone());
+        reply
+    }
+
+    /// No instance is taken out of a group whose head serves.
+    fn check_taken(&mut self, id: &InstanceId, before: Option<engine::Member>) {
+        let Some(own) = before else { return };
+        let head = &own.members[0];
+        let was_serving = if head == id {
+            own.serves
+        } else {
+            self.instances.get(head).is_some_and(|head| head.serves(own.epoch))
+        };
+        if was_serving {
+            self.breach(Promise::OneGroupEach, id);
+        }
+    }
+
+    fn advance_instances(&mut self) {
+        let ids: Vec<InstanceId> = self.instances.keys().cloned().collect();
+        for id in ids {
+            let now = self.now;
+            let Some(instance) = self.instances.get_mut(&id) else { continue };
+            let change = instance.advance(now);
+            if change == engine::Change::Opened {
+                self.outcome.opened += 1;
+                self.check_whole(&id);
+            }
+            if change != engine::Change::None {
+                self.state(&id);
+            }
+        }
+    }
+
+    /// A group that begins to serve is whole: each member is ready in it, or was
+    /// before it was lost.
+    fn check_whole(&mut self, head: &InstanceId) {
+        let Some(own) = self.instances.get(head).and_then(|head| head.membership.clone()) else {
+            return;
+        };
+        let is_whole = own.members.iter().all(|id| {
+            let Some(member) = self.instances.get(id) else { return false };
+            let is_in = member.membership.as_ref().is_some_and(|m| m.epoch == own.epoch);
+            (member.is_alive && is_in) || (!member.is_alive && member.was_ready_in(own.epoch))
+        });
+        if !is_whole {
+            self.breach(Promise::WholeGroups, head);
+        }
+    }
+
+    fn breach(&mut self, promise: Promise, id: &InstanceId) {
+        if self.outcome.breach.is_none() {
+            self.outcome.breach = Some((promise, self.now, id.as_str().to_owned()));
+        }
+    }
+
+    fn publish(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.statements.extract_if(.., |row| row.0 <= now).collect();
+        for (_, offset, id) in due {
+            let word = self.instances.get(&id).filter(|i| i.is_alive).map(Simulated::word);
+            if let Some(word) = word {
+                self.roster.apply(offset, &id, Some(word), now);
+            }
+        }
+        let lapsed: Vec<InstanceId> = self
+            .instances
+            .values()
+            .filter(|i| !i.is_alive && !i.has_lapsed && now.since(i.died_at) >= LAPSE)
+            .map(|i| i.id.clone())
+            .collect();
+        for id in lapsed {
+            self.next_offset += 1;
+            self.roster.apply(self.next_offset, &id, None, now);
+            if let Some(instance) = self.instances.get_mut(&id) {
+                instance.has_lapsed = true;
+            }
+        }
+        self.roster.forget(now);
+    }
+
+    fn steward(&mut self) {
+        let view = Arc::new(office::View {
+            engine: &self.engine,
+            roster: &self.roster,
+            trust: &self.trust,
+            instances: &self.instances,
+            broken: self.broken,
+            now: self.now,
+        });
+        let mut given = Vec::new();
+        for (i, office) in self.offices.iter_mut().enumerate() {
+            let commands = office.plan(&view);
+            given.extend(commands.into_iter().map(|command| (i, command)));
+        }
+        for (asker, command) in given {
+            self.send(asker, command);
+        }
+    }
+
+    fn send(&mut self, asker: usize, command: Command) {
+        let is_cut = self.instances.get(&command.to).is_none_or(|i| i.cut_until > self.now);
+        if is_cut {
+            return;
+        }
+        let is_late = self.rng.random_bool(LATE_PART);
+        let wait = if is_late { self.rng.random_range(LATE_FROM..LATE_TO) } else { 3 };
+        let asker = (!is_late).then_some(asker);
+        self.orders.push(OnItsWay { arrives: self.now + Millis(wait), command, asker });
+    }
+}
--- /dev/null
+++ b/crates/workshold-model/src/hosted/office.rs
@@ -0,0 +1,173 @@
+//! A node's office of steward: what it holds, what it still believes, and when it
+//! stands still.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
+use workshold_core::hosted::catalog::Engine;
+use workshold_core::hosted::roster::Entry;
+use workshold_core::hosted::roster::ListTrust;
+use workshold_core::hosted::roster::Roster;
+use workshold_core::hosted::steward::Command;
+use workshold_core::hosted::steward::Order;
+use workshold_core::hosted::steward::OrderReply;
+use workshold_core::hosted::steward::Situation;
+use workshold_core::hosted::steward::Steward;
+use workshold_core::hosted::steward::StewardRules;
+use workshold_core::hosted::suspicion::Loss;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::FabricDomain;
+use workshold_protocol::ids::InstanceId;
+
+use super::Broken;
+use super::engine::Simulated;
+
+/// What nodes can see.
+pub struct View<'a> {
+    /// The engines.
+    pub engine: &'a Engine,
+    /// The list.
+    pub roster: &'a Roster,
+    /// Whether it can be trusted.
+    pub trust: &'a ListTrust,
+    /// The instances, for tries to reach them.
+    pub instances: &'a BTreeMap<InstanceId, Simulated>,
+    /// The broken rule.
+    pub broken: Option<Broken>,
+    /// The clock.
+    pub now: Millis,
+}
+
+/// One node's office.
+pub struct Office {
+    broken: Option<Broken>,
+    steward: Option<Steward>,
+    fence: u64,
+    issued: Arc<AtomicU64>,
+    /// It stands still until then, and wakes believing what it did.
+    pub frozen_until: Millis,
+    /// When it notices that its lease has gone.
+    pub loses_at: Option<Millis>,
+    told_to_leave: BTreeMap<InstanceId, u64>,
+}
+
+/// A part that has just come is left alone for this long.
+const SETTLE: Millis = Millis(300);
+
+impl Office {
+    /// One that holds nothing.
+    pub fn new(broken: Option<Broken>) -> Self {
+        Self {
+            broken,
+            steward: None,
+            fence: 0,
+            issued: Arc::default(),
+            frozen_until: Millis::ZERO,
+            loses_at: None,
+            told_to_leave: BTreeMap::new(),
+        }
+    }
+
+    /// The lease is this node's, under `fence`.
+    pub fn take(&mut self, fence: u64) {
+        self.fence = fence;
+        self.loses_at = None;
+        self.frozen_until = self.frozen_until + SETTLE;
+        self.steward = Some(self.new_steward());
+    }
+
+    /// It forgets what it was doing, and goes on under the same lease.
+    pub fn restart(&mut self) {
+        if self.steward.is_some() {
+            self.steward = Some(self.new_steward());
+        }
+    }
+
+    fn new_steward(&mut self) -> Steward {
+        if self.broken == Some(Broken::EpochsOnce) {
+            self.issued = Arc::default();
+        }
+        Steward::new(StewardRules::default(), 1, self.fence, Arc::clone(&self.issued))
+    }
+
+    /// An answer came.
+    pub fn hear(&mut self, command: &Command, reply: OrderReply) {
+        if let Some(steward) = self.steward.as_mut() {
+            let is_outranked = steward.on_reply(command, reply);
+            if is_outranked {
+                self.steward = None;
+            }
+        }
+    }
+
+    /// What it orders now.
+    pub fn plan(&mut self, view: &View<'_>) -> Vec<Command> {
+        if view.now < self.frozen_until {
+            return Vec::new();
+        }
+        if self.loses_at.is_some_and(|at| view.now >= at) {
+            self.steward = None;
+            self.loses_at = None;
+        }
+        let broken = self.broken;
+        let told = self.told_to_leave.clone();
+        let Some(steward) = self.steward.as_mut() else { return Vec::new() };
+        let domain = FabricDomain::new("d").expect("a plain name");
+        let seen: Vec<Entry> = view.roster.iter().map(|entry| as_seen(entry, &told)).collect();
+        let entries: Vec<&Entry> = seen.iter().collect();
+        let loss = |id: &InstanceId| loss(view, id);
+        let since = |id: &InstanceId| loss_since(view, id);
+        let demand = BTreeMap::new();
+        let groups = BTreeMap::new();
+        let commands = steward.plan(&Situation {
+            domain: &domain,
+            engine: view.engine,
+            entries: &entries,
+            trust: view.trust,
+            loss: &loss,
+            doubted_since: &since,
+            demand: &demand,
+            groups: &groups,
+            before_traffic: true,
+            may_make_room: false,
+            load_part: 1.0,
+            last_new: Millis::ZERO,
+            now: view.now,
+        });
+        if broken == Some(Broken::LeaveAwaited) {
+            for command in &commands {
+                if let Order::Leave { epoch, .. } = &command.order {
+                    self.told_to_leave.insert(command.to.clone(), *epoch);
+                }
+            }
+        }
+        commands
+    }
+}
+
+/// The entry, but without the group that the instance was told to leave.
+fn as_seen(entry: &Entry, told: &BTreeMap<InstanceId, u64>) -> Entry {
+    let mut entry = entry.clone();
+    let own = entry.instance.membership.as_ref();
+    let is_told = own.is_some_and(|own| told.get(&entry.instance.id) == Some(&own.epoch));
+    if is_told {
+        Arc::make_mut(&mut entry.instance).membership = None;
+    }
+    entry
+}
+
+/// All nodes try alike: who is dead or cut off says nothing.
+fn loss(view: &View<'_>, id: &InstanceId) -> Loss {
+    let Some(instance) = view.instances.get(id) else { return Loss::Ended };
+    if instance.is_alive && instance.cut_until <= view.now {
+        return Loss::None;
+    }
+    if view.broken == Some(Broken::SilentHeadsWait) { Loss::Ended } else { Loss::Confirmed }
+}
+
+fn loss_since(view: &View<'_>, id: &InstanceId) -> Option<Millis> {
+    let instance = view.instances.get(id)?;
+    let is_lost = !instance.is_alive || instance.cut_until > view.now;
+    is_lost.then(|| if instance.is_alive { view.now } else { instance.died_at })
+}
--- a/crates/workshold-model/src/lib.rs
+++ b/crates/workshold-model/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod bundles;
 pub mod checker;
 pub mod groups;
+pub mod hosted;
 pub mod mutation;
 pub mod once;
 pub mod streams;
--- /dev/null
+++ b/crates/workshold-model/tests/hosted.rs
@@ -0,0 +1,29 @@
+//! Groups on the users' platform, over many drawn worlds.
+
+use workshold_model::Promise;
+use workshold_model::hosted::Broken;
+use workshold_model::hosted::HostedWorld;
+
+const SEEDS: u64 = 400;
+
+#[test]
+fn groups_are_whole_and_nobody_is_in_two_of_them() {
+    let mut opened = 0;
+    for seed in 0..SEEDS {
+        let outcome = HostedWorld::new(seed, None).run();
+        assert_eq!(outcome.breach, None, "seed {seed}");
+        opened += outcome.opened;
+    }
+    assert!(opened > 8 * SEEDS as usize, "only {opened} groups were opened: this proves little");
+}
+
+#[test]
+fn each_rule_that_is_broken_is_missed() {
+    for (broken, promise) in Broken::ALL {
+        let breaches: Vec<Promise> = (0..SEEDS)
+            .filter_map(|seed| HostedWorld::new(seed, Some(*broken)).run().breach)
+            .map(|(promise, _, _)| promise)
+            .collect();
+        assert!(breaches.contains(promise), "{broken:?}: {breaches:?}");
+    }
+}
