--- /dev/null
+++ b/crates/workshold-core/tests/hosted.rs
@@ -0,0 +1,8 @@
+//! Decisions for a deployment whose platform keeps the state.
+
+#[path = "hosted/requests.rs"]
+mod requests;
+#[path = "hosted/sight.rs"]
+mod sight;
+#[path = "hosted/stewards.rs"]
+mod stewards;
--- /dev/null
+++ b/crates/workshold-core/tests/hosted/requests.rs
@@ -0,0 +1,204 @@
+//! Routes, tries, budgets, placement and silence.
+
+use rstest::rstest;
+use smol_str::SmolStr;
+use workshold_core::hosted::catalog::Caller;
+use workshold_core::hosted::catalog::Catalog;
+use workshold_core::hosted::catalog::Kind;
+use workshold_core::hosted::catalog::Limits;
+use workshold_core::hosted::catalog::Route;
+use workshold_core::hosted::catalog::Team;
+use workshold_core::hosted::placement::Candidate;
+use workshold_core::hosted::placement::choose;
+use workshold_core::hosted::silence::Gaps;
+use workshold_core::hosted::silence::SilenceRules;
+use workshold_core::hosted::tries::Budget;
+use workshold_core::hosted::tries::BudgetRules;
+use workshold_core::hosted::tries::Ending;
+use workshold_core::hosted::tries::Next;
+use workshold_core::hosted::tries::Used;
+use workshold_core::hosted::tries::next;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::ids::ServiceName;
+use workshold_protocol::ids::TeamName;
+
+fn route(prefix: &str, kind: Kind, is_resumable: bool) -> Route {
+    Route {
+        name: SmolStr::new(prefix),
+        host: SmolStr::new("lot.example"),
+        path_prefix: SmolStr::new(prefix),
+        kind,
+        timeout: Millis(6_000),
+        goal: Millis(300),
+        pause_goal: Millis(200),
+        attempts: 2,
+        priority: 1,
+        is_keyless: false,
+        is_resumable,
+        targets: vec![
+            (ServiceName::new("first").unwrap(), 90),
+            (ServiceName::new("second").unwrap(), 10),
+        ],
+    }
+}
+
+fn catalog(teams: Option<Vec<(Team, Vec<SmolStr>)>>) -> Catalog {
+    let limits = Limits {
+        head_len: 16_384,
+        body_len: 1_024,
+        head_time: Millis(3_000),
+        idle_time: Millis(15_000),
+    };
+    let routes = vec![route("/a/", Kind::Stream, true), route("/a/b/", Kind::Idempotent, false)];
+    Catalog::new(1, limits, routes, Vec::new(), teams)
+}
+
+#[rstest]
+#[case("lot.example", "/a/x", Some("/a/"))]
+#[case("lot.example:8227", "/a/x", Some("/a/"))]
+#[case("lot.example", "/a/b/x", Some("/a/b/"))]
+#[case("lot.example", "/ab", None)]
+#[case("other.example", "/a/x", None)]
+fn the_longest_prefix_of_the_host_decides(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] found: Option<&str>,
+) {
+    let catalog = catalog(None);
+    assert_eq!(catalog.route(host, path).map(|route| route.name.as_str()), found);
+}
+
+#[test]
+fn a_key_that_nobody_holds_is_unknown() {
+    let team = Team { name: TeamName::new("night-desk").unwrap(), priority: 1 };
+    let catalog = catalog(Some(vec![(team.clone(), vec![SmolStr::new("k1")])]));
+    let route = catalog.route("lot.example", "/a/x").unwrap();
+    assert_eq!(catalog.caller(route, Some("k1")), Caller::Team(&team));
+    assert_eq!(catalog.caller(route, Some("k2")), Caller::Unknown);
+    assert_eq!(catalog.caller(route, None), Caller::Unknown);
+    assert!(catalog.needs_key(route));
+}
+
+#[test]
+fn a_split_gives_each_service_its_weight() {
+    let route = route("/a/", Kind::Stream, true);
+    let second = (0..1_000_u64).filter(|draw| route.target(*draw).unwrap().as_str() == "second");
+    assert_eq!(second.count(), 100);
+}
+
+const fn used(sent: u32, not_sent: u32, may_have_run: bool) -> Used {
+    Used { sent, not_sent, may_have_run }
+}
+
+#[rstest]
+// Nothing left this node: anything may be tried elsewhere.
+#[case(Kind::AtMostOnce, Ending::NotSent, used(0, 1, false), true, Next::Again)]
+#[case(Kind::AtMostOnce, Ending::NotSent, used(0, 4, false), true, Next::NotRun)]
+// What must run at most once is never sent again after it may have run.
+#[case(Kind::AtMostOnce, Ending::Unknown, used(1, 0, true), true, Next::Unknown)]
+#[case(Kind::AtMostOnce, Ending::Failed, used(1, 0, true), true, Next::PassOn)]
+// The upstream's word that it has not run lets anything be sent again.
+#[case(Kind::AtMostOnce, Ending::Refused, used(1, 0, false), true, Next::Again)]
+#[case(Kind::Idempotent, Ending::Unknown, used(1, 0, true), true, Next::Again)]
+#[case(Kind::Idempotent, Ending::Failed, used(1, 0, true), true, Next::Again)]
+// Attempts and budget bound all of it, and "not run" stays true.
+#[case(Kind::Idempotent, Ending::Unknown, used(2, 0, true), true, Next::Unknown)]
+#[case(Kind::Idempotent, Ending::Unknown, used(1, 0, true), false, Next::Unknown)]
+#[case(Kind::Idempotent, Ending::Refused, used(2, 0, true), true, Next::Unknown)]
+#[case(Kind::Idempotent, Ending::Refused, used(2, 0, false), true, Next::NotRun)]
+#[case(Kind::Idempotent, Ending::Refused, used(1, 0, false), false, Next::NotRun)]
+fn what_may_be_tried_again(
+    #[case] kind: Kind,
+    #[case] ending: Ending,
+    #[case] used: Used,
+    #[case] has_budget: bool,
+    #[case] expected: Next,
+) {
+    let route = route("/a/", kind, false);
+    assert_eq!(next(&route, ending, used, has_budget, true), expected);
+}
+
+#[test]
+fn without_time_nothing_is_tried_again() {
+    let route = route("/a/", Kind::Stream, true);
+    let given_up = next(&route, Ending::Refused, used(1, 0, false), true, false);
+    assert_eq!(given_up, Next::NotRun);
+}
+
+#[test]
+fn all_nodes_together_keep_to_the_budget_in_every_window() {
+    let rules = BudgetRules { ratio: 0.2, window: Millis(10_000), slack: 100.0 };
+    let nodes = 9;
+    let mut budgets: Vec<Budget> = (0..nodes).map(|_| Budget::new(rules)).collect();
+    let mut taken: Vec<u64> = Vec::new();
+    let mut asked: Vec<u64> = Vec::new();
+    for ms in (0..40_000_u64).step_by(10) {
+        let node = (ms / 10) as usize % nodes;
+        budgets[node].on_request(Millis(ms));
+        asked.push(ms);
+        // Everything fails, and everything would be repeated.
+        if budgets[node].take(Millis(ms), nodes) {
+            taken.push(ms);
+        }
+    }
+    for from in (0..30_000_u64).step_by(250) {
+        let within = |at: &&u64| (from..from + 10_000).contains(*at);
+        let repeats = taken.iter().filter(within).count() as f64;
+        let requests = asked.iter().filter(within).count() as f64;
+        assert!(repeats <= 0.2 * requests + 100.0, "{repeats} of {requests} from {from}");
+    }
+    assert!(taken.len() > 400, "the budget is there to be used: {}", taken.len());
+}
+
+const fn candidate(load: u32, pace_ms: f64, is_aside: bool) -> Candidate {
+    Candidate { load, slots: 17, pace_ms, is_near: true, is_aside }
+}
+
+#[test]
+fn a_target_set_aside_is_taken_only_if_there_is_no_other() {
+    let both = [candidate(0, 20.0, true), candidate(10, 20.0, false)];
+    assert!((0..100).all(|draw| choose(&both, draw << 32 | draw) == Some(1)));
+    assert_eq!(choose(&both[..1], 7), Some(0));
+    assert_eq!(choose(&[], 7), None);
+}
+
+#[test]
+fn a_slow_or_full_target_gets_less() {
+    let targets = [candidate(3, 200.0, false), candidate(3, 30.0, false)];
+    assert!((0..100).all(|draw| choose(&targets, draw << 32 | draw) == Some(1)));
+    let full = [candidate(30, 30.0, false), candidate(5, 30.0, false)];
+    assert!((0..100).all(|draw| choose(&full, draw << 32 | draw) == Some(1)));
+}
+
+#[test]
+fn draws_spread_requests_over_equal_targets() {
+    let targets = [candidate(3, 30.0, false); 12];
+    let mut hits = [0; 12];
+    for draw in 0..1_200_u64 {
+        let draw = draw.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        hits[choose(&targets, draw).unwrap()] += 1;
+    }
+    assert!(hits.iter().all(|hits| (20..300).contains(hits)), "{hits:?}");
+}
+
+#[test]
+fn silence_is_judged_by_the_usual_gap_and_the_goal() {
+    let rules = SilenceRules::default();
+    let quick = rules.look_after(26.0, Millis(200));
+    let slow = rules.look_after(220.0, Millis(300));
+    assert!(quick < Millis(200), "before the pause is too long: {quick}");
+    assert!(slow >= Millis(220), "a slow engine is not doubted at every event: {slow}");
+    assert!(rules.move_after(220.0, Millis(300)) >= Millis(1_500));
+}
+
+#[test]
+fn the_usual_gap_follows_and_a_lost_stream_does_not_spoil_it() {
+    let head = InstanceId::new("i-1").unwrap();
+    let mut gaps = Gaps::default();
+    gaps.on_peer(&head, 50.0);
+    (0..60).for_each(|_| gaps.on_gap(&head, Millis(30)));
+    gaps.on_gap(&head, Millis(60_000));
+    let usual = gaps.usual(&head).unwrap();
+    assert!((30.0..300.0).contains(&usual), "{usual}");
+}
--- /dev/null
+++ b/crates/workshold-core/tests/hosted/sight.rs
@@ -0,0 +1,133 @@
+//! What a node believes of the configuration, the list and who is there.
+
+use std::collections::BTreeSet;
+
+use smol_str::SmolStr;
+use workshold_core::hosted::currency::Currency;
+use workshold_core::hosted::roster::Instance;
+use workshold_core::hosted::roster::ListTrust;
+use workshold_core::hosted::roster::Roster;
+use workshold_core::hosted::suspicion::Loss;
+use workshold_core::hosted::suspicion::Reach;
+use workshold_core::hosted::suspicion::Suspicions;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::DataCentre;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::ids::ServiceName;
+
+fn id(name: &str) -> InstanceId {
+    InstanceId::new(name).unwrap()
+}
+
+fn word(name: &str, is_leaving: bool) -> Instance {
+    Instance {
+        id: id(name),
+        service: ServiceName::new("gate").unwrap(),
+        address: SmolStr::new("10.0.0.1:80"),
+        data_centre: DataCentre::new("a").unwrap(),
+        domain: None,
+        slots: 6,
+        is_leaving,
+        staged: Vec::new(),
+        loaded: Vec::new(),
+        membership: None,
+    }
+}
+
+#[test]
+fn a_version_never_goes_back() {
+    let mut currency = Currency::default();
+    assert!(currency.take(7, Millis(1_000)));
+    assert!(!currency.take(5, Millis(2_000)), "an old copy read late");
+    assert_eq!(currency.version(), Some(7));
+    assert!(!currency.is_within(Millis(6_000), Millis(4_600)), "nor does it make the new fresh");
+}
+
+#[test]
+fn freshness_comes_of_whoever_saw_the_same_version() {
+    let mut currency = Currency::default();
+    currency.take(7, Millis(1_000));
+    assert!(!currency.confirm(7, Millis(3_000)));
+    assert!(currency.is_within(Millis(7_000), Millis(4_600)));
+    assert!(currency.confirm(9, Millis(5_000)), "a newer one is wanted");
+    assert!(!currency.is_within(Millis(8_000), Millis(4_600)), "and the old one ages");
+}
+
+#[test]
+fn without_any_version_no_key_is_believed() {
+    assert!(!Currency::default().is_within(Millis(1), Millis(4_600)));
+    assert!(Currency::default().confirm(1, Millis(1)));
+}
+
+#[test]
+fn records_read_out_of_order_change_nothing() {
+    let mut roster = Roster::default();
+    roster.apply(5, &id("i-1"), Some(word("i-1", true)), Millis(100));
+    roster.apply(3, &id("i-1"), Some(word("i-1", false)), Millis(200));
+    assert!(roster.get(&id("i-1")).unwrap().instance.is_leaving);
+    roster.apply(4, &id("i-1"), None, Millis(300));
+    assert_eq!(roster.get(&id("i-1")).unwrap().unlisted_since, None);
+}
+
+#[test]
+fn a_whole_reading_shows_who_has_gone() {
+    let mut roster = Roster::default();
+    roster.apply(1, &id("i-1"), Some(word("i-1", false)), Millis(100));
+    roster.apply(9, &id("i-2"), Some(word("i-2", false)), Millis(100));
+    // Its pages began at record 5: what is newer may be missing in them.
+    roster.keep_only(&BTreeSet::new(), 5, Millis(200));
+    let trust = ListTrust::default();
+    assert!(!roster.get(&id("i-1")).unwrap().is_there(&trust, Millis(200)));
+    assert!(roster.get(&id("i-2")).unwrap().is_there(&trust, Millis(200)));
+}
+
+#[test]
+fn what_lapsed_while_the_store_was_away_is_missing_only_later() {
+    let mut roster = Roster::default();
+    let mut trust = ListTrust::default();
+    roster.apply(1, &id("i-1"), Some(word("i-1", false)), Millis(1_000));
+    trust.on_trouble(Millis(10_000));
+    roster.apply(2, &id("i-1"), None, Millis(10_100));
+    let entry = roster.get(&id("i-1")).unwrap();
+    assert!(entry.is_in_service(&trust, Millis(11_500)));
+    assert!(!entry.is_in_service(&trust, Millis(12_400)), "still missing: it has gone");
+}
+
+#[test]
+fn an_instance_that_left_long_before_an_outage_is_not_excused() {
+    let mut roster = Roster::default();
+    let mut trust = ListTrust::default();
+    roster.apply(1, &id("i-1"), Some(word("i-1", false)), Millis(1_000));
+    roster.apply(2, &id("i-1"), None, Millis(2_000));
+    trust.on_trouble(Millis(10_000));
+    assert!(!roster.get(&id("i-1")).unwrap().is_in_service(&trust, Millis(10_100)));
+}
+
+#[test]
+fn one_nodes_word_is_not_enough_to_call_an_instance_lost() {
+    let mut suspicions = Suspicions::default();
+    suspicions.on_own(&id("i-1"), Reach::Silent, Millis(1));
+    assert_eq!(suspicions.loss(&id("i-1"), 8), Loss::Doubted, "this node may be cut off itself");
+    suspicions.on_peer(&id("i-1"), "n-2", Reach::Silent, Millis(2));
+    assert_eq!(suspicions.loss(&id("i-1"), 8), Loss::Confirmed);
+    suspicions.on_peer(&id("i-1"), "n-2", Reach::Answers, Millis(3));
+    assert_eq!(suspicions.loss(&id("i-1"), 8), Loss::Doubted);
+    suspicions.on_own(&id("i-1"), Reach::Answers, Millis(4));
+    assert_eq!(suspicions.loss(&id("i-1"), 8), Loss::None);
+}
+
+#[test]
+fn a_node_alone_goes_by_its_own_tries() {
+    let mut suspicions = Suspicions::default();
+    suspicions.on_own(&id("i-1"), Reach::Silent, Millis(1));
+    assert_eq!(suspicions.loss(&id("i-1"), 0), Loss::Confirmed);
+}
+
+#[test]
+fn a_refused_connection_is_the_end_of_a_life() {
+    let mut suspicions = Suspicions::default();
+    suspicions.on_peer(&id("i-1"), "n-2", Reach::Refused, Millis(1));
+    assert_eq!(suspicions.loss(&id("i-1"), 8), Loss::Ended);
+    suspicions.clear(&id("i-1"));
+    assert_eq!(suspicions.loss(&id("i-1"), 8), Loss::None);
+}
--- /dev/null
+++ b/crates/workshold-core/tests/hosted/stewards.rs
@@ -0,0 +1,382 @@
+//! The steward: one test for each way in which groups were broken, or left broken.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use smol_str::SmolStr;
+use workshold_core::hosted::catalog::Engine;
+use workshold_core::hosted::catalog::ModelShape;
+use workshold_core::hosted::groups::group_id;
+use workshold_core::hosted::roster::Entry;
+use workshold_core::hosted::roster::Instance;
+use workshold_core::hosted::roster::ListTrust;
+use workshold_core::hosted::roster::MemberState;
+use workshold_core::hosted::roster::Membership;
+use workshold_core::hosted::steward::Command;
+use workshold_core::hosted::steward::Order;
+use workshold_core::hosted::steward::OrderReply;
+use workshold_core::hosted::steward::Situation;
+use workshold_core::hosted::steward::Steward;
+use workshold_core::hosted::steward::StewardRules;
+use workshold_core::hosted::suspicion::Loss;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::DataCentre;
+use workshold_protocol::ids::FabricDomain;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::ids::ModelName;
+use workshold_protocol::ids::ServiceName;
+
+fn id(name: &str) -> InstanceId {
+    InstanceId::new(name).unwrap()
+}
+
+fn model(name: &str) -> ModelName {
+    ModelName::new(name).unwrap()
+}
+
+/// A domain with engines for `big` (four instances) and `small` (two).
+struct Domain {
+    engine: Engine,
+    entries: BTreeMap<String, Entry>,
+    losses: BTreeMap<InstanceId, (Loss, Millis)>,
+    demand: BTreeMap<ModelName, f64>,
+    groups: BTreeMap<ModelName, f64>,
+    before_traffic: bool,
+    may_make_room: bool,
+    now: Millis,
+}
+
+impl Domain {
+    fn new() -> Self {
+        let shape = |name: &str, size| ModelShape {
+            name: model(name),
+            size,
+            share: 0.5,
+            pace: 1.0,
+            load: Millis(12_000),
+            warm: Millis(1_600),
+        };
+        Self {
+            engine: Engine {
+                slots: 17,
+                stride: 5,
+                step_ms: 7.8,
+                loads_per_s: 5.0,
+                models: vec![shape("big", 4), shape("small", 2)],
+            },
+            entries: BTreeMap::new(),
+            losses: BTreeMap::new(),
+            demand: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            before_traffic: false,
+            may_make_room: true,
+            now: Millis(100_000),
+        }
+    }
+
+    fn add(&mut self, name: &str, loaded: &[&str], staged: &[&str]) {
+        let names = |models: &[&str]| models.iter().map(|name| model(name)).collect();
+        let instance = Instance {
+            id: id(name),
+            service: ServiceName::new("engines").unwrap(),
+            address: SmolStr::new(name),
+            data_centre: DataCentre::new("a").unwrap(),
+            domain: Some(FabricDomain::new("d").unwrap()),
+            slots: 17,
+            is_leaving: false,
+            staged: names(staged),
+            loaded: names(loaded),
+            membership: None,
+        };
+        let entry = Entry {
+            instance: Arc::new(instance),
+            offset: 1,
+            first_seen: self.now,
+            unlisted_since: None,
+        };
+        self.entries.insert(name.to_owned(), entry);
+    }
+
+    fn change(&mut self, name: &str, change: impl FnOnce(&mut Instance)) {
+        let entry = self.entries.get_mut(name).unwrap();
+        change(Arc::make_mut(&mut entry.instance));
+    }
+
+    /// All of them state that they are in a group of `of`.
+    fn join(&mut self, of: &str, epoch: u64, names: &[&str], head: MemberState) {
+        for (rank, name) in names.iter().enumerate() {
+            let state = if rank == 0 { head } else { MemberState::Ready };
+            let group = group_id(of, epoch);
+            self.change(name, |i| i.membership = Some(Membership { group, epoch, rank, state }));
+        }
+    }
+
+    fn obey(&mut self, commands: &[Command]) {
+        for command in commands {
+            let name = command.to.as_str().to_owned();
+            match &command.order {
+                Order::Join { group, epoch, members, .. } => {
+                    let rank = members.iter().position(|member| member == &command.to).unwrap();
+                    let own = Membership {
+                        group: group.clone(),
+                        epoch: *epoch,
+                        rank,
+                        state: MemberState::Ready,
+                    };
+                    self.change(&name, |i| i.membership = Some(own));
+                }
+                Order::Leave { .. } => self.change(&name, |i| i.membership = None),
+                Order::Open { .. } => self.change(&name, |i| {
+                    i.membership.as_mut().unwrap().state = MemberState::Open;
+                }),
+                Order::Close { .. } => self.change(&name, |i| {
+                    i.membership.as_mut().unwrap().state = MemberState::Ready;
+                }),
+                Order::Stage { .. } => {}
+            }
+        }
+    }
+
+    fn plan(&mut self, steward: &mut Steward) -> Vec<Command> {
+        self.now = self.now + Millis(200);
+        let domain = FabricDomain::new("d").unwrap();
+        let entries: Vec<&Entry> = self.entries.values().collect();
+        let loss = |id: &InstanceId| self.losses.get(id).map_or(Loss::None, |(loss, _)| *loss);
+        let since = |id: &InstanceId| self.losses.get(id).map(|(_, since)| *since);
+        steward.plan(&Situation {
+            domain: &domain,
+            engine: &self.engine,
+            entries: &entries,
+            trust: &ListTrust::default(),
+            loss: &loss,
+            doubted_since: &since,
+            demand: &self.demand,
+            groups: &self.groups,
+            before_traffic: self.before_traffic,
+            may_make_room: self.may_make_room,
+            load_part: 1.0,
+            last_new: Millis::ZERO,
+            now: self.now,
+        })
+    }
+}
+
+fn steward(fence: u64) -> Steward {
+    Steward::new(StewardRules::default(), 3, fence, Arc::default())
+}
+
+fn kinds(commands: &[Command]) -> Vec<String> {
+    let kind = |command: &Command| match &command.order {
+        Order::Join { members, .. } => format!("{} join {}", command.to, members.len()),
+        Order::Open { .. } => format!("{} open", command.to),
+        Order::Close { is_cut, .. } => format!("{} close cut={is_cut}", command.to),
+        Order::Leave { .. } => format!("{} leave", command.to),
+        Order::Stage { model } => format!("{} stage {model}", command.to),
+    };
+    commands.iter().map(kind).collect()
+}
+
+#[test]
+fn a_group_is_opened_only_when_all_state_that_they_are_ready() {
+    let mut domain = Domain::new();
+    domain.add("i-1", &["small"], &[]);
+    domain.add("i-2", &["small"], &[]);
+    let mut steward = steward(1);
+    let joins = domain.plan(&mut steward);
+    assert_eq!(kinds(&joins), ["i-1 join 2", "i-2 join 2"]);
+    domain.obey(&joins[..1]);
+    assert_eq!(kinds(&domain.plan(&mut steward)), ["i-2 join 2"], "no order to open yet");
+    domain.obey(&joins[1..]);
+    assert_eq!(kinds(&domain.plan(&mut steward)), ["i-1 open"]);
+}
+
+#[test]
+fn a_lost_member_closes_its_group_at_once_and_the_head_leaves_before_anybody_is_taken() {
+    let mut domain = Domain::new();
+    for name in ["i-1", "i-2", "i-3", "i-4", "i-5"] {
+        domain.add(name, &["big"], &["big"]);
+    }
+    domain.join("big", 5, &["i-1", "i-2", "i-3", "i-4"], MemberState::Open);
+    domain.losses.insert(id("i-3"), (Loss::Confirmed, domain.now));
+    let mut steward = steward(1);
+    let close = domain.plan(&mut steward);
+    assert_eq!(kinds(&close), ["i-1 close cut=true"]);
+    domain.obey(&close);
+    // An order to open may still be on its way to the head.
+    let leave = domain.plan(&mut steward);
+    assert_eq!(kinds(&leave), ["i-5 join 4", "i-1 leave"]);
+    domain.obey(&leave);
+    let joins = domain.plan(&mut steward);
+    assert_eq!(kinds(&joins), ["i-1 join 4", "i-2 join 4", "i-4 join 4"]);
+}
+
+#[test]
+fn members_of_a_head_that_is_only_out_of_reach_are_not_taken() {
+    let mut domain = Domain::new();
+    for name in ["i-1", "i-2", "i-3"] {
+        domain.add(name, &["small"], &["small"]);
+    }
+    domain.join("small", 5, &["i-1", "i-2"], MemberState::Open);
+    domain.losses.insert(id("i-1"), (Loss::Confirmed, domain.now));
+    let mut steward = steward(1);
+    assert_eq!(kinds(&domain.plan(&mut steward)), [""; 0], "the list still has the head");
+    domain.entries.get_mut("i-1").unwrap().unlisted_since = Some(domain.now + Millis(100));
+    assert_eq!(kinds(&domain.plan(&mut steward)), ["i-2 join 2", "i-3 join 2"]);
+}
+
+#[test]
+fn a_head_that_leaves_and_refuses_connections_may_still_finish() {
+    let mut domain = Domain::new();
+    for name in ["i-1", "i-2", "i-3"] {
+        domain.add(name, &["small"], &["small"]);
+    }
+    domain.join("small", 5, &["i-1", "i-2"], MemberState::Open);
+    domain.change("i-1", |i| i.is_leaving = true);
+    domain.losses.insert(id("i-1"), (Loss::Ended, domain.now));
+    let mut steward = steward(1);
+    assert_eq!(kinds(&domain.plan(&mut steward)), [""; 0]);
+    domain.now = domain.now + Millis(11_000);
+    assert_eq!(kinds(&domain.plan(&mut steward)), ["i-2 join 2", "i-3 join 2"]);
+}
+
+#[test]
+fn a_head_whose_process_is_gone_holds_nobody() {
+    let mut domain = Domain::new();
+    for name in ["i-1", "i-2", "i-3"] {
+        domain.add(name, &["small"], &["small"]);
+    }
+    domain.join("small", 5, &["i-1", "i-2"], MemberState::Open);
+    domain.losses.insert(id("i-1"), (Loss::Ended, domain.now));
+    assert_eq!(kinds(&domain.plan(&mut steward(1))), ["i-2 join 2", "i-3 join 2"]);
+}
+
+#[test]
+fn a_member_that_the_list_lacks_but_that_answers_stays() {
+    let mut domain = Domain::new();
+    domain.add("i-1", &["small"], &[]);
+    domain.add("i-2", &["small"], &[]);
+    domain.join("small", 5, &["i-1", "i-2"], MemberState::Open);
+    domain.entries.get_mut("i-2").unwrap().unlisted_since = Some(domain.now);
+    assert_eq!(kinds(&domain.plan(&mut steward(1))), [""; 0]);
+    domain.entries.get_mut("i-1").unwrap().unlisted_since = Some(domain.now);
+    let close = domain.plan(&mut steward(1));
+    assert_eq!(kinds(&close), ["i-1 close cut=false"], "but nothing new may go to the head");
+}
+
+#[test]
+fn epochs_rise_over_parts_given_up_and_fences() {
+    let issued = Arc::default();
+    let mut last = 0;
+    for fence in [10, 10, 11] {
+        let mut steward = Steward::new(StewardRules::default(), 3, fence, Arc::clone(&issued));
+        let mut domain = Domain::new();
+        domain.add("i-1", &["small"], &[]);
+        domain.add("i-2", &["small"], &[]);
+        let commands = domain.plan(&mut steward);
+        let Order::Join { epoch, .. } = &commands[0].order else { panic!("{commands:?}") };
+        assert!(*epoch > last, "under fence {fence}");
+        last = *epoch;
+    }
+}
+
+#[test]
+fn a_group_that_another_steward_formed_is_not_opened() {
+    let mut domain = Domain::new();
+    domain.add("i-1", &["small"], &[]);
+    domain.add("i-2", &["small"], &[]);
+    domain.join("small", 5, &["i-1", "i-2"], MemberState::Ready);
+    // An order to join elsewhere may be on its way to any of them.
+    assert_eq!(kinds(&domain.plan(&mut steward(2))), ["i-1 leave"]);
+}
+
+#[test]
+fn only_a_refusal_of_a_current_order_shows_a_higher_fence() {
+    let mut domain = Domain::new();
+    domain.add("i-1", &["small"], &[]);
+    domain.add("i-2", &["small"], &[]);
+    let mut steward = steward(1);
+    let joins = domain.plan(&mut steward);
+    let mut old = joins[0].clone();
+    if let Order::Join { epoch, .. } = &mut old.order {
+        *epoch -= 1;
+    }
+    assert!(!steward.on_reply(&old, OrderReply::Outranked), "a late copy, overtaken by its own");
+    assert!(steward.on_reply(&joins[0], OrderReply::Outranked));
+}
+
+#[test]
+fn before_traffic_every_host_stages_the_other_model() {
+    let mut domain = Domain::new();
+    domain.before_traffic = true;
+    for name in ["i-1", "i-2"] {
+        domain.add(name, &["small"], &["small"]);
+    }
+    domain.join("small", 5, &["i-1", "i-2"], MemberState::Open);
+    let mut steward = steward(1);
+    assert_eq!(kinds(&domain.plan(&mut steward)), ["i-1 stage big", "i-2 stage big"]);
+    domain.before_traffic = false;
+    let mut later = self::steward(1);
+    assert_eq!(kinds(&domain.plan(&mut later)), [""; 0], "later, others need the store more");
+}
+
+#[test]
+fn loads_keep_to_the_weight_stores_rate() {
+    let mut domain = Domain::new();
+    (0..60).for_each(|i| domain.add(&format!("i-{i:02}"), &[], &[]));
+    let mut steward = steward(1);
+    let commands: Vec<Command> = (0..20).flat_map(|_| domain.plan(&mut steward)).collect();
+    let loads = commands.iter().filter(|c| matches!(c.order, Order::Stage { .. })).count();
+    assert!((1..=25).contains(&loads), "{loads} loads in 4 s at 5 a second");
+}
+
+#[test]
+fn a_group_is_given_up_for_a_model_that_is_short_and_for_nothing_else() {
+    let mut domain = Domain::new();
+    for name in ["i-1", "i-2", "i-3", "i-4"] {
+        domain.add(name, &["small"], &["big"]);
+    }
+    domain.join("small", 5, &["i-1", "i-2"], MemberState::Open);
+    domain.join("small", 6, &["i-3", "i-4"], MemberState::Open);
+    domain.demand = BTreeMap::from([(model("big"), 3.0), (model("small"), 2.0)]);
+    domain.groups = BTreeMap::from([(model("big"), 2.0), (model("small"), 12.0)]);
+    let mut steward = steward(1);
+    domain.may_make_room = false;
+    let waits: Vec<Command> = (0..10).flat_map(|_| domain.plan(&mut steward)).collect();
+    assert_eq!(kinds(&waits), [""; 0], "another domain has just given groups up");
+    domain.may_make_room = true;
+    let closes = domain.plan(&mut steward);
+    assert_eq!(kinds(&closes), ["i-1 close cut=false", "i-3 close cut=false"]);
+    // Until all are free nobody forms what was there before.
+    domain.obey(&closes[..1]);
+    assert_eq!(kinds(&domain.plan(&mut steward)), [""; 0]);
+    domain.obey(&closes[1..]);
+    assert_eq!(kinds(&domain.plan(&mut steward)), ["i-1 leave", "i-3 leave"]);
+}
+
+#[test]
+fn no_group_is_given_up_by_a_model_that_needs_it() {
+    let mut domain = Domain::new();
+    for name in ["i-1", "i-2", "i-3", "i-4"] {
+        domain.add(name, &["small"], &["big"]);
+    }
+    domain.join("small", 5, &["i-1", "i-2"], MemberState::Open);
+    domain.join("small", 6, &["i-3", "i-4"], MemberState::Open);
+    domain.demand = BTreeMap::from([(model("big"), 3.0), (model("small"), 9.0)]);
+    domain.groups = BTreeMap::from([(model("big"), 2.0), (model("small"), 12.0)]);
+    let mut steward = steward(1);
+    let commands: Vec<Command> = (0..20).flat_map(|_| domain.plan(&mut steward)).collect();
+    assert_eq!(kinds(&commands), [""; 0]);
+}
+
+#[test]
+fn an_order_is_not_repeated_at_every_look_and_nobody_calls_the_dead() {
+    let mut domain = Domain::new();
+    domain.add("i-1", &["small"], &[]);
+    domain.add("i-2", &["small"], &[]);
+    domain.join("small", 5, &["i-1", "i-2"], MemberState::Open);
+    domain.losses.insert(id("i-2"), (Loss::Confirmed, domain.now));
+    domain.losses.insert(id("i-1"), (Loss::Confirmed, domain.now));
+    let mut steward = steward(1);
+    let commands: Vec<Command> = (0..5).flat_map(|_| domain.plan(&mut steward)).collect();
+    assert_eq!(kinds(&commands), [""; 0]);
+}
