Demand counts what was refused; weights are fetched ahead for a model that is short

Cause: a model without groups showed no demand, so none was formed for it; members of groups that could be given up had no weights of the other model. One domain at a time fetches them, within the loads that the weight store serves at once; an instance that is busy with another load is left alone.

--- a/crates/workshold-core/src/hosted/catalog.rs
+++ b/crates/workshold-core/src/hosted/catalog.rs
@@ -105,6 +105,8 @@
     pub step_ms: f64,
     /// Loads that may begin in a second, over all instances.
     pub loads_per_s: f64,
+    /// Loads at once that the weight store serves at full speed.
+    pub loads_at_once: u32,
     /// The models, in the operator's order.
     pub models: Vec<ModelShape>,
 }
--- a/crates/workshold-core/src/hosted/steward.rs
+++ b/crates/workshold-core/src/hosted/steward.rs
@@ -14,6 +14,8 @@
 //!   open, or one that is whole.
 
 mod choosing;
+mod room;
+mod staging;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -179,6 +181,8 @@
     /// Whether no domain has given groups up just now: what that brings is not seen
     /// at once, and all domains see the same want.
     pub may_make_room: bool,
+    /// Whether no other domain fetches weights so that groups can be given up.
+    pub may_prepare: bool,
     /// This steward's part of all loads, 0 to 1.
     pub load_part: f64,
     /// When an instance last appeared.
@@ -214,6 +218,7 @@
     forming: BTreeMap<u64, Forming>,
     sent: BTreeMap<(InstanceId, u64, &'static str), Millis>,
     staging: BTreeMap<InstanceId, (ModelName, Millis)>,
+    busy: BTreeMap<InstanceId, Millis>,
     closed: BTreeSet<u64>,
     released: BTreeSet<u64>,
     loads: VecDeque<Millis>,
@@ -227,6 +232,9 @@
     short_since: Option<Millis>,
     made_at: Option<Millis>,
     meant: Option<Meant>,
+    /// Weights are being fetched so that groups can be given up.
+    prepares: bool,
+    prepared_at: Option<Millis>,
 }
 
 /// Instances that were set free for one purpose.
@@ -270,6 +278,7 @@
             forming: BTreeMap::new(),
             sent: BTreeMap::new(),
             staging: BTreeMap::new(),
+            busy: BTreeMap::new(),
             closed: BTreeSet::new(),
             released: BTreeSet::new(),
             loads: VecDeque::new(),
@@ -317,6 +326,7 @@
             Order::Join { epoch, .. } if reply == OrderReply::Outranked => {
                 self.forming.remove(epoch);
             }
+            Order::Stage { .. } if reply == OrderReply::Unfit => self.on_busy(&command.to),
             Order::Stage { .. } if !matches!(reply, OrderReply::Begun | OrderReply::Unknown) => {
                 self.staging.remove(&command.to);
             }
@@ -358,6 +368,12 @@
         self.rooms.get(domain).is_some_and(|room| room.made_at == Some(now))
     }
 
+    /// Whether the last look at a domain found it fetching weights for a model that
+    /// is short of groups.
+    pub fn has_prepared(&self, domain: &FabricDomain, now: Millis) -> bool {
+        self.rooms.get(domain).is_some_and(|room| room.prepared_at == Some(now))
+    }
+
     /// What the last look at a domain showed.
     pub fn seen(&self) -> &Seen {
         &self.seen
@@ -542,6 +558,7 @@
         while self.loads.front().is_some_and(|at| s.now.since(*at) > window) {
             self.loads.pop_front();
         }
+        self.busy.retain(|_, until| s.now < *until);
         self.sent.retain(|_, at| s.now.since(*at) < Millis::from_secs(10));
         while self.closed.len() > MOST_REMEMBERED {
             self.closed.pop_first();
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -36,6 +36,7 @@
 use crate::events::Event;
 use crate::events::emit;
 use crate::loads::Loads;
+use crate::loads::Unserved;
 use crate::peers::Peers;
 use crate::settings::Settings;
 use crate::table::Table;
@@ -105,6 +106,8 @@
     pub outliers: Mutex<Outliers<InstanceId>>,
     /// Requests at instances.
     pub loads: Loads,
+    /// Requests that were refused.
+    pub unserved: Unserved,
     budgets: Mutex<HashMap<ServiceName, Budget>>,
     /// Other nodes.
     pub peers: Mutex<Peers>,
@@ -118,6 +121,8 @@
     pub list_wanted: Notify,
     /// When some domain last gave groups up, here or at a peer.
     pub room_made: Mutex<Millis>,
+    /// When some domain last fetched weights so that groups can be given up.
+    pub room_prepared: Mutex<Millis>,
     /// Epochs that this process has issued.
     pub epochs_issued: Arc<AtomicU64>,
     /// Whether the steward waits for statements.
@@ -179,6 +184,7 @@
             gaps: Mutex::default(),
             outliers: Mutex::new(Outliers::new(OUTLIERS)),
             loads: Loads::default(),
+            unserved: Unserved::default(),
             budgets: Mutex::default(),
             peers: Mutex::default(),
             lease: Mutex::default(),
@@ -186,6 +192,7 @@
             pulse_wanted: Notify::new(),
             list_wanted: Notify::new(),
             room_made: Mutex::default(),
+            room_prepared: Mutex::default(),
             epochs_issued: Arc::default(),
             is_steward_busy: AtomicBool::new(false),
             doubts,
--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -90,6 +90,10 @@
     pub store_age_ms: u64,
     /// How long ago it gave groups up for another model, in ms.
     pub room_age_ms: u64,
+    /// How long ago it fetched weights for that, in ms.
+    pub prepare_age_ms: u64,
+    /// Requests' worth of work that it refused of late, by model.
+    pub unserved: Vec<(SmolStr, f32)>,
     /// Requests at instances, by short id, and their usual gap in units of 4 ms.
     pub loads: Vec<(u32, u8, u8)>,
 }
@@ -151,6 +155,17 @@
         sums
     }
 
+    /// Requests' worth of work that those who are heard refused, by model.
+    pub fn unserved(&self, now: Millis) -> HashMap<SmolStr, f64> {
+        let mut sums = HashMap::new();
+        for (_, peer) in self.heard(now) {
+            for (model, count) in &peer.pulse.unserved {
+                *sums.entry(model.clone()).or_default() += f64::from(*count);
+            }
+        }
+        sums
+    }
+
     /// Drops addresses that have long been silent.
     pub fn forget(&mut self, now: Millis) {
         self.addresses.retain(|_, since| now.since(*since) < FORGET_AFTER);
--- a/crates/workshold-gateway/src/relay.rs
+++ b/crates/workshold-gateway/src/relay.rs
@@ -166,6 +166,9 @@
         [("request", &*course.job.id), ("why", course.why), ("ms", &*took), ("sent", &*sent)];
     if next == Next::NotRun {
         emit(Event::RequestNotRun, &fields);
+        if let Some(model) = &course.job.model {
+            node.unserved.on_refusal(model, node.now());
+        }
         let after = if course.tried.is_empty() { COME_BACK_NONE } else { COME_BACK_FULL };
         return answers::not_run("it has not run; come back later", spread(after));
     }
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::Method;
 use hyper::StatusCode;
+use parking_lot::Mutex;
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
 use workshold_core::hosted::suspicion::Reach;
@@ -91,6 +92,8 @@
         list_age_ms: node.now().since(node.list.lock().read_at).0,
         store_age_ms: node.store_age().0,
         room_age_ms: node.now().since(*node.room_made.lock()).0,
+        prepare_age_ms: node.now().since(*node.room_prepared.lock()).0,
+        unserved: node.unserved.all(node.now()),
         loads: loads.collect(),
     }
 }
@@ -117,9 +120,8 @@
             if let Some((version, age)) = pulse.config {
                 node.confirm_config(version, now - Millis(age) - ON_THE_WAY);
             }
-            let mut room_made = node.room_made.lock();
-            *room_made = (*room_made).max(now - Millis(pulse.room_age_ms));
-            drop(room_made);
+            note_later(&node.room_made, now - Millis(pulse.room_age_ms));
+            note_later(&node.room_prepared, now - Millis(pulse.prepare_age_ms));
             take_gaps(node, &pulse);
             let mut peers = node.peers.lock();
             peers.on_pulse(from, datagram.from, pulse, now);
@@ -133,6 +135,11 @@
     }
 }
 
+fn note_later(known: &Mutex<Millis>, told: Millis) {
+    let mut known = known.lock();
+    *known = (*known).max(told);
+}
+
 /// What a datagram may have taken: its age is only known by its sender's word.
 const ON_THE_WAY: Millis = Millis(200);
 
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -51,6 +51,10 @@
 /// ones and to see what they bring.
 const ROOM_EVERY: Millis = Millis(2_500);
 
+/// A domain that fetches weights for a model that is short holds the turn for this
+/// long after it last said so.
+const PREPARE_HELD: Millis = Millis(1_500);
+
 /// How often a steward says what a domain looks like.
 const TELL_EVERY: Millis = Millis(2_000);
 
@@ -75,7 +79,7 @@
     }
 }
 
-/// Groups' worth of requests under way, by model.
+/// Groups' worth of requests that are under way or were refused, by model.
 fn measure_demand(node: &Node, demand: &mut BTreeMap<ModelName, f64>) {
     if !node.has_traffic() {
         return;
@@ -88,12 +92,30 @@
         let load = f64::from(node.loads.of(&target.id)) / f64::from(target.slots.max(1));
         *now.entry(model).or_default() += load;
     }
+    for (model, load) in refused(node) {
+        *now.entry(model).or_default() += load;
+    }
     for (model, load) in now {
         let mean = demand.entry(model).or_insert(load);
         *mean += DEMAND_SMOOTHING * (load - *mean);
     }
 }
 
+/// Groups' worth of requests that all nodes refused of late, by model.
+fn refused(node: &Node) -> Vec<(ModelName, f64)> {
+    let now = node.now();
+    let mut unserved = node.peers.lock().unserved(now);
+    for (model, count) in node.unserved.all(now) {
+        *unserved.entry(model).or_default() += f64::from(count);
+    }
+    let Some(catalog) = node.catalog() else { return Vec::new() };
+    let engines = catalog.upstreams.values().filter_map(|upstream| upstream.engine.as_ref());
+    let slots = engines.map(|engine| engine.slots).max().unwrap_or(1).max(1);
+    let name = |model: &str| ModelName::new(model).ok();
+    let refused = unserved.iter().filter_map(|(model, count)| Some((name(model)?, *count)));
+    refused.map(|(model, count)| (model, count / f64::from(slots))).collect()
+}
+
 /// Which part of the lease a domain belongs to.
 fn part_of(domain: &FabricDomain, parts: u64) -> u64 {
     xxh3_64(domain.as_str().as_bytes()) % parts.max(1)
@@ -148,6 +170,7 @@
         demand,
         told,
         rooms: &node.room_made,
+        preparing: &node.room_prepared,
         before_traffic: !node.has_traffic() && node.settings().node.is_first_start,
         parts: node.settings().store.parts,
         issued: &node.epochs_issued,
@@ -181,6 +204,7 @@
     demand: &'a BTreeMap<ModelName, f64>,
     told: &'a Told,
     rooms: &'a Mutex<Millis>,
+    preparing: &'a Mutex<Millis>,
     before_traffic: bool,
     parts: u64,
     issued: &'a Arc<AtomicU64>,
@@ -234,6 +258,7 @@
                 groups: &counts,
                 before_traffic: self.before_traffic,
                 may_make_room: self.now.since(*self.rooms.lock()) >= ROOM_EVERY,
+                may_prepare: self.now.since(*self.preparing.lock()) >= PREPARE_HELD,
                 load_part: 1.0 / domains.len().max(1) as f64,
                 last_new: self.roster.last_new(),
                 now: self.now,
@@ -241,6 +266,9 @@
             if steward.has_made_room(domain, self.now) {
                 *self.rooms.lock() = self.now;
             }
+            if steward.has_prepared(domain, self.now) {
+                *self.preparing.lock() = self.now;
+            }
             self.tell(domain, &counts, &demand, steward.seen());
         }
         commands
--- a/crates/workshold-model/src/hosted.rs
+++ b/crates/workshold-model/src/hosted.rs
@@ -99,6 +99,7 @@
         stride: 5,
         step_ms: 8.0,
         loads_per_s: 5.0,
+        loads_at_once: 7,
         models: vec![model("big", 3, 0.5), model("small", 2, 0.5)],
     }
 }
--- a/crates/workshold-model/src/hosted/office.rs
+++ b/crates/workshold-model/src/hosted/office.rs
@@ -131,6 +131,7 @@
             groups: &groups,
             before_traffic: true,
             may_make_room: false,
+            may_prepare: false,
             load_part: 1.0,
             last_new: Millis::ZERO,
             now: view.now,
