--- a/crates/workshold-core/src/hosted/placement.rs
+++ b/crates/workshold-core/src/hosted/placement.rs
@@ -50,7 +50,9 @@
     (0..candidates.len()).filter(|i| candidates[*i].is_aside == aside).collect()
 }
 
-/// Free places in all of them, beyond those that wait there already.
-pub fn free_places(candidates: &[Candidate]) -> u32 {
-    candidates.iter().map(|candidate| candidate.slots.saturating_sub(candidate.load)).sum()
+/// Whether all of them are so full that a request would wait past its goal behind
+/// those that wait already; better it is refused at once and comes back.
+pub fn are_full(candidates: &[Candidate], may_wait: u32) -> bool {
+    let is_full = |candidate: &Candidate| candidate.load >= candidate.slots + may_wait;
+    !candidates.is_empty() && candidates.iter().all(is_full)
 }
--- a/crates/workshold-gateway/src/relay.rs
+++ b/crates/workshold-gateway/src/relay.rs
@@ -37,6 +37,9 @@
 
 /// With less time than this left nothing is sent any more.
 pub const LEAST_TIME: Millis = Millis(25);
+/// Requests that may wait at a full group: one place becomes free within a fraction
+/// of the goal, several do not.
+const MAY_WAIT: u32 = 2;
 /// How long a request waits for a target to come up, as a part of its goal.
 const WAIT_PART: u64 = 6;
 const WAIT_STEP: Millis = Millis(15);
@@ -63,6 +66,12 @@
         Self { job, used, tried: Vec::new(), why: "nothing serves it now" }
     }
 
+    /// Whether nothing was tried yet: one that has run in part goes on wherever there
+    /// is a place, full or not.
+    fn is_new(&self) -> bool {
+        self.tried.is_empty() && self.job.last_event.is_none()
+    }
+
     /// Time that is left.
     pub fn left(&self, node: &Node) -> Millis {
         self.job.ends.since(node.now())
@@ -222,6 +231,9 @@
             is_aside: outliers.is_set_aside(&target.id, now) || node.is_in_doubt(target),
         })
         .collect();
+    if course.is_new() && placement::are_full(&candidates, MAY_WAIT) {
+        return None;
+    }
     let chosen = placement::choose(&candidates, rand::rng().random())?;
     Some(Arc::clone(fits[chosen]))
 }
--- a/crates/workshold-gateway/src/tasks/doubting.rs
+++ b/crates/workshold-gateway/src/tasks/doubting.rs
@@ -24,7 +24,7 @@
 /// the try shows nothing.
 const OWN_DELAY: Millis = Millis(25);
 /// How often an instance in doubt is tried again.
-const AGAIN_EVERY: Duration = Duration::from_millis(700);
+const AGAIN_EVERY: Duration = Duration::from_millis(1_500);
 
 /// Tries to reach an instance; `None` if the try shows nothing.
 pub async fn reach(node: &Node, address: &str) -> Option<Reach> {
--- a/crates/workshold-gateway/src/tasks/following.rs
+++ b/crates/workshold-gateway/src/tasks/following.rs
@@ -30,7 +30,7 @@
 /// The least time between two reads of the list: each call has its price.
 const LIST_EVERY: Millis = Millis(900);
 /// The same before there is traffic.
-const LIST_EVERY_EARLY: Millis = Millis(250);
+const LIST_EVERY_EARLY: Millis = Millis(400);
 /// The same while a steward waits for statements.
 const LIST_EVERY_BUSY: Millis = Millis(40);
 /// After a call that failed.
--- a/crates/workshold-gateway/src/tasks/leasing.rs
+++ b/crates/workshold-gateway/src/tasks/leasing.rs
@@ -17,8 +17,9 @@
 const RENEW_EVERY: Duration = Duration::from_millis(450);
 /// Time for the answer.
 const ANSWER_TIME: Millis = Millis(700);
-/// How often a node asks who else there is.
-const OWNERS_EVERY: Duration = Duration::from_millis(3_000);
+/// How often a node asks who else there is. Whoever is new asks at its start, and its
+/// pulses tell the others of it.
+const OWNERS_EVERY: Duration = Duration::from_millis(8_000);
 /// The same until it has heard of anybody.
 const OWNERS_EVERY_AT_FIRST: Duration = Duration::from_millis(500);
 
