Silence alone ends no request that cannot go elsewhere

Ruled out: a dead instance; it answered later. Test: silence_alone_does_not_end_a_request_that_cannot_go_elsewhere.

--- a/crates/workshold-gateway/src/relay.rs
+++ b/crates/workshold-gateway/src/relay.rs
@@ -33,6 +33,7 @@
 use crate::node::RequestGuard;
 use crate::relay::attempt::Opened;
 use crate::relay::stream::StreamRelay;
+use crate::relay::watching::Patience;
 use crate::table::Target;
 
 /// With less time than this left nothing is sent any more.
@@ -63,7 +64,7 @@
 impl Course {
     fn new(job: Job) -> Self {
         let used = Used { sent: 0, not_sent: 0, may_have_run: false };
-        Self { job, used, tried: Vec::new(), why: "nothing serves it now" }
+        Self { job, used, tried: Vec::new(), why: "nothing that serves it has a place" }
     }
 
     /// Whether nothing was tried yet: one that has run in part goes on wherever there
@@ -72,6 +73,19 @@
         self.tried.is_empty() && self.job.last_event.is_none()
     }
 
+    /// How long to wait for the attempt under way, which was last heard at `since`;
+    /// `after` says when it is looked into and when it would be given up.
+    pub fn patience(&self, since: Millis, after: (Millis, Millis)) -> Patience {
+        let is_repeatable = self.job.route.is_repeatable();
+        let is_last = self.used.sent + 1 >= self.job.route.attempts;
+        Patience {
+            since,
+            look_after: is_repeatable.then_some(after.0),
+            move_after: (is_repeatable && !is_last).then_some(after.1),
+            ends: self.job.ends,
+        }
+    }
+
     /// Time that is left.
     pub fn left(&self, node: &Node) -> Millis {
         self.job.ends.since(node.now())
--- a/crates/workshold-gateway/src/relay/attempt.rs
+++ b/crates/workshold-gateway/src/relay/attempt.rs
@@ -107,8 +107,7 @@
     }
     let sent = node.now();
     let usual = node.gaps.lock().usual(&target.id).unwrap_or(target.quiet_gap_ms);
-    let movable = course.job.route.is_repeatable().then(|| first_patience(course, usual));
-    let patience = Patience { since: sent, movable, ends: course.job.ends };
+    let patience = course.patience(sent, first_patience(course, usual));
     let sending = connected.send(request(course, target, last, left), left.to_duration());
     let (res, driver) = match watch(node, target, patience, sending).await {
         Watched::Got(Ok(got)) => got,
--- a/crates/workshold-gateway/src/relay/stream.rs
+++ b/crates/workshold-gateway/src/relay/stream.rs
@@ -26,7 +26,6 @@
 use crate::relay::attempt::Current;
 use crate::relay::attempt::Failure;
 use crate::relay::attempt::Opened;
-use crate::relay::watching::Patience;
 
 /// A stream under way to its caller.
 pub struct StreamRelay {
@@ -94,11 +93,9 @@
         let usual = self.usual_gap();
         let goal = self.course.job.route.pause_goal;
         let rules = self.node.silence;
-        let movable = self.course.job.route.is_repeatable();
-        let movable =
-            movable.then(|| (rules.look_after(usual, goal), rules.move_after(usual, goal)));
         let since = self.current.since;
-        let patience = Patience { since, movable, ends: self.course.job.ends };
+        let after = (rules.look_after(usual, goal), rules.move_after(usual, goal));
+        let patience = self.course.patience(since, after);
         self.current.read(&self.node, patience).await?;
         if !self.current.ready.is_empty() {
             let now = self.node.now();
--- a/crates/workshold-gateway/src/relay/watching.rs
+++ b/crates/workshold-gateway/src/relay/watching.rs
@@ -28,9 +28,12 @@
 pub struct Patience {
     /// When the instance last said something.
     pub since: Millis,
-    /// Silence after which it is looked into, and after which it is given up; `None`
-    /// if the request cannot go elsewhere anyway.
-    pub movable: Option<(Millis, Millis)>,
+    /// Silence after which it is looked into; `None` if the request must not run
+    /// twice, whatever is seen.
+    pub look_after: Option<Millis>,
+    /// Silence after which it is given up although all answer; `None` if the request
+    /// may not be sent to another one: silence alone is then no reason to end it.
+    pub move_after: Option<Millis>,
     /// When the request's time is up.
     pub ends: Millis,
 }
@@ -50,10 +53,10 @@
     let mut fut = pin!(fut);
     let mut changed = node.suspicion_changed.subscribe();
     let ends = patience.ends - ANSWER_LEAD;
-    let mut look_at = patience.movable.map(|(look, _)| patience.since + look);
-    let mut move_at = patience.movable.map(|(_, give_up)| patience.since + give_up);
+    let mut look_at = patience.look_after.map(|after| patience.since + after);
+    let mut move_at = patience.move_after.map(|after| patience.since + after);
     // With others' word that a member is lost, less silence is enough.
-    let doubt_at = patience.movable.map(|(look, _)| patience.since + Millis(look.0 / 2));
+    let doubt_at = patience.look_after.map(|after| patience.since + Millis(after.0 / 2));
     loop {
         let is_doubted = doubt_at.is_some() && node.is_in_doubt(target);
         let now = node.now();
--- a/crates/workshold-gateway/tests/path.rs
+++ b/crates/workshold-gateway/tests/path.rs
@@ -266,3 +266,17 @@
     assert_eq!(state["config"]["version"], 1);
     assert_eq!(state["instances"].as_array().unwrap().len(), 3);
 }
+
+#[tokio::test]
+async fn silence_alone_does_not_end_a_request_that_cannot_go_elsewhere() {
+    let deployment = Deployment::start(2, 1).await;
+    let text = config(1, "k1")
+        .replace("\"service\":\"gate\",\"attempts\":2", "\"service\":\"gate\",\"attempts\":1");
+    deployment.store.put("keyed.op", "config", &text.replace("\"version\":1", "\"version\":2"));
+    let node = TestNode::start("n-1", &deployment.store, MANY_REPEATS);
+    node.ready().await;
+    deployment.gates[0].behave(Manner::Slow);
+    let (res, _) =
+        caller::send(node.callers, caller::request("r-1", "/plate/x", "k1")).await.unwrap();
+    assert_eq!(res.status(), 200, "three times the goal has passed, but not its time");
+}
--- a/crates/workshold-gateway/tests/support/mod.rs
+++ b/crates/workshold-gateway/tests/support/mod.rs
@@ -9,6 +9,8 @@
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -18,10 +20,23 @@
 
 use store::FakeStore;
 
-/// An address on loopback that nobody listens on.
+/// Ports below those that the machine gives out by itself, so that no connection of
+/// a test beside this one takes one of them.
+const FIRST_PORT: u16 = 15_000;
+const PORTS: u16 = 15_000;
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// An address on loopback that nobody listens on, and that no other test is given.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    let spread = (std::process::id() % 100) as u16 * 149;
+    loop {
+        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + spread.wrapping_add(next) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// A node that runs in this process.
--- a/crates/workshold-gateway/tests/support/service.rs
+++ b/crates/workshold-gateway/tests/support/service.rs
@@ -53,10 +53,13 @@
     CutsEvent,
     /// It goes on forever.
     Endless,
+    /// It answers after several times the goal.
+    Slow,
 }
 
 /// Events of a stream, and the time between them.
 pub const EVENTS: u64 = 30;
+const SLOW: Duration = Duration::from_millis(700);
 const GAP: Duration = Duration::from_millis(20);
 
 struct Inner {
@@ -176,6 +179,9 @@
         return res;
     }
     inner.ran.lock().push(id.clone());
+    if manner == Manner::Slow {
+        tokio::time::sleep(SLOW).await;
+    }
     let last =
         parts.headers.get("last-event-id").map_or(0, |v| v.to_str().unwrap().parse().unwrap());
     let mut res = match manner {
