--- a/crates/workshold-cli/src/commands.rs
+++ b/crates/workshold-cli/src/commands.rs
@@ -9,6 +9,7 @@
 pub mod rollout;
 pub mod status;
 pub mod stop;
+pub mod trace;
 
 use bpaf::Parser;
 
@@ -36,6 +37,8 @@
     CheckConfig(check_config::Args),
     /// See [`events`].
     Events(events::Args),
+    /// See [`trace`].
+    Trace(trace::Args),
 }
 
 /// What the command line said.
@@ -59,6 +62,7 @@
     let dump = dump::parser();
     let check_config = check_config::parser();
     let events = events::parser();
+    let trace = trace::parser();
     let command = bpaf::construct!([
         keygen,
         bundle,
@@ -69,6 +73,7 @@
         dump,
         check_config,
         events,
+        trace,
     ]);
     bpaf::construct!(CommandLine { json, command })
         .to_options()
@@ -92,6 +97,7 @@
         Command::Explain(args) => explain::run(&args, out).await,
         Command::Dump(args) => dump::run(&args).await,
         Command::CheckConfig(args) => check_config::run(&args, out),
+        Command::Trace(args) => trace::run(&args, out),
         Command::Events(_) => {
             events::run(out);
             Ok(())
--- a/crates/workshold-gateway/src/callers/control.rs
+++ b/crates/workshold-gateway/src/callers/control.rs
@@ -16,6 +16,9 @@
 /// Where operators read a node's state.
 pub const STATE_PATH: &str = "/state";
 
+/// Where metrics are told as text.
+pub const METRICS_PATH: &str = "/metrics";
+
 /// Answers other nodes and operators.
 pub fn answer(node: &Node, req: &Request<Incoming>) -> Response<AnswerBody> {
     match req.uri().path() {
@@ -24,6 +27,7 @@
             None => answers::own(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
         },
         gossip::LIST_PATH => list(node, req.uri().query().unwrap_or_default()),
+        METRICS_PATH => Response::new(answers::whole(node.metrics.text(node).into())),
         STATE_PATH => Response::new(answers::whole(state(node).into())),
         _ => answers::own(StatusCode::NOT_FOUND, "no such question"),
     }
--- a/crates/workshold-gateway/src/lib.rs
+++ b/crates/workshold-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod daemon;
 pub mod events;
 pub mod loads;
+pub mod metrics;
 pub mod node;
 pub mod peers;
 pub mod relay;
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -37,6 +37,7 @@
 use crate::events::emit;
 use crate::loads::Loads;
 use crate::loads::Unserved;
+use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::settings::Settings;
 use crate::table::Table;
@@ -106,6 +107,8 @@
     pub outliers: Mutex<Outliers<InstanceId>>,
     /// Requests at instances.
     pub loads: Loads,
+    /// What is counted.
+    pub metrics: Metrics,
     /// Requests that were refused.
     pub unserved: Unserved,
     budgets: Mutex<HashMap<ServiceName, Budget>>,
@@ -184,6 +187,7 @@
             gaps: Mutex::default(),
             outliers: Mutex::new(Outliers::new(OUTLIERS)),
             loads: Loads::default(),
+            metrics: Metrics::default(),
             unserved: Unserved::default(),
             budgets: Mutex::default(),
             peers: Mutex::default(),
--- a/crates/workshold-gateway/src/relay.rs
+++ b/crates/workshold-gateway/src/relay.rs
@@ -29,6 +29,7 @@
 use crate::callers::requests::Job;
 use crate::events::Event;
 use crate::events::emit;
+use crate::metrics::Metric;
 use crate::node::Node;
 use crate::node::RequestGuard;
 use crate::relay::attempt::Opened;
@@ -113,6 +114,7 @@
         let wants_budget = ending != Ending::NotSent && has_time;
         let may_send = self.used.sent < self.job.route.attempts.max(1);
         let has_budget = wants_budget && may_send && node.take_repeat(&self.job.service);
+        node.metrics.count(Metric::AttemptsFailed);
         let next = tries::next(&self.job.route, ending, self.used, has_budget, has_time);
         emit(
             Event::AttemptFailed,
@@ -132,6 +134,7 @@
 /// Carries one request; the answer is final.
 pub async fn run(node: &Arc<Node>, job: Job, guard: RequestGuard) -> Response<AnswerBody> {
     node.count_request(&job.service);
+    node.metrics.count(Metric::Requests);
     let mut course = Course::new(job);
     loop {
         let Some(target) = wait_for_target(node, &course).await else {
@@ -169,6 +172,8 @@
 
 fn tell_end(node: &Node, course: &Course, target: &Target, status: StatusCode) {
     let took = node.now().since(course.job.began);
+    node.metrics.count(Metric::Answered);
+    node.metrics.time(Metric::FirstEvent, took);
     emit(
         Event::RequestEnded,
         &[
@@ -189,6 +194,7 @@
         [("request", &*course.job.id), ("why", course.why), ("ms", &*took), ("sent", &*sent)];
     if next == Next::NotRun {
         emit(Event::RequestNotRun, &fields);
+        node.metrics.count(Metric::NotRun);
         if let Some(model) = &course.job.model {
             node.unserved.on_refusal(model, node.now());
         }
@@ -196,6 +202,7 @@
         return answers::not_run("it has not run; come back later", spread(after));
     }
     emit(Event::RequestUnknown, &fields);
+    node.metrics.count(Metric::Unknown);
     let status = if is_time_up { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
     answers::own(status, "nobody knows whether it has run")
 }
--- a/crates/workshold-gateway/src/relay/stream.rs
+++ b/crates/workshold-gateway/src/relay/stream.rs
@@ -17,6 +17,7 @@
 use crate::callers::answers::Cut;
 use crate::events::Event;
 use crate::events::emit;
+use crate::metrics::Metric;
 use crate::node::Node;
 use crate::node::RequestGuard;
 use crate::relay;
@@ -51,6 +52,7 @@
         let now = node.now();
         node.outliers.lock().on_answer(&current.target.id, now.since(current.since), now);
         current.since = now;
+        node.metrics.time(Metric::FirstEvent, now.since(course.job.began));
         let relay = Self {
             node,
             course,
@@ -140,6 +142,7 @@
         let now = self.node.now();
         self.longest_gap = self.longest_gap.max(now.since(since));
         self.current.since = now;
+        self.node.metrics.count(Metric::StreamsMoved);
         emit(
             Event::StreamMoved,
             &[
@@ -154,6 +157,7 @@
 
     fn cut(&self) -> Cut {
         let left = self.course.left(&self.node);
+        self.node.metrics.count(Metric::StreamsCut);
         let cut = if left <= LEAST_TIME { Cut::TimeUp } else { Cut::Broken };
         emit(
             Event::StreamCut,
@@ -169,6 +173,8 @@
 
     fn end(&mut self) {
         self.has_ended = true;
+        self.node.metrics.count(Metric::Answered);
+        self.node.metrics.time(Metric::LongestGap, self.longest_gap);
         let job = &self.course.job;
         let now = self.node.now();
         emit(
@@ -189,6 +195,7 @@
     fn drop(&mut self) {
         if !self.has_ended {
             let fields = [("request", self.course.job.id.as_str())];
+            self.node.metrics.count(Metric::CallersGone);
             emit(Event::CallerGone, &fields);
         }
     }
--- a/crates/workshold-gateway/src/table.rs
+++ b/crates/workshold-gateway/src/table.rs
@@ -88,6 +88,11 @@
         self.by_service.values().flatten().filter(|target| target.model.is_some())
     }
 
+    /// How many targets there are.
+    pub fn len(&self) -> usize {
+        self.by_service.values().map(Vec::len).sum()
+    }
+
     /// Whether there is anything to send requests to.
     pub fn is_empty(&self) -> bool {
         self.by_service.values().all(Vec::is_empty)
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -33,6 +33,7 @@
 
 use crate::events::Event;
 use crate::events::emit;
+use crate::metrics::Metric;
 use crate::node::Doubt;
 use crate::node::Lease;
 use crate::node::Node;
@@ -344,6 +345,7 @@
 
 fn carry_out(node: Arc<Node>, stewards: Stewards, command: Command) {
     tokio::spawn(async move {
+        node.metrics.count(Metric::Orders);
         let reply = engines::order(&command, ORDER_TIME).await;
         let mut is_outranked = false;
         for steward in stewards.lock().values_mut() {
--- a/crates/workshold-gateway/tests/catalogues.rs
+++ b/crates/workshold-gateway/tests/catalogues.rs
@@ -5,6 +5,7 @@
 
 use workshold_gateway::events;
 use workshold_gateway::events::Event;
+use workshold_gateway::metrics;
 use workshold_gateway::settings;
 
 fn root() -> PathBuf {
@@ -21,6 +22,16 @@
     assert_eq!(page, events::catalogue(), "write it anew with WRITE_PAGES=1");
 }
 
+#[test]
+fn the_page_of_metrics_is_what_the_code_says() {
+    let path = root().join("docs/METRICS-PLATFORM.md");
+    if std::env::var_os("WRITE_PAGES").is_some() {
+        std::fs::write(&path, metrics::catalogue()).unwrap();
+    }
+    let page = std::fs::read_to_string(path).unwrap();
+    assert_eq!(page, metrics::catalogue(), "write it anew with WRITE_PAGES=1");
+}
+
 #[test]
 fn every_event_has_a_number_of_its_own() {
     let numbers: BTreeSet<_> = Event::ALL.iter().map(|event| event.number()).collect();
--- a/crates/workshold-gateway/tests/path.rs
+++ b/crates/workshold-gateway/tests/path.rs
@@ -280,3 +280,17 @@
         caller::send(node.callers, caller::request("r-1", "/plate/x", "k1")).await.unwrap();
     assert_eq!(res.status(), 200, "three times the goal has passed, but not its time");
 }
+
+#[tokio::test]
+async fn metrics_are_told_as_text() {
+    let deployment = Deployment::start(2, 1).await;
+    let node = TestNode::start("n-1", &deployment.store, MANY_REPEATS);
+    node.ready().await;
+    caller::send(node.callers, caller::request("r-1", "/print/x", "k1")).await.unwrap();
+    let (status, body) = caller::get(node.control, "/metrics").await.unwrap();
+    let text = String::from_utf8(body.to_vec()).unwrap();
+    assert_eq!(status, 200);
+    assert!(text.contains("workshold_answered 1"), "{text}");
+    assert!(text.contains("workshold_first_event_ms_count 1"), "{text}");
+    assert!(text.contains("workshold_targets "), "{text}");
+}
