--- a/crates/workshold-core/src/hosted/roster.rs
+++ b/crates/workshold-core/src/hosted/roster.rs
@@ -86,12 +86,18 @@
 #[derive(Debug, Clone, Default)]
 pub struct Roster {
     entries: BTreeMap<InstanceId, Entry>,
+    /// Who was seen as the head of a formation, and when last.
+    heads: BTreeMap<(u64, GroupId), (InstanceId, Millis)>,
     last_new: Millis,
 }
 
 impl Roster {
     /// Takes one record. `None` says that the list lacks the instance now.
     pub fn apply(&mut self, offset: u64, id: &InstanceId, word: Option<Instance>, now: Millis) {
+        let head_of = word.as_ref().and_then(|word| word.membership.as_ref());
+        if let Some(own) = head_of.filter(|own| own.rank == 0) {
+            self.heads.insert((own.epoch, own.group.clone()), (id.clone(), now));
+        }
         let known = self.entries.get_mut(id);
         if known.as_ref().is_some_and(|known| known.offset > offset) {
             return;
@@ -126,8 +132,18 @@
         }
     }
 
+    /// Who was seen as the head of a formation.
+    pub fn head_of(&self, epoch: u64, group: &GroupId) -> Option<&InstanceId> {
+        self.heads.get(&(epoch, group.clone())).map(|(head, _)| head)
+    }
+
     /// Forgets what has long been gone.
     pub fn forget(&mut self, now: Millis) {
+        let stated = |entry: &Entry| {
+            entry.instance.membership.as_ref().map(|own| (own.epoch, own.group.clone()))
+        };
+        let in_use: BTreeSet<_> = self.entries.values().filter_map(stated).collect();
+        self.heads.retain(|key, (_, seen)| in_use.contains(key) || now.since(*seen) < REMEMBER);
         self.entries.retain(|_, entry| {
             entry.unlisted_since.is_none_or(|since| now.since(since) < REMEMBER)
         });
--- a/crates/workshold-core/src/hosted/steward.rs
+++ b/crates/workshold-core/src/hosted/steward.rs
@@ -170,6 +170,8 @@
     pub trust: &'a ListTrust,
     /// Who cannot be reached.
     pub loss: &'a dyn Fn(&InstanceId) -> Loss,
+    /// Who was seen as the head of a formation.
+    pub head_of: &'a dyn Fn(&Group) -> Option<InstanceId>,
     /// Since when somebody could not reach them.
     pub doubted_since: &'a dyn Fn(&InstanceId) -> Option<Millis>,
     /// Groups' worth of work that waits or runs, by model, over all domains.
@@ -221,6 +223,7 @@
     busy: BTreeMap<InstanceId, Millis>,
     closed: BTreeSet<u64>,
     released: BTreeSet<u64>,
+    headless: BTreeMap<u64, Millis>,
     loads: VecDeque<Millis>,
     rooms: BTreeMap<FabricDomain, Room>,
     seen: Seen,
@@ -281,6 +284,7 @@
             busy: BTreeMap::new(),
             closed: BTreeSet::new(),
             released: BTreeSet::new(),
+            headless: BTreeMap::new(),
             loads: VecDeque::new(),
             rooms: BTreeMap::new(),
             seen: Seen::default(),
@@ -402,7 +406,7 @@
     }
 
     fn judge(&mut self, group: &Group, s: &Situation<'_>, commands: &mut Vec<Command>) -> Standing {
-        let Some(head) = group.head() else { return Standing::Idle };
+        let Some(head) = group.head() else { return self.judge_headless(group, s) };
         if self.forming.contains_key(&group.epoch) {
             return self.judge_forming(group, head, s);
         }
@@ -424,6 +428,22 @@
         }
     }
 
+    /// A group whose head states no membership in it: it has left, or is gone, or the
+    /// list lacks it although it may still serve.
+    fn judge_headless(&mut self, group: &Group, s: &Situation<'_>) -> Standing {
+        let since = *self.headless.entry(group.epoch).or_insert(s.now);
+        let is_over = match (s.head_of)(group) {
+            Some(head) => {
+                let entry = s.entry(&head);
+                let is_listed = entry.is_some_and(|entry| entry.unlisted_since.is_none());
+                is_listed || entry.is_none() || s.is_gone(&head)
+            }
+            // This node began after the head was last listed: it may be finishing.
+            None => s.now.since(since) >= LEAVING_LINGERS,
+        };
+        if is_over { Standing::Idle } else { Standing::Held }
+    }
+
     fn judge_forming(&mut self, group: &Group, head: &Instance, s: &Situation<'_>) -> Standing {
         if group.state() == Some(MemberState::Open) {
             self.forming.remove(&group.epoch);
@@ -566,6 +586,9 @@
         while self.released.len() > MOST_REMEMBERED {
             self.released.pop_first();
         }
+        while self.headless.len() > MOST_REMEMBERED {
+            self.headless.pop_first();
+        }
     }
 }
 
--- a/crates/workshold-core/tests/hosted/stewards.rs
+++ b/crates/workshold-core/tests/hosted/stewards.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 use workshold_core::hosted::catalog::Engine;
 use workshold_core::hosted::catalog::ModelShape;
+use workshold_core::hosted::groups::Group;
 use workshold_core::hosted::groups::group_id;
 use workshold_core::hosted::roster::Entry;
 use workshold_core::hosted::roster::Instance;
@@ -41,6 +42,7 @@
     losses: BTreeMap<InstanceId, (Loss, Millis)>,
     demand: BTreeMap<ModelName, f64>,
     groups: BTreeMap<ModelName, f64>,
+    heads: BTreeMap<u64, InstanceId>,
     before_traffic: bool,
     may_make_room: bool,
     now: Millis,
@@ -69,6 +71,7 @@
             losses: BTreeMap::new(),
             demand: BTreeMap::new(),
             groups: BTreeMap::new(),
+            heads: BTreeMap::new(),
             before_traffic: false,
             may_make_room: true,
             now: Millis(100_000),
@@ -144,12 +147,14 @@
         let entries: Vec<&Entry> = self.entries.values().collect();
         let loss = |id: &InstanceId| self.losses.get(id).map_or(Loss::None, |(loss, _)| *loss);
         let since = |id: &InstanceId| self.losses.get(id).map(|(_, since)| *since);
+        let head_of = |group: &Group| self.heads.get(&group.epoch).cloned();
         steward.plan(&Situation {
             domain: &domain,
             engine: &self.engine,
             entries: &entries,
             trust: &ListTrust::default(),
             loss: &loss,
+            head_of: &head_of,
             doubted_since: &since,
             demand: &self.demand,
             groups: &self.groups,
@@ -382,3 +387,30 @@
     let commands: Vec<Command> = (0..5).flat_map(|_| domain.plan(&mut steward)).collect();
     assert_eq!(kinds(&commands), [""; 0]);
 }
+
+#[test]
+fn members_of_a_head_that_a_new_node_never_saw_are_held_as_long_as_it_may_finish() {
+    let mut domain = Domain::new();
+    for name in ["i-1", "i-2", "i-3"] {
+        domain.add(name, &["small"], &["small"]);
+    }
+    domain.join("small", 5, &["i-1", "i-2"], MemberState::Open);
+    // Its entry went before this node began; it serves on for a while.
+    domain.entries.remove("i-1");
+    let mut steward = steward(1);
+    assert_eq!(kinds(&domain.plan(&mut steward)), [""; 0]);
+    domain.now = domain.now + Millis(11_000);
+    assert_eq!(kinds(&domain.plan(&mut steward)), ["i-2 join 2", "i-3 join 2"]);
+}
+
+#[test]
+fn members_of_a_head_that_has_left_are_free_at_once() {
+    let mut domain = Domain::new();
+    for name in ["i-1", "i-2", "i-3"] {
+        domain.add(name, &["small"], &["small"]);
+    }
+    domain.join("small", 5, &["i-1", "i-2"], MemberState::Ready);
+    domain.change("i-1", |i| i.membership = None);
+    domain.heads.insert(5, id("i-1"));
+    assert_eq!(kinds(&domain.plan(&mut steward(1))), ["i-1 join 2", "i-2 join 2"]);
+}
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -10,6 +10,7 @@
 use parking_lot::Mutex;
 use workshold_core::hosted::catalog::Engine;
 use workshold_core::hosted::groups;
+use workshold_core::hosted::groups::Group;
 use workshold_core::hosted::roster::Entry;
 use workshold_core::hosted::roster::ListTrust;
 use workshold_core::hosted::roster::MemberState;
@@ -228,6 +229,7 @@
         let (known, standing) = self.group_counts(engine, &entries);
         let loss = |id: &InstanceId| -> Loss { self.suspicions.loss(id, self.peers) };
         let doubted_since = |id: &InstanceId| self.suspicions.since(id);
+        let head_of = |group: &Group| self.roster.head_of(group.epoch, &group.id).cloned();
         let demand = self.demand_of(engine);
         let mut commands = Vec::new();
         for domain in &domains {
@@ -254,6 +256,7 @@
                 entries: &own,
                 trust: self.trust,
                 loss: &loss,
+                head_of: &head_of,
                 doubted_since: &doubted_since,
                 demand: &demand,
                 groups: &counts,
--- a/crates/workshold-model/src/hosted/office.rs
+++ b/crates/workshold-model/src/hosted/office.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::AtomicU64;
 
 use workshold_core::hosted::catalog::Engine;
+use workshold_core::hosted::groups::Group;
 use workshold_core::hosted::roster::Entry;
 use workshold_core::hosted::roster::ListTrust;
 use workshold_core::hosted::roster::Roster;
@@ -118,6 +119,7 @@
         let entries: Vec<&Entry> = seen.iter().collect();
         let loss = |id: &InstanceId| loss(view, id);
         let since = |id: &InstanceId| loss_since(view, id);
+        let head_of = |group: &Group| view.roster.head_of(group.epoch, &group.id).cloned();
         let demand = BTreeMap::new();
         let groups = BTreeMap::new();
         let commands = steward.plan(&Situation {
@@ -126,6 +128,7 @@
             entries: &entries,
             trust: view.trust,
             loss: &loss,
+            head_of: &head_of,
             doubted_since: &since,
             demand: &demand,
             groups: &groups,
