With many nodes twelve of them read the store for all

Cause: each node read configuration and list for itself; at 61 nodes these calls were the largest price after the machines. Others go by pulses, fetch what is new from a near peer, and read themselves when what they know grows old. Today's nine nodes all read as before.

--- a/crates/workshold-gateway/src/callers/control.rs
+++ b/crates/workshold-gateway/src/callers/control.rs
@@ -35,9 +35,8 @@
 
 fn list(node: &Node, query: &str) -> Response<AnswerBody> {
     let from = query.strip_prefix("from=").and_then(|from| from.parse().ok()).unwrap_or(0);
-    let age = node.now().since(node.list.lock().read_at).0;
     let records = following::peer_records(node, from);
-    let bytes = postcard::to_stdvec(&(age, records)).expect("records have only plain fields");
+    let bytes = postcard::to_stdvec(&records).expect("records have only plain fields");
     Response::new(answers::whole(Bytes::from(bytes)))
 }
 
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -120,6 +120,8 @@
     pub steward_wanted: Notify,
     /// Wakes the one who sends pulses.
     pub pulse_wanted: Notify,
+    /// Wakes the one who catches up from peers.
+    pub catch_up_wanted: Notify,
     /// Wakes the one who reads the list.
     pub list_wanted: Notify,
     /// When some domain last gave groups up, here or at a peer.
@@ -163,6 +165,9 @@
     smoothing: 0.2,
 };
 
+/// Nodes that read the store for all: so many that a third of them may be turned
+/// away, and that no deployment of a dozen nodes relies on others.
+const READERS: usize = 12;
 /// A look at a group's members serves all its streams for this long.
 const LOOK_GOOD_FOR: Millis = Millis(250);
 
@@ -194,6 +199,7 @@
             lease: Mutex::default(),
             steward_wanted: Notify::new(),
             pulse_wanted: Notify::new(),
+            catch_up_wanted: Notify::new(),
             list_wanted: Notify::new(),
             room_made: Mutex::default(),
             room_prepared: Mutex::default(),
@@ -435,6 +441,18 @@
         Ok(())
     }
 
+    /// Whether this node reads the store itself, or goes by what others read: with
+    /// many nodes a few of them are enough.
+    pub fn is_reader(&self) -> bool {
+        let settings = self.settings();
+        self.peers.lock().is_among(&settings.node.name, READERS, self.now())
+    }
+
+    /// Whether there are nodes that go by what others read.
+    pub fn has_followers(&self) -> bool {
+        self.peers.lock().heard(self.now()).count() >= READERS
+    }
+
     /// The store answered a question that was sent at `sent`.
     pub fn store_answered(&self, sent: Millis) {
         let mut last = self.store_answered.lock();
--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -9,6 +9,7 @@
 use smol_str::SmolStr;
 use workshold_core::hosted::suspicion::Reach;
 use workshold_protocol::Millis;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The form of these messages; another one is passed over.
 pub const VERSION: u8 = 1;
@@ -84,8 +85,8 @@
     pub has_traffic: bool,
     /// The configuration that it holds, and how long ago that was the newest, in ms.
     pub config: Option<(u64, u64)>,
-    /// How long ago it last read the list of instances, in ms.
-    pub list_age_ms: u64,
+    /// Where its list of instances ends, and how long ago that was the end, in ms.
+    pub list: Option<(u64, u64)>,
     /// How long ago the store last answered it, in ms.
     pub store_age_ms: u64,
     /// How long ago it gave groups up for another model, in ms.
@@ -144,6 +145,14 @@
         self.by_address.iter().filter(move |(_, peer)| now.since(peer.heard) < SILENT_AFTER)
     }
 
+    /// Whether a node is among the first `most` of all that are heard, in an order that
+    /// all of them see alike.
+    pub fn is_among(&self, name: &str, most: usize, now: Millis) -> bool {
+        let own = xxh3_64(name.as_bytes());
+        let before = self.heard(now).filter(|(_, peer)| xxh3_64(peer.name.as_bytes()) < own);
+        before.take(most).count() < most
+    }
+
     /// Requests at instances by the word of those that are heard.
     pub fn loads(&self, now: Millis) -> HashMap<u32, u32> {
         let mut sums = HashMap::new();
--- a/crates/workshold-gateway/src/tasks/following.rs
+++ b/crates/workshold-gateway/src/tasks/following.rs
@@ -33,6 +33,11 @@
 const LIST_EVERY_EARLY: Millis = Millis(400);
 /// The same while a steward waits for statements.
 const LIST_EVERY_BUSY: Millis = Millis(40);
+/// How often a node looks whether it has to read for itself.
+const READER_LOOK: Millis = Millis(200);
+/// What others have read is current if it is not older: their waits and a pulse's way.
+const CONFIG_CURRENT: Millis = Millis(2_300);
+const LIST_CURRENT: Millis = Millis(4_200);
 /// After a call that failed.
 const RETRY: Millis = Millis(150);
 /// The longest pause after calls that failed.
@@ -43,6 +48,7 @@
     let mut next = None;
     let mut pause = RETRY;
     loop {
+        wait_while_others_read(&node, || is_config_current(&node)).await;
         let sent = node.now();
         match read_config(&node, next, sent).await {
             Ok(end) => {
@@ -60,6 +66,24 @@
     }
 }
 
+/// Waits as long as others read for this node and what it has is current.
+async fn wait_while_others_read(node: &Node, is_current: impl Fn() -> bool) {
+    while !node.is_reader() && is_current() {
+        tokio::time::sleep(READER_LOOK.to_duration()).await;
+    }
+}
+
+fn is_config_current(node: &Node) -> bool {
+    node.config_age().is_some_and(|(_, age)| age < CONFIG_CURRENT)
+}
+
+/// A steward reads for itself: it waits for statements.
+fn is_list_current(node: &Node) -> bool {
+    let is_busy = node.is_steward_busy.load(Ordering::Relaxed);
+    let list = node.list.lock();
+    !is_busy && list.next.is_some() && node.now().since(list.read_at) < LIST_CURRENT
+}
+
 async fn read_config(node: &Node, next: Option<u64>, sent: Millis) -> Result<u64, StoreError> {
     let topic = names::OPERATOR_TOPIC;
     let records = match next {
@@ -98,6 +122,7 @@
 pub async fn list(node: Arc<Node>) {
     let mut pause = RETRY;
     loop {
+        wait_while_others_read(&node, || is_list_current(&node)).await;
         let sent = node.now();
         match read_list(&node, sent).await {
             Ok(()) => {
@@ -166,6 +191,9 @@
     }
     node.remake_table();
     node.steward_wanted.notify_one();
+    if node.has_followers() {
+        node.pulse_wanted.notify_one();
+    }
 }
 
 fn take_entry(node: &Node, id: &InstanceId, record: &Record, now: Millis) {
@@ -210,10 +238,11 @@
 /// Waiting reads answer at least this often.
 const STORE_LOST_AFTER: Millis = Millis(3_000);
 
-/// Takes records that a peer has read, for a node that cannot reach the store.
-pub fn take_peer_records(node: &Node, records: &[PeerRecord], age: Millis) {
-    let sent = node.now() - age;
-    let records: Vec<Record> = records
+/// Takes records that a peer has read.
+pub fn take_peer_records(node: &Node, from_peer: &PeerRecords) {
+    let sent = node.now() - Millis(from_peer.age_ms);
+    let records: Vec<Record> = from_peer
+        .records
         .iter()
         .map(|record| Record {
             offset: record.offset,
@@ -221,13 +250,23 @@
             value: Bytes::copy_from_slice(&record.value),
         })
         .collect();
-    let end = records.iter().map(|record| record.offset + 1).max().unwrap_or_default();
-    apply(node, &Records { end, records }, false, sent);
+    apply(node, &Records { end: from_peer.next, records }, false, sent);
     let mut list = node.list.lock();
-    list.next = Some(list.next.unwrap_or_default().max(end));
+    list.next = Some(list.next.unwrap_or_default().max(from_peer.next));
     list.read_at = list.read_at.max(sent);
 }
 
+/// What one node passes on to another of the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerRecords {
+    /// The next record that it would read.
+    pub next: u64,
+    /// How long ago it asked for what it has, in ms.
+    pub age_ms: u64,
+    /// The newest record of each instance, from the one that was asked for on.
+    pub records: Vec<PeerRecord>,
+}
+
 /// A record as one node passes it on to another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerRecord {
@@ -240,14 +279,17 @@
 }
 
 /// The records from `from` on, for a peer.
-pub fn peer_records(node: &Node, from: u64) -> Vec<PeerRecord> {
+pub fn peer_records(node: &Node, from: u64) -> PeerRecords {
     let list = node.list.lock();
     let newer = list.raw.iter().filter(|(_, (offset, _))| *offset >= from);
-    newer
-        .map(|(key, (offset, value))| PeerRecord {
-            offset: *offset,
-            key: key.clone(),
-            value: value.to_vec(),
-        })
-        .collect()
+    let records = newer.map(|(key, (offset, value))| PeerRecord {
+        offset: *offset,
+        key: key.clone(),
+        value: value.to_vec(),
+    });
+    PeerRecords {
+        next: list.next.unwrap_or_default(),
+        age_ms: node.now().since(list.read_at).0,
+        records: records.collect(),
+    }
 }
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -24,10 +24,11 @@
 use crate::node::Node;
 use crate::peers::Datagram;
 use crate::peers::Message;
+use crate::peers::Peer;
 use crate::peers::Pulse;
 use crate::peers::VERSION;
 use crate::tasks::following;
-use crate::tasks::following::PeerRecord;
+use crate::tasks::following::PeerRecords;
 
 /// How often a node says how it is.
 const PULSE_EVERY: Millis = Millis(300);
@@ -89,7 +90,7 @@
         is_ready: node.readiness().is_ok(),
         has_traffic: node.has_own_traffic(),
         config,
-        list_age_ms: node.now().since(node.list.lock().read_at).0,
+        list: list_end(node),
         store_age_ms: node.store_age().0,
         room_age_ms: node.now().since(*node.room_made.lock()).0,
         prepare_age_ms: node.now().since(*node.room_prepared.lock()).0,
@@ -98,6 +99,11 @@
     }
 }
 
+fn list_end(node: &Node) -> Option<(u64, u64)> {
+    let list = node.list.lock();
+    list.next.map(|next| (next, node.now().since(list.read_at).0))
+}
+
 /// Takes datagrams until the node ends.
 pub async fn receive(node: Arc<Node>, socket: Arc<UdpSocket>) {
     let mut buf = vec![0; MOST_BYTES];
@@ -117,8 +123,13 @@
     let now = node.now();
     match datagram.message {
         Message::Pulse(pulse) => {
-            if let Some((version, age)) = pulse.config {
-                node.confirm_config(version, now - Millis(age) - ON_THE_WAY);
+            if let Some((version, age)) = pulse.config
+                && node.confirm_config(version, now - Millis(age) - ON_THE_WAY)
+            {
+                node.catch_up_wanted.notify_one();
+            }
+            if let Some((next, age)) = pulse.list {
+                confirm_list(node, next, now - Millis(age) - ON_THE_WAY);
             }
             note_later(&node.room_made, now - Millis(pulse.room_age_ms));
             note_later(&node.room_prepared, now - Millis(pulse.prepare_age_ms));
@@ -175,7 +186,10 @@
 /// Fetches from a peer what the store does not give, until the node ends.
 pub async fn catch_up(node: Arc<Node>) {
     loop {
-        tokio::time::sleep(CATCH_UP_EVERY).await;
+        tokio::select! {
+            () = tokio::time::sleep(CATCH_UP_EVERY) => {}
+            () = node.catch_up_wanted.notified() => {}
+        }
         if let Some(peer) = newer_config(&node) {
             fetch_config(&node, peer).await;
         }
@@ -193,15 +207,32 @@
     newer.map(|(address, _)| *address).next()
 }
 
+/// A peer whose list goes on where this node's ends; a near one, for lists are long.
 fn newer_list(node: &Node) -> Option<SocketAddr> {
-    let own = node.now().since(node.list.lock().read_at);
-    if own < LIST_STALE {
+    let (next, read_at) = {
+        let list = node.list.lock();
+        (list.next, list.read_at)
+    };
+    let now = node.now();
+    if node.is_reader() && now.since(read_at) < LIST_STALE {
         return None;
     }
+    let near = node.settings().node.data_centre.clone();
+    let is_far = |peer: &Peer| peer.pulse.data_centre.as_str() != near.as_str();
     let peers = node.peers.lock();
-    let heard = peers.heard(node.now());
-    let best = heard.min_by_key(|(_, peer)| peer.pulse.list_age_ms)?;
-    (best.1.pulse.list_age_ms + LIST_STALE.0 / 2 < own.0).then_some(*best.0)
+    let has_more = |peer: &Peer| peer.pulse.list.map(|(next, _)| next) > next;
+    let newer = peers.heard(now).filter(|(_, peer)| has_more(peer));
+    newer.min_by_key(|(_, peer)| is_far(peer)).map(|(address, _)| *address)
+}
+
+/// A peer saw that the list ends where this node's does, or farther on.
+fn confirm_list(node: &Node, next: u64, at: Millis) {
+    let mut list = node.list.lock();
+    if list.next == Some(next) {
+        list.read_at = list.read_at.max(at);
+    } else if list.next < Some(next) {
+        node.catch_up_wanted.notify_one();
+    }
 }
 
 /// Where a peer answers for its configuration and list.
@@ -222,8 +253,8 @@
     let from = node.list.lock().next.unwrap_or_default();
     let path = format!("{LIST_PATH}?from={from}");
     let Some(bytes) = fetch(peer, &path).await else { return };
-    let Ok((age, records)) = postcard::from_bytes::<(u64, Vec<PeerRecord>)>(&bytes) else { return };
-    following::take_peer_records(node, &records, Millis(age));
+    let Ok(records) = postcard::from_bytes::<PeerRecords>(&bytes) else { return };
+    following::take_peer_records(node, &records);
 }
 
 async fn fetch(peer: SocketAddr, path: &str) -> Option<Bytes> {
--- a/crates/workshold-gateway/src/tasks/leasing.rs
+++ b/crates/workshold-gateway/src/tasks/leasing.rs
@@ -15,6 +15,9 @@
 const GROUP: &str = "stewards";
 /// How often a lease is renewed.
 const RENEW_EVERY: Duration = Duration::from_millis(450);
+/// The same for a node that holds no part, of more nodes than parts; still within its
+/// time.
+const RENEW_EVERY_IDLE: Duration = Duration::from_millis(1_000);
 /// Time for the answer.
 const ANSWER_TIME: Millis = Millis(700);
 /// How often a node asks who else there is. Whoever is new asks at its start, and its
@@ -40,7 +43,8 @@
             node.store_answered(sent);
             take(&node, joined.generation, &joined.parts, sent);
         }
-        tokio::time::sleep(RENEW_EVERY).await;
+        let has_parts = !node.lease.lock().parts.is_empty();
+        tokio::time::sleep(if has_parts { RENEW_EVERY } else { RENEW_EVERY_IDLE }).await;
     }
     node.lease.lock().parts.clear();
     // If this is lost, the lease runs out by itself.
