A newer configuration is read from the store first, and of a peer only if that fails

Cause: followers fetched a configuration of 1,800 routes, some 400 KB, from the readers' links of 20 Mbit/s: streams through those came late at every change.

--- a/crates/workshold-gateway/src/tasks/following.rs
+++ b/crates/workshold-gateway/src/tasks/following.rs
@@ -20,6 +20,7 @@
 use crate::events::Event;
 use crate::events::emit;
 use crate::node::Node;
+use crate::tasks::gossip;
 
 /// How long a read waits for a change. A configuration counts as fresh from when
 /// the read was sent, so this is also what its freshness lags behind.
@@ -34,7 +35,7 @@
 /// The same while a steward waits for statements.
 const LIST_EVERY_BUSY: Millis = Millis(40);
 /// How often a node looks whether it has to read for itself.
-const READER_LOOK: Millis = Millis(200);
+const READER_LOOK: Millis = Millis(100);
 /// What others have read is current if it is not older: their waits and a pulse's way.
 const CONFIG_CURRENT: Millis = Millis(2_300);
 const LIST_CURRENT: Millis = Millis(4_200);
@@ -73,8 +74,10 @@
     }
 }
 
+/// A newer one is read from the store: it may be long, and a peer's link is small.
 fn is_config_current(node: &Node) -> bool {
-    node.config_age().is_some_and(|(_, age)| age < CONFIG_CURRENT)
+    let is_fresh = node.config_age().is_some_and(|(_, age)| age < CONFIG_CURRENT);
+    is_fresh && gossip::peer_with_newer_config(node).is_none()
 }
 
 /// A steward reads for itself: it waits for statements.
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -40,6 +40,8 @@
 const CATCH_UP_EVERY: Duration = Duration::from_millis(300);
 /// A list older than this is fetched from a peer: longer than a waiting read.
 const LIST_STALE: Millis = Millis(4_000);
+/// A newer configuration is asked of a peer if the store has not given it by then.
+const STORE_FIRST: Millis = Millis(500);
 /// Time for a peer's answer.
 const PEER_TIME: Duration = Duration::from_millis(600);
 
@@ -185,12 +187,16 @@
 
 /// Fetches from a peer what the store does not give, until the node ends.
 pub async fn catch_up(node: Arc<Node>) {
+    let mut newer_since = None;
     loop {
         tokio::select! {
             () = tokio::time::sleep(CATCH_UP_EVERY) => {}
             () = node.catch_up_wanted.notified() => {}
         }
-        if let Some(peer) = newer_config(&node) {
+        let newer = peer_with_newer_config(&node);
+        newer_since = newer.and(newer_since.or(Some(node.now())));
+        let has_waited = newer_since.is_some_and(|since| node.now().since(since) >= STORE_FIRST);
+        if let Some(peer) = newer.filter(|_| has_waited) {
             fetch_config(&node, peer).await;
         }
         if let Some(peer) = newer_list(&node) {
@@ -199,7 +205,8 @@
     }
 }
 
-fn newer_config(node: &Node) -> Option<SocketAddr> {
+/// A peer that holds a newer configuration than this node.
+pub fn peer_with_newer_config(node: &Node) -> Option<SocketAddr> {
     let own = node.config_age().map(|(version, _)| version);
     let peers = node.peers.lock();
     let heard = peers.heard(node.now());
