--- a/crates/workshold-core/src/hosted/steward.rs
+++ b/crates/workshold-core/src/hosted/steward.rs
@@ -14,9 +14,17 @@
 //!   open, or one that is whole.
 
 mod choosing;
+mod orders;
 mod room;
+mod situation;
 mod staging;
 
+pub use self::orders::Command;
+pub use self::orders::Order;
+pub use self::orders::OrderReply;
+pub use self::situation::Situation;
+pub use self::situation::StewardRules;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
@@ -24,174 +32,17 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
-use smol_str::SmolStr;
 use workshold_protocol::Millis;
 use workshold_protocol::ids::FabricDomain;
 use workshold_protocol::ids::GroupId;
 use workshold_protocol::ids::InstanceId;
 use workshold_protocol::ids::ModelName;
 
-use super::catalog::Engine;
-use super::catalog::ModelShape;
+use self::situation::LEAVING_LINGERS;
 use super::groups;
 use super::groups::Group;
-use super::roster::Entry;
 use super::roster::Instance;
-use super::roster::ListTrust;
 use super::roster::MemberState;
-use super::suspicion::Loss;
-
-/// What an instance is told to do.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Order {
-    /// Be a member.
-    Join {
-        /// The group.
-        group: GroupId,
-        /// Its formation.
-        epoch: u64,
-        /// What it serves.
-        model: ModelName,
-        /// All members, the head first.
-        members: Vec<InstanceId>,
-    },
-    /// Serve, to a head that is ready.
-    Open {
-        /// The group.
-        group: GroupId,
-        /// Its formation.
-        epoch: u64,
-    },
-    /// Take nothing new, to a head.
-    Close {
-        /// The group.
-        group: GroupId,
-        /// Its formation.
-        epoch: u64,
-        /// Whether what runs is cut off.
-        is_cut: bool,
-    },
-    /// Be in no group.
-    Leave {
-        /// The group.
-        group: GroupId,
-        /// Its formation.
-        epoch: u64,
-    },
-    /// Fetch weights to the host.
-    Stage {
-        /// Whose weights.
-        model: ModelName,
-    },
-}
-
-/// An order with its addressee.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Command {
-    /// Who is told.
-    pub to: InstanceId,
-    /// Where it listens.
-    pub address: SmolStr,
-    /// What it is told.
-    pub order: Order,
-    /// The right under which it is told.
-    pub fence: u64,
-    /// Why, for logs.
-    pub why: &'static str,
-}
-
-/// What an instance answered to an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum OrderReply {
-    /// It has begun.
-    Begun,
-    /// It held already.
-    Done,
-    /// It does not fit the instance's state.
-    Unfit,
-    /// A higher fence or epoch was there before.
-    Outranked,
-    /// Another instance listens there.
-    Elsewhere,
-    /// No answer: it may come about yet.
-    Unknown,
-}
-
-/// The times that a steward keeps to.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct StewardRules {
-    /// An order that shows no effect is sent again after this.
-    pub order_again: Millis,
-    /// An order to load, after this.
-    pub load_again: Millis,
-    /// Before traffic, the list must have been quiet for this long.
-    pub list_settles: Millis,
-    /// A formation that is not whole after its load and this is given up.
-    pub patience: Millis,
-    /// The window in which loads are counted.
-    pub load_window: Millis,
-    /// A domain gives groups of one model up for another no more often than this.
-    pub make_room_every: Millis,
-    /// How long a model has to be short of groups before a domain gives some up; up
-    /// to twice that, by domain, so that not all do at once.
-    pub short_for: Millis,
-    /// A model whose groups are used above this share is short of groups.
-    pub short_above: f64,
-    /// A model whose groups would still be used below this share can spare one.
-    pub spare_below: f64,
-}
-
-impl Default for StewardRules {
-    fn default() -> Self {
-        Self {
-            order_again: Millis(180),
-            load_again: Millis(600),
-            list_settles: Millis(700),
-            patience: Millis(4_000),
-            load_window: Millis(5_000),
-            make_room_every: Millis(4_000),
-            short_for: Millis(500),
-            short_above: 0.8,
-            spare_below: 0.6,
-        }
-    }
-}
-
-/// All that a steward looks at in one domain.
-#[derive(Clone, Copy)]
-pub struct Situation<'a> {
-    /// The domain.
-    pub domain: &'a FabricDomain,
-    /// What the operator says of the engines.
-    pub engine: &'a Engine,
-    /// The domain's engines.
-    pub entries: &'a [&'a Entry],
-    /// Whether entries can be taken at their word.
-    pub trust: &'a ListTrust,
-    /// Who cannot be reached.
-    pub loss: &'a dyn Fn(&InstanceId) -> Loss,
-    /// Who was seen as the head of a formation.
-    pub head_of: &'a dyn Fn(&Group) -> Option<InstanceId>,
-    /// Since when somebody could not reach them.
-    pub doubted_since: &'a dyn Fn(&InstanceId) -> Option<Millis>,
-    /// Groups' worth of work that waits or runs, by model, over all domains.
-    pub demand: &'a BTreeMap<ModelName, f64>,
-    /// Groups that serve or will, by model, over all domains.
-    pub groups: &'a BTreeMap<ModelName, f64>,
-    /// Whether no request has come yet: loads are quick and free.
-    pub before_traffic: bool,
-    /// Whether no domain has given groups up just now: what that brings is not seen
-    /// at once, and all domains see the same want.
-    pub may_make_room: bool,
-    /// Whether no other domain fetches weights so that groups can be given up.
-    pub may_prepare: bool,
-    /// This steward's part of all loads, 0 to 1.
-    pub load_part: f64,
-    /// When an instance last appeared.
-    pub last_new: Millis,
-    /// The clock.
-    pub now: Millis,
-}
 
 #[derive(Debug, Clone)]
 struct Forming {
@@ -594,68 +445,3 @@
 
 /// Groups whose end is remembered.
 const MOST_REMEMBERED: usize = 512;
-
-/// An instance that leaves may finish requests for this long after it has stopped
-/// taking connections: longer than any request may take.
-const LEAVING_LINGERS: Millis = Millis(10_500);
-
-impl<'a> Situation<'a> {
-    /// How far the groups of a model are used if it had `less` of them.
-    fn use_of(&self, model: &ModelShape, less: f64) -> f64 {
-        let demand = self.demand.get(&model.name).copied().unwrap_or_default();
-        let count = self.groups.get(&model.name).copied().unwrap_or_default() - less;
-        if count > 0.0 { demand / count } else { f64::INFINITY }
-    }
-
-    fn entry(&self, id: &InstanceId) -> Option<&'a Entry> {
-        self.entries.iter().copied().find(|entry| &entry.instance.id == id)
-    }
-
-    /// Whether an instance is known to be gone, or out of reach of several nodes.
-    fn is_lost(&self, id: &InstanceId) -> bool {
-        (self.loss)(id) >= Loss::Confirmed
-    }
-
-    /// Whether an instance is gone for sure: its process has ended, or neither the
-    /// platform nor any of several nodes hears of it. A head that is only out of our
-    /// reach may still serve, and its members are not free.
-    ///
-    /// One that was leaving refuses connections while it finishes what it has.
-    fn is_gone(&self, id: &InstanceId) -> bool {
-        let loss = (self.loss)(id);
-        let since = (self.doubted_since)(id).unwrap_or(self.now);
-        let entry = self.entry(id);
-        let unlisted = entry.and_then(|entry| entry.unlisted_since);
-        let was_leaving = entry.is_some_and(|entry| entry.instance.is_leaving)
-            || unlisted.is_some_and(|unlisted| unlisted < since);
-        if was_leaving {
-            return loss >= Loss::Confirmed && self.now.since(since) >= LEAVING_LINGERS;
-        }
-        loss == Loss::Ended || (loss == Loss::Confirmed && (unlisted.is_some() || entry.is_none()))
-    }
-
-    /// Whether an instance may be put into a group.
-    fn can_serve(&self, entry: &Entry) -> bool {
-        entry.is_in_service(self.trust, self.now) && (self.loss)(&entry.instance.id) == Loss::None
-    }
-
-    fn has_lost_member(&self, group: &Group) -> bool {
-        let size = self.engine.model(group.model()).map_or(1, |model| model.size);
-        (0..size).any(|rank| match group.members.get(&rank) {
-            Some(member) => self.is_lost(&member.id),
-            None => true,
-        })
-    }
-
-    /// Whether a member will end. One that the list lacks, but that answers, may only
-    /// be cut off from the store; as long as it is not the head, nothing goes to it.
-    fn has_leaving_member(&self, group: &Group) -> bool {
-        group.members.iter().any(|(rank, member)| {
-            let entry = self.entry(&member.id);
-            entry.is_none_or(|entry| {
-                let is_there = *rank > 0 || entry.is_there(self.trust, self.now);
-                entry.instance.is_leaving || !is_there
-            })
-        })
-    }
-}
--- a/crates/workshold-gateway/src/daemon.rs
+++ b/crates/workshold-gateway/src/daemon.rs
@@ -14,7 +14,6 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
-use tokio::net::TcpSocket;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -70,11 +69,8 @@
 const REST_TIME: Duration = Duration::from_secs(16);
 /// Connections to the directory and the like at once.
 const SIDE_CONNECTIONS: usize = 512;
-/// What is sent but not yet read by one caller, in bytes. Left to the machine, it
-/// grows, and a caller who has stopped reading is not noticed.
+/// What is sent but not yet read by one caller, in bytes.
 const SEND_BUFFER: u32 = 64 * 1024;
-/// Connections that wait to be accepted.
-const BACKLOG: u32 = 1_024;
 /// How often the settings' file is looked at.
 const SETTINGS_EVERY: Duration = Duration::from_secs(1);
 /// How often a stopping node looks whether it is done.
@@ -184,16 +180,7 @@
 }
 
 fn bind(address: SocketAddr) -> Result<TcpListener, DaemonError> {
-    bind_bounded(address).map_err(|why| DaemonError::Listen { address, why })
-}
-
-fn bind_bounded(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    // Connections that are accepted have the listener's bound.
-    socket.set_send_buffer_size(SEND_BUFFER)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
+    server::bind(address, SEND_BUFFER).map_err(|why| DaemonError::Listen { address, why })
 }
 
 /// What a signal asks for.
--- a/crates/workshold-http/src/server.rs
+++ b/crates/workshold-http/src/server.rs
@@ -1,6 +1,8 @@
 //! Serving a `tower` service on a listener, within bounds.
 
 use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +15,7 @@
 use hyper_util::rt::TokioTimer;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -42,6 +45,25 @@
     }
 }
 
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Listens on `address`; accepted connections hold at most `send_buffer` bytes that
+/// their peer has not read. Left to the machine, that grows to megabytes, and a peer
+/// who has stopped reading is not noticed.
+///
+/// # Errors
+///
+/// What the machine says.
+pub fn bind(address: SocketAddr, send_buffer: u32) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    // Connections that are accepted have the listener's bound.
+    socket.set_send_buffer_size(send_buffer)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// How far the end of a server has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
--- a/crates/workshold-node/src/daemon.rs
+++ b/crates/workshold-node/src/daemon.rs
@@ -3,7 +3,6 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -13,7 +12,6 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
-use tokio::net::TcpSocket;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -174,24 +172,13 @@
 }
 
 fn bind(address: &str) -> Result<TcpListener, DaemonError> {
-    bind_bounded(address).map_err(|why| DaemonError::Listen { address: address.to_owned(), why })
+    let parsed = address.parse().map_err(io::Error::other);
+    let bound = parsed.and_then(|address| server::bind(address, SEND_BUFFER));
+    bound.map_err(|why| DaemonError::Listen { address: address.to_owned(), why })
 }
 
-/// What is sent but not yet read by one caller, in bytes. Left to the machine, it
-/// grows to megabytes, and a caller who has stopped reading is not noticed.
+/// What is sent but not yet read by one caller, in bytes.
 const SEND_BUFFER: u32 = 128 * 1024;
-/// Connections that wait to be accepted.
-const BACKLOG: u32 = 1_024;
-
-fn bind_bounded(address: &str) -> io::Result<TcpListener> {
-    let address: SocketAddr = address.parse().map_err(io::Error::other)?;
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    // Connections that are accepted have the listener's bound.
-    socket.set_send_buffer_size(SEND_BUFFER)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
 
 async fn start_tasks(
     node: &Arc<Node>,
