--- /dev/null
+++ b/crates/workshold-gateway/tests/platform.rs
@@ -0,0 +1,8 @@
+//! Nodes on a stand-in of the users' platform, over sockets.
+
+#[path = "platform/path.rs"]
+mod path;
+#[path = "platform/stopping.rs"]
+mod stopping;
+#[path = "platform/support/mod.rs"]
+mod support;
--- a/crates/workshold-gateway/tests/path.rs
+++ b/crates/workshold-gateway/tests/platform/path.rs
@@ -1,18 +1,16 @@
 //! The whole path over sockets: store, groups, callers, and what goes wrong on it.
 
-mod support;
-
 use std::time::Duration;
 
+use crate::support::Deployment;
+use crate::support::TestNode;
+use crate::support::caller;
+use crate::support::config;
+use crate::support::service::EVENTS;
+use crate::support::service::Manner;
+use crate::support::wait_for;
 use http_body_util::BodyExt;
 use rstest::rstest;
-use support::Deployment;
-use support::TestNode;
-use support::caller;
-use support::config;
-use support::service::EVENTS;
-use support::service::Manner;
-use support::wait_for;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
--- /dev/null
+++ b/crates/workshold-gateway/tests/platform/stopping.rs
@@ -0,0 +1,148 @@
+//! The daemon as a process of its own: settings, a planned stop, a changed file.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::support::Deployment;
+use crate::support::caller;
+use crate::support::free_address;
+use crate::support::service::EVENTS;
+use crate::support::service::Manner;
+use crate::support::wait_for;
+use http_body_util::BodyExt;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_workshold-gateway");
+
+/// A node in a process of its own, which ends with the test.
+struct Process {
+    child: Child,
+    settings: PathBuf,
+    callers: SocketAddr,
+    readiness: SocketAddr,
+    control: SocketAddr,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself, as most of these tests want.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+impl Process {
+    async fn start(name: &str, store: SocketAddr, stop_within_s: f64) -> Self {
+        let [callers, readiness, directory, control] = [(); 4].map(|()| free_address());
+        let text = format!(
+            "[node]\nname = \"{name}\"\ndata_centre = \"a\"\nis_first_start = true\n\
+             [listen]\ncallers = \"{callers}\"\nreadiness = \"{readiness}\"\n\
+             directory = \"{directory}\"\npeers_port = {}\n[store]\naddress = \"{store}\"\nparts = 4\n\
+             [limits]\ndescriptors = 1000\n\
+             [bounds]\nstop_within_s = {stop_within_s}\naddresses_good_at_most_s = 0.5\n",
+            control.port(),
+        );
+        let settings = std::env::temp_dir().join(format!("{name}-{}.toml", control.port()));
+        fs::write(&settings, text).unwrap();
+        let child = Command::new(BINARY)
+            .arg("--settings")
+            .arg(&settings)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        let process = Self { child, settings, callers, readiness, control };
+        wait_for("a ready process", || process.is_ready()).await;
+        process
+    }
+
+    async fn is_ready(&self) -> bool {
+        let answer = caller::get(self.readiness, "/v1/readiness").await;
+        answer.is_some_and(|(status, _)| status == 200)
+    }
+
+    async fn serving(&self) {
+        wait_for("a group that serves", || async {
+            let state = caller::get(self.control, "/state").await;
+            state.is_some_and(|(_, body)| String::from_utf8_lossy(&body).contains("Open"))
+        })
+        .await;
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    async fn ended(&mut self, within: Duration) -> ExitStatus {
+        let began = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(began.elapsed() < within, "it did not end");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_planned_stop_serves_until_callers_have_forgotten_it_and_cuts_nothing() {
+    let deployment = Deployment::start(2, 1).await;
+    let mut node = Process::start("stop", deployment.store.address, 8.0).await;
+    node.serving().await;
+    let (res, _driver) = caller::open(node.callers, caller::request("r-1", "/chat/x", "k1")).await;
+    node.signal("TERM");
+    wait_for("the node out of every answer", || async { !node.is_ready().await }).await;
+    // Callers who still have its address are served.
+    let (late, _) =
+        caller::send(node.callers, caller::request("r-2", "/print/x", "k1")).await.unwrap();
+    assert_eq!(late.status(), 200);
+    let text = res.into_body().collect().await.unwrap().to_bytes();
+    let text = String::from_utf8(text.to_vec()).unwrap();
+    assert_eq!(caller::event_ids(&text), (1..=EVENTS).collect::<Vec<u64>>());
+    assert!(node.ended(Duration::from_secs(8)).await.success());
+}
+
+#[tokio::test]
+async fn a_planned_stop_ends_in_time_although_a_stream_does_not() {
+    let deployment = Deployment::start(2, 0).await;
+    let mut node = Process::start("endless", deployment.store.address, 3.0).await;
+    node.serving().await;
+    deployment.engines.iter().for_each(|engine| engine.behave(Manner::Endless));
+    let (_res, _driver) = caller::open(node.callers, caller::request("r-1", "/chat/x", "k1")).await;
+    let began = Instant::now();
+    node.signal("TERM");
+    assert!(node.ended(Duration::from_secs(6)).await.success());
+    assert!(began.elapsed() < Duration::from_millis(3_500), "{:?}", began.elapsed());
+}
+
+#[tokio::test]
+async fn a_changed_file_that_is_not_valid_changes_nothing() {
+    let deployment = Deployment::start(2, 1).await;
+    let node = Process::start("changed", deployment.store.address, 8.0).await;
+    fs::write(&node.settings, "[node]\nname = 7\n").unwrap();
+    node.signal("HUP");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let (res, _) =
+        caller::send(node.callers, caller::request("r-1", "/print/x", "k1")).await.unwrap();
+    assert_eq!(res.status(), 200);
+}
+
+#[test]
+fn settings_are_checked_before_anything_starts() {
+    let file = std::env::temp_dir().join(format!("bad-{}.toml", std::process::id()));
+    fs::write(&file, "[node]\nname = \"n\"\n").unwrap();
+    let ended = Command::new(BINARY).arg("--check").arg("--settings").arg(&file).output().unwrap();
+    fs::remove_file(&file).unwrap();
+    let text = String::from_utf8(ended.stderr).unwrap();
+    assert_eq!(ended.status.code(), Some(2), "{text}");
+    assert!(text.contains("data_centre") && text.contains("deploy/entry.toml"), "{text}");
+}
