An instance is gone only if no node reaches it, and all were asked

Cause: one refused connection, by any node, counted as the end of an instance's life. A node that reaches it now outweighs those that do not, and 300 ms pass in which all are asked.

--- a/crates/workshold-core/src/hosted/steward/situation.rs
+++ b/crates/workshold-core/src/hosted/steward/situation.rs
@@ -90,6 +90,9 @@
     pub now: Millis,
 }
 
+/// Until all other nodes have been asked whether they reach an instance, and have
+/// answered: one that any of them reaches is not gone.
+const ALL_ARE_ASKED: Millis = Millis(300);
 /// An instance that leaves may finish requests for this long after it has stopped
 /// taking connections: longer than any request may take.
 pub(super) const LEAVING_LINGERS: Millis = Millis(10_500);
@@ -119,6 +122,9 @@
     pub(super) fn is_gone(&self, id: &InstanceId) -> bool {
         let loss = (self.loss)(id);
         let since = (self.doubted_since)(id).unwrap_or(self.now);
+        if loss > Loss::None && self.now.since(since) < ALL_ARE_ASKED {
+            return false;
+        }
         let entry = self.entry(id);
         let unlisted = entry.and_then(|entry| entry.unlisted_since);
         let was_leaving = entry.is_some_and(|entry| entry.instance.is_leaving)
--- a/crates/workshold-core/src/hosted/suspicion.rs
+++ b/crates/workshold-core/src/hosted/suspicion.rs
@@ -26,8 +26,10 @@
 struct Doubt {
     since: Millis,
     seen_by: BTreeSet<SmolStr>,
+    /// Who was asked and reaches it: then only some paths to it are cut.
+    answered: BTreeSet<SmolStr>,
     own: bool,
-    has_ended: bool,
+    was_refused: bool,
 }
 
 /// How sure a node is that an instance is lost.
@@ -39,7 +41,7 @@
     Doubted,
     /// This node and another, or all that are asked, cannot reach it.
     Confirmed,
-    /// Its process is gone.
+    /// The same, and its machine says that nothing listens there any more.
     Ended,
 }
 
@@ -61,7 +63,7 @@
         }
         let doubt = self.doubt(id, now);
         doubt.own = true;
-        doubt.has_ended |= reach == Reach::Refused;
+        doubt.was_refused |= reach == Reach::Refused;
     }
 
     /// A peer tried.
@@ -69,6 +71,7 @@
         if reach == Reach::Answers {
             if let Some(doubt) = self.doubts.get_mut(id) {
                 doubt.seen_by.remove(peer);
+                doubt.answered.insert(SmolStr::new(peer));
                 if doubt.seen_by.is_empty() && !doubt.own {
                     self.doubts.remove(id);
                 }
@@ -77,19 +80,17 @@
         }
         let doubt = self.doubt(id, now);
         doubt.seen_by.insert(SmolStr::new(peer));
-        doubt.has_ended |= reach == Reach::Refused;
+        doubt.answered.remove(peer);
     }
 
     /// How sure this is; `peers` is how many other nodes could be asked.
     pub fn loss(&self, id: &InstanceId, peers: usize) -> Loss {
         let Some(doubt) = self.doubts.get(id) else { return Loss::None };
-        if doubt.has_ended {
-            return Loss::Ended;
+        let is_agreed = !doubt.seen_by.is_empty() || peers == 0;
+        if !doubt.own || !is_agreed || !doubt.answered.is_empty() {
+            return Loss::Doubted;
         }
-        if doubt.own && (!doubt.seen_by.is_empty() || peers == 0) {
-            return Loss::Confirmed;
-        }
-        Loss::Doubted
+        if doubt.was_refused { Loss::Ended } else { Loss::Confirmed }
     }
 
     /// Since when there is doubt.
@@ -121,8 +122,9 @@
         self.doubts.entry(id.clone()).or_insert_with(|| Doubt {
             since: now,
             seen_by: BTreeSet::new(),
+            answered: BTreeSet::new(),
             own: false,
-            has_ended: false,
+            was_refused: false,
         })
     }
 }
