A stopping node takes no stream that it might have to cut

From half of the time for which callers may use its address a stream is refused at once, with another node to go to; requests that are over soon are served on.

--- a/crates/workshold-gateway/src/callers/requests.rs
+++ b/crates/workshold-gateway/src/callers/requests.rs
@@ -62,6 +62,8 @@
 const USUAL_TIME: Millis = Millis::from_secs(10);
 /// When to come back if this node lacks what it needs to judge a request.
 const COME_BACK: Millis = Millis(400);
+/// When to come back, to another node.
+const COME_BACK_ELSEWHERE: Millis = Millis(20);
 /// A team's rank goes before a route's: this many ranks of a route are one of a team.
 const ROUTE_RANKS: u8 = 3;
 const LEAST_URGENT: u8 = 9;
@@ -91,6 +93,9 @@
     let path = parts.uri.path();
     let route = host.as_deref().and_then(|host| catalog.route(host, path));
     let route = route.ok_or_else(|| deny(&id, StatusCode::NOT_FOUND, "no such route"))?;
+    if !node.takes(route.kind) {
+        return Err(refuse_stopping(&id));
+    }
     let team = authorize(node, &catalog, route, &parts.headers, &id)?;
     let time = time_of(&parts.headers).min(route.timeout);
     let body = read_body(incoming, &catalog, time).await.map_err(Box::new)?;
@@ -122,6 +127,13 @@
     Box::new(answers::not_run(text, COME_BACK))
 }
 
+/// Others serve: the caller need not wait to go there.
+fn refuse_stopping(id: &str) -> Box<Response<AnswerBody>> {
+    let why = "this node is stopping";
+    emit(Event::RequestNotRun, &[("request", id), ("why", why)]);
+    Box::new(answers::not_run(why, COME_BACK_ELSEWHERE))
+}
+
 fn deny(id: &str, status: StatusCode, text: &'static str) -> Box<Response<AnswerBody>> {
     let fields = [("request", id), ("why", text), ("status", status.as_str())];
     emit(Event::RequestNotRun, &fields);
--- a/crates/workshold-gateway/src/daemon.rs
+++ b/crates/workshold-gateway/src/daemon.rs
@@ -243,8 +243,8 @@
     }
 }
 
-/// Leaves the addresses, serves until callers have forgotten this node, finishes
-/// what is in flight, and ends.
+/// Leaves the addresses, serves until callers have forgotten this node, but takes no
+/// stream any more that might not end in time, finishes what is in flight, and ends.
 async fn stop(node: &Arc<Node>, callers: JoinHandle<usize>, stage: &watch::Sender<Stage>) {
     node.leave();
     emit(Event::Leaving, &[]);
@@ -258,6 +258,7 @@
     wait_until(node, half.min(ends)).await;
     node.close();
     wait_until(node, forgotten).await;
+    node.take_nothing();
     while node.in_flight() > 0 && node.now() < ends {
         tokio::time::sleep(STOP_POLL).await;
     }
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use workshold_core::hosted::catalog::Catalog;
+use workshold_core::hosted::catalog::Kind;
 use workshold_core::hosted::currency::Currency;
 use workshold_core::hosted::roster::ListTrust;
 use workshold_core::hosted::roster::Roster;
@@ -139,6 +140,7 @@
     has_traffic: AtomicBool,
     is_leaving: AtomicBool,
     is_closing: AtomicBool,
+    takes_nothing: AtomicBool,
     in_flight: AtomicUsize,
     looks: Mutex<HashMap<InstanceId, Millis>>,
     /// How silence is judged.
@@ -210,6 +212,7 @@
             has_traffic: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
             is_closing: AtomicBool::new(false),
+            takes_nothing: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             looks: Mutex::default(),
             silence: SilenceRules::default(),
@@ -401,6 +404,18 @@
         self.is_closing.store(true, Ordering::Relaxed);
     }
 
+    /// From here on nothing is taken: it could not be finished before the end.
+    pub fn take_nothing(&self) {
+        self.takes_nothing.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether a request of this kind is still taken by a node that is stopping: a
+    /// stream may last longer than is left, and what is cut is lost.
+    pub fn takes(&self, kind: Kind) -> bool {
+        let takes_streams = !self.is_closing();
+        !self.takes_nothing.load(Ordering::Relaxed) && (takes_streams || kind != Kind::Stream)
+    }
+
     /// Whether connections end with their answer.
     pub fn is_closing(&self) -> bool {
         self.is_closing.load(Ordering::Relaxed)
--- a/crates/workshold-gateway/tests/platform/stopping.rs
+++ b/crates/workshold-gateway/tests/platform/stopping.rs
@@ -124,6 +124,25 @@
     assert!(began.elapsed() < Duration::from_millis(3_500), "{:?}", began.elapsed());
 }
 
+#[tokio::test]
+async fn a_stopping_node_takes_no_stream_that_it_might_have_to_cut() {
+    let deployment = Deployment::start(2, 1).await;
+    let node = Process::start("late", deployment.store.address, 8.0).await;
+    node.serving().await;
+    node.signal("TERM");
+    // Half of the time for which callers may use its address: one and a half seconds.
+    tokio::time::sleep(Duration::from_millis(950)).await;
+    let (stream, _) =
+        caller::send(node.callers, caller::request("r-1", "/chat/x", "k1")).await.unwrap();
+    assert_eq!(stream.status(), 503);
+    let after: f64 = stream.headers()["retry-after"].to_str().unwrap().parse().unwrap();
+    assert!(after < 0.1, "{after}: another node will take it at once");
+    assert!(deployment.engines.iter().all(|engine| engine.ran().is_empty()));
+    let (short, _) =
+        caller::send(node.callers, caller::request("r-2", "/print/x", "k1")).await.unwrap();
+    assert_eq!(short.status(), 200, "what is over soon is still served");
+}
+
 #[tokio::test]
 async fn a_changed_file_that_is_not_valid_changes_nothing() {
     let deployment = Deployment::start(2, 1).await;
