--- a/crates/workshold-model/src/hosted.rs
+++ b/crates/workshold-model/src/hosted.rs
@@ -181,6 +181,7 @@
         } else if chance < 0.007 {
             let until = now + Millis(self.rng.random_range(1_000..8_000));
             if let Some(instance) = self.instances.get_mut(&id) {
+                instance.cut_since = now;
                 instance.cut_until = until;
             }
         } else if chance < 0.010 {
--- a/crates/workshold-model/src/hosted/engine.rs
+++ b/crates/workshold-model/src/hosted/engine.rs
@@ -67,6 +67,8 @@
     pub died_at: Millis,
     /// Whether the list has dropped it.
     pub has_lapsed: bool,
+    /// No node reaches it from then on.
+    pub cut_since: Millis,
     /// No node reaches it until then.
     pub cut_until: Millis,
     /// Its group.
@@ -86,6 +88,7 @@
             is_alive: true,
             died_at: Millis::ZERO,
             has_lapsed: false,
+            cut_since: Millis::ZERO,
             cut_until: Millis::ZERO,
             membership: None,
             highest_epoch: 0,
--- a/crates/workshold-model/src/hosted/office.rs
+++ b/crates/workshold-model/src/hosted/office.rs
@@ -173,5 +173,5 @@
 fn loss_since(view: &View<'_>, id: &InstanceId) -> Option<Millis> {
     let instance = view.instances.get(id)?;
     let is_lost = !instance.is_alive || instance.cut_until > view.now;
-    is_lost.then_some(if instance.is_alive { view.now } else { instance.died_at })
+    is_lost.then_some(if instance.is_alive { instance.cut_since } else { instance.died_at })
 }
