--- a/crates/workshold-core/src/hosted/catalog.rs
+++ b/crates/workshold-core/src/hosted/catalog.rs
@@ -231,9 +231,4 @@
     pub fn needs_key(&self, route: &Route) -> bool {
         self.asks_for_keys && !route.is_keyless
     }
-
-    /// All routes.
-    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
-        self.routes.values().flatten()
-    }
 }
--- a/crates/workshold-gateway/src/events.rs
+++ b/crates/workshold-gateway/src/events.rs
@@ -24,7 +24,6 @@
     DomainSeen = 1204, Info, "what a steward sees in a domain", "Compare demand and groups by model, both in groups' worth.";
     InstanceInDoubt = 1301, Warn, "an instance cannot be reached", "Nothing; its groups get no new work.";
     InstanceBack = 1302, Info, "an instance in doubt answers", "Nothing.";
-    PeerLost = 1303, Info, "another node is no longer heard", "Nothing.";
     RequestEnded = 1401, Info, "a request was answered", "Nothing.";
     RequestNotRun = 1402, Warn, "a request was refused and has not run", "Read the reason; the caller was told when to come back.";
     RequestUnknown = 1403, Warn, "a request ended and nobody knows whether it ran", "Read the reason and the attempts.";
