The platform's stand-in is a crate of its own under platform/, and judges what it sees

Cause: the stand-in stood in the tests of one crate, spoke the platform's names outside platform/, and accepted any order: it could not show a broken rule.

--- a/crates/workshold-gateway/tests/platform.rs
+++ b/crates/workshold-gateway/tests/platform.rs
@@ -4,5 +4,7 @@
 mod path;
 #[path = "platform/stopping.rs"]
 mod stopping;
+#[path = "platform/store.rs"]
+mod store;
 #[path = "platform/support/mod.rs"]
 mod support;
--- a/crates/workshold-gateway/tests/platform/path.rs
+++ b/crates/workshold-gateway/tests/platform/path.rs
@@ -2,18 +2,19 @@
 
 use std::time::Duration;
 
-use crate::support::Deployment;
 use crate::support::TestNode;
-use crate::support::caller;
-use crate::support::config;
-use crate::support::service::EVENTS;
-use crate::support::service::Manner;
-use crate::support::wait_for;
 use http_body_util::BodyExt;
 use rstest::rstest;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use workshold_platform_standin::caller;
+use workshold_platform_standin::deployment::Deployment;
+use workshold_platform_standin::deployment::config;
+use workshold_platform_standin::instance::EVENTS;
+use workshold_platform_standin::instance::Manner;
+use workshold_platform_standin::store::Mood;
+use workshold_platform_standin::wait_for;
 
 const MANY_REPEATS: &str = "repeat_slack = 100.0";
 
@@ -39,7 +40,8 @@
     let deployment = Deployment::start(6, 0).await;
     let node = TestNode::start("n-1", &deployment.store, MANY_REPEATS);
     node.serving().await;
-    let (res, _driver) = caller::open(node.callers, caller::request("r-1", "/chat/x", "k1")).await;
+    let (res, _driver) =
+        caller::open(node.callers, caller::request("r-1", "/chat/x", "k1")).await.unwrap();
     let first = deployment.serving("r-1").unwrap();
     let first_name = first.name().to_owned();
     assert_eq!(res.headers()["x-response-stamp"], first_name.as_str());
@@ -58,7 +60,8 @@
     let node = TestNode::start("n-1", &deployment.store, MANY_REPEATS);
     node.serving().await;
     deployment.engines.iter().for_each(|engine| engine.behave(Manner::CutsEvent));
-    let (res, _driver) = caller::open(node.callers, caller::request("r-1", "/chat/x", "k1")).await;
+    let (res, _driver) =
+        caller::open(node.callers, caller::request("r-1", "/chat/x", "k1")).await.unwrap();
     deployment.engines.iter().for_each(|engine| engine.behave(Manner::Good));
     let text = res.into_body().collect().await.unwrap().to_bytes();
     let text = String::from_utf8(text.to_vec()).unwrap();
@@ -71,7 +74,8 @@
     let deployment = Deployment::start(2, 0).await;
     let node = TestNode::start("n-1", &deployment.store, MANY_REPEATS);
     node.serving().await;
-    let (res, _driver) = caller::open(node.callers, caller::request("r-1", "/chat/x", "k1")).await;
+    let (res, _driver) =
+        caller::open(node.callers, caller::request("r-1", "/chat/x", "k1")).await.unwrap();
     deployment.serving("r-1").unwrap().crash();
     assert!(res.into_body().collect().await.is_err());
 }
@@ -82,7 +86,8 @@
     let node = TestNode::start("n-1", &deployment.store, MANY_REPEATS);
     node.serving().await;
     deployment.engines.iter().for_each(|engine| engine.behave(Manner::Endless));
-    let (res, driver) = caller::open(node.callers, caller::request("r-1", "/chat/x", "k1")).await;
+    let (res, driver) =
+        caller::open(node.callers, caller::request("r-1", "/chat/x", "k1")).await.unwrap();
     let engine = deployment.serving("r-1").unwrap();
     assert_eq!(engine.streams(), 1);
     drop((res, driver));
@@ -177,7 +182,7 @@
     let deployment = Deployment::start(2, 1).await;
     let node = TestNode::start("n-1", &deployment.store, "keys_believed_ms = 2500");
     node.ready().await;
-    deployment.store.set_down(true);
+    deployment.store.set_mood(Mood::Down);
     tokio::time::sleep(Duration::from_millis(300)).await;
     let send = |id: &'static str| async {
         let sent = caller::send(node.callers, caller::request(id, "/print/x", "k1")).await;
@@ -186,7 +191,7 @@
     assert_eq!(send("r-1").await, 200);
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     assert_eq!(send("r-2").await, 503);
-    deployment.store.set_down(false);
+    deployment.store.set_mood(Mood::Well);
     node.ready().await;
     assert_eq!(send("r-3").await, 200);
 }
--- a/crates/workshold-gateway/tests/platform/stopping.rs
+++ b/crates/workshold-gateway/tests/platform/stopping.rs
@@ -10,13 +10,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::support::Deployment;
-use crate::support::caller;
-use crate::support::free_address;
-use crate::support::service::EVENTS;
-use crate::support::service::Manner;
-use crate::support::wait_for;
 use http_body_util::BodyExt;
+use workshold_platform_standin::caller;
+use workshold_platform_standin::deployment::Deployment;
+use workshold_platform_standin::free_address;
+use workshold_platform_standin::instance::EVENTS;
+use workshold_platform_standin::instance::Manner;
+use workshold_platform_standin::wait_for;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_workshold-gateway");
 
@@ -98,7 +98,8 @@
     let deployment = Deployment::start(2, 1).await;
     let mut node = Process::start("stop", deployment.store.address, 8.0).await;
     node.serving().await;
-    let (res, _driver) = caller::open(node.callers, caller::request("r-1", "/chat/x", "k1")).await;
+    let (res, _driver) =
+        caller::open(node.callers, caller::request("r-1", "/chat/x", "k1")).await.unwrap();
     node.signal("TERM");
     wait_for("the node out of every answer", || async { !node.is_ready().await }).await;
     // Callers who still have its address are served.
@@ -117,7 +118,8 @@
     let mut node = Process::start("endless", deployment.store.address, 3.0).await;
     node.serving().await;
     deployment.engines.iter().for_each(|engine| engine.behave(Manner::Endless));
-    let (_res, _driver) = caller::open(node.callers, caller::request("r-1", "/chat/x", "k1")).await;
+    let (_res, _driver) =
+        caller::open(node.callers, caller::request("r-1", "/chat/x", "k1")).await.unwrap();
     let began = Instant::now();
     node.signal("TERM");
     assert!(node.ended(Duration::from_secs(6)).await.success());
