A signal that comes while a node starts no longer ends it

Cause: handlers were made after the settings were read, so that until then the machine ended the process. Ruled out: the reload itself; the log of that life had no line yet. The signals are now the first thing that a node makes. Both daemons had the same signals and the same always-an-answer wrapper: they stand once, in workshold-http. Test: a node is held while it reads its settings from a pipe and gets SIGHUP; it ended before, and serves now.

--- a/crates/workshold-gateway/src/daemon.rs
+++ b/crates/workshold-gateway/src/daemon.rs
@@ -1,7 +1,5 @@
 //! Starting a node, and ending it with a plan.
 
-use std::convert::Infallible;
-use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -14,9 +12,6 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
-use tokio::signal::unix::Signal;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -25,6 +20,9 @@
 use workshold_http::server;
 use workshold_http::server::Bounds;
 use workshold_http::server::Stage;
+use workshold_http::server::infallible;
+use workshold_http::signals::Signals;
+use workshold_http::signals::Wanted;
 use workshold_protocol::Millis;
 use workshold_protocol::clock::SystemClock;
 
@@ -54,8 +52,6 @@
     },
     /// the socket for other nodes cannot be opened: {0}
     Peers(io::Error),
-    /// signals cannot be waited for: {0}
-    Signals(io::Error),
     /// a part of the node has ended
     TaskEnded,
 }
@@ -82,13 +78,16 @@
 /// Callers use addresses for up to this many times as long as they are told.
 const ADDRESSES_KEPT: f64 = 3.0;
 
-/// Runs a node until a signal stops it.
+/// Runs a node until one of `signals` stops it.
 ///
 /// # Errors
 ///
 /// [`DaemonError`] if it cannot start, or a part of it ends.
-pub async fn run(settings: Settings, path: PathBuf) -> Result<(), DaemonError> {
-    let mut signals = Signals::new().map_err(DaemonError::Signals)?;
+pub async fn run(
+    settings: Settings,
+    path: PathBuf,
+    mut signals: Signals,
+) -> Result<(), DaemonError> {
     let (doubts, doubts_rx) = mpsc::unbounded_channel();
     let node = Arc::new(Node::new(settings, Box::new(SystemClock::default()), doubts));
     let (stage, rx) = watch::channel(Stage::Running);
@@ -173,51 +172,10 @@
     Ok(())
 }
 
-async fn infallible(
-    answer: impl Future<Output = Response<AnswerBody>>,
-) -> Result<Response<AnswerBody>, Infallible> {
-    Ok(answer.await)
-}
-
 fn bind(address: SocketAddr) -> Result<TcpListener, DaemonError> {
     server::bind(address, SEND_BUFFER).map_err(|why| DaemonError::Listen { address, why })
 }
 
-/// What a signal asks for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Wanted {
-    Stop,
-    Settings,
-    Dump,
-}
-
-struct Signals {
-    terminate: Signal,
-    interrupt: Signal,
-    hang_up: Signal,
-    dump: Signal,
-}
-
-impl Signals {
-    fn new() -> io::Result<Self> {
-        Ok(Self {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-            hang_up: signal(SignalKind::hangup())?,
-            dump: signal(SignalKind::user_defined1())?,
-        })
-    }
-
-    async fn next(&mut self) -> Wanted {
-        tokio::select! {
-            _ = self.terminate.recv() => Wanted::Stop,
-            _ = self.interrupt.recv() => Wanted::Stop,
-            _ = self.hang_up.recv() => Wanted::Settings,
-            _ = self.dump.recv() => Wanted::Dump,
-        }
-    }
-}
-
 /// The file may change without a signal.
 async fn watch_settings(node: Arc<Node>, path: PathBuf) {
     let modified = |path: &Path| std::fs::metadata(path).and_then(|meta| meta.modified()).ok();
--- a/crates/workshold-gateway/src/main.rs
+++ b/crates/workshold-gateway/src/main.rs
@@ -6,6 +6,7 @@
 use bpaf::Parser;
 use workshold_gateway::daemon;
 use workshold_gateway::settings;
+use workshold_http::signals::Signals;
 use workshold_telemetry::log::LevelFilter;
 use workshold_telemetry::writer;
 
@@ -40,6 +41,13 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
     let options = options().run();
+    let signals = match Signals::new() {
+        Ok(signals) => signals,
+        Err(err) => {
+            eprintln!("signals cannot be waited for: {err}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
     let settings = match settings::load(&options.settings) {
         Ok(settings) => settings,
         Err(err) => {
@@ -57,7 +65,7 @@
             return ExitCode::from(EXIT_FAILED);
         }
     };
-    let ended = daemon::run(settings, options.settings).await;
+    let ended = daemon::run(settings, options.settings, signals).await;
     if let Err(err) = &ended {
         eprintln!("{err}");
     }
--- a/crates/workshold-gateway/tests/platform/stopping.rs
+++ b/crates/workshold-gateway/tests/platform/stopping.rs
@@ -1,6 +1,7 @@
 //! The daemon as a process of its own: settings, a planned stop, a changed file.
 
 use std::fs;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Child;
@@ -157,6 +158,36 @@
     assert_eq!(res.status(), 200);
 }
 
+/// The node is held while it reads its settings, from a pipe, and signalled then.
+#[tokio::test]
+async fn a_signal_that_comes_while_a_node_starts_does_not_end_it() {
+    let deployment = Deployment::start(2, 1).await;
+    let [callers, readiness, directory, control] = [(); 4].map(|()| free_address());
+    let pipe = std::env::temp_dir().join(format!("starting-{}.toml", control.port()));
+    assert!(Command::new("mkfifo").arg(&pipe).status().unwrap().success());
+    let child = Command::new(BINARY).arg("--settings").arg(&pipe).stdout(Stdio::null()).spawn();
+    let node =
+        Process { child: child.unwrap(), settings: pipe.clone(), callers, readiness, control };
+    // This opens once the node reads at the other end.
+    let opened = tokio::task::spawn_blocking(move || fs::OpenOptions::new().write(true).open(pipe));
+    let mut writer = opened.await.unwrap().unwrap();
+    node.signal("HUP");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let text = format!(
+        "[node]\nname = \"starting\"\ndata_centre = \"a\"\n[listen]\ncallers = \"{callers}\"\n\
+         readiness = \"{readiness}\"\ndirectory = \"{directory}\"\npeers_port = {}\n\
+         [store]\naddress = \"{}\"\nparts = 4\n",
+        control.port(),
+        deployment.store.address,
+    );
+    writer.write_all(text.as_bytes()).unwrap();
+    drop(writer);
+    // What takes the pipe's place is a file, for the reading that the signal asks for.
+    fs::remove_file(&node.settings).unwrap();
+    fs::write(&node.settings, text).unwrap();
+    wait_for("a ready process", || node.is_ready()).await;
+}
+
 #[test]
 fn settings_are_checked_before_anything_starts() {
     let file = std::env::temp_dir().join(format!("bad-{}.toml", std::process::id()));
--- a/crates/workshold-gateway/tests/platform/support/mod.rs
+++ b/crates/workshold-gateway/tests/platform/support/mod.rs
@@ -6,6 +6,7 @@
 use tokio::task::JoinHandle;
 use workshold_gateway::daemon;
 use workshold_gateway::settings;
+use workshold_http::signals::Signals;
 use workshold_platform_standin::caller;
 use workshold_platform_standin::free_address;
 use workshold_platform_standin::store::StandInStore;
@@ -46,8 +47,9 @@
             store,
         );
         let settings = settings::parse(&text).unwrap();
+        let signals = Signals::new().unwrap();
         let task = tokio::spawn(async move {
-            let ended = daemon::run(settings, PathBuf::from("/nonexistent")).await;
+            let ended = daemon::run(settings, PathBuf::from("/nonexistent"), signals).await;
             panic!("the node ended: {ended:?}");
         });
         Self {
--- a/crates/workshold-http/src/server.rs
+++ b/crates/workshold-http/src/server.rs
@@ -64,6 +64,17 @@
     socket.listen(BACKLOG)
 }
 
+/// An answer that is always one, as `hyper` wants to hear it.
+///
+/// # Errors
+///
+/// Never.
+pub async fn infallible<B>(
+    answer: impl Future<Output = Response<B>>,
+) -> Result<Response<B>, Infallible> {
+    Ok(answer.await)
+}
+
 /// How far the end of a server has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
--- a/crates/workshold-node/src/daemon.rs
+++ b/crates/workshold-node/src/daemon.rs
@@ -1,7 +1,5 @@
 //! Starting a node, and ending it with a plan.
 
-use std::convert::Infallible;
-use std::future::Future;
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -9,21 +7,19 @@
 
 use displaydoc::Display;
 use hyper::Request;
-use hyper::Response;
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
-use tokio::signal::unix::Signal;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 use tower::service_fn;
-use workshold_http::Body;
 use workshold_http::server;
 use workshold_http::server::Bounds;
 use workshold_http::server::Stage;
+use workshold_http::server::infallible;
+use workshold_http::signals::Signals;
+use workshold_http::signals::Wanted;
 use workshold_protocol::Millis;
 use workshold_protocol::clock::SystemClock;
 
@@ -96,6 +92,8 @@
             }
             wanted = signals.next() => match wanted {
                 Wanted::Dump => print_dump(&node),
+                // Its settings are read at a start only.
+                Wanted::Settings => {}
                 Wanted::Stop => break,
             },
         }
@@ -105,40 +103,14 @@
     Ok(ended)
 }
 
-/// What a signal asks for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Wanted {
-    Stop,
-    Dump,
-}
-
-struct Signals {
-    terminate: Signal,
-    interrupt: Signal,
-    dump: Signal,
-}
-
-impl Signals {
-    fn new() -> io::Result<Self> {
-        Ok(Self {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-            dump: signal(SignalKind::user_defined1())?,
-        })
-    }
-
-    async fn next(&mut self) -> Wanted {
-        tokio::select! {
-            _ = self.terminate.recv() => Wanted::Stop,
-            _ = self.interrupt.recv() => Wanted::Stop,
-            _ = self.dump.recv() => Wanted::Dump,
-        }
-    }
-
-    /// Waits for a signal to stop; prints the state for those that ask for it.
-    async fn stop(&mut self, node: &Node) {
-        while self.next().await == Wanted::Dump {
-            print_dump(node);
+/// Waits for a signal to stop; prints the state for those that ask for it.
+async fn wait_for_stop(signals: &mut Signals, node: &Node) {
+    loop {
+        match signals.next().await {
+            Wanted::Stop => return,
+            Wanted::Dump => print_dump(node),
+            // Its settings are read at a start only.
+            Wanted::Settings => {}
         }
     }
 }
@@ -165,12 +137,6 @@
     Ok(Servers { callers, stage })
 }
 
-async fn infallible(
-    answer: impl Future<Output = Response<Body>>,
-) -> Result<Response<Body>, Infallible> {
-    Ok(answer.await)
-}
-
 fn bind(address: &str) -> Result<TcpListener, DaemonError> {
     let parsed = address.parse().map_err(io::Error::other);
     let bound = parsed.and_then(|address| server::bind(address, SEND_BUFFER));
@@ -254,7 +220,7 @@
     };
     tokio::select! {
         () = finished => {}
-        () = signals.stop(node) => {
+        () = wait_for_stop(signals, node) => {
             let left = node.in_flight.len().to_string();
             emit(Event::Cut, &[("in_flight", &left)]);
         }
