A part of the lease is acted on only once its last holder has noticed and the list was read anew

Cause: a steward ordered by the list as it had it 300 ms after a part came. If its reading was held up (here: slow on its way to the store), the list lacked a group that the last holder had just formed and opened, and its open head was taken out of it. Ruled out: a late order (all were answered), an epoch issued twice, a silent head. Now a tenure settles when all who act are heard to act by its number or a later one (pulses name it; whoever hears a later one stops and renews at once) and 300 ms have passed, or when the last lease has run out; then the list is read without waiting, and only by that reading, or a later one, is anything ordered. Model: nodes have their own copy of the list, which may stand still for up to 3 s, and hear each other.

--- a/crates/workshold-core/src/hosted.rs
+++ b/crates/workshold-core/src/hosted.rs
@@ -7,7 +7,7 @@
 //!
 //! - What is to be served: [`catalog`], and how fresh it is: [`currency`].
 //! - What there is: [`roster`] with [`groups`]; who cannot be reached: [`suspicion`].
-//! - What should be: [`steward`].
+//! - What should be: [`steward`], and when it may order: [`tenure`].
 //! - Requests: [`placement`], [`silence`], [`tries`].
 
 pub mod catalog;
@@ -18,4 +18,5 @@
 pub mod silence;
 pub mod steward;
 pub mod suspicion;
+pub mod tenure;
 pub mod tries;
--- a/crates/workshold-core/tests/hosted.rs
+++ b/crates/workshold-core/tests/hosted.rs
@@ -6,3 +6,5 @@
 mod sight;
 #[path = "hosted/stewards.rs"]
 mod stewards;
+#[path = "hosted/tenures.rs"]
+mod tenures;
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -25,6 +25,7 @@
 use workshold_core::hosted::suspicion::Loss;
 use workshold_core::hosted::suspicion::Reach;
 use workshold_core::hosted::suspicion::Suspicions;
+use workshold_core::hosted::tenure::Tenure;
 use workshold_core::hosted::tries::Budget;
 use workshold_core::outlier::OutlierRules;
 use workshold_core::outlier::Outliers;
@@ -64,12 +65,21 @@
 pub struct Lease {
     /// The group's number, which serves as the fence.
     pub generation: u64,
-    /// The parts that are this node's, and since when.
-    pub parts: BTreeMap<u64, Millis>,
+    /// The parts that are this node's.
+    pub parts: BTreeMap<u64, Tenure>,
     /// When the last renewal that was answered was sent.
     pub renewed_at: Millis,
     /// An instance has refused this number: another node has a higher one.
     pub outranked: Option<u64>,
+    /// The highest number by which any other node acts.
+    pub heard: u64,
+}
+
+impl Lease {
+    /// The number by which this node gives orders, if it may hold any part.
+    pub fn acts_by(&self) -> Option<u64> {
+        (!self.parts.is_empty()).then_some(self.generation)
+    }
 }
 
 /// Why a node does not serve.
@@ -125,6 +135,10 @@
     pub catch_up_wanted: Notify,
     /// Wakes the one who reads the list.
     pub list_wanted: Notify,
+    /// Ends a reading that waits: one that began later is needed.
+    pub list_wanted_anew: Notify,
+    /// Wakes the one who renews the lease.
+    pub lease_wanted: Notify,
     /// When some domain last gave groups up, here or at a peer.
     pub room_made: Mutex<Millis>,
     /// When some domain last fetched weights so that groups can be given up.
@@ -203,6 +217,8 @@
             pulse_wanted: Notify::new(),
             catch_up_wanted: Notify::new(),
             list_wanted: Notify::new(),
+            list_wanted_anew: Notify::new(),
+            lease_wanted: Notify::new(),
             room_made: Mutex::default(),
             room_prepared: Mutex::default(),
             epochs_issued: Arc::default(),
@@ -456,6 +472,12 @@
         Ok(())
     }
 
+    /// Whether a part of the lease waits for a reading of the list that began later.
+    pub fn wants_list_anew(&self) -> bool {
+        let read_at = self.list.lock().read_at;
+        self.lease.lock().parts.values().any(|tenure| tenure.wants_list(read_at))
+    }
+
     /// Whether this node reads the store itself, or goes by what others read: with
     /// many nodes a few of them are enough.
     pub fn is_reader(&self) -> bool {
--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -12,7 +12,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The form of these messages; another one is passed over.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -87,6 +87,8 @@
     pub config: Option<(u64, u64)>,
     /// Where its list of instances ends, and how long ago that was the end, in ms.
     pub list: Option<(u64, u64)>,
+    /// The lease's number by which it gives orders, if it does.
+    pub acts_by: Option<u64>,
     /// How long ago the store last answered it, in ms.
     pub store_age_ms: u64,
     /// How long ago it gave groups up for another model, in ms.
--- a/crates/workshold-gateway/src/tasks/following.rs
+++ b/crates/workshold-gateway/src/tasks/following.rs
@@ -82,7 +82,7 @@
 
 /// A steward reads for itself: it waits for statements.
 fn is_list_current(node: &Node) -> bool {
-    let is_busy = node.is_steward_busy.load(Ordering::Relaxed);
+    let is_busy = node.is_steward_busy.load(Ordering::Relaxed) || node.wants_list_anew();
     let list = node.list.lock();
     !is_busy && list.next.is_some() && node.now().since(list.read_at) < LIST_CURRENT
 }
@@ -126,8 +126,13 @@
     let mut pause = RETRY;
     loop {
         wait_while_others_read(&node, || is_list_current(&node)).await;
+        let wait = if node.wants_list_anew() { Millis::ZERO } else { LIST_WAIT };
         let sent = node.now();
-        match read_list(&node, sent).await {
+        let read = tokio::select! {
+            read = read_list(&node, sent, wait) => read,
+            () = node.list_wanted_anew.notified(), if wait > Millis::ZERO => continue,
+        };
+        match read {
             Ok(()) => {
                 pause = RETRY;
                 note_answer(&node, sent);
@@ -159,11 +164,11 @@
     }
 }
 
-async fn read_list(node: &Node, sent: Millis) -> Result<(), StoreError> {
+async fn read_list(node: &Node, sent: Millis, wait: Millis) -> Result<(), StoreError> {
     let next = node.list.lock().next;
     let topic = names::INSTANCES_TOPIC;
     let records = match next {
-        Some(next) => node.store.read(topic, next, LIST_WAIT, ANSWER_TIME).await?,
+        Some(next) => node.store.read(topic, next, wait, ANSWER_TIME).await?,
         None => node.store.newest(topic, ANSWER_TIME).await?,
     };
     let is_whole = next.is_none();
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -93,6 +93,7 @@
         has_traffic: node.has_own_traffic(),
         config,
         list: list_end(node),
+        acts_by: node.lease.lock().acts_by(),
         store_age_ms: node.store_age().0,
         room_age_ms: node.now().since(*node.room_made.lock()).0,
         prepare_age_ms: node.now().since(*node.room_prepared.lock()).0,
@@ -133,6 +134,7 @@
             if let Some((next, age)) = pulse.list {
                 confirm_list(node, next, now - Millis(age) - ON_THE_WAY);
             }
+            hear_of_lease(node, pulse.acts_by);
             note_later(&node.room_made, now - Millis(pulse.room_age_ms));
             note_later(&node.room_prepared, now - Millis(pulse.prepare_age_ms));
             take_gaps(node, &pulse);
@@ -148,6 +150,15 @@
     }
 }
 
+/// A peer acts by a later number than this node: the parts have been dealt anew.
+fn hear_of_lease(node: &Node, acts_by: Option<u64>) {
+    let mut lease = node.lease.lock();
+    lease.heard = lease.heard.max(acts_by.unwrap_or_default());
+    if lease.heard > lease.generation && lease.acts_by().is_some() {
+        node.lease_wanted.notify_one();
+    }
+}
+
 fn note_later(known: &Mutex<Millis>, told: Millis) {
     let mut known = known.lock();
     *known = (*known).max(told);
--- a/crates/workshold-gateway/src/tasks/leasing.rs
+++ b/crates/workshold-gateway/src/tasks/leasing.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use workshold_core::hosted::tenure::Tenure;
 use workshold_protocol::Millis;
 
 use crate::events::Event;
@@ -18,6 +19,8 @@
 /// The same for a node that holds no part, of more nodes than parts; still within its
 /// time.
 const RENEW_EVERY_IDLE: Duration = Duration::from_millis(1_000);
+/// The least time between two renewals, whatever others are heard to act by.
+const RENEW_LEAST: Duration = Duration::from_millis(60);
 /// Time for the answer.
 const ANSWER_TIME: Millis = Millis(700);
 /// How often a node asks who else there is. Whoever is new asks at its start, and its
@@ -43,21 +46,32 @@
             node.store_answered(sent);
             take(&node, joined.generation, &joined.parts, sent);
         }
-        let has_parts = !node.lease.lock().parts.is_empty();
-        tokio::time::sleep(if has_parts { RENEW_EVERY } else { RENEW_EVERY_IDLE }).await;
+        rest(&node).await;
     }
     node.lease.lock().parts.clear();
     // If this is lost, the lease runs out by itself.
     let _ = node.store.leave(GROUP, &member, ANSWER_TIME).await;
 }
 
+/// Rests before the next renewal: short if others act by a later number.
+async fn rest(node: &Node) {
+    let has_parts = !node.lease.lock().parts.is_empty();
+    let every = if has_parts { RENEW_EVERY } else { RENEW_EVERY_IDLE };
+    tokio::time::sleep(RENEW_LEAST).await;
+    tokio::select! {
+        () = tokio::time::sleep(every - RENEW_LEAST) => {}
+        () = node.lease_wanted.notified() => {}
+    }
+}
+
 fn take(node: &Node, generation: u64, parts: &[u64], sent: Millis) {
     let now = node.now();
     let mut lease = node.lease.lock();
     let held = std::mem::take(&mut lease.parts);
-    let since = |part: &u64| (*part, held.get(part).copied().unwrap_or(now));
-    let parts: BTreeMap<u64, Millis> = parts.iter().map(since).collect();
+    let tenure = |part: &u64| held.get(part).copied().unwrap_or(Tenure::new(generation, now));
+    let parts: BTreeMap<u64, Tenure> = parts.iter().map(|part| (*part, tenure(part))).collect();
     let is_news = parts.keys().ne(held.keys());
+    let is_later = lease.generation != generation;
     lease.parts = parts;
     lease.generation = generation;
     lease.renewed_at = sent;
@@ -66,6 +80,10 @@
     }
     let list: Vec<String> = lease.parts.keys().map(u64::to_string).collect();
     drop(lease);
+    if is_later {
+        // Who was given a part waits for all who act to have noticed.
+        node.pulse_wanted.notify_one();
+    }
     if is_news {
         let fields = [("generation", &*generation.to_string()), ("parts", &*list.join(","))];
         emit(Event::LeaseTaken, &fields);
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -24,6 +24,7 @@
 use workshold_core::hosted::steward::StewardRules;
 use workshold_core::hosted::suspicion::Loss;
 use workshold_core::hosted::suspicion::Suspicions;
+use workshold_core::hosted::tenure::TenureRules;
 use workshold_platform::engines;
 use workshold_protocol::Millis;
 use workshold_protocol::ids::FabricDomain;
@@ -43,9 +44,8 @@
 const LOOK_EVERY: Duration = Duration::from_millis(150);
 /// Time for the answer to an order.
 const ORDER_TIME: Millis = Millis(250);
-/// A part that has just come is left alone for this long: its last steward may have
-/// orders on their way.
-const SETTLE: Millis = Millis(300);
+/// Orders of a part's last steward are on their way for this long at most.
+const ORDERS_ARRIVE: Millis = Millis(300);
 /// Weight of the newest look at the demand.
 const DEMAND_SMOOTHING: f64 = 0.08;
 
@@ -126,7 +126,7 @@
 /// The fence of the lease, if it still gives the right to order.
 fn fence(node: &Node, lease: &Lease) -> Option<u64> {
     let ttl = node.settings().lease_ttl();
-    let is_outranked = lease.outranked == Some(lease.generation);
+    let is_outranked = lease.outranked == Some(lease.generation) || lease.heard > lease.generation;
     let is_held = node.now().since(lease.renewed_at) < ttl || is_store_away_for_all(node, lease);
     (is_held && !is_outranked && !lease.parts.is_empty()).then_some(lease.generation)
 }
@@ -142,13 +142,34 @@
     heard.peek().is_some() && heard.all(|(_, peer)| peer.pulse.store_age_ms + ttl > age)
 }
 
+/// The lease, with a look at who else acts; wakes the reader of the list if a part
+/// waits for it.
+fn settle(node: &Node) -> Lease {
+    let now = node.now();
+    let rules =
+        TenureRules { orders_arrive: ORDERS_ARRIVE, lease_ttl: node.settings().lease_ttl() };
+    let acting: Vec<u64> =
+        node.peers.lock().heard(now).filter_map(|(_, peer)| peer.pulse.acts_by).collect();
+    let lease = {
+        let mut lease = node.lease.lock();
+        let parts = lease.parts.values_mut();
+        parts.for_each(|tenure| tenure.look(acting.iter().copied(), rules, now));
+        lease.clone()
+    };
+    if node.wants_list_anew() {
+        node.list_wanted.notify_one();
+        node.list_wanted_anew.notify_one();
+    }
+    lease
+}
+
 fn plan(
     node: &Node,
     stewards: &Stewards,
     demand: &BTreeMap<ModelName, f64>,
     told: &Told,
 ) -> Vec<Command> {
-    let lease = node.lease.lock().clone();
+    let lease = settle(node);
     let mut stewards = stewards.lock();
     let Some(fence) = fence(node, &lease) else {
         stewards.clear();
@@ -162,6 +183,7 @@
     if list.next.is_none() {
         return Vec::new();
     }
+    let list_read_at = list.read_at;
     let peers = node.peers.lock().heard(now).count();
     let suspicions = node.suspicions.lock().clone();
     let look = Look {
@@ -177,6 +199,7 @@
         parts: node.settings().store.parts,
         issued: &node.epochs_issued,
         lease: &lease,
+        list_read_at,
         fence,
         now,
     };
@@ -211,6 +234,7 @@
     parts: u64,
     issued: &'a Arc<AtomicU64>,
     lease: &'a Lease,
+    list_read_at: Millis,
     fence: u64,
     now: Millis,
 }
@@ -234,8 +258,8 @@
         let mut commands = Vec::new();
         for domain in &domains {
             let part = part_of(domain, self.parts);
-            let Some(since) = self.lease.parts.get(&part) else { continue };
-            if self.now.since(*since) < SETTLE {
+            let tenure = self.lease.parts.get(&part);
+            if !tenure.is_some_and(|tenure| tenure.may_order(self.list_read_at)) {
                 continue;
             }
             let mut counts = standing.clone();
--- a/crates/workshold-gateway/tests/peers.rs
+++ b/crates/workshold-gateway/tests/peers.rs
@@ -20,6 +20,7 @@
         has_traffic: false,
         config: Some((7, 100)),
         list: Some((12, 100)),
+        acts_by: None,
         store_age_ms: 100,
         room_age_ms: 100,
         prepare_age_ms: 100,
--- a/crates/workshold-model/src/hosted.rs
+++ b/crates/workshold-model/src/hosted.rs
@@ -39,6 +39,10 @@
     SilentHeadsWait,
     /// A steward begins to count its epochs anew.
     EpochsOnce,
+    /// A new holder orders by the list as it has it.
+    ListReadAnew,
+    /// A new holder does not wait until the last one has noticed.
+    LastHolderNotices,
 }
 
 impl Broken {
@@ -48,6 +52,8 @@
         (Self::LeaveAwaited, Promise::OneGroupEach),
         (Self::SilentHeadsWait, Promise::OneGroupEach),
         (Self::EpochsOnce, Promise::WholeGroups),
+        (Self::ListReadAnew, Promise::OneGroupEach),
+        (Self::LastHolderNotices, Promise::OneGroupEach),
     ];
 }
 
@@ -65,6 +71,8 @@
 const TICK: Millis = Millis(25);
 /// The worlds begin here, so that spans before the start do not meet zero.
 const BEGIN: Millis = Millis(100_000);
+/// A lease's time: a holder that hears nothing stops by itself.
+pub const LEASE_TTL: Millis = Millis(1_500);
 /// Until a statement stands in the list.
 const LIST_LAG: Millis = Millis(60);
 /// Three silent check-ins.
@@ -142,7 +150,7 @@
             outcome: Outcome { breach: None, opened: 0 },
         };
         (0..INSTANCES).for_each(|i| world.add_instance(&format!("i-{i}")));
-        world.offices[0].take(1);
+        world.offices[0].take(1, BEGIN);
         world
     }
 
@@ -193,6 +201,11 @@
         } else if chance < 0.016 {
             let holder = self.holder;
             self.offices[holder].restart();
+        } else if chance < 0.022 {
+            // Of its list, a node hears nothing for a while.
+            let reader = self.rng.random_range(0..self.offices.len());
+            let until = now + Millis(self.rng.random_range(300..3_000));
+            self.offices[reader].reads_from(until);
         }
     }
 
@@ -214,8 +227,8 @@
         self.holder = 1 - self.holder;
         let holder = self.holder;
         let generation = self.generation;
-        self.offices[holder].take(generation);
-        let notices = self.now + Millis(self.rng.random_range(0..1_500));
+        self.offices[holder].take(generation, self.now);
+        let notices = self.now + Millis(self.rng.random_range(0..LEASE_TTL.0));
         self.offices[last].loses_at = Some(notices);
     }
 
@@ -326,7 +339,18 @@
         self.roster.forget(now);
     }
 
+    /// Each node hears by what number the others act.
+    fn gossip(&mut self) {
+        let acts_by: Vec<Option<u64>> = self.offices.iter().map(Office::acts_by).collect();
+        for (i, office) in self.offices.iter_mut().enumerate() {
+            let others = acts_by.iter().enumerate().filter(|(j, _)| *j != i);
+            let others: Vec<u64> = others.filter_map(|(_, acts_by)| *acts_by).collect();
+            office.hear_others(&others, self.now);
+        }
+    }
+
     fn steward(&mut self) {
+        self.gossip();
         let view = Arc::new(office::View {
             engine: &self.engine,
             roster: &self.roster,
--- a/crates/workshold-model/src/hosted/office.rs
+++ b/crates/workshold-model/src/hosted/office.rs
@@ -17,11 +17,14 @@
 use workshold_core::hosted::steward::Steward;
 use workshold_core::hosted::steward::StewardRules;
 use workshold_core::hosted::suspicion::Loss;
+use workshold_core::hosted::tenure::Tenure;
+use workshold_core::hosted::tenure::TenureRules;
 use workshold_protocol::Millis;
 use workshold_protocol::ids::FabricDomain;
 use workshold_protocol::ids::InstanceId;
 
 use super::Broken;
+use super::LEASE_TTL;
 use super::engine::Simulated;
 
 /// What nodes can see.
@@ -50,11 +53,16 @@
     pub frozen_until: Millis,
     /// When it notices that its lease has gone.
     pub loses_at: Option<Millis>,
+    tenure: Tenure,
+    /// The list as it has it, when that was read, and until when nothing new comes.
+    roster: Roster,
+    read_at: Millis,
+    silent_until: Millis,
     told_to_leave: BTreeMap<InstanceId, u64>,
 }
 
-/// A part that has just come is left alone for this long.
-const SETTLE: Millis = Millis(300);
+/// How tenures settle; the same times as in a node.
+const TENURES: TenureRules = TenureRules { orders_arrive: Millis(300), lease_ttl: LEASE_TTL };
 
 impl Office {
     /// One that holds nothing.
@@ -66,18 +74,51 @@
             issued: Arc::default(),
             frozen_until: Millis::ZERO,
             loses_at: None,
+            tenure: Tenure::new(0, Millis::ZERO),
+            roster: Roster::default(),
+            read_at: Millis::ZERO,
+            silent_until: Millis::ZERO,
             told_to_leave: BTreeMap::new(),
         }
     }
 
     /// The lease is this node's, under `fence`.
-    pub fn take(&mut self, fence: u64) {
+    pub fn take(&mut self, fence: u64, now: Millis) {
         self.fence = fence;
         self.loses_at = None;
-        self.frozen_until = self.frozen_until + SETTLE;
+        self.tenure = Tenure::new(fence, now);
         self.steward = Some(self.new_steward());
     }
 
+    /// Nothing of the list comes before `until`.
+    pub fn reads_from(&mut self, until: Millis) {
+        self.silent_until = until;
+    }
+
+    /// The number by which it gives orders.
+    pub fn acts_by(&self) -> Option<u64> {
+        self.steward.as_ref().map(|_| self.fence)
+    }
+
+    /// By what numbers the others act.
+    pub fn hear_others(&mut self, others: &[u64], now: Millis) {
+        let notices = self.broken == Some(Broken::LastHolderNotices);
+        let heard = if notices { &[] } else { others };
+        self.tenure.look(heard.iter().copied(), TENURES, now);
+    }
+
+    fn read(&mut self, view: &View<'_>) {
+        if view.now >= self.silent_until {
+            self.roster = view.roster.clone();
+            self.read_at = view.now;
+        }
+    }
+
+    fn may_order(&self, now: Millis) -> bool {
+        let is_blind = self.broken == Some(Broken::ListReadAnew);
+        self.tenure.may_order(if is_blind { now } else { self.read_at })
+    }
+
     /// It forgets what it was doing, and goes on under the same lease.
     pub fn restart(&mut self) {
         if self.steward.is_some() {
@@ -111,15 +152,20 @@
             self.steward = None;
             self.loses_at = None;
         }
+        self.read(view);
+        if !self.may_order(view.now) {
+            return Vec::new();
+        }
         let broken = self.broken;
         let told = self.told_to_leave.clone();
         let Some(steward) = self.steward.as_mut() else { return Vec::new() };
         let domain = FabricDomain::new("d").expect("a plain name");
-        let seen: Vec<Entry> = view.roster.iter().map(|entry| as_seen(entry, &told)).collect();
+        let roster = &self.roster;
+        let seen: Vec<Entry> = roster.iter().map(|entry| as_seen(entry, &told)).collect();
         let entries: Vec<&Entry> = seen.iter().collect();
         let loss = |id: &InstanceId| loss(view, id);
         let since = |id: &InstanceId| loss_since(view, id);
-        let head_of = |group: &Group| view.roster.head_of(group.epoch, &group.id).cloned();
+        let head_of = |group: &Group| roster.head_of(group.epoch, &group.id).cloned();
         let demand = BTreeMap::new();
         let groups = BTreeMap::new();
         let commands = steward.plan(&Situation {
--- a/crates/workshold-model/tests/hosted.rs
+++ b/crates/workshold-model/tests/hosted.rs
@@ -1,10 +1,11 @@
 //! Groups on the users' platform, over many drawn worlds.
 
-use workshold_model::Promise;
 use workshold_model::hosted::Broken;
 use workshold_model::hosted::HostedWorld;
 
-const SEEDS: u64 = 400;
+const SEEDS: u64 = 600;
+/// Some rules are needed in few worlds only.
+const SEEDS_OF_BROKEN: u64 = 800;
 
 #[test]
 fn groups_are_whole_and_nobody_is_in_two_of_them() {
@@ -20,10 +21,11 @@
 #[test]
 fn each_rule_that_is_broken_is_missed() {
     for (broken, promise) in Broken::ALL {
-        let breaches: Vec<Promise> = (0..SEEDS)
+        let breaches = (0..SEEDS_OF_BROKEN)
             .filter_map(|seed| HostedWorld::new(seed, Some(*broken)).run().breach)
-            .map(|(promise, _, _)| promise)
-            .collect();
-        assert!(breaches.contains(promise), "{broken:?}: {breaches:?}");
+            .map(|(promise, _, _)| promise);
+        let mut seen = Vec::new();
+        let is_missed = breaches.inspect(|breach| seen.push(*breach)).any(|b| b == *promise);
+        assert!(is_missed, "{broken:?}: {seen:?}");
     }
 }
