How long a reading of the configuration waits follows from how long keys are believed

Cause: a reading waits 1.5 s and what it brings counts as fresh from when it was sent, so a configuration is up to 3 s old just before the next answer. Where keys may be believed for 3 s, a node refused keyed requests now and then although its store was well. Ruled out: load. Now a wait is at most half of what is left of the bound after 0.7 s for the way; at the users' 5 s nothing changes (1.5 s). Test: two waits fit at bounds of 0.8 to 5 s.

--- a/crates/workshold-gateway/src/settings.rs
+++ b/crates/workshold-gateway/src/settings.rs
@@ -124,6 +124,13 @@
 /// Part of [`Bounds::keys_believed_ms`] that is used: the rest is for the time that
 /// a request takes to its upstream.
 const KEYS_BELIEVED_PART: f64 = 0.92;
+/// The longest that a reading of the configuration waits for a newer one: each has its
+/// price, and what is read counts as fresh from when it was asked for.
+const CONFIG_WAIT_MOST: Millis = Millis(1_500);
+/// The shortest, whatever the bound: the store has to serve other readers, too.
+const CONFIG_WAIT_LEAST: Millis = Millis(200);
+/// Time for answers and for the way of what other nodes have read.
+const CONFIG_ON_THE_WAY: Millis = Millis(700);
 /// Descriptors kept for the store, upstreams in doubt, peers and files.
 const DESCRIPTORS_KEPT: usize = 300;
 /// How long a lease is held; a node that dies holds its part up for this long.
@@ -145,6 +152,19 @@
         Millis((self.bounds.keys_believed_ms as f64 * KEYS_BELIEVED_PART) as u64)
     }
 
+    /// How long a reading of the configuration waits for a newer one. Just before the
+    /// next answer, what is held is as old as two waits: keys must still be believed then.
+    pub fn config_wait(&self) -> Millis {
+        let half = Millis(self.keys_believed().since(CONFIG_ON_THE_WAY).0 / 2);
+        half.clamp(CONFIG_WAIT_LEAST, CONFIG_WAIT_MOST)
+    }
+
+    /// What others have read of the configuration is current if it is not older: a wait
+    /// and the way.
+    pub fn config_current(&self) -> Millis {
+        self.config_wait() + CONFIG_ON_THE_WAY
+    }
+
     /// How long a lease is held.
     pub fn lease_ttl(&self) -> Millis {
         LEASE_TTL.max(Millis(self.store.least_ttl_ms))
--- a/crates/workshold-gateway/src/tasks/following.rs
+++ b/crates/workshold-gateway/src/tasks/following.rs
@@ -22,9 +22,7 @@
 use crate::node::Node;
 use crate::tasks::gossip;
 
-/// How long a read waits for a change. A configuration counts as fresh from when
-/// the read was sent, so this is also what its freshness lags behind.
-const CONFIG_WAIT: Millis = Millis(1_500);
+/// How long a read of the list waits for a change.
 const LIST_WAIT: Millis = Millis(2_500);
 /// Time for the answer itself, beyond the wait.
 const ANSWER_TIME: Millis = Millis(1_200);
@@ -37,7 +35,6 @@
 /// How often a node looks whether it has to read for itself.
 const READER_LOOK: Millis = Millis(100);
 /// What others have read is current if it is not older: their waits and a pulse's way.
-const CONFIG_CURRENT: Millis = Millis(2_300);
 const LIST_CURRENT: Millis = Millis(4_200);
 /// After a call that failed.
 const RETRY: Millis = Millis(150);
@@ -76,7 +73,8 @@
 
 /// A newer one is read from the store: it may be long, and a peer's link is small.
 fn is_config_current(node: &Node) -> bool {
-    let is_fresh = node.config_age().is_some_and(|(_, age)| age < CONFIG_CURRENT);
+    let current = node.settings().config_current();
+    let is_fresh = node.config_age().is_some_and(|(_, age)| age < current);
     is_fresh && gossip::peer_with_newer_config(node).is_none()
 }
 
@@ -90,7 +88,10 @@
 async fn read_config(node: &Node, next: Option<u64>, sent: Millis) -> Result<u64, StoreError> {
     let topic = names::OPERATOR_TOPIC;
     let records = match next {
-        Some(next) => node.store.read(topic, next, CONFIG_WAIT, ANSWER_TIME).await?,
+        Some(next) => {
+            let wait = node.settings().config_wait();
+            node.store.read(topic, next, wait, ANSWER_TIME).await?
+        }
         None => node.store.newest(topic, ANSWER_TIME).await?,
     };
     let last = records.records.iter().rfind(|record| record.key == names::CONFIG_KEY);
--- a/crates/workshold-gateway/tests/catalogues.rs
+++ b/crates/workshold-gateway/tests/catalogues.rs
@@ -69,6 +69,18 @@
     assert_eq!(settings.control().to_string(), "10.1.0.40:7340");
 }
 
+/// Just before the next answer a configuration is as old as two waits.
+#[test]
+fn keys_are_believed_between_two_readings_whatever_the_bound() {
+    for (bound, most) in [(800, 1_500), (2_000, 1_500), (3_000, 1_500), (5_000, 1_500)] {
+        let text = filled().replace("keys_believed_ms = 7", &format!("keys_believed_ms = {bound}"));
+        let settings = settings::parse(&text).unwrap();
+        let wait = settings.config_wait();
+        assert!(wait + wait < settings.keys_believed(), "{bound}: {wait}");
+        assert!(wait.0 <= most, "{bound}: {wait}");
+    }
+}
+
 #[test]
 fn bad_settings_are_named() {
     let good = filled();
