A fault soak: real nodes, faults from outside, promises judged while they run

workshold-soak starts nodes as processes on loopback before the stand-ins, draws faults from a seed (24 kinds: kills, pauses, planned stops, ways to the store cut, one-way, slow or reset, a store that is down, silent, slow, forgetful or deals the lease anew, engines that crash, go dark, leave or carry orders out late, bad answers, new configurations), and judges thirteen promises by what callers and upstreams saw; at the end each node is stopped with a plan under load.

--- /dev/null
+++ b/crates/workshold-soak/src/fleet.rs
@@ -0,0 +1,255 @@
+//! Store, instances and the ways to them, and what befalls these.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use parking_lot::Mutex;
+use workshold_platform_standin::deployment::config_with;
+use workshold_platform_standin::instance::Identity;
+use workshold_platform_standin::instance::Manner;
+use workshold_platform_standin::instance::StandInInstance;
+use workshold_platform_standin::proxy::Proxy;
+use workshold_platform_standin::proxy::Way;
+use workshold_platform_standin::store::StandInStore;
+
+/// An entry of the list disappears this long after its instance fell silent.
+const LAPSES_AFTER: Duration = Duration::from_secs(3);
+/// An instance that leaves serves on for this long.
+pub const DRAINS_FOR: Duration = Duration::from_secs(2);
+
+/// How large the deployment is.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    /// Nodes.
+    pub nodes: usize,
+    /// Fabric domains.
+    pub domains: usize,
+    /// Engines in each.
+    pub engines: usize,
+    /// Engines of a group.
+    pub group: usize,
+    /// Instances of the plain service.
+    pub gates: usize,
+}
+
+/// A key, and when configurations with and without it were acknowledged.
+#[derive(Debug, Clone)]
+pub struct Key {
+    /// Its text.
+    pub text: String,
+    /// The version that brought it.
+    pub since_version: u64,
+    /// The version that took it away, and when that was acknowledged.
+    pub taken: Option<(u64, Instant)>,
+}
+
+/// Where an instance listens, and where the list says it does.
+struct Seat {
+    instance: StandInInstance,
+    way: Proxy,
+    domain: Option<String>,
+    service: &'static str,
+}
+
+/// All that nodes talk to.
+pub struct Fleet {
+    /// The store.
+    pub store: Arc<StandInStore>,
+    seats: Mutex<Vec<Arc<tokio::sync::Mutex<Seat>>>>,
+    engines: usize,
+    size: Size,
+    keys: Mutex<Vec<Key>>,
+    lives: Mutex<u64>,
+    /// When instances stated that they will end.
+    leaving: Mutex<BTreeMap<String, Instant>>,
+}
+
+/// The first version, and what each new one adds.
+const FIRST_VERSION: u64 = 1;
+const VERSION_STEP: u64 = 3;
+/// Keys in force at once.
+const KEYS: usize = 2;
+
+impl Fleet {
+    /// Starts store and instances.
+    pub async fn start(size: Size) -> Arc<Self> {
+        let store = Arc::new(StandInStore::start().await);
+        let first = Key { text: "key-1".to_owned(), since_version: FIRST_VERSION, taken: None };
+        store.put("keyed.op", "config", &config_with(FIRST_VERSION, &["key-1"], size.group));
+        let fleet = Arc::new(Self {
+            store,
+            seats: Mutex::default(),
+            engines: size.domains * size.engines,
+            size,
+            keys: Mutex::new(vec![first]),
+            lives: Mutex::default(),
+            leaving: Mutex::default(),
+        });
+        for i in 0..fleet.engines {
+            let domain = format!("a-d{}", i / size.engines);
+            let seat = fleet.seat("llm", Some(domain)).await;
+            fleet.seats.lock().push(Arc::new(tokio::sync::Mutex::new(seat)));
+        }
+        for _ in 0..size.gates {
+            let seat = fleet.seat("gate", None).await;
+            fleet.seats.lock().push(Arc::new(tokio::sync::Mutex::new(seat)));
+        }
+        fleet
+    }
+
+    /// A new life at a new address.
+    async fn seat(&self, service: &'static str, domain: Option<String>) -> Seat {
+        let life = {
+            let mut lives = self.lives.lock();
+            *lives += 1;
+            *lives
+        };
+        let way = Proxy::start();
+        let identity = Identity {
+            domain: domain.clone(),
+            listed: Some(way.address),
+            staged: Vec::new(),
+            ..Identity::simple(&format!("i-{service}-{life}"), service)
+        };
+        let instance = StandInInstance::start(identity, &self.store).await;
+        way.lead_to(Some(instance.address()));
+        Seat { instance, way, domain, service }
+    }
+
+    fn pick(&self, from: usize, to: usize, whom: usize) -> Arc<tokio::sync::Mutex<Seat>> {
+        let seats = self.seats.lock();
+        Arc::clone(&seats[from + whom % (to - from)])
+    }
+
+    fn engine(&self, whom: usize) -> Arc<tokio::sync::Mutex<Seat>> {
+        self.pick(0, self.engines, whom)
+    }
+
+    fn anybody(&self, whom: usize) -> Arc<tokio::sync::Mutex<Seat>> {
+        self.pick(0, self.engines + self.size.gates, whom)
+    }
+
+    /// An engine crashes, and a new life of it comes.
+    pub async fn crash_engine(&self, whom: usize, lasts: Duration) {
+        self.crash(self.engine(whom), lasts).await;
+    }
+
+    /// A plain instance crashes, and a new life of it comes.
+    pub async fn crash_gate(&self, whom: usize, lasts: Duration) {
+        let gate = self.pick(self.engines, self.engines + self.size.gates, whom);
+        self.crash(gate, lasts).await;
+    }
+
+    /// All engines of a domain crash.
+    pub async fn crash_domain(self: &Arc<Self>, whom: usize, lasts: Duration) {
+        let first = whom % self.size.domains * self.size.engines;
+        let mut crashes = tokio::task::JoinSet::new();
+        for i in first..first + self.size.engines {
+            let fleet = Arc::clone(self);
+            crashes.spawn(async move { fleet.crash_engine(i, lasts).await });
+        }
+        crashes.join_all().await;
+    }
+
+    async fn crash(&self, seat: Arc<tokio::sync::Mutex<Seat>>, lasts: Duration) {
+        let mut seat = seat.lock().await;
+        seat.instance.crash();
+        // Nothing listens there any more; what takes its place listens elsewhere.
+        seat.way = Proxy::start();
+        tokio::time::sleep(lasts.min(LAPSES_AFTER)).await;
+        if lasts >= LAPSES_AFTER {
+            seat.instance.lapse();
+            tokio::time::sleep(lasts - LAPSES_AFTER).await;
+        }
+        let next = self.seat(seat.service, seat.domain.clone()).await;
+        // The old life's entry disappears by itself, if it has not yet.
+        let old = std::mem::replace(&mut *seat, next);
+        tokio::spawn(async move {
+            tokio::time::sleep(LAPSES_AFTER).await;
+            old.instance.lapse();
+        });
+    }
+
+    /// Nobody reaches an engine for a while.
+    pub async fn darken(&self, whom: usize, lasts: Duration) {
+        let seat = self.engine(whom);
+        let seat = seat.lock().await;
+        seat.instance.cut_off();
+        seat.way.set(Way::Silent).await;
+        tokio::time::sleep(lasts.min(LAPSES_AFTER)).await;
+        if lasts >= LAPSES_AFTER {
+            seat.instance.lapse();
+            tokio::time::sleep(lasts - LAPSES_AFTER).await;
+        }
+        seat.way.set(Way::Open).await;
+        seat.instance.reconnect();
+    }
+
+    /// An instance treats requests or orders like this for a while.
+    pub async fn behave(&self, whom: usize, manner: Manner, lasts: Duration) {
+        let is_for_engines = matches!(manner, Manner::Late(_) | Manner::CutsEvent);
+        let seat = if is_for_engines { self.engine(whom) } else { self.anybody(whom) };
+        let seat = seat.lock().await;
+        seat.instance.behave(manner);
+        tokio::time::sleep(lasts).await;
+        seat.instance.behave(Manner::Good);
+    }
+
+    /// Connections to an instance break.
+    pub async fn reset(&self, whom: usize) {
+        self.anybody(whom).lock().await.way.reset();
+    }
+
+    /// An instance leaves, and another life takes its place.
+    pub async fn drain(&self, whom: usize, lasts: Duration) {
+        let seat = self.anybody(whom);
+        let mut seat = seat.lock().await;
+        seat.instance.drain();
+        self.leaving.lock().insert(seat.instance.name().to_owned(), Instant::now());
+        tokio::time::sleep(DRAINS_FOR + lasts).await;
+        seat.instance.lapse();
+        // It finishes what it has before it ends.
+        while seat.instance.streams() > 0 {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        seat.instance.crash();
+        *seat = self.seat(seat.service, seat.domain.clone()).await;
+    }
+
+    /// A new configuration: one key more, the oldest taken away.
+    pub fn new_config(&self) {
+        let mut keys = self.keys.lock();
+        let version = keys.last().map_or(FIRST_VERSION, |key| key.since_version) + VERSION_STEP;
+        let text = format!("key-{version}");
+        keys.push(Key { text, since_version: version, taken: None });
+        let from = keys.len().saturating_sub(KEYS);
+        let in_force: Vec<&str> = keys[from..].iter().map(|key| key.text.as_str()).collect();
+        self.store.put("keyed.op", "config", &config_with(version, &in_force, self.size.group));
+        let acknowledged = Instant::now();
+        for key in keys[..from].iter_mut().filter(|key| key.taken.is_none()) {
+            key.taken = Some((version, acknowledged));
+        }
+    }
+
+    /// All keys that ever were.
+    pub fn keys(&self) -> Vec<Key> {
+        self.keys.lock().clone()
+    }
+
+    /// When instances stated that they will end.
+    pub fn leaving(&self) -> BTreeMap<String, Instant> {
+        self.leaving.lock().clone()
+    }
+
+    /// Streams that engines work on.
+    pub async fn streams(&self) -> usize {
+        let seats = self.seats.lock().clone();
+        let mut streams = 0;
+        for seat in seats {
+            streams += seat.lock().await.instance.streams();
+        }
+        streams
+    }
+}
--- /dev/null
+++ b/crates/workshold-soak/src/judge.rs
@@ -0,0 +1,248 @@
+//! Which promises were broken, by what callers and upstreams saw.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::fmt;
+use std::time::Duration;
+use std::time::Instant;
+
+use displaydoc::Display;
+use workshold_platform_standin::caller;
+use workshold_platform_standin::instance::EVENTS;
+use workshold_platform_standin::witness::Run;
+
+use crate::callers::Asked;
+use crate::callers::Outcome;
+use crate::callers::Seen;
+use crate::fleet::Key;
+use crate::nodes::KEYS_BELIEVED;
+
+/// A promise of the product.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Promise {
+    /// a caller receives the whole answer to its own request
+    OwnWholeAnswer,
+    /// what may run once runs at most once
+    AtMostOnce,
+    /// what was called not run has not run
+    NotRunMeansNotRun,
+    /// nothing runs that no caller sent, or for another team
+    OnlyWhatWasAsked,
+    /// a key that was taken away is refused in time
+    KeysInTime,
+    /// a configuration in force never reverts
+    OnlyForward,
+    /// who is leaving gets no new work
+    LeavingGetsNothing,
+    /// a planned stop cuts nothing
+    StopCutsNothing,
+    /// groups serve whole, and nobody is in two
+    WholeGroups,
+    /// a node runs until it is told to stop
+    KeepsRunning,
+    /// all is served again soon after the last fault
+    Recovers,
+    /// a node keeps within its memory
+    WithinMemory,
+    /// work whose caller is gone ends
+    EndsAbandoned,
+}
+
+/// A promise that was broken, and how.
+#[derive(Debug, Clone)]
+pub struct Breach {
+    /// Which.
+    pub promise: Promise,
+    /// What was seen.
+    pub what: String,
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}: {}", self.promise, self.what)
+    }
+}
+
+/// All that was seen of a seed.
+#[derive(Debug, Clone, Default)]
+pub struct Record {
+    /// What became of each request.
+    pub outcomes: Vec<Outcome>,
+    /// What upstreams ran.
+    pub runs: Vec<Run>,
+    /// All keys that ever were.
+    pub keys: Vec<Key>,
+    /// When instances stated that they will end.
+    pub leaving: BTreeMap<String, Instant>,
+    /// When faults began, and the last one was over: outside this, all is calm.
+    pub faults: Option<(Instant, Instant)>,
+    /// When faults began that may hide a leaving instance from nodes.
+    pub hidden: Vec<(Instant, Instant)>,
+}
+
+/// The team that all keys belong to.
+const TEAM: &str = "night-desk";
+/// Attempts that the configuration allows for a stream, and for what may repeat.
+const ATTEMPTS: usize = 2;
+/// Who is leaving gets nothing new after this: the bound and a second for the way of
+/// a request that was sent just before.
+const LEAVING_GETS_NOTHING_AFTER: Duration = Duration::from_millis(3_000);
+/// Statuses that say that a request has not run.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
+/// Judges a record.
+pub fn judge(record: &Record) -> Vec<Breach> {
+    let mut runs: HashMap<&str, Vec<&Run>> = HashMap::new();
+    for run in &record.runs {
+        runs.entry(&run.request).or_default().push(run);
+    }
+    let mut breaches = Vec::new();
+    for outcome in &record.outcomes {
+        let runs = runs.get(outcome.id.as_str()).map_or(&[][..], Vec::as_slice);
+        let own = [
+            whole(outcome, runs),
+            times(outcome, runs),
+            not_run(outcome, runs),
+            in_time(outcome, runs, &record.keys),
+            uncut(outcome, record),
+        ];
+        breaches.extend(own.into_iter().flatten());
+    }
+    breaches.extend(asked(record));
+    breaches.extend(forward(record));
+    breaches.extend(left_alone(record));
+    breaches
+}
+
+fn breach(promise: Promise, what: String) -> Option<Breach> {
+    Some(Breach { promise, what })
+}
+
+/// A success carries the proof of an instance that ran it, and its whole answer.
+fn whole(outcome: &Outcome, runs: &[&Run]) -> Option<Breach> {
+    let Seen::Answer { status, stamp, text, .. } = &outcome.seen else { return None };
+    let (id, wrong) = (&outcome.id, Promise::OwnWholeAnswer);
+    if (200..300).contains(status) && stamp.is_none() {
+        return breach(wrong, format!("{id}: a success without proof"));
+    }
+    let stamp = stamp.as_ref()?;
+    if !runs.iter().any(|run| &run.instance == stamp) {
+        return breach(wrong, format!("{id}: the proof of {stamp}, which did not run it"));
+    }
+    if *status != 200 {
+        // The instance's own failure is passed on.
+        return (*status != 500).then(|| Breach {
+            promise: wrong,
+            what: format!("{id}: proof of {stamp} with status {status}"),
+        });
+    }
+    let is_whole = match outcome.asked {
+        Asked::Chat => {
+            let ids: Vec<u64> = (1..=EVENTS).collect();
+            let own = text.matches(&format!("of {id}\n")).count() as u64;
+            caller::event_ids(text) == ids && own == EVENTS
+        }
+        Asked::Print | Asked::Plate => *text == format!("{stamp} {}", outcome.asked.path(id)),
+    };
+    let short: String = text.chars().take(80).collect();
+    (!is_whole).then(|| Breach { promise: wrong, what: format!("{id}: not its answer: {short}") })
+}
+
+fn times(outcome: &Outcome, runs: &[&Run]) -> Option<Breach> {
+    let most = if outcome.asked == Asked::Print { 1 } else { ATTEMPTS };
+    if runs.len() <= most {
+        return None;
+    }
+    let at: Vec<&str> = runs.iter().map(|run| run.instance.as_str()).collect();
+    breach(Promise::AtMostOnce, format!("{} ran at {}", outcome.id, at.join(", ")))
+}
+
+fn not_run(outcome: &Outcome, runs: &[&Run]) -> Option<Breach> {
+    let Seen::Answer { status, .. } = &outcome.seen else { return None };
+    let is_wrong = outcome.asked == Asked::Print && NOT_RUN.contains(status) && !runs.is_empty();
+    let what = || format!("{} got {status} but ran at {}", outcome.id, runs[0].instance);
+    is_wrong.then(|| Breach { promise: Promise::NotRunMeansNotRun, what: what() })
+}
+
+/// What was sent later than the bound after its key was taken away does not run.
+fn in_time(outcome: &Outcome, runs: &[&Run], keys: &[Key]) -> Option<Breach> {
+    let key = keys.iter().find(|key| key.text == outcome.key)?;
+    let (_, taken) = key.taken?;
+    let late = outcome.sent.saturating_duration_since(taken);
+    let is_wrong = late > KEYS_BELIEVED && !runs.is_empty();
+    let what = || format!("{} ran, sent {late:?} after {} was taken away", outcome.id, key.text);
+    is_wrong.then(|| Breach { promise: Promise::KeysInTime, what: what() })
+}
+
+/// Outside faults no request that was read is cut.
+fn uncut(outcome: &Outcome, record: &Record) -> Option<Breach> {
+    let (began, over) = record.faults?;
+    let is_calm = outcome.ended < began || outcome.sent > over;
+    let Seen::Cut(why) = &outcome.seen else { return None };
+    let what = || format!("{} at node {}: {why}", outcome.id, outcome.node.0);
+    is_calm.then(|| Breach { promise: Promise::StopCutsNothing, what: what() })
+}
+
+fn asked(record: &Record) -> Vec<Breach> {
+    let sent: HashMap<&str, ()> = record.outcomes.iter().map(|o| (o.id.as_str(), ())).collect();
+    let wrong = record.runs.iter().filter(|run| {
+        !sent.contains_key(run.request.as_str()) || run.team.as_deref() != Some(TEAM)
+    });
+    let tell = |run: &Run| format!("{} for {:?} at {}", run.request, run.team, run.instance);
+    wrong.map(|run| Breach { promise: Promise::OnlyWhatWasAsked, what: tell(run) }).collect()
+}
+
+/// Within a node's life, what was served by a version shows that it is in force there:
+/// nothing sent later is treated as an older one would.
+fn forward(record: &Record) -> Vec<Breach> {
+    let key_of = |outcome: &Outcome| record.keys.iter().find(|key| key.text == outcome.key);
+    let mut in_force: HashMap<(usize, u32), Vec<(Instant, u64)>> = HashMap::new();
+    for outcome in &record.outcomes {
+        let is_served = matches!(&outcome.seen, Seen::Answer { stamp: Some(_), .. });
+        if let Some(key) = key_of(outcome).filter(|_| is_served) {
+            let seen = in_force.entry(outcome.node).or_default();
+            seen.push((outcome.ended, key.since_version));
+        }
+    }
+    let mut breaches = Vec::new();
+    for outcome in &record.outcomes {
+        let Seen::Answer { status, stamp, .. } = &outcome.seen else { continue };
+        let Some(key) = key_of(outcome) else { continue };
+        let seen = in_force.get(&outcome.node).into_iter().flatten();
+        let before = seen.filter(|(ended, _)| *ended < outcome.sent);
+        let version = before.map(|(_, version)| *version).max().unwrap_or_default();
+        let was_taken_by = |v: u64| key.taken.is_some_and(|(taken, _)| taken <= v);
+        let is_valid_at_the_end = key.taken.is_none_or(|(_, at)| at > outcome.ended);
+        let is_denied = *status == 401 && key.since_version <= version && is_valid_at_the_end;
+        let is_old = stamp.is_some() && was_taken_by(version);
+        if is_denied || is_old {
+            let (id, node) = (&outcome.id, outcome.node);
+            let what = format!(
+                "{id} with {} got {status} at node {node:?}, where version {version} was in force",
+                key.text
+            );
+            breaches.push(Breach { promise: Promise::OnlyForward, what });
+        }
+    }
+    breaches
+}
+
+/// Who is leaving gets no new work, unless faults hid its word from nodes.
+fn left_alone(record: &Record) -> Vec<Breach> {
+    let sent: HashMap<&str, Instant> =
+        record.outcomes.iter().map(|outcome| (outcome.id.as_str(), outcome.sent)).collect();
+    let mut breaches = Vec::new();
+    for run in &record.runs {
+        let Some(stated) = record.leaving.get(&run.instance) else { continue };
+        let Some(sent) = sent.get(run.request.as_str()) else { continue };
+        let is_late = run.at.saturating_duration_since(*stated) > LEAVING_GETS_NOTHING_AFTER
+            && sent.saturating_duration_since(*stated) > LEAVING_GETS_NOTHING_AFTER;
+        let overlaps = |(from, to): &(Instant, Instant)| *from <= run.at && *to >= *stated;
+        if is_late && !record.hidden.iter().any(overlaps) {
+            let late = run.at - *stated;
+            let what = format!("{} at {}, {late:?} after its word", run.request, run.instance);
+            breaches.push(Breach { promise: Promise::LeavingGetsNothing, what });
+        }
+    }
+    breaches
+}
--- /dev/null
+++ b/crates/workshold-soak/src/main.rs
@@ -0,0 +1,114 @@
+//! `workshold-soak`: plays seeds of the fault soak and says which promises broke.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Parser;
+use workshold_soak::fleet::Size;
+use workshold_soak::run;
+use workshold_soak::run::Options;
+use workshold_soak::run::Verdict;
+
+#[derive(Debug, Clone)]
+struct Args {
+    options: Options,
+    first: u64,
+    seeds: u64,
+    jobs: usize,
+}
+
+const EXIT_BROKEN: u8 = 1;
+
+fn number(name: &'static str, help: &'static str, usual: u64) -> impl Parser<u64> {
+    bpaf::long(name).help(help).argument::<u64>("N").fallback(usual).display_fallback()
+}
+
+fn size() -> impl Parser<Size> {
+    let nodes = number("nodes", "Nodes", 3).map(|n| n as usize);
+    let domains = number("domains", "Fabric domains", 3).map(|n| n as usize);
+    let engines = number("engines", "Engines in each domain", 6).map(|n| n as usize);
+    let group = number("group", "Engines of a group", 2).map(|n| n as usize);
+    let gates = number("gates", "Instances of the plain service", 3).map(|n| n as usize);
+    bpaf::construct!(Size { nodes, domains, engines, group, gates })
+}
+
+fn args() -> bpaf::OptionParser<Args> {
+    let binary = bpaf::long("gateway")
+        .help("The nodes' program")
+        .argument::<PathBuf>("FILE")
+        .fallback(PathBuf::from("target/release/workshold-gateway"));
+    let folder = bpaf::long("folder")
+        .help("Where settings and logs go; those of seeds that broke nothing are removed")
+        .argument::<PathBuf>("FOLDER")
+        .fallback(std::env::temp_dir().join(format!("workshold-soak-{}", std::process::id())));
+    let size = size();
+    let callers = number("callers", "Callers at once", 12);
+    let secs = |n: u64| Duration::from_secs(n);
+    let length = number("secs", "Seconds in which faults come", 12).map(secs);
+    let recovers_within =
+        number("recovers-within", "Seconds until all is served again", 12).map(secs);
+    let options =
+        bpaf::construct!(Options { binary, folder, size, callers, length, recovers_within });
+    let first = number("first", "The first seed", 1);
+    let seeds = number("seeds", "How many seeds", 50);
+    let jobs = number("jobs", "Seeds at once", 3).map(|n| n as usize);
+    bpaf::construct!(Args { options, first, seeds, jobs })
+        .to_options()
+        .descr("Plays seeds of the fault soak; ends with 1 if a promise broke.")
+        .footer("Example: workshold-soak --first 1 --seeds 50")
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args = args().run();
+    let mut left: Vec<u64> = (args.first..args.first + args.seeds).rev().collect();
+    let mut playing = tokio::task::JoinSet::new();
+    let mut is_good = true;
+    loop {
+        while playing.len() < args.jobs.max(1) {
+            let Some(seed) = left.pop() else { break };
+            let options = args.options.clone();
+            playing.spawn(async move { (seed, run::play(&options, seed).await) });
+        }
+        match playing.join_next().await {
+            None => break,
+            Some(Ok((seed, Ok(verdict)))) => {
+                is_good &= verdict.breaches.is_empty();
+                tell(&verdict);
+                if verdict.breaches.is_empty() {
+                    // What stays behind is only in the way.
+                    let _ =
+                        std::fs::remove_dir_all(args.options.folder.join(format!("seed-{seed}")));
+                }
+            }
+            Some(Ok((seed, Err(err)))) => {
+                is_good = false;
+                say(&format!("seed {seed} was not played: {err}"));
+            }
+            Some(Err(err)) => {
+                is_good = false;
+                say(&format!("a seed ended in a panic: {err}"));
+            }
+        }
+    }
+    if is_good { ExitCode::SUCCESS } else { ExitCode::from(EXIT_BROKEN) }
+}
+
+fn tell(verdict: &Verdict) {
+    let after = verdict.recovered_after.map_or_else(|| "never".to_owned(), |d| format!("{d:.1?}"));
+    say(&format!(
+        "seed {}: {} broken; {} requests, {} served; recovered after {after}; largest node {} kB",
+        verdict.seed,
+        verdict.breaches.len(),
+        verdict.requests,
+        verdict.served,
+        verdict.memory_kb,
+    ));
+    verdict.breaches.iter().for_each(|breach| say(&format!("  {breach}")));
+}
+
+#[expect(clippy::print_stdout, reason = "this is what it is run for")]
+fn say(text: &str) {
+    println!("{text}");
+}
--- /dev/null
+++ b/crates/workshold-soak/src/plan.rs
@@ -0,0 +1,134 @@
+//! The faults of a seed: what, whom, when and for how long.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+
+/// What befalls some part of the deployment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// A node is killed, and started again at the end.
+    KillNode,
+    /// All nodes are killed, and started again at the end.
+    KillAllNodes,
+    /// A node stands still until the end.
+    FreezeNode,
+    /// A node is stopped with a plan, and started again once it has ended.
+    StopNode,
+    /// A node is told to read its settings.
+    HangUpNode,
+    /// A node and the store do not hear each other.
+    CutNode,
+    /// The store hears a node, but not the other way round.
+    CutNodeOneWay,
+    /// The way between a node and the store is slow.
+    SlowNode,
+    /// Connections between a node and the store break.
+    ResetNode,
+    /// The store refuses all calls.
+    StoreDown,
+    /// The store says nothing.
+    StoreSilent,
+    /// The store does what it is asked, and its answers are lost.
+    StoreLosesAnswers,
+    /// The store is slow.
+    StoreSlow,
+    /// The store forgets all but the newest records.
+    StoreForgets,
+    /// The store deals the lease anew.
+    DealAnew,
+    /// An engine crashes; a new life of it comes at the end.
+    CrashEngine,
+    /// All engines of a domain crash.
+    CrashDomain,
+    /// Nobody reaches an engine until the end; it lives.
+    DarkEngine,
+    /// An engine leaves orders unanswered and carries them out late.
+    LateOrders,
+    /// An instance states that it will end, and does so; a new life comes at the end.
+    DrainInstance,
+    /// A plain instance crashes; a new life comes at the end.
+    CrashGate,
+    /// Connections to an instance break.
+    ResetInstance,
+    /// An instance answers wrongly, or breaks what it has begun.
+    BadAnswers,
+    /// A new configuration with a new key, the last but one taken away.
+    NewConfig,
+}
+
+/// All kinds, the likelier ones more than once.
+const KINDS: &[Kind] = &[
+    Kind::KillNode,
+    Kind::KillNode,
+    Kind::KillAllNodes,
+    Kind::FreezeNode,
+    Kind::FreezeNode,
+    Kind::StopNode,
+    Kind::HangUpNode,
+    Kind::CutNode,
+    Kind::CutNodeOneWay,
+    Kind::SlowNode,
+    Kind::ResetNode,
+    Kind::StoreDown,
+    Kind::StoreSilent,
+    Kind::StoreLosesAnswers,
+    Kind::StoreSlow,
+    Kind::StoreForgets,
+    Kind::DealAnew,
+    Kind::CrashEngine,
+    Kind::CrashEngine,
+    Kind::CrashEngine,
+    Kind::CrashDomain,
+    Kind::DarkEngine,
+    Kind::DarkEngine,
+    Kind::LateOrders,
+    Kind::LateOrders,
+    Kind::DrainInstance,
+    Kind::CrashGate,
+    Kind::ResetInstance,
+    Kind::BadAnswers,
+    Kind::NewConfig,
+    Kind::NewConfig,
+];
+
+/// One fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Fault {
+    /// When it begins, from the start of the load.
+    pub at: Duration,
+    /// How long it lasts.
+    pub lasts: Duration,
+    /// What it is.
+    pub kind: Kind,
+    /// Whom it befalls: taken modulo those that there are.
+    pub whom: usize,
+}
+
+/// Time between two faults, and how long one lasts, in milliseconds: so that several
+/// overlap, and that lists lapse and leases pass on under some.
+const GAP_MS: (u64, u64) = (150, 1_400);
+const LASTS_MS: (u64, u64) = (400, 5_000);
+/// One fault in so many comes at once with the next one.
+const TOGETHER: u64 = 5;
+
+/// The faults of `seed` over `length`.
+pub fn draw(seed: u64, length: Duration) -> Vec<Fault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut faults = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        if rng.random_range(0..TOGETHER) > 0 {
+            at += Duration::from_millis(rng.random_range(GAP_MS.0..GAP_MS.1));
+        }
+        if at >= length {
+            return faults;
+        }
+        let kind = *KINDS.choose(&mut rng).expect("there are kinds");
+        let lasts = Duration::from_millis(rng.random_range(LASTS_MS.0..LASTS_MS.1));
+        faults.push(Fault { at, lasts, kind, whom: rng.random_range(0..1_000) });
+    }
+}
