A model that is used far more than another is given groups before it is full

Cause: a domain gave groups up only for a model whose groups were used above 0.8, and one domain of all at a time, every 2.5 s. Now a model is short, too, if its groups are used above one half and 1.5 times as far as those of another model with one less; and domains take turns at 2.5 s divided by the groups that are lacking. Tests: the uneven case and the pace.

--- a/crates/workshold-core/src/hosted/steward/choosing.rs
+++ b/crates/workshold-core/src/hosted/steward/choosing.rs
@@ -133,7 +133,7 @@
         pool: &[Free],
     ) -> Vec<InstanceId> {
         let models = by_need(s, s.groups);
-        let is_short = |model: &&&ModelShape| s.use_of(model, 0.0) > self.rules.short_above;
+        let is_short = |model: &&&ModelShape| s.is_short(model, &self.rules);
         let Some(short) = models.first().filter(is_short).filter(|_| !s.before_traffic) else {
             return Vec::new();
         };
--- a/crates/workshold-core/src/hosted/steward/room.rs
+++ b/crates/workshold-core/src/hosted/steward/room.rs
@@ -33,7 +33,7 @@
         commands: &mut Vec<Command>,
     ) {
         let models = by_need(s, s.groups);
-        let is_short = |model: &&&ModelShape| s.use_of(model, 0.0) > self.rules.short_above;
+        let is_short = |model: &&&ModelShape| s.is_short(model, &self.rules);
         let short = models.first().filter(is_short).filter(|_| !s.before_traffic);
         let rules = self.rules;
         let room = self.rooms.entry(s.domain.clone()).or_default();
@@ -53,7 +53,8 @@
             self.prepare(s, short, groups, pool, commands);
             return;
         };
-        if !s.may_make_room {
+        let lacking = s.lacking(short, &rules);
+        if s.since_room < Millis((rules.room_every.0 as f64 / lacking) as u64) {
             return;
         }
         let quick = |instance: &Instance| warmth(instance, &short.name) < Warmth::Cold;
--- a/crates/workshold-core/src/hosted/steward/situation.rs
+++ b/crates/workshold-core/src/hosted/steward/situation.rs
@@ -34,6 +34,14 @@
     pub short_for: Millis,
     /// A model whose groups are used above this share is short of groups.
     pub short_above: f64,
+    /// So is one whose groups are used above this share, if those of the model that
+    /// would give some up are used far less.
+    pub uneven_above: f64,
+    /// How many times less.
+    pub uneven_factor: f64,
+    /// One domain of all gives groups up in this time for each group that is wanted: as
+    /// long as it takes to form one and to see what it brings.
+    pub room_every: Millis,
     /// A model whose groups would still be used below this share can spare one.
     pub spare_below: f64,
 }
@@ -49,7 +57,10 @@
             make_room_every: Millis(4_000),
             short_for: Millis(500),
             short_above: 0.8,
-            spare_below: 0.6,
+            uneven_above: 0.5,
+            uneven_factor: 1.5,
+            room_every: Millis(2_500),
+            spare_below: 0.55,
         }
     }
 }
@@ -77,9 +88,9 @@
     pub groups: &'a BTreeMap<ModelName, f64>,
     /// Whether no request has come yet: loads are quick and free.
     pub before_traffic: bool,
-    /// Whether no domain has given groups up just now: what that brings is not seen
-    /// at once, and all domains see the same want.
-    pub may_make_room: bool,
+    /// How long ago any domain gave groups up: what that brings is not seen at once, and
+    /// all domains see the same want.
+    pub since_room: Millis,
     /// Whether no other domain fetches weights so that groups can be given up.
     pub may_prepare: bool,
     /// This steward's part of all loads, 0 to 1.
@@ -105,6 +116,23 @@
         if count > 0.0 { demand / count } else { f64::INFINITY }
     }
 
+    /// Whether a model is short of groups: hardly any is left over, or other models have
+    /// far more left over.
+    pub(super) fn is_short(&self, model: &ModelShape, rules: &StewardRules) -> bool {
+        let own = self.use_of(model, 0.0);
+        let others = self.engine.models.iter().filter(|other| other.name != model.name);
+        let least = others.map(|other| self.use_of(other, 1.0)).fold(f64::INFINITY, f64::min);
+        let is_uneven = own > rules.uneven_above && own > least * rules.uneven_factor;
+        own > rules.short_above || is_uneven
+    }
+
+    /// Groups that a model lacks to be no longer short.
+    pub(super) fn lacking(&self, model: &ModelShape, rules: &StewardRules) -> f64 {
+        let demand = self.demand.get(&model.name).copied().unwrap_or_default();
+        let groups = self.groups.get(&model.name).copied().unwrap_or_default();
+        (demand / rules.short_above - groups).ceil().max(1.0)
+    }
+
     pub(super) fn entry(&self, id: &InstanceId) -> Option<&'a Entry> {
         self.entries.iter().copied().find(|entry| &entry.instance.id == id)
     }
--- a/crates/workshold-core/tests/hosted/stewards.rs
+++ b/crates/workshold-core/tests/hosted/stewards.rs
@@ -1,6 +1,7 @@
 //! The steward: one test for each way in which groups were broken, or left broken.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use smol_str::SmolStr;
@@ -47,7 +48,7 @@
     groups: BTreeMap<ModelName, f64>,
     heads: BTreeMap<u64, InstanceId>,
     before_traffic: bool,
-    may_make_room: bool,
+    since_room: Millis,
     now: Millis,
 }
 
@@ -76,7 +77,7 @@
             groups: BTreeMap::new(),
             heads: BTreeMap::new(),
             before_traffic: false,
-            may_make_room: true,
+            since_room: Millis::from_secs(60),
             now: Millis(100_000),
         }
     }
@@ -162,8 +163,8 @@
             demand: &self.demand,
             groups: &self.groups,
             before_traffic: self.before_traffic,
-            may_make_room: self.may_make_room,
-            may_prepare: self.may_make_room,
+            since_room: self.since_room,
+            may_prepare: self.since_room > Millis::from_secs(2),
             load_part: 1.0,
             last_new: Millis::ZERO,
             now: self.now,
@@ -350,21 +351,27 @@
     assert!((1..=25).contains(&loads), "{loads} loads in 4 s at 5 a second");
 }
 
-#[test]
-fn a_group_is_given_up_for_a_model_that_is_short_and_for_nothing_else() {
+/// Two groups of `small` whose hosts have `big`.
+fn full_of_small() -> Domain {
     let mut domain = Domain::new();
     for name in ["i-1", "i-2", "i-3", "i-4"] {
         domain.add(name, &["small"], &["big"]);
     }
     domain.join("small", 5, &["i-1", "i-2"], MemberState::Open);
     domain.join("small", 6, &["i-3", "i-4"], MemberState::Open);
+    domain
+}
+
+#[test]
+fn a_group_is_given_up_for_a_model_that_is_short_and_for_nothing_else() {
+    let mut domain = full_of_small();
     domain.demand = BTreeMap::from([(model("big"), 3.0), (model("small"), 2.0)]);
     domain.groups = BTreeMap::from([(model("big"), 2.0), (model("small"), 12.0)]);
     let mut steward = steward(1);
-    domain.may_make_room = false;
+    domain.since_room = Millis(1_200);
     let waits: Vec<Command> = (0..10).flat_map(|_| domain.plan(&mut steward)).collect();
     assert_eq!(kinds(&waits), [""; 0], "another domain has just given groups up");
-    domain.may_make_room = true;
+    domain.since_room = Millis(1_260);
     let closes = domain.plan(&mut steward);
     assert_eq!(kinds(&closes), ["i-1 close cut=false", "i-3 close cut=false"]);
     // Until all are free nobody forms what was there before.
@@ -374,14 +381,26 @@
     assert_eq!(kinds(&domain.plan(&mut steward)), ["i-1 leave", "i-3 leave"]);
 }
 
+/// `big` has nothing left over but half, `small` four fifths: the next loss of `big`
+/// could not be made good soon.
+#[test]
+fn a_model_that_is_used_far_more_than_another_is_given_groups_before_it_is_full() {
+    let mut domain = full_of_small();
+    domain.demand = BTreeMap::from([(model("big"), 3.0), (model("small"), 2.0)]);
+    let closed = |domain: &mut Domain, big: f64| {
+        domain.groups = BTreeMap::from([(model("big"), big), (model("small"), 12.0)]);
+        let mut steward = steward(1);
+        let commands: Vec<Command> = (0..10).flat_map(|_| domain.plan(&mut steward)).collect();
+        let closed: BTreeSet<InstanceId> = commands.into_iter().map(|c| c.to).collect();
+        closed.len()
+    };
+    assert_eq!(closed(&mut domain, 6.0), 0, "half of its groups are free");
+    assert_eq!(closed(&mut domain, 5.0), 2);
+}
+
 #[test]
 fn no_group_is_given_up_by_a_model_that_needs_it() {
-    let mut domain = Domain::new();
-    for name in ["i-1", "i-2", "i-3", "i-4"] {
-        domain.add(name, &["small"], &["big"]);
-    }
-    domain.join("small", 5, &["i-1", "i-2"], MemberState::Open);
-    domain.join("small", 6, &["i-3", "i-4"], MemberState::Open);
+    let mut domain = full_of_small();
     domain.demand = BTreeMap::from([(model("big"), 3.0), (model("small"), 9.0)]);
     domain.groups = BTreeMap::from([(model("big"), 2.0), (model("small"), 12.0)]);
     let mut steward = steward(1);
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -49,10 +49,6 @@
 /// Weight of the newest look at the demand.
 const DEMAND_SMOOTHING: f64 = 0.08;
 
-/// One domain of all gives groups up in this time: as long as it takes to form new
-/// ones and to see what they bring.
-const ROOM_EVERY: Millis = Millis(2_500);
-
 /// A domain that fetches weights for a model that is short holds the turn for this
 /// long after it last said so.
 const PREPARE_HELD: Millis = Millis(1_500);
@@ -285,7 +281,7 @@
                 demand: &demand,
                 groups: &counts,
                 before_traffic: self.before_traffic,
-                may_make_room: self.now.since(*self.rooms.lock()) >= ROOM_EVERY,
+                since_room: self.now.since(*self.rooms.lock()),
                 may_prepare: self.now.since(*self.preparing.lock()) >= PREPARE_HELD,
                 load_part: 1.0 / domains.len().max(1) as f64,
                 last_new: self.roster.last_new(),
--- a/crates/workshold-model/src/hosted/office.rs
+++ b/crates/workshold-model/src/hosted/office.rs
@@ -179,7 +179,7 @@
             demand: &demand,
             groups: &groups,
             before_traffic: true,
-            may_make_room: false,
+            since_room: Millis::ZERO,
             may_prepare: false,
             load_part: 1.0,
             last_new: Millis::ZERO,
