Nodes tell each other whom they hear, so that all come to know of all

Cause: a node asked the store who holds the lease until it heard anybody, then every 8 s. At a start that named whoever came first, and nodes without a part never stood there: in a large deployment most nodes knew few others for many seconds, took themselves for few, and each read configuration and list for itself. Ruled out: ages told in pulses (2 to 2.7 s, but bounds of 2.2 s did add readings: now twice the wait and the way). Test: 90 nodes of which the store names one hear of each other within six seconds.

--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -123,6 +123,9 @@
     pub room_age_ms: u64,
     /// How long ago it fetched weights for that, in ms.
     pub prepare_age_ms: u64,
+    /// Some of those that it hears, drawn anew each time: so all come to know of each
+    /// other, whoever the store names.
+    pub hears: Vec<SocketAddr>,
     /// Requests' worth of work that it refused of late, by model.
     pub unserved: Vec<(SmolStr, f32)>,
     /// Requests at instances, by short id, and their usual gap in units of 4 ms.
@@ -140,6 +143,9 @@
     pub heard: Millis,
 }
 
+/// Others that a pulse names.
+const SAMPLE: usize = 6;
+
 impl Peer {
     /// Silence after which it is not counted on.
     fn silent_after(&self) -> Millis {
@@ -167,8 +173,26 @@
         self.addresses.entry(address).or_insert(now);
     }
 
-    /// A pulse came.
-    pub fn on_pulse(&mut self, from: SocketAddr, name: SmolStr, pulse: Pulse, now: Millis) {
+    /// Some of those that are heard: `draw` is any number.
+    pub fn sample(&self, draw: u64, now: Millis) -> Vec<SocketAddr> {
+        let heard: Vec<SocketAddr> = self.heard(now).map(|(address, _)| *address).collect();
+        let start = draw as usize % heard.len().max(1);
+        let turned = heard.iter().cycle().skip(start);
+        turned.take(heard.len().min(SAMPLE)).copied().collect()
+    }
+
+    /// A pulse came, at `own`.
+    pub fn on_pulse(
+        &mut self,
+        own: SocketAddr,
+        from: SocketAddr,
+        name: SmolStr,
+        pulse: Pulse,
+        now: Millis,
+    ) {
+        pulse.hears.iter().filter(|address| **address != own).for_each(|address| {
+            self.add(*address, now);
+        });
         self.addresses.insert(from, now);
         self.by_address.insert(from, Peer { name, pulse, heard: now });
     }
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -10,6 +10,7 @@
 use hyper::Method;
 use hyper::StatusCode;
 use parking_lot::Mutex;
+use rand::Rng;
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
 use workshold_core::hosted::suspicion::Reach;
@@ -144,6 +145,7 @@
         has_traffic: node.has_own_traffic(),
         config,
         list: list_end(node),
+        hears: node.peers.lock().sample(rand::rng().random(), node.now()),
         acts_by: node.lease.lock().acts_by(),
         store_age_ms: node.store_age().0,
         room_age_ms: node.now().since(*node.room_made.lock()).0,
@@ -189,8 +191,9 @@
             note_later(&node.room_made, now - Millis(pulse.room_age_ms));
             note_later(&node.room_prepared, now - Millis(pulse.prepare_age_ms));
             take_gaps(node, &pulse);
+            let own = node.settings().control();
             let mut peers = node.peers.lock();
-            peers.on_pulse(from, datagram.from, pulse, now);
+            peers.on_pulse(own, from, datagram.from, pulse, now);
             if node.loads.are_old(now, LOADS_EVERY) {
                 let others = peers.loads(now);
                 drop(peers);
--- a/crates/workshold-gateway/tests/peers.rs
+++ b/crates/workshold-gateway/tests/peers.rs
@@ -1,5 +1,7 @@
 //! Who is heard, what they say together, and who reads the store for all.
 
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
 use rstest::rstest;
@@ -17,6 +19,7 @@
         callers: address(0),
         data_centre: SmolStr::new("a"),
         next_ms: 300,
+        hears: Vec::new(),
         is_ready: true,
         has_traffic: false,
         config: Some((7, 100)),
@@ -30,6 +33,7 @@
     }
 }
 
+const OWN: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 6_999);
 const NOW: Millis = Millis(100_000);
 
 fn name(i: usize) -> SmolStr {
@@ -39,8 +43,8 @@
 #[test]
 fn loads_and_refusals_of_all_who_are_heard_are_summed() {
     let mut peers = Peers::default();
-    peers.on_pulse(address(1), name(1), pulse(vec![(5, 3, 0), (6, 1, 0)]), NOW);
-    peers.on_pulse(address(2), name(2), pulse(vec![(5, 4, 0)]), NOW);
+    peers.on_pulse(OWN, address(1), name(1), pulse(vec![(5, 3, 0), (6, 1, 0)]), NOW);
+    peers.on_pulse(OWN, address(2), name(2), pulse(vec![(5, 4, 0)]), NOW);
     assert_eq!(peers.loads(NOW)[&5], 7);
     assert_eq!(peers.unserved(NOW)["m0"], 4.0);
     let later = NOW + Millis(1_100);
@@ -55,7 +59,7 @@
     let mut peers = Peers::default();
     for i in (0..nodes).filter(|i| *i != own) {
         let said = Pulse { data_centre: place(i, data_centres), ..pulse(Vec::new()) };
-        peers.on_pulse(address(i), name(i), said, NOW);
+        peers.on_pulse(OWN, address(i), name(i), said, NOW);
     }
     peers
 }
@@ -92,9 +96,9 @@
 #[test]
 fn who_is_told_less_often_is_believed_for_longer() {
     let mut peers = Peers::default();
-    peers.on_pulse(address(1), name(1), pulse(Vec::new()), NOW);
+    peers.on_pulse(OWN, address(1), name(1), pulse(Vec::new()), NOW);
     let rare = Pulse { next_ms: 900, ..pulse(Vec::new()) };
-    peers.on_pulse(address(2), name(2), rare, NOW);
+    peers.on_pulse(OWN, address(2), name(2), rare, NOW);
     let heard = |after: u64| peers.heard(NOW + Millis(after)).count();
     assert_eq!((heard(1_099), heard(1_100), heard(2_899), heard(2_900)), (2, 1, 1, 0));
 }
@@ -106,3 +110,25 @@
     let near = peers.near_addresses("dc-0");
     assert_eq!(near, [address(3), address(6), address(99)]);
 }
+
+/// At a start the store names whoever was first; it names no node without a part at all.
+#[test]
+fn all_come_to_hear_of_each_other_although_the_store_names_one_only() {
+    const NODES: usize = 90;
+    let mut all: Vec<Peers> = (0..NODES).map(|_| Peers::default()).collect();
+    all[1..].iter_mut().for_each(|peers| peers.add(address(0), NOW));
+    let mut now = NOW;
+    for round in 0..20_u64 {
+        now = now + Millis(300);
+        for i in 0..NODES {
+            let hears = all[i].sample(round * 31 + i as u64 * 7, now);
+            for to in all[i].addresses() {
+                let to = usize::from(to.port() - 7_000);
+                let said = Pulse { hears: hears.clone(), ..pulse(Vec::new()) };
+                all[to].on_pulse(address(to), address(i), name(i), said, now);
+            }
+        }
+    }
+    let fewest = all.iter().map(|peers| peers.heard(now).count()).min();
+    assert_eq!(fewest, Some(NODES - 1), "six seconds after the start");
+}
