The mix of groups before traffic follows what the operator expects, whoever forms last

Cause: before any request, demand was told as a share of one instance (0.06 and 0.25 groups), beside which the least demand of 0.05 is large: domains that formed after others aimed at 2.7 small groups for a large one where four are expected. Ruled out: the taking turns of domains, whose first act this was. Now it is told in groups of all instances. Test: twelve domains formed in turn (fails with the old expectation).

--- a/crates/workshold-core/src/hosted/catalog.rs
+++ b/crates/workshold-core/src/hosted/catalog.rs
@@ -1,5 +1,6 @@
 //! The configuration in force: routes, upstream services, teams and bounds.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -112,6 +113,13 @@
 }
 
 impl Engine {
+    /// Groups of each model, if `instances` are dealt out as the operator says: what is
+    /// expected before any request has come.
+    pub fn expected_groups(&self, instances: usize) -> BTreeMap<ModelName, f64> {
+        let groups = |model: &ModelShape| model.share * instances as f64 / model.size as f64;
+        self.models.iter().map(|model| (model.name.clone(), groups(model))).collect()
+    }
+
     /// The shape of `model`.
     pub fn model(&self, name: &str) -> Option<&ModelShape> {
         self.models.iter().find(|model| model.name.as_str() == name)
--- a/crates/workshold-core/tests/hosted/stewards.rs
+++ b/crates/workshold-core/tests/hosted/stewards.rs
@@ -351,6 +351,32 @@
     assert!((1..=25).contains(&loads), "{loads} loads in 4 s at 5 a second");
 }
 
+/// One domain after the other is formed, each by what stands already: all together come
+/// to what the operator expects, whoever is last.
+#[test]
+fn domains_that_are_formed_in_turn_come_to_the_expected_mix() {
+    const DOMAINS: usize = 12;
+    let mut formed: BTreeMap<ModelName, f64> = BTreeMap::new();
+    for turn in 0..DOMAINS {
+        let mut domain = Domain::new();
+        (0..18).for_each(|i| domain.add(&format!("i-{turn:02}-{i:02}"), &[], &[]));
+        domain.before_traffic = true;
+        domain.engine.models[0].size = 8;
+        domain.demand = domain.engine.expected_groups(18 * DOMAINS);
+        domain.groups = formed.clone();
+        let joins = domain.plan(&mut steward(1 + turn as u64));
+        for command in joins {
+            if let Order::Join { model, members, .. } = command.order {
+                *formed.entry(model).or_default() += 1.0 / members.len() as f64;
+            }
+        }
+    }
+    // Half of 216 instances in groups of eight, half in groups of two.
+    let (big, small) = (formed[&model("big")], formed[&model("small")]);
+    assert!((12.0..=16.0).contains(&big), "{big} of 13.5");
+    assert!((44.0..=60.0).contains(&small), "{small} of 54");
+}
+
 /// Two groups of `small` whose hosts have `big`.
 fn full_of_small() -> Domain {
     let mut domain = Domain::new();
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -250,7 +250,7 @@
         let loss = |id: &InstanceId| -> Loss { self.suspicions.loss(id, self.peers) };
         let doubted_since = |id: &InstanceId| self.suspicions.since(id);
         let head_of = |group: &Group| self.roster.head_of(group.epoch, &group.id).cloned();
-        let demand = self.demand_of(engine);
+        let demand = self.demand_of(engine, entries.len());
         let mut commands = Vec::new();
         for domain in &domains {
             let part = part_of(domain, self.parts);
@@ -350,14 +350,13 @@
         (known, counts)
     }
 
-    /// What was seen, or before that what the operator expects: the model's part of
-    /// all instances, in groups.
-    fn demand_of(&self, engine: &Engine) -> BTreeMap<ModelName, f64> {
-        let expected = |model: &workshold_core::hosted::catalog::ModelShape| {
-            let seen = self.demand.get(&model.name).copied();
-            (model.name.clone(), seen.unwrap_or(model.share / model.size as f64))
-        };
-        engine.models.iter().map(expected).collect()
+    /// What was seen, or before that what the operator expects.
+    fn demand_of(&self, engine: &Engine, instances: usize) -> BTreeMap<ModelName, f64> {
+        let mut demand = engine.expected_groups(instances);
+        for (model, expected) in &mut demand {
+            *expected = self.demand.get(model).copied().unwrap_or(*expected);
+        }
+        demand
     }
 }
 
--- a/crates/workshold-soak/src/run.rs
+++ b/crates/workshold-soak/src/run.rs
@@ -5,6 +5,8 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -85,6 +87,7 @@
     nodes: Vec<tokio::sync::Mutex<SoakNode>>,
     ways: Vec<Proxy>,
     callers: Arc<Callers>,
+    probes: AtomicU32,
     breaches: Mutex<Vec<Breach>>,
     hidden: Mutex<Vec<(Instant, Instant)>>,
 }
@@ -185,7 +188,8 @@
     let callers = Callers::new(Arc::clone(&fleet), nodes.iter().map(door).collect());
     let nodes = nodes.into_iter().map(tokio::sync::Mutex::new).collect();
     let (breaches, hidden) = (Mutex::default(), Mutex::default());
-    Ok(Arc::new(Stage { fleet, nodes, ways, callers, breaches, hidden }))
+    let probes = AtomicU32::new(0);
+    Ok(Arc::new(Stage { fleet, nodes, ways, callers, probes, breaches, hidden }))
 }
 
 fn make_node(binary: &Path, folder: &Path, i: usize, way: &Proxy) -> SoakNode {
@@ -339,13 +343,11 @@
     /// Whether each node serves a stream and a print, soon enough.
     async fn all_serve(&self, within: Duration) -> bool {
         let began = Instant::now();
-        let mut count = 0;
         loop {
-            count += 1;
             let mut serving = 0;
             for node in &self.nodes {
                 let address = node.lock().await.callers;
-                serving += usize::from(self.serves(address, count).await);
+                serving += usize::from(self.serves(address).await);
             }
             if serving == self.nodes.len() {
                 return true;
@@ -357,10 +359,11 @@
         }
     }
 
-    async fn serves(&self, address: SocketAddr, count: u32) -> bool {
+    async fn serves(&self, address: SocketAddr) -> bool {
         let Some(key) = self.fleet.keys().pop() else { return false };
         for asked in [Asked::Chat, Asked::Print] {
-            let id = format!("probe-{count}-{}-{asked:?}", address.port());
+            let count = self.probes.fetch_add(1, Ordering::Relaxed);
+            let id = format!("probe-{count}");
             let sent = Instant::now();
             let req = caller::request(&id, &asked.path(&id), &key.text);
             let got = caller::send(address, req).await;
