--- a/crates/workshold-gateway/tests/platform/path.rs
+++ b/crates/workshold-gateway/tests/platform/path.rs
@@ -166,9 +166,9 @@
     let deployment = Deployment::start(2, 1).await;
     let node = TestNode::start("n-1", &deployment.store, MANY_REPEATS);
     node.ready().await;
-    deployment.store.put("keyed.op", "config", &config(9, "k2"));
+    deployment.store.configure(&config(9, "k2"));
     tokio::time::sleep(Duration::from_millis(300)).await;
-    deployment.store.put("keyed.op", "config", &config(4, "k1"));
+    deployment.store.configure(&config(4, "k1"));
     tokio::time::sleep(Duration::from_millis(300)).await;
     for (key, status) in [("k1", 401), ("k2", 200)] {
         let (res, _) =
@@ -275,7 +275,7 @@
     let deployment = Deployment::start(2, 1).await;
     let text = config(1, "k1")
         .replace("\"service\":\"gate\",\"attempts\":2", "\"service\":\"gate\",\"attempts\":1");
-    deployment.store.put("keyed.op", "config", &text.replace("\"version\":1", "\"version\":2"));
+    deployment.store.configure(&text.replace("\"version\":1", "\"version\":2"));
     let node = TestNode::start("n-1", &deployment.store, MANY_REPEATS);
     node.ready().await;
     deployment.gates[0].behave(Manner::Slow);
--- a/crates/workshold-gateway/tests/platform/stopping.rs
+++ b/crates/workshold-gateway/tests/platform/stopping.rs
@@ -64,8 +64,7 @@
     }
 
     async fn is_ready(&self) -> bool {
-        let answer = caller::get(self.readiness, "/v1/readiness").await;
-        answer.is_some_and(|(status, _)| status == 200)
+        caller::is_ready(self.readiness).await
     }
 
     async fn serving(&self) {
--- a/crates/workshold-gateway/tests/platform/store.rs
+++ b/crates/workshold-gateway/tests/platform/store.rs
@@ -53,7 +53,7 @@
     deployment.gates[0].lapse();
     let newcomer = Identity::simple("i-new", "gate");
     let newcomer = StandInInstance::start(newcomer, &deployment.store).await;
-    deployment.store.put("keyed.op", "config", &config(9, "k2"));
+    deployment.store.configure(&config(9, "k2"));
     deployment.store.forget_history();
     deployment.store.set_mood(Mood::Well);
     wait_for("the list as it is now", || async {
@@ -89,7 +89,7 @@
     to_store.set(way).await;
     tokio::time::sleep(Duration::from_millis(3_500)).await;
     assert_eq!(status(&turned_away, "r-1", "k1").await, 200, "the other's reading is as good");
-    deployment.store.put("keyed.op", "config", &config(9, "k2"));
+    deployment.store.configure(&config(9, "k2"));
     tokio::time::sleep(Duration::from_millis(2_000)).await;
     assert_eq!(status(&turned_away, "r-2", "k1").await, 401, "a key that was taken away");
     assert_eq!(status(&turned_away, "r-3", "k2").await, 200);
@@ -103,11 +103,7 @@
     deployment.store.set_mood(Mood::LosesAnswers);
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     deployment.store.set_mood(Mood::Well);
-    wait_for("a node that serves again", || async {
-        let ready = caller::get(node.readiness, "/v1/readiness").await;
-        ready.is_some_and(|(status, _)| status == 200)
-    })
-    .await;
+    wait_for("a node that serves again", || async { caller::is_ready(node.readiness).await }).await;
     assert_eq!(status(&node, "r-1", "k1").await, 200);
     assert_eq!(deployment.store.witness.breaches(), Vec::<String>::new());
 }
--- a/crates/workshold-gateway/tests/platform/support/mod.rs
+++ b/crates/workshold-gateway/tests/platform/support/mod.rs
@@ -63,12 +63,7 @@
 
     /// Waits until the node says that it serves.
     pub async fn ready(&self) {
-        wait_for("a ready node", || async {
-            caller::get(self.readiness, "/v1/readiness")
-                .await
-                .is_some_and(|(status, _)| status == 200)
-        })
-        .await;
+        wait_for("a ready node", || caller::is_ready(self.readiness)).await;
     }
 
     /// Waits until a group serves as well.
--- /dev/null
+++ b/crates/workshold-gateway/tests/soak.rs
@@ -0,0 +1,35 @@
+//! A short run of the fault soak: a fixed seed, and those that broke a promise once.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use rstest::rstest;
+use workshold_soak::fleet::Size;
+use workshold_soak::run;
+use workshold_soak::run::Options;
+
+/// How soon all is served again is measured by hand, on a machine that is not busy:
+/// here it only has to come.
+const RECOVERS_WITHIN: Duration = Duration::from_secs(60);
+
+#[rstest]
+#[case::always(1)]
+#[case::a_part_taken_by_an_old_list(2)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_promise_breaks_whatever_befalls(#[case] seed: u64) {
+    let folder = std::env::temp_dir().join(format!("workshold-soak-test-{}", std::process::id()));
+    let options = Options {
+        binary: PathBuf::from(env!("CARGO_BIN_EXE_workshold-gateway")),
+        folder: folder.clone(),
+        size: Size { nodes: 3, domains: 2, engines: 5, group: 2, gates: 3 },
+        callers: 6,
+        length: Duration::from_secs(8),
+        recovers_within: RECOVERS_WITHIN,
+    };
+    let verdict = run::play(&options, seed).await.unwrap();
+    let told: Vec<String> = verdict.breaches.iter().map(ToString::to_string).collect();
+    assert_eq!(told, Vec::<String>::new(), "logs are in {}", folder.display());
+    assert!(verdict.served > 50, "{} of {} served", verdict.served, verdict.requests);
+    // What stays behind is only in the way.
+    let _ = std::fs::remove_dir_all(folder.join(format!("seed-{seed}")));
+}
--- a/crates/workshold-soak/src/callers.rs
+++ b/crates/workshold-soak/src/callers.rs
@@ -10,7 +10,6 @@
 use rand::SeedableRng;
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
-use serde_json::Value;
 use workshold_platform_standin::caller;
 use workshold_platform_standin::caller::Failure;
 
@@ -47,8 +46,6 @@
         status: u16,
         /// Whose proof it carries.
         stamp: Option<String>,
-        /// Whether it says when to come back.
-        says_when: bool,
         /// Its body.
         text: String,
     },
@@ -107,6 +104,9 @@
 /// One request in so many carries a key that was taken away.
 const OLD_KEY: u32 = 6;
 
+/// Where all nodes and callers are.
+const DATA_CENTRE: &str = "a";
+
 impl Callers {
     /// Callers of the nodes behind `doors`.
     pub fn new(fleet: Arc<Fleet>, doors: Vec<Door>) -> Arc<Self> {
@@ -165,12 +165,7 @@
     async fn resolve(&self, rng: &mut ChaCha8Rng) -> Vec<SocketAddr> {
         let door = { self.doors.lock().choose(rng).copied() };
         let Some(door) = door else { return Vec::new() };
-        let Some((200, body)) = caller::get(door.directory, "/v1/resolve?zone=a").await else {
-            return Vec::new();
-        };
-        let answer: Value = serde_json::from_slice(&body).unwrap_or_default();
-        let rows = answer["addresses"].as_array().cloned().unwrap_or_default();
-        rows.iter().filter_map(|row| row.as_str()?.parse().ok()).collect()
+        caller::resolve(door.directory, DATA_CENTRE).await
     }
 
     /// Sends one request; whether a connection came up.
@@ -195,13 +190,7 @@
         let seen = match tokio::time::timeout(stays, asking).await {
             Err(_) => Seen::Left,
             Ok(Ok((res, text))) => {
-                let header = |name: &str| res.headers().get(name).and_then(|v| v.to_str().ok());
-                Seen::Answer {
-                    status: res.status().as_u16(),
-                    stamp: header("x-response-stamp").map(str::to_owned),
-                    says_when: header("retry-after").is_some(),
-                    text,
-                }
+                Seen::Answer { status: res.status().as_u16(), stamp: caller::stamp(&res), text }
             }
             Ok(Err(Failure::NoConnection(_))) => Seen::NoConnection,
             Ok(Err(failure)) => Seen::Cut(failure.to_string()),
--- a/crates/workshold-soak/src/fleet.rs
+++ b/crates/workshold-soak/src/fleet.rs
@@ -77,7 +77,7 @@
     pub async fn start(size: Size) -> Arc<Self> {
         let store = Arc::new(StandInStore::start().await);
         let first = Key { text: "key-1".to_owned(), since_version: FIRST_VERSION, taken: None };
-        store.put("keyed.op", "config", &config_with(FIRST_VERSION, &["key-1"], size.group));
+        store.configure(&config_with(FIRST_VERSION, &["key-1"], size.group));
         let fleet = Arc::new(Self {
             store,
             seats: Mutex::default(),
@@ -226,7 +226,7 @@
         keys.push(Key { text, since_version: version, taken: None });
         let from = keys.len().saturating_sub(KEYS);
         let in_force: Vec<&str> = keys[from..].iter().map(|key| key.text.as_str()).collect();
-        self.store.put("keyed.op", "config", &config_with(version, &in_force, self.size.group));
+        self.store.configure(&config_with(version, &in_force, self.size.group));
         let acknowledged = Instant::now();
         for key in keys[..from].iter_mut().filter(|key| key.taken.is_none()) {
             key.taken = Some((version, acknowledged));
--- a/crates/workshold-soak/src/nodes.rs
+++ b/crates/workshold-soak/src/nodes.rs
@@ -175,8 +175,7 @@
 
     /// Whether it says that it serves.
     pub async fn is_ready(&self) -> bool {
-        let answer = caller::get(self.readiness, "/v1/readiness").await;
-        answer.is_some_and(|(status, _)| status == 200)
+        caller::is_ready(self.readiness).await
     }
 
     /// What its process holds in memory, in kilobytes.
--- /dev/null
+++ b/crates/workshold-soak/tests/judge.rs
@@ -0,0 +1,182 @@
+//! Each promise that is broken is seen, and what is as it should be is not.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rstest::rstest;
+use workshold_platform_standin::instance::EVENTS;
+use workshold_platform_standin::witness::Run;
+use workshold_soak::callers::Asked;
+use workshold_soak::callers::Outcome;
+use workshold_soak::callers::Seen;
+use workshold_soak::fleet::Key;
+use workshold_soak::judge::Promise;
+use workshold_soak::judge::Record;
+use workshold_soak::judge::judge;
+
+/// A record of one request, sent two seconds after the start.
+struct Case {
+    start: Instant,
+    record: Record,
+}
+
+fn events(id: &str, numbers: impl Iterator<Item = u64>) -> String {
+    numbers.map(|n| format!("id: {n}\ndata: token {n} of {id}\n\n")).collect()
+}
+
+fn answer(status: u16, stamp: Option<&str>, text: String) -> Seen {
+    Seen::Answer { status, stamp: stamp.map(str::to_owned), text }
+}
+
+impl Case {
+    fn new(asked: Asked) -> Self {
+        let start = Instant::now();
+        let at = |secs: u64| start + Duration::from_secs(secs);
+        let text = match asked {
+            Asked::Chat => events("r-1", 1..=EVENTS),
+            Asked::Print | Asked::Plate => format!("i-1 {}", asked.path("r-1")),
+        };
+        let outcome = Outcome {
+            id: "r-1".to_owned(),
+            asked,
+            key: "key-1".to_owned(),
+            node: (0, 1),
+            sent: at(2),
+            ended: at(3),
+            seen: answer(200, Some("i-1"), text),
+        };
+        let run = Run {
+            request: "r-1".to_owned(),
+            instance: "i-1".to_owned(),
+            team: Some("night-desk".to_owned()),
+            at: at(2),
+        };
+        let key = Key { text: "key-1".to_owned(), since_version: 1, taken: None };
+        let record = Record {
+            outcomes: vec![outcome],
+            runs: vec![run],
+            keys: vec![key],
+            faults: Some((at(10), at(20))),
+            ..Record::default()
+        };
+        Self { start, record }
+    }
+
+    fn at(&self, secs: u64) -> Instant {
+        self.start + Duration::from_secs(secs)
+    }
+
+    fn seen(mut self, seen: Seen) -> Self {
+        self.record.outcomes[0].seen = seen;
+        self
+    }
+
+    fn run_again(mut self, instance: &str) -> Self {
+        let run = Run { instance: instance.to_owned(), ..self.record.runs[0].clone() };
+        self.record.runs.push(run);
+        self
+    }
+
+    fn broken(&self) -> Vec<Promise> {
+        judge(&self.record).into_iter().map(|breach| breach.promise).collect()
+    }
+}
+
+#[rstest]
+#[case::stream(Asked::Chat)]
+#[case::once(Asked::Print)]
+#[case::again(Asked::Plate)]
+fn what_is_as_it_should_be_breaks_nothing(#[case] asked: Asked) {
+    assert_eq!(Case::new(asked).broken(), []);
+}
+
+#[rstest]
+#[case::missing(events("r-1", 1..EVENTS))]
+#[case::twice(events("r-1", (1..=5).chain(5..=EVENTS)))]
+#[case::anothers(events("r-2", 1..=EVENTS))]
+fn a_stream_that_is_not_its_whole_own_answer_is_seen(#[case] text: String) {
+    let case = Case::new(Asked::Chat).seen(answer(200, Some("i-1"), text));
+    assert_eq!(case.broken(), [Promise::OwnWholeAnswer]);
+}
+
+#[rstest]
+#[case::without_proof(answer(200, None, String::new()))]
+#[case::of_one_that_did_not_run_it(answer(200, Some("i-9"), "i-9 /print/r-1".to_owned()))]
+#[case::proof_of_another_status(answer(404, Some("i-1"), String::new()))]
+fn a_proof_that_does_not_fit_is_seen(#[case] seen: Seen) {
+    assert_eq!(Case::new(Asked::Print).seen(seen).broken(), [Promise::OwnWholeAnswer]);
+}
+
+#[test]
+fn what_may_run_once_and_ran_twice_is_seen() {
+    assert_eq!(Case::new(Asked::Print).run_again("i-2").broken(), [Promise::AtMostOnce]);
+    assert_eq!(Case::new(Asked::Chat).run_again("i-2").broken(), [], "a stream may go on");
+}
+
+#[rstest]
+#[case(429)]
+#[case(503)]
+fn a_refusal_of_what_has_run_is_seen(#[case] status: u16) {
+    let case = Case::new(Asked::Print).seen(answer(status, None, String::new()));
+    assert_eq!(case.broken(), [Promise::NotRunMeansNotRun]);
+    let unknown = Case::new(Asked::Print).seen(answer(502, None, String::new()));
+    assert_eq!(unknown.broken(), []);
+}
+
+#[test]
+fn a_run_that_nobody_asked_for_is_seen() {
+    let mut case = Case::new(Asked::Print);
+    case.record.runs[0].team = Some("another".to_owned());
+    assert_eq!(case.broken(), [Promise::OnlyWhatWasAsked]);
+    let mut case = Case::new(Asked::Print).run_again("i-1");
+    case.record.runs[1].request = "r-9".to_owned();
+    assert_eq!(case.broken(), [Promise::OnlyWhatWasAsked]);
+}
+
+#[test]
+fn a_key_that_is_believed_for_too_long_is_seen() {
+    let mut case = Case::new(Asked::Print);
+    case.record.keys[0].taken = Some((4, case.at(0)));
+    assert_eq!(case.broken(), [], "two seconds after it was taken away");
+    case.record.outcomes[0].sent = case.at(6);
+    case.record.outcomes[0].ended = case.at(7);
+    assert_eq!(case.broken(), [Promise::KeysInTime]);
+}
+
+#[test]
+fn a_configuration_that_goes_back_is_seen() {
+    let mut case = Case::new(Asked::Print);
+    let newer = Key { text: "key-4".to_owned(), since_version: 4, taken: None };
+    case.record.keys.push(newer);
+    let mut denied = case.record.outcomes[0].clone();
+    denied.id = "r-2".to_owned();
+    denied.key = "key-4".to_owned();
+    denied.sent = case.at(5);
+    denied.ended = case.at(6);
+    denied.seen = answer(401, None, String::new());
+    case.record.outcomes.push(denied);
+    assert_eq!(case.broken(), [], "it may not have come yet");
+    case.record.outcomes[0].key = "key-4".to_owned();
+    assert_eq!(case.broken(), [Promise::OnlyForward]);
+    case.record.outcomes[1].node = (0, 2);
+    assert_eq!(case.broken(), [], "another life of the node begins anew");
+}
+
+#[test]
+fn new_work_for_who_is_leaving_is_seen() {
+    let mut case = Case::new(Asked::Print);
+    case.record.outcomes[0].sent = case.at(6);
+    case.record.runs[0].at = case.at(6);
+    case.record.leaving.insert("i-1".to_owned(), case.at(2));
+    assert_eq!(case.broken(), [Promise::LeavingGetsNothing]);
+    case.record.hidden.push((case.at(1), case.at(7)));
+    assert_eq!(case.broken(), [], "a fault may have hidden its word");
+}
+
+#[test]
+fn a_cut_in_calm_is_seen_and_one_under_faults_is_not() {
+    let mut case = Case::new(Asked::Chat).seen(Seen::Cut("reset".to_owned()));
+    assert_eq!(case.broken(), [Promise::StopCutsNothing]);
+    case.record.outcomes[0].ended = case.at(12);
+    assert_eq!(case.broken(), []);
+}
--- /dev/null
+++ b/crates/workshold-soak/tests/plan.rs
@@ -0,0 +1,30 @@
+//! The faults of a seed.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use workshold_soak::plan::draw;
+
+const LENGTH: Duration = Duration::from_secs(12);
+
+#[test]
+fn a_seed_is_always_the_same_and_another_one_is_not() {
+    assert_eq!(draw(7, LENGTH), draw(7, LENGTH));
+    assert_ne!(draw(7, LENGTH), draw(8, LENGTH));
+}
+
+#[test]
+fn faults_come_in_order_overlap_and_cover_all_kinds() {
+    let mut kinds = BTreeSet::new();
+    let mut overlaps = 0;
+    for seed in 0..50 {
+        let faults = draw(seed, LENGTH);
+        assert!(faults.len() >= 8, "seed {seed}: {} faults", faults.len());
+        assert!(faults.windows(2).all(|pair| pair[0].at <= pair[1].at));
+        assert!(faults.iter().all(|fault| fault.at < LENGTH));
+        overlaps += faults.windows(2).filter(|p| p[0].at + p[0].lasts > p[1].at).count();
+        kinds.extend(faults.iter().map(|fault| format!("{:?}", fault.kind)));
+    }
+    assert_eq!(kinds.len(), 24, "{kinds:?}");
+    assert!(overlaps > 200, "{overlaps}");
+}
