Keys are believed for as long as need be where the deployment would rather serve

Cause: bounds.fail_closed is false for the new customer, but neither template nor node knew it: from 4.6 s into an outage of the store every request with a key was refused. Now [bounds] refuse_stale_keys says it (default true: as before), in check, state and template. A node that knows no configuration still answers 503. Ruled out: a long keys_believed_ms, which would also lengthen the readings. Proof: path.rs without_the_store_requests_are_served_on_where_the_settings_say_so (503 for each request before).

--- a/crates/workshold-gateway/src/callers/control.rs
+++ b/crates/workshold-gateway/src/callers/control.rs
@@ -76,6 +76,7 @@
         "node": node.settings().node.name,
         "readiness": readiness.map_or_else(|why| why.to_string(), |()| "it serves".to_owned()),
         "config": node.config_age().map(|(version, age)| json!({ "version": version, "age_ms": age.0 })),
+        "refuses_stale_keys": node.settings().bounds.refuse_stale_keys,
         "list_age_ms": list_age,
         "store_age_ms": node.store_age().0,
         "lease": { "generation": lease.generation, "parts": lease.parts.keys().collect::<Vec<_>>() },
--- a/crates/workshold-gateway/src/callers/requests.rs
+++ b/crates/workshold-gateway/src/callers/requests.rs
@@ -150,7 +150,7 @@
     headers: &HeaderMap,
     id: &str,
 ) -> Result<Option<TeamAndRank>, Box<Response<AnswerBody>>> {
-    if catalog.needs_key(route) && !node.are_keys_current() {
+    if catalog.needs_key(route) && !node.are_keys_believed() {
         let why = "keys may be out of date here";
         emit(Event::RequestNotRun, &[("request", id), ("why", why)]);
         return Err(refuse(why));
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -315,10 +315,14 @@
         Some((currency.version()?, currency.age(self.now())?))
     }
 
-    /// Whether keys can be believed now.
-    pub fn are_keys_current(&self) -> bool {
-        let bound = self.settings().keys_believed();
-        self.currency.lock().is_within(self.now(), bound)
+    /// Whether keys can be believed now: they are current, or this deployment would
+    /// rather serve by the last configuration known than not at all.
+    pub fn are_keys_believed(&self) -> bool {
+        let settings = self.settings();
+        let bound = settings.keys_believed();
+        let currency = *self.currency.lock();
+        let is_known = currency.version().is_some();
+        (is_known && !settings.bounds.refuse_stale_keys) || currency.is_within(self.now(), bound)
     }
 
     /// Where requests can be sent.
@@ -515,7 +519,7 @@
         if self.catalog().is_none() {
             return Err(NotReady::NoConfig);
         }
-        if !self.are_keys_current() {
+        if !self.are_keys_believed() {
             return Err(NotReady::StaleConfig);
         }
         if self.list.lock().next.is_none() {
--- a/crates/workshold-gateway/src/settings.rs
+++ b/crates/workshold-gateway/src/settings.rs
@@ -83,6 +83,9 @@
 pub struct Bounds {
     /// The longest that a key is believed after it was taken away, in milliseconds.
     pub keys_believed_ms: u64,
+    /// Whether requests that need a key are refused once the configuration is older
+    /// than that; if not, the last one known stays good for as long as it has to.
+    pub refuse_stale_keys: bool,
     /// The time that a planned stop may take, in seconds.
     pub stop_within_s: f64,
     /// Repeats for each request.
@@ -99,6 +102,7 @@
     fn default() -> Self {
         Self {
             keys_believed_ms: 5_000,
+            refuse_stale_keys: true,
             stop_within_s: 8.0,
             repeat_ratio: 0.2,
             repeat_window_s: 10.0,
--- a/crates/workshold-gateway/tests/catalogues.rs
+++ b/crates/workshold-gateway/tests/catalogues.rs
@@ -49,6 +49,7 @@
         ("{{listen.front|json}}", "\"10.1.0.40:8227\""),
         ("{{listen.ready|json}}", "\"10.1.0.40:8220\""),
         ("{{listen.directory|json}}", "\"10.1.0.40:8224\""),
+        ("{{bounds.fail_closed|json}}", "false"),
         ("{{inner_port_range.0}}", "7340"),
         ("{{platform.address|json}}", "\"10.200.1.7:8223\""),
     ];
@@ -67,6 +68,7 @@
     let settings = settings::parse(&text).unwrap();
     assert_eq!(settings.bounds.stop_within_s, 7.0);
     assert_eq!(settings.store.parts, 7);
+    assert!(!settings.bounds.refuse_stale_keys, "as the platform says");
     assert_eq!(settings.control().to_string(), "10.1.0.40:7340");
 }
 
--- a/crates/workshold-gateway/tests/platform/path.rs
+++ b/crates/workshold-gateway/tests/platform/path.rs
@@ -196,6 +196,28 @@
     assert_eq!(send("r-3").await, 200);
 }
 
+/// Some deployments would rather serve by what was known last than refuse.
+#[tokio::test]
+async fn without_the_store_requests_are_served_on_where_the_settings_say_so() {
+    let deployment = Deployment::start(2, 1).await;
+    let settings = "keys_believed_ms = 1000\nrefuse_stale_keys = false";
+    let node = TestNode::start("n-1", &deployment.store, settings);
+    node.ready().await;
+    deployment.store.set_mood(Mood::Down);
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let send = |node: std::net::SocketAddr, id: &'static str, key: &'static str| async move {
+        let sent = caller::send(node, caller::request(id, "/print/x", key)).await;
+        sent.unwrap().0.status().as_u16()
+    };
+    assert_eq!(send(node.callers, "r-1", "k1").await, 200);
+    assert_eq!(send(node.callers, "r-2", "k2").await, 401, "an unknown key stays unknown");
+    assert!(caller::is_ready(node.readiness).await);
+    let newcomer = TestNode::start("n-2", &deployment.store, settings);
+    let starts = || async { caller::get(newcomer.control, "/state").await.is_some() };
+    wait_for("a node that listens", starts).await;
+    assert_eq!(send(newcomer.callers, "r-3", "k1").await, 503, "it knows no configuration");
+}
+
 #[tokio::test]
 async fn nodes_find_each_other_and_name_each_other_to_callers() {
     let deployment = Deployment::start(2, 1).await;
