Before traffic every steward forms its part of one plan, however far the others are

Now before traffic the plan is made as if nobody had begun; what stands is taken off it. Groups that are being formed count from the first member that says so. Also: streams log their goals and the load at the choice.

--- a/crates/workshold-core/src/hosted/steward.rs
+++ b/crates/workshold-core/src/hosted/steward.rs
@@ -24,6 +24,7 @@
 pub use self::orders::OrderReply;
 pub use self::situation::Situation;
 pub use self::situation::StewardRules;
+pub use self::view::is_forming;
 pub use self::view::listed;
 
 use std::collections::BTreeMap;
--- a/crates/workshold-core/src/hosted/steward/planning.rs
+++ b/crates/workshold-core/src/hosted/steward/planning.rs
@@ -11,6 +11,7 @@
 use crate::hosted::planner::Domain;
 use crate::hosted::planner::Limits;
 use crate::hosted::roster::Entry;
+use crate::hosted::roster::MemberState;
 
 use super::Command;
 use super::Forming;
@@ -18,6 +19,7 @@
 use super::Situation;
 use super::Steward;
 use super::situation::LEAVING_LINGERS;
+use super::view;
 use super::view::Free;
 
 impl Steward {
@@ -31,7 +33,11 @@
         if s.before_traffic && s.now.since(s.last_new) < self.rules.list_settles {
             return Vec::new();
         }
-        let own = self.view(s, groups, pool);
+        let own = if s.before_traffic {
+            super::listed(s.domain, s.entries, s.engine, true, |entry| s.can_serve(entry))
+        } else {
+            self.view(s, groups, pool)
+        };
         if own.free.is_empty() && !s.may_close {
             return Vec::new();
         }
@@ -45,8 +51,48 @@
             joins_load: s.before_traffic,
             loads: (s.engine.loads_at_once as usize).saturating_sub(under_way),
         };
-        let changes = planner::plan(&domains, s.models, limits);
-        changes.into_iter().filter(|change| change.domain == at).collect()
+        let changes = if s.before_traffic {
+            let nothing = |model: &planner::Model| planner::Model { groups: 0.0, ..model.clone() };
+            let models: Vec<planner::Model> = s.models.iter().map(nothing).collect();
+            planner::plan(&domains, &models, limits)
+        } else {
+            planner::plan(&domains, s.models, limits)
+        };
+        let own = changes.into_iter().filter(|change| change.domain == at);
+        if s.before_traffic { self.not_begun(own, s, groups, pool) } else { own.collect() }
+    }
+
+    /// Of the groups that a domain should have, those that nobody has begun to form yet,
+    /// out of instances that are free.
+    fn not_begun(
+        &self,
+        changes: impl Iterator<Item = Change>,
+        s: &Situation<'_>,
+        groups: &[Group],
+        pool: &[Free],
+    ) -> Vec<Change> {
+        let mut begun: Vec<&str> = self
+            .forming
+            .values()
+            .filter(|forming| forming.members.iter().any(|id| s.entry(id).is_some()))
+            .map(|forming| forming.model.as_str())
+            .collect();
+        let of_others = groups.iter().filter(|group| !self.forming.contains_key(&group.epoch));
+        let stands =
+            |group: &&Group| view::is_forming(group) || group.state() == Some(MemberState::Open);
+        begun.extend(of_others.filter(stands).map(Group::model));
+        let mut free: Vec<&InstanceId> = pool.iter().map(|free| &free.instance().id).collect();
+        let mut left = Vec::new();
+        for mut change in changes {
+            let shape = &s.engine.models[change.model];
+            if let Some(at) = begun.iter().position(|model| *model == shape.name.as_str()) {
+                begun.swap_remove(at);
+            } else if free.len() >= shape.size {
+                change.members = free.drain(..shape.size).cloned().collect();
+                left.push(change);
+            }
+        }
+        left
     }
 
     /// Does what can be done now; the rest is planned again at the next look.
--- a/crates/workshold-core/src/hosted/steward/view.rs
+++ b/crates/workshold-core/src/hosted/steward/view.rs
@@ -123,8 +123,9 @@
     }
 }
 
-/// Another steward's domain, by the list alone: instances of groups that are being
-/// closed count as free, for they soon are.
+/// Any steward's domain, by the list alone: instances of groups that are being closed
+/// count as free, for they soon are. Before traffic all do, so that all stewards come to
+/// the same plan however far each of them is.
 pub fn listed(
     name: &FabricDomain,
     entries: &[&Entry],
@@ -138,6 +139,10 @@
         let members = group.members.values();
         members.map(|member| host(member, true, engine, before_traffic)).collect()
     };
+    if before_traffic {
+        domain.free = fit.iter().map(|e| host(&e.instance, false, engine, true)).collect();
+        return domain;
+    }
     for group in groups::collate(fit.iter().copied()) {
         let Some(model) = model_index(&group, engine) else { continue };
         let is_whole = group.members.len() == engine.models[model].size;
@@ -146,7 +151,7 @@
                 let members = hosts(&group);
                 domain.standing.push(Standing { epoch: group.epoch, model, members });
             }
-            Some(MemberState::Joining | MemberState::Ready) if is_whole => {}
+            _ if is_forming(&group) => {}
             _ => domain.free.extend(hosts(&group)),
         }
     }
@@ -155,6 +160,13 @@
     domain
 }
 
+/// Whether a group is being formed: some of its members may not have stated so yet.
+pub fn is_forming(group: &Group) -> bool {
+    let state = |member: &Arc<Instance>| member.membership.as_ref().map(|own| own.state);
+    let is_joined = matches!(group.state(), Some(MemberState::Joining | MemberState::Ready));
+    is_joined || group.members.values().any(|member| state(member) == Some(MemberState::Joining))
+}
+
 fn is_standing(group: &Group, engine: &Engine) -> bool {
     let shape = engine.model(group.model());
     let is_whole = shape.is_some_and(|shape| group.members.len() == shape.size);
--- a/crates/workshold-core/tests/hosted.rs
+++ b/crates/workshold-core/tests/hosted.rs
@@ -2,6 +2,8 @@
 
 #[path = "hosted/capacity.rs"]
 mod capacity;
+#[path = "hosted/planning.rs"]
+mod planning;
 #[path = "hosted/requests.rs"]
 mod requests;
 #[path = "hosted/sight.rs"]
--- /dev/null
+++ b/crates/workshold-core/tests/hosted/planning.rs
@@ -0,0 +1,102 @@
+//! The plan for all domains.
+
+use workshold_core::hosted::capacity::Load;
+use workshold_core::hosted::capacity::Work;
+use workshold_core::hosted::capacity::Worth;
+use workshold_core::hosted::catalog::Engine;
+use workshold_core::hosted::catalog::ModelShape;
+use workshold_core::hosted::planner;
+use workshold_core::hosted::planner::Change;
+use workshold_core::hosted::planner::Domain;
+use workshold_core::hosted::planner::Host;
+use workshold_core::hosted::planner::Limits;
+use workshold_core::hosted::planner::Model;
+use workshold_core::hosted::planner::Ready;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::FabricDomain;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::ids::ModelName;
+
+fn engine() -> Engine {
+    let shape = |name: &str, size, pace, share| ModelShape {
+        name: ModelName::new(name).unwrap(),
+        size,
+        share,
+        pace,
+        load: Millis(16_000),
+        warm: Millis(1_600),
+    };
+    Engine {
+        slots: 26,
+        stride: 5,
+        step_ms: 6.07,
+        per_request_ms: 0.241,
+        context_ms_per_k: 0.005,
+        read_per_ms: 46.0,
+        pairs_ms_per_m: 0.7,
+        form: Millis(300),
+        usual_prompt: 1_076.0,
+        usual_answer: 116.0,
+        loads_per_s: 4.0,
+        loads_at_once: 6,
+        models: vec![shape("big", 4, 1.0, 0.67), shape("small", 2, 0.6, 0.33)],
+    }
+}
+
+/// Models for `works`, with so many groups each.
+fn models(engine: &Engine, works: &[Work], groups: [f64; 2]) -> Vec<Model> {
+    let worths = |factor: f64| {
+        let works: Vec<Work> = works.iter().map(|work| work.times(factor)).collect();
+        Worth::of_all(engine, &works, |_| 60)
+    };
+    let (worth, least, most) = (worths(1.0), worths(0.85), worths(1.15));
+    let model = |(i, shape): (usize, &ModelShape)| Model {
+        size: shape.size,
+        worth: worth[i].clone(),
+        worth_at_least: least[i].clone(),
+        worth_at_most: most[i].clone(),
+        groups: groups[i],
+        drains: Millis(2_000),
+        load: shape.load,
+    };
+    engine.models.iter().enumerate().map(model).collect()
+}
+
+fn empty_host(domain: usize, i: usize) -> Host {
+    let ready = Ready { needs_load: true, waits: false, after: Millis(3_500), is_bound: false };
+    Host { id: InstanceId::new(&format!("i-{domain}-{i}")).unwrap(), ready: vec![ready; 2] }
+}
+
+fn empty_domains(domains: usize, hosts: usize) -> Vec<Domain> {
+    let domain = |d: usize| Domain {
+        name: FabricDomain::new(&format!("d-{d}")).unwrap(),
+        free: (0..hosts).map(|i| empty_host(d, i)).collect(),
+        standing: Vec::new(),
+    };
+    (0..domains).map(domain).collect()
+}
+
+fn formed(changes: &[Change], models: &[Model]) -> [usize; 2] {
+    let of = |m: usize| {
+        let changes = changes.iter().filter(|change| change.model == m);
+        changes.map(|change| change.members.len() / models[m].size).sum()
+    };
+    [of(0), of(1)]
+}
+
+const BEFORE_TRAFFIC: Limits = Limits { may_close: false, joins_load: true, loads: 6 };
+
+#[test]
+fn before_traffic_both_models_get_as_much_beyond_their_need() {
+    let engine = engine();
+    let works: Vec<Work> =
+        engine.models.iter().map(|shape| Work::expected(&engine, shape, 48)).collect();
+    let models = models(&engine, &works, [0.0, 0.0]);
+    let changes = planner::plan(&empty_domains(6, 8), &models, BEFORE_TRAFFIC);
+    let [big, small] = formed(&changes, &models);
+    let least: Vec<f64> =
+        (0..2).map(|i| Load::new(&engine, &engine.models[i], works[i]).least_groups()).collect();
+    assert_eq!(big * 4 + small * 2, 48, "nobody is left over");
+    let spare = [big as f64 / least[0], small as f64 / least[1]];
+    assert!(spare.iter().all(|spare| *spare > 1.4), "{big} and {small} for {least:?}");
+}
--- a/crates/workshold-gateway/src/relay.rs
+++ b/crates/workshold-gateway/src/relay.rs
@@ -61,12 +61,14 @@
     pub tried: Vec<InstanceId>,
     /// Why the last attempt ended.
     pub why: &'static str,
+    /// Requests at the target that it went to first.
+    pub load: u32,
 }
 
 impl Course {
     fn new(job: Job) -> Self {
         let used = Used { sent: 0, not_sent: 0, may_have_run: false };
-        Self { job, used, tried: Vec::new(), why: "nothing that serves it has a place" }
+        Self { job, used, tried: Vec::new(), why: "nothing that serves it has a place", load: 0 }
     }
 
     /// Whether nothing was tried yet: one that has run in part goes on wherever there
@@ -143,6 +145,9 @@
             let next = if course.used.may_have_run { Next::Unknown } else { Next::NotRun };
             return give_up(node, &course, next);
         };
+        if course.is_new() {
+            course.load = node.loads.of(&target.id);
+        }
         let (ending, why, res) = match attempt::open(node, &course, &target).await {
             Ok(Opened::Whole(res)) if is_worth_repeating(&course, &res) => {
                 (Ending::Failed, "the upstream failed", Some(res))
--- a/crates/workshold-gateway/src/relay/stream.rs
+++ b/crates/workshold-gateway/src/relay/stream.rs
@@ -200,7 +200,10 @@
                 ("instance", self.current.target.id.as_str()),
                 ("status", "stream"),
                 ("first_ms", &self.first_at.since(job.began).0.to_string()),
+                ("first_goal_ms", &job.route.goal.0.to_string()),
                 ("gap_ms", &self.longest_gap.0.to_string()),
+                ("gap_goal_ms", &job.route.pause_goal.0.to_string()),
+                ("load", &self.course.load.to_string()),
                 ("ms", &now.since(job.began).0.to_string()),
             ],
         );
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -341,10 +341,9 @@
         let mut counts = BTreeMap::new();
         for group in groups::collate(serving) {
             let Some(shape) = engine.model(group.model()) else { continue };
-            let is_whole = group.members.len() == shape.size;
-            let is_over =
-                matches!(group.state(), None | Some(MemberState::Closing | MemberState::Broken));
-            if is_whole && !is_over {
+            let is_open =
+                group.members.len() == shape.size && group.state() == Some(MemberState::Open);
+            if is_open || steward::is_forming(&group) {
                 known.insert(group.epoch);
                 *counts.entry(shape.name.clone()).or_default() += 1.0;
             }
