A group is chosen by the prompts that wait there as well, and by fresher loads

Requests were counted, their prompts were not, and what other nodes had there was known 300 ms later. Now nodes tell the tokens that are not read yet, by head; reading them counts in the choice. With few nodes they say so every 100 ms (16 ms for each that hears it, 300 ms at most as before).

--- a/crates/workshold-core/src/hosted/placement.rs
+++ b/crates/workshold-core/src/hosted/placement.rs
@@ -5,6 +5,8 @@
 pub struct Candidate {
     /// Requests there, of all nodes as far as known.
     pub load: u32,
+    /// What it takes to read the prompts that wait there, in milliseconds.
+    pub unread_ms: f64,
     /// Requests that it works on at once.
     pub slots: u32,
     /// Its usual time for one event or answer, in milliseconds.
@@ -29,7 +31,7 @@
         let batch = (load / slots).min(1.0) * FULL_BATCH;
         let queue = (load - slots + 1.0).max(0.0) * 4.0;
         let far = if self.is_near { 0.0 } else { FAR_MS };
-        self.pace_ms * (1.0 + batch + queue) + far
+        self.pace_ms * (1.0 + batch + queue) + self.unread_ms + far
     }
 }
 
--- a/crates/workshold-core/tests/hosted/requests.rs
+++ b/crates/workshold-core/tests/hosted/requests.rs
@@ -152,7 +152,7 @@
 }
 
 const fn candidate(load: u32, pace_ms: f64, is_aside: bool) -> Candidate {
-    Candidate { load, slots: 17, pace_ms, is_near: true, is_aside }
+    Candidate { load, unread_ms: 0.0, slots: 17, pace_ms, is_near: true, is_aside }
 }
 
 #[test]
--- a/crates/workshold-gateway/src/callers/control.rs
+++ b/crates/workshold-gateway/src/callers/control.rs
@@ -56,7 +56,8 @@
                 "is_listed": entry.unlisted_since.is_none(),
                 "group": own.map(|own| own.group.as_str().to_owned()),
                 "state": own.map(|own| format!("{:?}", own.state)),
-                "requests": node.loads.of(&entry.instance.id),
+                "requests": node.loads.of(&entry.instance.id).requests,
+                "unread_tokens": node.loads.of(&entry.instance.id).unread,
                 "usual_gap_ms": node.gaps.lock().usual(&entry.instance.id),
             })
         })
--- a/crates/workshold-gateway/src/loads.rs
+++ b/crates/workshold-gateway/src/loads.rs
@@ -21,51 +21,100 @@
     xxh3_64(name.as_bytes()) as u32
 }
 
+/// What an instance has to do, as far as known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Load {
+    /// Requests there.
+    pub requests: u32,
+    /// Tokens of prompts whose first event has not come: they are read before it, those
+    /// of others too.
+    pub unread: u32,
+}
+
+impl Load {
+    fn and(self, other: Self) -> Self {
+        Self { requests: self.requests + other.requests, unread: self.unread + other.unread }
+    }
+
+    /// Adds what another node has there.
+    pub fn add(&mut self, other: Self) {
+        *self = self.and(other);
+    }
+}
+
+/// What this node has at an instance.
+#[derive(Debug, Default)]
+struct Own {
+    requests: AtomicU32,
+    unread: AtomicU32,
+}
+
+impl Own {
+    fn load(&self) -> Load {
+        Load {
+            requests: self.requests.load(Ordering::Relaxed),
+            unread: self.unread.load(Ordering::Relaxed),
+        }
+    }
+}
+
 /// Counters by instance.
 #[derive(Debug, Default)]
 pub struct Loads {
-    own: Mutex<HashMap<InstanceId, Arc<AtomicU32>>>,
-    others: Mutex<(HashMap<u32, u32>, Millis)>,
+    own: Mutex<HashMap<InstanceId, Arc<Own>>>,
+    others: Mutex<(HashMap<u32, Load>, Millis)>,
 }
 
 /// One request at an instance; ends with its drop.
 #[derive(Debug)]
-pub struct InFlight(Arc<AtomicU32>);
+pub struct InFlight {
+    own: Arc<Own>,
+    unread: u32,
+}
+
+impl InFlight {
+    /// Its prompt has been read: the first event has come.
+    pub fn on_read(&mut self) {
+        self.own.unread.fetch_sub(std::mem::take(&mut self.unread), Ordering::Relaxed);
+    }
+}
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.on_read();
+        self.own.requests.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
 impl Loads {
-    /// A request goes to `id`.
-    pub fn begin(&self, id: &InstanceId) -> InFlight {
-        let counter = Arc::clone(self.own.lock().entry(id.clone()).or_default());
-        counter.fetch_add(1, Ordering::Relaxed);
-        InFlight(counter)
+    /// A request with a prompt of `tokens` goes to `id`.
+    pub fn begin(&self, id: &InstanceId, tokens: u32) -> InFlight {
+        let own = Arc::clone(self.own.lock().entry(id.clone()).or_default());
+        own.requests.fetch_add(1, Ordering::Relaxed);
+        own.unread.fetch_add(tokens, Ordering::Relaxed);
+        InFlight { own, unread: tokens }
     }
 
-    /// Requests of this node at `id`.
-    pub fn own(&self, id: &InstanceId) -> u32 {
-        self.own.lock().get(id).map_or(0, |counter| counter.load(Ordering::Relaxed))
+    /// What this node has at `id`.
+    pub fn own(&self, id: &InstanceId) -> Load {
+        self.own.lock().get(id).map_or(Load::default(), |own| own.load())
     }
 
-    /// Requests of all nodes at `id`, as far as known.
-    pub fn of(&self, id: &InstanceId) -> u32 {
+    /// What all nodes have at `id`, as far as known.
+    pub fn of(&self, id: &InstanceId) -> Load {
         let others = self.others.lock().0.get(&short_id(id)).copied().unwrap_or_default();
-        self.own(id) + others
+        self.own(id).and(others)
     }
 
     /// All that this node has requests at.
-    pub fn all_own(&self) -> Vec<(InstanceId, u32)> {
+    pub fn all_own(&self) -> Vec<(InstanceId, Load)> {
         let own = self.own.lock();
-        let all = own.iter().map(|(id, counter)| (id.clone(), counter.load(Ordering::Relaxed)));
-        all.filter(|(_, load)| *load > 0).collect()
+        let all = own.iter().map(|(id, own)| (id.clone(), own.load()));
+        all.filter(|(_, load)| load.requests > 0).collect()
     }
 
     /// Takes what the others said, summed up at `now`.
-    pub fn set_others(&self, others: HashMap<u32, u32>, now: Millis) {
+    pub fn set_others(&self, others: HashMap<u32, Load>, now: Millis) {
         *self.others.lock() = (others, now);
     }
 
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -428,7 +428,9 @@
         let table = self.table();
         let others = table.like(target);
         let mut others = others.filter(|other| other.id != target.id);
-        others.any(|other| self.loads.of(&other.id) < other.slots && !self.is_in_doubt(other))
+        others.any(|other| {
+            self.loads.of(&other.id).requests < other.slots && !self.is_in_doubt(other)
+        })
     }
 
     /// Whether a target's members were all seen to answer just now.
--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -10,8 +10,11 @@
 use workshold_core::hosted::capacity::Work;
 use workshold_core::hosted::suspicion::Reach;
 use workshold_protocol::Millis;
+use workshold_protocol::ids::InstanceId;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::loads::Load;
+use crate::loads::short_id;
 use crate::loads::short_name;
 
 /// The form of these messages; another one is passed over.
@@ -143,6 +146,44 @@
     }
 }
 
+/// What a node has at an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldLoad {
+    /// The instance's short id.
+    pub instance: u32,
+    /// Requests there, at most 255.
+    pub requests: u8,
+    /// Tokens of prompts that are not read yet, in units of [`UNREAD_UNIT`].
+    pub unread: u8,
+    /// The usual gap between its events, in units of [`GAP_UNIT_MS`].
+    pub gap: u8,
+}
+
+const UNREAD_UNIT: u32 = 64;
+const GAP_UNIT_MS: f64 = 4.0;
+
+impl ToldLoad {
+    /// Puts what a node has at `id` into a datagram.
+    pub fn new(id: &InstanceId, load: Load, gap_ms: f64) -> Self {
+        Self {
+            instance: short_id(id),
+            requests: load.requests.min(255) as u8,
+            unread: load.unread.div_ceil(UNREAD_UNIT).min(255) as u8,
+            gap: (gap_ms / GAP_UNIT_MS).min(255.0) as u8,
+        }
+    }
+
+    /// What it has there.
+    pub fn load(&self) -> Load {
+        Load { requests: u32::from(self.requests), unread: u32::from(self.unread) * UNREAD_UNIT }
+    }
+
+    /// The usual gap, if it has seen any.
+    pub fn gap_ms(&self) -> Option<f64> {
+        (self.gap > 0).then(|| f64::from(self.gap) * GAP_UNIT_MS)
+    }
+}
+
 /// How a node is.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Pulse {
@@ -171,8 +212,8 @@
     pub work: Vec<ToldWork>,
     /// The part of that which is seen so soon after its first request, in 100.
     pub seen_percent: u8,
-    /// Requests at instances, by short id, and their usual gap in units of 4 ms.
-    pub loads: Vec<(u32, u8, u8)>,
+    /// What it has at instances.
+    pub loads: Vec<ToldLoad>,
 }
 
 /// Another node as it is heard.
@@ -192,7 +233,7 @@
 impl Peer {
     /// Silence after which it is not counted on.
     fn silent_after(&self) -> Millis {
-        Millis(u64::from(self.pulse.next_ms) * PULSES_MISSED) + PULSE_LATE
+        Millis(u64::from(self.pulse.next_ms) * PULSES_MISSED).max(SILENT_LEAST) + PULSE_LATE
     }
 }
 
@@ -207,6 +248,8 @@
 /// A peer that was not heard for so many of its pulses, and a little, is not counted on.
 const PULSES_MISSED: u64 = 3;
 const PULSE_LATE: Millis = Millis(200);
+/// However often it says how it is: a node that is slow for a moment is still there.
+const SILENT_LEAST: Millis = Millis(900);
 /// An address from which nothing was heard for this long is dropped.
 const FORGET_AFTER: Millis = Millis::from_secs(20);
 
@@ -269,11 +312,11 @@
     }
 
     /// Requests at instances by the word of those that are heard.
-    pub fn loads(&self, now: Millis) -> HashMap<u32, u32> {
-        let mut sums = HashMap::new();
+    pub fn loads(&self, now: Millis) -> HashMap<u32, Load> {
+        let mut sums: HashMap<u32, Load> = HashMap::new();
         for (_, peer) in self.heard(now) {
-            for (instance, load, _) in &peer.pulse.loads {
-                *sums.entry(*instance).or_default() += u32::from(*load);
+            for told in &peer.pulse.loads {
+                sums.entry(told.instance).or_default().add(told.load());
             }
         }
         sums
--- a/crates/workshold-gateway/src/relay.rs
+++ b/crates/workshold-gateway/src/relay.rs
@@ -146,7 +146,7 @@
             return give_up(node, &course, next);
         };
         if course.is_new() {
-            course.load = node.loads.of(&target.id);
+            course.load = node.loads.of(&target.id).requests;
         }
         let (ending, why, res) = match attempt::open(node, &course, &target).await {
             Ok(Opened::Whole(res)) if is_worth_repeating(&course, &res) => {
@@ -262,8 +262,10 @@
     let outliers = node.outliers.lock();
     let candidates: Vec<Candidate> = fits
         .iter()
-        .map(|target| Candidate {
-            load: node.loads.of(&target.id),
+        .map(|target| (target, node.loads.of(&target.id)))
+        .map(|(target, load)| Candidate {
+            load: load.requests,
+            unread_ms: f64::from(load.unread) * target.read_ms,
             slots: target.slots,
             pace_ms: gaps.usual(&target.id).unwrap_or(target.quiet_gap_ms),
             is_near: target.data_centre == settings.node.data_centre,
--- a/crates/workshold-gateway/src/relay/attempt.rs
+++ b/crates/workshold-gateway/src/relay/attempt.rs
@@ -63,7 +63,7 @@
     /// Whether nothing more comes.
     pub is_over: bool,
     _driver: Driver,
-    _in_flight: InFlight,
+    in_flight: InFlight,
 }
 
 /// How an attempt failed, and why.
@@ -93,7 +93,7 @@
     target: &std::sync::Arc<Target>,
     last: Option<u64>,
 ) -> Result<Opened, Failure> {
-    let in_flight = node.loads.begin(&target.id);
+    let in_flight = node.loads.begin(&target.id, course.job.prompt_tokens as u32);
     let connected = client::connect(&target.address, CONNECT_TIME.to_duration()).await;
     let connected = connected.map_err(|_| {
         node.doubt(&target.id, &target.address, DoubtTask::Look);
@@ -133,11 +133,12 @@
         since: sent,
         is_over: false,
         _driver: driver,
-        _in_flight: in_flight,
+        in_flight,
     };
     while current.ready.is_empty() && !current.is_over {
         current.read(node, patience).await?;
     }
+    current.in_flight.on_read();
     Ok(Opened::Stream(parts, current))
 }
 
--- a/crates/workshold-gateway/src/table.rs
+++ b/crates/workshold-gateway/src/table.rs
@@ -34,6 +34,8 @@
     pub model: Option<SmolStr>,
     /// The usual time between events at a quiet head, in milliseconds.
     pub quiet_gap_ms: f64,
+    /// What it takes to read a token of a prompt, in milliseconds.
+    pub read_ms: f64,
     /// All members, itself included.
     pub members: Vec<Arc<Instance>>,
 }
@@ -108,6 +110,7 @@
         slots: instance.slots,
         model: None,
         quiet_gap_ms: PLAIN_PACE_MS,
+        read_ms: 0.0,
         members: vec![Arc::clone(instance)],
     }
 }
@@ -129,6 +132,7 @@
         slots: engine.slots,
         model: Some(SmolStr::new(group.model())),
         quiet_gap_ms: engine.event_gap_ms(shape),
+        read_ms: shape.pace / engine.read_per_ms,
         members: group.members.values().cloned().collect(),
     })
 }
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -19,7 +19,6 @@
 
 use crate::events::Event;
 use crate::events::emit;
-use crate::loads::short_id;
 use crate::node::DoubtTask;
 use crate::node::Node;
 use crate::peers::Datagram;
@@ -27,13 +26,17 @@
 use crate::peers::Message;
 use crate::peers::Peer;
 use crate::peers::Pulse;
+use crate::peers::ToldLoad;
 use crate::peers::ToldWork;
 use crate::peers::VERSION;
 use crate::tasks::following;
 
 /// How often a node says how it is to those of its data centre, and with few nodes to
-/// all.
-const PULSE_EVERY: Millis = Millis(300);
+/// all: the fresher the loads of others, the better is the choice of a group.
+const PULSE_LEAST: Millis = Millis(100);
+const PULSE_MOST: Millis = Millis(300);
+/// It says so less often by this much for each node that hears it.
+const PULSE_FOR_EACH: Millis = Millis(16);
 /// With more nodes than this, those of other data centres hear only one pulse in so
 /// many: what all nodes hear grows with their square.
 const FEW_NODES: usize = 16;
@@ -44,12 +47,10 @@
 const MOST_NEWS: usize = 6 * 1024;
 /// A peer is asked for its list no more often than this.
 const FETCH_EVERY: Duration = Duration::from_millis(200);
-/// Others' loads are summed up anew no more often than this, however many pulses come.
-const LOADS_EVERY: Millis = Millis(60);
+/// Others' loads are summed up anew so many times between two pulses, however many come.
+const LOADS_SUMMED: u64 = 5;
 /// The largest datagram that is read.
 const MOST_BYTES: usize = 8 * 1024;
-/// Usual gaps are told in units of this many milliseconds.
-const GAP_UNIT_MS: f64 = 4.0;
 /// How often a node looks whether a peer knows more.
 const CATCH_UP_EVERY: Duration = Duration::from_millis(300);
 /// A list older than this is fetched from a peer: longer than a waiting read.
@@ -75,17 +76,22 @@
         let addresses = node.peers.lock().addresses();
         let has_many = addresses.len() >= FEW_NODES;
         let every = if has_many { FAR_PULSE } else { 1 };
-        let next_ms = PULSE_EVERY.0 * every;
+        let own = pulse_every(addresses.len());
+        let next_ms = own.0 * every;
         let is_for_all = far == 0;
         let to = if is_for_all { addresses } else { near_addresses(&node) };
         send(&node, &socket, &to, Message::Pulse(pulse(&node, next_ms as u16))).await;
         tokio::select! {
-            () = tokio::time::sleep(PULSE_EVERY.to_duration()) => far = (far + 1) % every,
+            () = tokio::time::sleep(own.to_duration()) => far = (far + 1) % every,
             () = node.pulse_wanted.notified() => far = 0,
         }
     }
 }
 
+fn pulse_every(nodes: usize) -> Millis {
+    Millis(PULSE_FOR_EACH.0 * nodes as u64).clamp(PULSE_LEAST, PULSE_MOST)
+}
+
 fn near_addresses(node: &Node) -> Vec<SocketAddr> {
     let settings = node.settings();
     node.peers.lock().near_addresses(settings.node.data_centre.as_str())
@@ -134,10 +140,8 @@
     let (work, seen_part) = node.own_work();
     let gaps = node.gaps.lock();
     let loads = node.loads.all_own();
-    let loads = loads.iter().map(|(id, load)| {
-        let gap = gaps.usual(id).unwrap_or_default() / GAP_UNIT_MS;
-        (short_id(id), (*load).min(255) as u8, gap.min(255.0) as u8)
-    });
+    let loads =
+        loads.iter().map(|(id, load)| ToldLoad::new(id, *load, gaps.usual(id).unwrap_or_default()));
     Pulse {
         callers: settings.listen.callers,
         data_centre: SmolStr::new(settings.node.data_centre.as_str()),
@@ -192,7 +196,8 @@
             let own = node.settings().control();
             let mut peers = node.peers.lock();
             peers.on_pulse(own, from, datagram.from, pulse, now);
-            if node.loads.are_old(now, LOADS_EVERY) {
+            let every = Millis(pulse_every(peers.addresses().len()).0 / LOADS_SUMMED);
+            if node.loads.are_old(now, every) {
                 let others = peers.loads(now);
                 drop(peers);
                 node.loads.set_others(others, now);
@@ -227,9 +232,9 @@
     }
     let list = node.list.lock();
     let mut gaps = node.gaps.lock();
-    for (short, _, gap) in pulse.loads.iter().filter(|(_, _, gap)| *gap > 0) {
-        if let Some(id) = list.by_short_id.get(short) {
-            gaps.on_peer(id, f64::from(*gap) * GAP_UNIT_MS);
+    for told in &pulse.loads {
+        if let (Some(id), Some(gap)) = (list.by_short_id.get(&told.instance), told.gap_ms()) {
+            gaps.on_peer(id, gap);
         }
     }
 }
--- a/crates/workshold-gateway/tests/peers.rs
+++ b/crates/workshold-gateway/tests/peers.rs
@@ -7,16 +7,20 @@
 use rstest::rstest;
 use smol_str::SmolStr;
 use workshold_core::hosted::capacity::Work;
+use workshold_gateway::loads::Load;
+use workshold_gateway::loads::short_id;
 use workshold_gateway::peers::Peers;
 use workshold_gateway::peers::Pulse;
+use workshold_gateway::peers::ToldLoad;
 use workshold_gateway::peers::ToldWork;
 use workshold_protocol::Millis;
+use workshold_protocol::ids::InstanceId;
 
 fn address(i: usize) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 7_000 + i as u16))
 }
 
-fn pulse(loads: Vec<(u32, u8, u8)>) -> Pulse {
+fn pulse(loads: Vec<ToldLoad>) -> Pulse {
     Pulse {
         callers: address(0),
         data_centre: SmolStr::new("a"),
@@ -36,6 +40,14 @@
 
 const WORK: Work =
     Work { requests: 12.5, prompt_tokens: 8_420.0, events: 335.0, pause_goal: Millis(200) };
+fn id(name: &str) -> InstanceId {
+    InstanceId::new(name).unwrap()
+}
+
+fn told(name: &str, requests: u32, unread: u32) -> ToldLoad {
+    ToldLoad::new(&id(name), Load { requests, unread }, 0.0)
+}
+
 const OWN: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 6_999);
 const NOW: Millis = Millis(100_000);
 
@@ -46,9 +58,16 @@
 #[test]
 fn loads_of_all_who_are_heard_are_summed() {
     let mut peers = Peers::default();
-    peers.on_pulse(OWN, address(1), name(1), pulse(vec![(5, 3, 0), (6, 1, 0)]), NOW);
-    peers.on_pulse(OWN, address(2), name(2), pulse(vec![(5, 4, 0)]), NOW);
-    assert_eq!(peers.loads(NOW)[&5], 7);
+    peers.on_pulse(
+        OWN,
+        address(1),
+        name(1),
+        pulse(vec![told("i-5", 3, 100), told("i-6", 1, 0)]),
+        NOW,
+    );
+    peers.on_pulse(OWN, address(2), name(2), pulse(vec![told("i-5", 4, 1_000)]), NOW);
+    let load = peers.loads(NOW)[&short_id(&id("i-5"))];
+    assert_eq!((load.requests, load.unread), (7, 128 + 1_024), "in units of 64 tokens, rounded up");
     let told: Vec<Work> = peers.heard(NOW).map(|(_, peer)| peer.pulse.work[0].work()).collect();
     assert_eq!(told, [WORK, WORK], "what is asked comes over as it was told");
     let later = NOW + Millis(1_100);
