A head that refuses connections after an outage of the store may have been leaving

The store was away for all from 18 to 26.3 s. A head whose entry lapsed meanwhile stopped listening at 26.39 s and finished what it had; the list showed it missing only after the first refusal, so it counted as a process that had ended, and its member was taken 320 ms later. Now what is missing within 2.3 s of trouble with the list may have been leaving: its members wait as long as it may finish. Ruled out: the planner (the steward's judgement is older than it), a late order (none).

--- a/crates/workshold-core/src/hosted/roster.rs
+++ b/crates/workshold-core/src/hosted/roster.rs
@@ -183,6 +183,12 @@
         self.trouble_at = Some(now);
     }
 
+    /// Whether the list may have lacked something that was so at `at`: then an instance
+    /// may have been leaving although its entry does not say so.
+    pub fn may_lack(&self, at: Millis) -> bool {
+        self.trouble_at.is_some_and(|trouble_at| trouble_at + ENTRIES_RETURN >= at)
+    }
+
     /// Whether an entry that went missing at `unlisted_since` is still to be
     /// taken for there.
     pub fn excuses(&self, unlisted_since: Millis, now: Millis) -> bool {
--- a/crates/workshold-core/src/hosted/steward/situation.rs
+++ b/crates/workshold-core/src/hosted/steward/situation.rs
@@ -101,8 +101,10 @@
         }
         let entry = self.entry(id);
         let unlisted = entry.and_then(|entry| entry.unlisted_since);
+        // What is missing after an outage may have gone at any time in it.
         let was_leaving = entry.is_some_and(|entry| entry.instance.is_leaving)
-            || unlisted.is_some_and(|unlisted| unlisted < since);
+            || unlisted.is_some_and(|unlisted| unlisted < since)
+            || (loss > Loss::None && self.trust.may_lack(since));
         if was_leaving {
             return loss >= Loss::Confirmed && self.now.since(since) >= LEAVING_LINGERS;
         }
--- a/crates/workshold-core/tests/hosted/stewards.rs
+++ b/crates/workshold-core/tests/hosted/stewards.rs
@@ -59,6 +59,7 @@
     engine: Engine,
     entries: BTreeMap<String, Entry>,
     losses: BTreeMap<InstanceId, (Loss, Millis)>,
+    trust: ListTrust,
     /// What is asked of `big` and of `small`.
     works: [Work; 2],
     /// Groups of `big` and of `small` in all domains.
@@ -99,6 +100,7 @@
             },
             entries: BTreeMap::new(),
             losses: BTreeMap::new(),
+            trust: ListTrust::default(),
             works: [ask(200.0), ask(200.0)],
             counts: [0.0, 0.0],
             others: Vec::new(),
@@ -202,7 +204,7 @@
             domain: &domain,
             engine: &self.engine,
             entries: &entries,
-            trust: &ListTrust::default(),
+            trust: &self.trust,
             loss: &loss,
             head_of: &head_of,
             doubted_since: &since,
@@ -317,6 +319,24 @@
     assert_eq!(kinds(&domain.plan(&mut steward(1))), ["i-2 join 2", "i-3 join 2"]);
 }
 
+/// The store was away: its list does not say that the head was leaving.
+#[test]
+fn a_head_that_refuses_connections_after_an_outage_may_have_been_leaving() {
+    let mut domain = Domain::new();
+    for name in ["i-1", "i-2", "i-3"] {
+        domain.add(name, &["small"], &["small"]);
+    }
+    domain.join("small", 5, &["i-1", "i-2"], MemberState::Open);
+    let since = domain.now - LONG_AGO;
+    domain.trust.on_trouble(since - Millis(100));
+    domain.losses.insert(id("i-1"), (Loss::Ended, since));
+    domain.entries.get_mut("i-1").unwrap().unlisted_since = Some(domain.now);
+    let mut steward = steward(1);
+    assert_eq!(kinds(&domain.plan(&mut steward)), [""; 0]);
+    domain.now = domain.now + Millis(11_000);
+    assert_eq!(kinds(&domain.plan(&mut steward)), ["i-2 join 2", "i-3 join 2"]);
+}
+
 #[test]
 fn a_member_that_the_list_lacks_but_that_answers_stays() {
     let mut domain = Domain::new();
