The plan is whole for fleets of any size, and not made again once all is formed

Cause: read again before landing: at most 256 changes were planned, and 920 instances in pairs need 460; before traffic the plan was made at every look, although nobody was free. Proof: planning.rs a_plan_for_all_of_a_large_fleet_leaves_nobody_out (928 of 928; with 256 in groups of four and two it would have been cut short in part).

--- a/crates/workshold-core/src/hosted/planner.rs
+++ b/crates/workshold-core/src/hosted/planner.rs
@@ -110,7 +110,7 @@
 /// How likely weights that are given up are missed before they can be fetched again.
 const MISSED: f64 = 0.5;
 /// More changes than this at once are a matter for the next look.
-const MOST_CHANGES: usize = 256;
+const MOST_CHANGES: usize = 4_096;
 
 /// What may be changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/workshold-core/src/hosted/steward/planning.rs
+++ b/crates/workshold-core/src/hosted/steward/planning.rs
@@ -30,7 +30,8 @@
         groups: &[Group],
         pool: &[Free],
     ) -> Vec<Change> {
-        if s.before_traffic && s.now.since(s.last_new) < self.rules.list_settles {
+        let is_settled = s.now.since(s.last_new) >= self.rules.list_settles;
+        if s.before_traffic && (!is_settled || pool.is_empty()) {
             return Vec::new();
         }
         let own = if s.before_traffic {
--- a/crates/workshold-core/tests/hosted/planning.rs
+++ b/crates/workshold-core/tests/hosted/planning.rs
@@ -100,3 +100,19 @@
     let spare = [big as f64 / least[0], small as f64 / least[1]];
     assert!(spare.iter().all(|spare| *spare > 1.4), "{big} and {small} for {least:?}");
 }
+
+/// The size that the system is designed for: 920 instances.
+#[test]
+fn a_plan_for_all_of_a_large_fleet_leaves_nobody_out() {
+    let engine = engine();
+    let works: Vec<Work> =
+        engine.models.iter().map(|shape| Work::expected(&engine, shape, 920)).collect();
+    let worth = Worth::of_all(&engine, &works, |shape| 920 / shape.size + 1);
+    let mut models = models(&engine, &works, [0.0, 0.0]);
+    for (model, worth) in models.iter_mut().zip(worth) {
+        model.worth = worth;
+    }
+    let changes = planner::plan(&empty_domains(58, 16), &models, BEFORE_TRAFFIC);
+    let [big, small] = formed(&changes, &models);
+    assert_eq!(big * 4 + small * 2, 928);
+}
