The model's worlds are of three kinds, and the rarest rule is looked for where it is needed

A search over 35,000 worlds finds three that need the rule; they are in the test, also unbroken. Half of the worlds with swinging requests are now a third, a third ask for more than can be served.

--- a/crates/workshold-model/src/hosted.rs
+++ b/crates/workshold-model/src/hosted.rs
@@ -148,6 +148,28 @@
     })
 }
 
+/// What is asked of a world's stewards.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// Nothing yet: each domain is formed by one plan.
+    BeforeTraffic,
+    /// More than can be served: whoever is free is formed into something at once, and
+    /// has the weights for it near by.
+    Short,
+    /// Now more of one model and then of the other: groups are closed for it.
+    Swings,
+}
+
+impl Mode {
+    fn of(seed: u64) -> Self {
+        match seed % 3 {
+            0 => Self::BeforeTraffic,
+            1 => Self::Short,
+            _ => Self::Swings,
+        }
+    }
+}
+
 /// A world drawn from a seed.
 pub struct HostedWorld {
     now: Millis,
@@ -155,8 +177,7 @@
     broken: Option<Broken>,
     engine: Engine,
     models: [Vec<planner::Model>; 3],
-    /// In half of the worlds requests come, now more for one model and then for the other.
-    has_traffic: bool,
+    mode: Mode,
     instances: BTreeMap<InstanceId, Simulated>,
     roster: Roster,
     trust: ListTrust,
@@ -178,7 +199,7 @@
             broken,
             models: models(&engine()),
             engine: engine(),
-            has_traffic: seed % 2 == 1,
+            mode: Mode::of(seed),
             instances: BTreeMap::new(),
             roster: Roster::default(),
             trust: ListTrust::default(),
@@ -210,7 +231,9 @@
 
     fn add_instance(&mut self, name: &str) {
         let id = InstanceId::new(name).expect("a plain name");
-        self.instances.insert(id.clone(), Simulated::new(id.clone()));
+        let names = self.engine.models.iter().map(|shape| shape.name.clone());
+        let near_by = if self.mode == Mode::Short { names.collect() } else { Vec::new() };
+        self.instances.insert(id.clone(), Simulated::new(id.clone(), near_by));
         self.state(&id);
     }
 
@@ -393,7 +416,7 @@
     /// What is asked now: a place among the models' worths.
     fn asked(&self) -> usize {
         let turn = (self.now.0 / ASKED_FOR.0 % 2) as usize;
-        if self.has_traffic { 1 + turn } else { 0 }
+        if self.mode == Mode::Swings { 1 + turn } else { 0 }
     }
 
     fn steward(&mut self) {
@@ -404,7 +427,7 @@
             trust: &self.trust,
             instances: &self.instances,
             models: &self.models[self.asked()],
-            has_traffic: self.has_traffic,
+            mode: self.mode,
             broken: self.broken,
             now: self.now,
         });
--- a/crates/workshold-model/src/hosted/engine.rs
+++ b/crates/workshold-model/src/hosted/engine.rs
@@ -78,11 +78,13 @@
     ready_in: BTreeSet<u64>,
     loaded: Option<ModelName>,
     staged: Option<ModelName>,
+    /// Weights that come from near by whenever it joins: it states them as staged.
+    near_by: Vec<ModelName>,
 }
 
 impl Simulated {
-    /// One without weights.
-    pub fn new(id: InstanceId) -> Self {
+    /// One without weights, but for those that are near by.
+    pub fn new(id: InstanceId, near_by: Vec<ModelName>) -> Self {
         Self {
             id,
             is_alive: true,
@@ -96,6 +98,7 @@
             ready_in: BTreeSet::new(),
             loaded: None,
             staged: None,
+            near_by,
         }
     }
 
@@ -126,7 +129,7 @@
             domain: Some(FabricDomain::new("d").expect("a plain name")),
             slots: 8,
             is_leaving: false,
-            staged: self.staged.iter().cloned().collect(),
+            staged: self.staged.iter().chain(&self.near_by).cloned().collect(),
             loaded: self.loaded.iter().cloned().collect(),
             membership,
         }
--- a/crates/workshold-model/src/hosted/office.rs
+++ b/crates/workshold-model/src/hosted/office.rs
@@ -28,6 +28,7 @@
 
 use super::Broken;
 use super::LEASE_TTL;
+use super::Mode;
 use super::engine::Simulated;
 
 /// What nodes can see.
@@ -42,8 +43,8 @@
     pub instances: &'a BTreeMap<InstanceId, Simulated>,
     /// The models with what groups of them are worth now; nobody has counted those yet.
     pub models: &'a [planner::Model],
-    /// Whether requests come: groups are closed by what is asked, loads take their time.
-    pub has_traffic: bool,
+    /// What is asked.
+    pub mode: Mode,
     /// The broken rule.
     pub broken: Option<Broken>,
     /// The clock.
@@ -184,8 +185,8 @@
             doubted_since: &since,
             others: &[],
             models: &models,
-            may_close: view.has_traffic,
-            before_traffic: !view.has_traffic,
+            may_close: view.mode == Mode::Swings,
+            before_traffic: view.mode == Mode::BeforeTraffic,
             load_part: 1.0,
             last_new: Millis::ZERO,
             now: view.now,
--- a/crates/workshold-model/tests/hosted.rs
+++ b/crates/workshold-model/tests/hosted.rs
@@ -5,12 +5,15 @@
 
 const SEEDS: u64 = 600;
 /// Some rules are needed in few worlds only.
-const SEEDS_OF_BROKEN: u64 = 6_000;
+const SEEDS_OF_BROKEN: u64 = 800;
+/// Worlds of a search over 35,000 that need the rarest of them: that a new holder waits
+/// until the last one has noticed.
+const RARE: [u64; 3] = [15_373, 19_373, 26_200];
 
 #[test]
 fn groups_are_whole_and_nobody_is_in_two_of_them() {
     let mut opened = 0;
-    for seed in 0..SEEDS {
+    for seed in (0..SEEDS).chain(RARE) {
         let outcome = HostedWorld::new(seed, None).run();
         assert_eq!(outcome.breach, None, "seed {seed}");
         opened += outcome.opened;
@@ -22,6 +25,7 @@
 fn each_rule_that_is_broken_is_missed() {
     for (broken, promise) in Broken::ALL {
         let breaches = (0..SEEDS_OF_BROKEN)
+            .chain(RARE)
             .filter_map(|seed| HostedWorld::new(seed, Some(*broken)).run().breach)
             .map(|(promise, _, _)| promise);
         let mut seen = Vec::new();
