--- a/crates/workshold-gateway/src/events.rs
+++ b/crates/workshold-gateway/src/events.rs
@@ -21,7 +21,7 @@
     LeaseTaken = 1201, Info, "this node stewards other parts than before", "Nothing.";
     LeaseLost = 1202, Warn, "this node's right to give orders has ended", "Nothing; another node has it.";
     Ordered = 1203, Info, "an instance was given an order", "Nothing.";
-    DomainSeen = 1204, Info, "what a steward sees in a domain", "Compare demand and groups by model, both in groups' worth.";
+    DomainSeen = 1204, Info, "what a steward sees in a domain", "Compare groups by model with least, how many would just keep up; intends says what is to change.";
     InstanceInDoubt = 1301, Warn, "an instance cannot be reached", "Nothing; its groups get no new work.";
     InstanceBack = 1302, Info, "an instance in doubt answers", "Nothing.";
     RequestEnded = 1401, Info, "a request was answered", "Nothing.";
