Sight: what another try lacked, who is in doubt, how long a configuration is, void tries

Timeline of the incident could not tell whether attempts, budget or a place were missing when a stream was cut, nor whose silence began it, nor whether the node itself was held up. No decision changes.

--- a/crates/workshold-gateway/src/metrics.rs
+++ b/crates/workshold-gateway/src/metrics.rs
@@ -55,6 +55,8 @@
     ListReads = "list_reads", "counter", "readings of the list of instances from the store";
     LeaseCalls = "lease_calls", "counter", "renewals of the lease, and questions who holds it";
     Looks = "looks", "counter", "tries to reach an instance";
+    LooksSilent = "looks_silent", "counter", "tries that nobody answered in time";
+    LooksVoid = "looks_void", "counter", "tries that showed nothing: this node itself was held up";
     FirstEvent = "first_event_ms", "histogram", "from the request to its answer or first event, in ms";
     LongestGap = "longest_gap_ms", "histogram", "the longest pause between two events of a stream, in ms";
     InFlight = "in_flight", "gauge", "requests under way";
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -299,6 +299,7 @@
     /// Takes a configuration that was the newest at `at`; an older one changes nothing.
     pub fn take_config(&self, catalog: Catalog, bytes: Bytes, at: Millis) {
         let version = catalog.version;
+        let len = bytes.len();
         {
             let mut held = self.catalog.write();
             if !self.currency.lock().take(version, at) {
@@ -306,7 +307,7 @@
             }
             *held = Some((Arc::new(catalog), bytes));
         }
-        emit(Event::ConfigTaken, &[("version", &version.to_string())]);
+        emit(Event::ConfigTaken, &[("version", &version.to_string()), ("bytes", &len.to_string())]);
         self.remake_table();
         self.pulse_wanted.notify_one();
     }
@@ -376,8 +377,14 @@
     /// Whether a member of a target's group cannot be reached from here, or by
     /// anybody.
     pub fn is_in_doubt(&self, target: &Target) -> bool {
+        self.in_doubt(target).is_some()
+    }
+
+    /// The first member of a target's group that cannot be reached.
+    pub fn in_doubt(&self, target: &Target) -> Option<SmolStr> {
         let suspicions = self.suspicions.lock();
-        target.members.iter().any(|member| suspicions.is_own(&member.id))
+        let doubted = target.members.iter().find(|member| suspicions.is_own(&member.id));
+        doubted.map(|member| SmolStr::new(member.id.as_str()))
     }
 
     /// What this node's own try to reach an instance showed; tells the others, and asks
--- a/crates/workshold-gateway/src/relay.rs
+++ b/crates/workshold-gateway/src/relay.rs
@@ -117,6 +117,12 @@
         let wants_budget = ending != Ending::NotSent && has_time;
         let may_send = self.used.sent < self.job.route.attempts.max(1);
         let has_budget = wants_budget && may_send && node.take_repeat(&self.job.service);
+        let lacks = match (has_time, may_send, has_budget || !wants_budget) {
+            (false, ..) => "time",
+            (_, false, _) => "attempts",
+            (.., false) => "budget",
+            _ => "nothing",
+        };
         node.metrics.count(Metric::AttemptsFailed);
         let next = tries::next(&self.job.route, ending, self.used, has_budget, has_time);
         emit(
@@ -128,6 +134,8 @@
                 ("why", why),
                 ("next", &format!("{next:?}")),
                 ("sent", &self.used.sent.to_string()),
+                ("lacks", lacks),
+                ("in_doubt", &node.in_doubt(target).unwrap_or_default()),
             ],
         );
         next
--- a/crates/workshold-gateway/src/relay/stream.rs
+++ b/crates/workshold-gateway/src/relay/stream.rs
@@ -170,6 +170,7 @@
                 ("instance", self.current.target.id.as_str()),
                 ("why", self.course.why),
                 ("sent", &self.course.used.sent.to_string()),
+                ("left_ms", &left.0.to_string()),
             ],
         );
         cut
--- a/crates/workshold-gateway/src/tasks/doubting.rs
+++ b/crates/workshold-gateway/src/tasks/doubting.rs
@@ -34,13 +34,19 @@
     node.metrics.count(Metric::Looks);
     let tried = tokio::time::timeout(REACH_TIME.to_duration(), TcpStream::connect(address)).await;
     let took = node.now().since(began);
-    match tried {
+    let seen = match tried {
         Ok(Ok(_)) => Some(Reach::Answers),
         Ok(Err(err)) if err.kind() == std::io::ErrorKind::ConnectionRefused => Some(Reach::Refused),
         Ok(Err(_)) => Some(Reach::Silent),
         Err(_) if took > REACH_TIME + OWN_DELAY => None,
         Err(_) => Some(Reach::Silent),
+    };
+    match seen {
+        None => node.metrics.count(Metric::LooksVoid),
+        Some(Reach::Silent) => node.metrics.count(Metric::LooksSilent),
+        Some(_) => {}
     }
+    seen
 }
 
 /// Tries an instance twice before it says that nothing answers: one packet may be
