An answer is ended only by its upstream's own word, its connection's end or its time

Cause: an inference about an upstream (a doubt about a member, silence) ended an answer that was under way. If no attempt, place or budget was left, it was cut; if there was one, the old attempt was closed before the new one had spoken, and fell with it. Class: a fallback is given up before its replacement works, on evidence that may be wrong. Mend: a doubt begins another attempt beside the one in doubt, if there is a place and budget; whichever speaks first goes on, the others are ended. Before the first event too. One set of live attempts serves both; the choice stays a pure function in core.

--- a/crates/workshold-core/src/hosted/tries.rs
+++ b/crates/workshold-core/src/hosted/tries.rs
@@ -67,6 +67,13 @@
     if used.may_have_run { Next::Unknown } else { Next::NotRun }
 }
 
+/// Whether another try may begin beside `under_way` ones that have not ended: they may
+/// all run, and each may be the one that answers.
+pub fn may_begin_beside(route: &Route, used: Used, under_way: u32) -> bool {
+    let has_attempts = used.sent + under_way < route.attempts.max(1);
+    route.is_repeatable() && has_attempts && used.not_sent < MOST_NOT_SENT
+}
+
 /// How repeats are bounded over all nodes.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetRules {
--- a/crates/workshold-gateway/src/callers/requests.rs
+++ b/crates/workshold-gateway/src/callers/requests.rs
@@ -60,6 +60,13 @@
     pub ends: Millis,
 }
 
+impl Job {
+    /// Time that is left at `now`.
+    pub fn left(&self, now: Millis) -> Millis {
+        self.ends.since(now)
+    }
+}
+
 /// Waits for a caller who names no time of its own.
 const USUAL_TIME: Millis = Millis::from_secs(10);
 /// When to come back if this node lacks what it needs to judge a request.
--- a/crates/workshold-gateway/src/events.rs
+++ b/crates/workshold-gateway/src/events.rs
@@ -31,6 +31,8 @@
     StreamMoved = 1405, Warn, "a stream goes on at another instance", "Nothing.";
     StreamCut = 1406, Warn, "a stream was cut before its end", "Read the reason; the caller may resume it.";
     CallerGone = 1407, Info, "a caller left before the answer was complete", "Nothing; the upstream was told.";
+    AttemptInDoubt = 1408, Warn, "an attempt is in doubt; another one begins beside it if there is a place and budget", "Nothing; in_doubt names who cannot be reached, lacks what was missing.";
+    AttemptNotNeeded = 1409, Info, "an attempt was ended because another one spoke first", "Nothing.";
 }
 
 /// The text of `docs/EVENTS-PLATFORM.md`.
--- a/crates/workshold-gateway/src/metrics.rs
+++ b/crates/workshold-gateway/src/metrics.rs
@@ -47,6 +47,7 @@
     NotRun = "not_run", "counter", "requests refused: they have not run";
     Unknown = "unknown", "counter", "requests of which nobody knows whether they ran";
     AttemptsFailed = "attempts_failed", "counter", "attempts at an instance that failed";
+    AttemptsNotNeeded = "attempts_not_needed", "counter", "attempts that another one made needless by speaking first";
     StreamsMoved = "streams_moved", "counter", "streams that went on at another instance";
     StreamsCut = "streams_cut", "counter", "streams cut before their end";
     CallersGone = "callers_gone", "counter", "callers who left before the end";
--- a/crates/workshold-gateway/src/relay.rs
+++ b/crates/workshold-gateway/src/relay.rs
@@ -1,10 +1,13 @@
 //! Carrying a request to an upstream and its answer back.
 //!
 //! - [`attempt`]: one send to one instance, up to the head of its answer.
+//! - [`attempts`]: those that may still speak; the first that does goes on.
 //! - [`events`]: a stream cut into whole events.
 //! - [`stream`]: passing events on, and going on elsewhere when they stop.
+//! - [`watching`]: an eye on who is waited for.
 
 pub mod attempt;
+pub mod attempts;
 pub mod events;
 pub mod stream;
 pub mod watching;
@@ -34,7 +37,11 @@
 use crate::node::Node;
 use crate::node::RequestGuard;
 use crate::relay::attempt::Opened;
+use crate::relay::attempts::Attempt;
+use crate::relay::attempts::Attempts;
+use crate::relay::attempts::Said;
 use crate::relay::stream::StreamRelay;
+use crate::relay::watching::LOOK_AGAIN;
 use crate::relay::watching::Patience;
 use crate::table::Target;
 
@@ -54,8 +61,8 @@
 /// Where a request stands.
 pub struct Course {
     /// What is to be done.
-    pub job: Job,
-    /// What it has used up.
+    pub job: Arc<Job>,
+    /// What has ended of it.
     pub used: Used,
     /// Instances that it was tried at.
     pub tried: Vec<InstanceId>,
@@ -63,12 +70,21 @@
     pub why: &'static str,
     /// Requests at the target that it went to first.
     pub load: u32,
+    /// Nothing can follow from doubt before this.
+    held_until: Millis,
 }
 
 impl Course {
     fn new(job: Job) -> Self {
         let used = Used { sent: 0, not_sent: 0, may_have_run: false };
-        Self { job, used, tried: Vec::new(), why: "nothing that serves it has a place", load: 0 }
+        Self {
+            job: Arc::new(job),
+            used,
+            tried: Vec::new(),
+            why: "nothing that serves it has a place",
+            load: 0,
+            held_until: Millis::ZERO,
+        }
     }
 
     /// Whether nothing was tried yet: one that has run in part goes on wherever there
@@ -77,34 +93,72 @@
         self.tried.is_empty() && self.job.last_event.is_none()
     }
 
-    /// How long to wait for the attempt under way, which was last heard at `since`;
-    /// `after` says when it is looked into and when it would be given up.
-    pub fn patience(&self, since: Millis, after: (Millis, Millis)) -> Patience {
-        let is_repeatable = self.job.route.is_repeatable();
-        let is_last = self.used.sent + 1 >= self.job.route.attempts;
+    /// How long to wait for the newest of `under_way` attempts, which was last heard at
+    /// `since`; `after` says when it is looked into and when silence alone is doubt.
+    pub fn patience(&self, since: Millis, after: (Millis, Millis), under_way: u32) -> Patience {
+        let may_begin = tries::may_begin_beside(&self.job.route, self.used, under_way);
         Patience {
             since,
-            look_after: is_repeatable.then_some(after.0),
-            move_after: (is_repeatable && !is_last).then_some(after.1),
+            look_after: self.job.route.is_repeatable().then_some(after.0),
+            move_after: may_begin.then_some(after.1),
+            held_until: self.held_until,
             ends: self.job.ends,
         }
     }
 
     /// Time that is left.
     pub fn left(&self, node: &Node) -> Millis {
-        self.job.ends.since(node.now())
+        self.job.left(node.now())
     }
 
-    /// Notes how an attempt ended; says what follows.
-    pub fn after(
+    /// Begins an attempt at `target`; a stream goes on behind event `last`.
+    pub fn begin(
         &mut self,
-        node: &Node,
-        target: &Target,
-        ending: Ending,
+        node: &Arc<Node>,
+        attempts: &mut Attempts,
+        target: Arc<Target>,
+        last: Option<u64>,
+    ) {
+        self.tried.push(target.id.clone());
+        attempts.push(Attempt::begin(node, &self.job, target, last));
+    }
+
+    /// Begins an attempt beside those under way, if there is a place and budget for it;
+    /// otherwise all stays as it is, and doubt is told again a little later.
+    pub fn begin_beside(
+        &mut self,
+        node: &Arc<Node>,
+        attempts: &mut Attempts,
+        last: Option<u64>,
         why: &'static str,
-    ) -> Next {
+    ) {
+        let now = node.now();
+        let doubted = attempts.newest().map(|newest| Arc::clone(&newest.target));
+        let place = pick(node, self);
+        let lacks = match &place {
+            None => "place",
+            Some(_) if !node.take_repeat(&self.job.service) => "budget",
+            Some(_) => "nothing",
+        };
+        let in_doubt = doubted.as_ref().and_then(|target| node.in_doubt(target));
+        emit(
+            Event::AttemptInDoubt,
+            &[
+                ("request", &self.job.id),
+                ("instance", doubted.as_ref().map_or("", |target| target.id.as_str())),
+                ("why", why),
+                ("in_doubt", &in_doubt.unwrap_or_default()),
+                ("lacks", lacks),
+            ],
+        );
+        match place.filter(|_| lacks == "nothing") {
+            Some(target) => self.begin(node, attempts, target, last),
+            None => self.held_until = now + LOOK_AGAIN,
+        }
+    }
+
+    fn note(&mut self, ending: Ending, why: &'static str) {
         self.why = why;
-        self.tried.push(target.id.clone());
         match ending {
             Ending::NotSent => self.used.not_sent += 1,
             Ending::Refused => self.used.sent += 1,
@@ -113,31 +167,58 @@
                 self.used.may_have_run = true;
             }
         }
-        let has_time = self.left(node) > LEAST_TIME;
-        let wants_budget = ending != Ending::NotSent && has_time;
-        let may_send = self.used.sent < self.job.route.attempts.max(1);
-        let has_budget = wants_budget && may_send && node.take_repeat(&self.job.service);
-        let lacks = match (has_time, may_send, has_budget || !wants_budget) {
-            (false, ..) => "time",
-            (_, false, _) => "attempts",
-            (.., false) => "budget",
-            _ => "nothing",
-        };
+    }
+
+    /// Notes how an attempt ended beside others, which go on.
+    pub fn ended_beside(
+        &mut self,
+        node: &Node,
+        target: &Target,
+        ending: Ending,
+        why: &'static str,
+    ) {
+        self.note(ending, why);
+        self.tell_failure(node, target, ending, "Beside", "nothing");
+    }
+
+    fn tell_failure(&self, node: &Node, target: &Target, ending: Ending, next: &str, lacks: &str) {
         node.metrics.count(Metric::AttemptsFailed);
-        let next = tries::next(&self.job.route, ending, self.used, has_budget, has_time);
         emit(
             Event::AttemptFailed,
             &[
                 ("request", &self.job.id),
                 ("instance", target.id.as_str()),
                 ("ending", &format!("{ending:?}")),
-                ("why", why),
-                ("next", &format!("{next:?}")),
+                ("why", self.why),
+                ("next", next),
                 ("sent", &self.used.sent.to_string()),
                 ("lacks", lacks),
                 ("in_doubt", &node.in_doubt(target).unwrap_or_default()),
             ],
         );
+    }
+
+    /// Notes how the only attempt ended; says what follows.
+    pub fn after(
+        &mut self,
+        node: &Node,
+        target: &Target,
+        ending: Ending,
+        why: &'static str,
+    ) -> Next {
+        self.note(ending, why);
+        let has_time = self.left(node) > LEAST_TIME;
+        let wants_budget = ending != Ending::NotSent && has_time;
+        let may_send = self.used.sent < self.job.route.attempts.max(1);
+        let has_budget = wants_budget && may_send && node.take_repeat(&self.job.service);
+        let lacks = match (has_time, may_send, has_budget || !wants_budget) {
+            (false, ..) => "time",
+            (_, false, _) => "attempts",
+            (.., false) => "budget",
+            _ => "nothing",
+        };
+        let next = tries::next(&self.job.route, ending, self.used, has_budget, has_time);
+        self.tell_failure(node, target, ending, &format!("{next:?}"), lacks);
         next
     }
 }
@@ -147,29 +228,49 @@
     node.count_request(&job.service);
     node.metrics.count(Metric::Requests);
     note_demand(node, &job);
+    let last = job.last_event;
     let mut course = Course::new(job);
+    let mut attempts = Attempts::default();
     loop {
-        let Some(target) = wait_for_target(node, &course).await else {
-            let next = if course.used.may_have_run { Next::Unknown } else { Next::NotRun };
-            return give_up(node, &course, next);
-        };
-        if course.is_new() {
-            course.load = node.loads.of(&target.id).requests;
+        if attempts.is_empty() {
+            let Some(target) = wait_for_target(node, &course).await else {
+                let next = if course.used.may_have_run { Next::Unknown } else { Next::NotRun };
+                return give_up(node, &course, next);
+            };
+            if course.is_new() {
+                course.load = node.loads.of(&target.id).requests;
+            }
+            course.begin(node, &mut attempts, target, last);
         }
-        let (ending, why, res) = match attempt::open(node, &course, &target).await {
-            Ok(Opened::Whole(res)) if is_worth_repeating(&course, &res) => {
-                (Ending::Failed, "the upstream failed", Some(res))
+        let patience = opening_patience(node, &course, &mut attempts);
+        let (target, (ending, why), res) = match attempts.next(node, &course.job.id, patience).await
+        {
+            Said::Opened(target, Opened::Whole(res)) if is_worth_repeating(&course, &res) => {
+                (target, (Ending::Failed, "the upstream failed"), Some(res))
             }
-            Ok(Opened::Whole(res)) => {
+            Said::Opened(target, Opened::Whole(res)) => {
+                attempts.drop_all(node, &course.job.id);
                 tell_end(node, &course, &target, res.status());
                 return res;
             }
-            Ok(Opened::Stream(head, current)) => {
+            Said::Opened(_, Opened::Stream(begun)) => {
+                attempts.drop_all(node, &course.job.id);
+                let (head, current) = *begun;
                 return StreamRelay::answer(Arc::clone(node), course, guard, head, current);
             }
-            Err((ending, why)) => (ending, why, None),
+            Said::Failed(target, failure) => (target, failure, None),
+            Said::Doubt(why) => {
+                course.begin_beside(node, &mut attempts, last, why);
+                continue;
+            }
+            // Nobody streams yet.
+            Said::Events => continue,
         };
         node.outliers.lock().on_failure(&target.id, node.now());
+        if !attempts.is_empty() {
+            course.ended_beside(node, &target, ending, why);
+            continue;
+        }
         match (course.after(node, &target, ending, why), res) {
             (Next::Again, _) => {}
             (Next::PassOn, Some(res)) => {
@@ -181,6 +282,14 @@
     }
 }
 
+/// How long to wait for the newest attempt, none of which has spoken yet.
+fn opening_patience(node: &Node, course: &Course, attempts: &mut Attempts) -> Patience {
+    let under_way = attempts.len();
+    let newest = attempts.newest().expect("one was begun");
+    let usual = node.gaps.lock().usual(&newest.target.id).unwrap_or(newest.target.quiet_gap_ms);
+    course.patience(newest.since, first_patience(course, usual), under_way)
+}
+
 /// What is asked counts, whether it can be served or not.
 fn note_demand(node: &Node, job: &Job) {
     if let Some(model) = &job.model {
--- a/crates/workshold-gateway/src/relay/attempt.rs
+++ b/crates/workshold-gateway/src/relay/attempt.rs
@@ -1,5 +1,9 @@
 //! One send to one instance, up to the head of its answer or its first event.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
@@ -23,16 +27,12 @@
 
 use crate::callers::answers;
 use crate::callers::answers::AnswerBody;
+use crate::callers::requests::Job;
 use crate::loads::InFlight;
 use crate::node::DoubtTask;
 use crate::node::Node;
-use crate::relay::Course;
 use crate::relay::LEAST_TIME;
 use crate::relay::events::Framer;
-use crate::relay::first_patience;
-use crate::relay::watching::Patience;
-use crate::relay::watching::Watched;
-use crate::relay::watching::watch;
 use crate::table::Target;
 
 /// Time for a connection to come up.
@@ -45,13 +45,13 @@
     /// It is there as a whole.
     Whole(Response<AnswerBody>),
     /// A stream with its first events.
-    Stream(Parts, Current),
+    Stream(Box<(Parts, Current)>),
 }
 
 /// A stream at an instance.
 pub struct Current {
     /// Where it runs.
-    pub target: std::sync::Arc<Target>,
+    pub target: Arc<Target>,
     /// Its further events.
     pub body: Incoming,
     /// Events that are out but not yet passed on.
@@ -66,59 +66,55 @@
     in_flight: InFlight,
 }
 
+/// Why an attempt ended whose request's time was up.
+pub const TIME_UP: &str = "its time was up";
+
 /// How an attempt failed, and why.
 pub type Failure = (Ending, &'static str);
 
-/// Sends the request to `target`; a stream goes on behind the caller's last event.
-///
-/// # Errors
-///
-/// How the attempt ended without an answer.
-pub async fn open(
-    node: &Node,
-    course: &Course,
-    target: &std::sync::Arc<Target>,
-) -> Result<Opened, Failure> {
-    open_after(node, course, target, course.job.last_event).await
+/// What is sent, and where.
+#[derive(Debug, Clone)]
+pub struct Errand {
+    /// The request.
+    pub job: Arc<Job>,
+    /// Where it goes.
+    pub target: Arc<Target>,
+    /// The last event that the caller has: a stream goes on behind it.
+    pub last: Option<u64>,
+    /// Set once a byte of it may have left.
+    pub is_sent: Arc<AtomicBool>,
 }
 
-/// As [`open`], behind event `last`.
+/// Sends a request, and waits for its whole answer or its first events. Only the
+/// instance's own word, the end of the connection and the request's time end this.
 ///
 /// # Errors
 ///
-/// As [`open`].
-pub async fn open_after(
-    node: &Node,
-    course: &Course,
-    target: &std::sync::Arc<Target>,
-    last: Option<u64>,
-) -> Result<Opened, Failure> {
-    let in_flight = node.loads.begin(&target.id, course.job.prompt_tokens as u32);
+/// How the attempt ended without an answer.
+pub async fn open(node: Arc<Node>, errand: Errand) -> Result<Opened, Failure> {
+    let Errand { job, target, last, is_sent } = errand;
+    let in_flight = node.loads.begin(&target.id, job.prompt_tokens as u32);
     let connected = client::connect(&target.address, CONNECT_TIME.to_duration()).await;
     let connected = connected.map_err(|_| {
         node.doubt(&target.id, &target.address, DoubtTask::Look);
         (Ending::NotSent, "no connection")
     })?;
-    let left = course.left(node);
+    let left = job.left(node.now());
     if left <= LEAST_TIME {
         return Err((Ending::NotSent, "no time is left"));
     }
     let sent = node.now();
-    let usual = node.gaps.lock().usual(&target.id).unwrap_or(target.quiet_gap_ms);
-    let patience = course.patience(sent, first_patience(course, usual));
-    let sending = connected.send(request(course, target, last, left), left.to_duration());
-    let (res, driver) = match watch(node, target, patience, sending).await {
-        Watched::Got(Ok(got)) => got,
-        Watched::Got(Err(CallError::TimedOut { .. })) | Watched::TimeUp => {
-            return Err((Ending::Unknown, "its time was up"));
-        }
-        Watched::Got(Err(_)) => return Err((Ending::Unknown, "the connection broke")),
-        Watched::Lost(why) => return Err((Ending::Unknown, why)),
+    is_sent.store(true, Ordering::Relaxed);
+    let sending = connected.send(request(&job, &target, last, left), left.to_duration());
+    let (res, driver) = match sending.await {
+        Ok(got) => got,
+        Err(CallError::TimedOut { .. }) => return Err((Ending::Unknown, TIME_UP)),
+        Err(_) => return Err((Ending::Unknown, "the connection broke")),
     };
-    check_head(course, &res)?;
-    let is_stream = course.job.route.kind == Kind::Stream && res.status().is_success();
+    check_head(&job, &res)?;
+    let is_stream = job.route.kind == Kind::Stream && res.status().is_success();
     if !is_stream {
-        let whole = read_whole(node, target, patience, res).await?;
+        let whole = read_whole(res).await?;
         let took = node.now().since(sent);
         node.gaps.lock().on_gap(&target.id, took);
         node.outliers.lock().on_answer(&target.id, took, node.now());
@@ -126,7 +122,7 @@
     }
     let (parts, body) = res.into_parts();
     let mut current = Current {
-        target: std::sync::Arc::clone(target),
+        target: Arc::clone(&target),
         body,
         ready: Bytes::new(),
         framer: Framer::after(last),
@@ -136,14 +132,13 @@
         in_flight,
     };
     while current.ready.is_empty() && !current.is_over {
-        current.read(node, patience).await?;
+        current.read().await?;
     }
     current.in_flight.on_read();
-    Ok(Opened::Stream(parts, current))
+    Ok(Opened::Stream(Box::new((parts, current))))
 }
 
-fn request(course: &Course, target: &Target, last: Option<u64>, left: Millis) -> Request<Body> {
-    let job = &course.job;
+fn request(job: &Job, target: &Target, last: Option<u64>, left: Millis) -> Request<Body> {
     let mut req = Request::new(full(job.body.clone()));
     *req.method_mut() = job.method.clone();
     *req.uri_mut() = job.path.parse().expect("the path was one when it came");
@@ -160,7 +155,7 @@
 }
 
 /// Whether an answer is one to this request, and says that it has run.
-fn check_head(course: &Course, res: &Response<Incoming>) -> Result<(), Failure> {
+fn check_head(job: &Job, res: &Response<Incoming>) -> Result<(), Failure> {
     let (status, headers) = (res.status(), res.headers());
     if headers.contains_key(names::NOT_RUN) {
         return Err((Ending::Refused, "the upstream has not run it"));
@@ -168,7 +163,7 @@
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Err((Ending::Refused, "another instance is there"));
     }
-    if is_foreign(course, headers) {
+    if is_foreign(job, headers) {
         return Err((Ending::Unknown, "an answer to another request"));
     }
     if headers.contains_key(header::CONTENT_ENCODING) {
@@ -190,55 +185,43 @@
     Ok(())
 }
 
-fn is_foreign(course: &Course, headers: &HeaderMap) -> bool {
+fn is_foreign(job: &Job, headers: &HeaderMap) -> bool {
     let echoed = headers.get(names::REQUEST_ID);
-    echoed.is_some_and(|echoed| echoed.as_bytes() != course.job.id.as_bytes())
+    echoed.is_some_and(|echoed| echoed.as_bytes() != job.id.as_bytes())
 }
 
-async fn read_whole(
-    node: &Node,
-    target: &Target,
-    patience: Patience,
-    res: Response<Incoming>,
-) -> Result<Response<AnswerBody>, Failure> {
+async fn read_whole(res: Response<Incoming>) -> Result<Response<AnswerBody>, Failure> {
     let (mut parts, body) = res.into_parts();
-    let collected = watch(node, target, patience, Limited::new(body, MOST_HELD).collect()).await;
-    let bytes = match collected {
-        Watched::Got(Ok(collected)) => collected.to_bytes(),
-        Watched::Got(Err(_)) => return Err((Ending::Unknown, "the answer broke off")),
-        Watched::TimeUp => return Err((Ending::Unknown, "its time was up")),
-        Watched::Lost(why) => return Err((Ending::Unknown, why)),
-    };
+    let collected = Limited::new(body, MOST_HELD).collect().await;
+    let bytes = collected.map_err(|_| (Ending::Unknown, "the answer broke off"))?.to_bytes();
     answers::strip(&mut parts.headers);
     Ok(Response::from_parts(parts, answers::whole(bytes)))
 }
 
 impl Current {
-    /// Reads on until something comes; whole events are then in `ready`.
+    /// Reads on until something comes; whole events are then in `ready`. Nothing is lost
+    /// if this is given up.
     ///
     /// # Errors
     ///
     /// Why nothing comes any more.
-    pub async fn read(&mut self, node: &Node, patience: Patience) -> Result<(), Failure> {
-        let frame = watch(node, &self.target, patience, self.body.frame()).await;
-        match frame {
-            Watched::Got(Some(Ok(frame))) => {
+    pub async fn read(&mut self) -> Result<(), Failure> {
+        match self.body.frame().await {
+            Some(Ok(frame)) => {
                 let Ok(data) = frame.into_data() else { return Ok(()) };
                 let ready = self.framer.push(&data);
                 self.ready = ready.ok_or((Ending::Unknown, "bytes that are no events"))?;
                 Ok(())
             }
-            Watched::Got(Some(Err(_))) => Err((Ending::Unknown, "the stream broke off")),
+            Some(Err(_)) => Err((Ending::Unknown, "the stream broke off")),
             // However its end is told, a stream that is whole ends with an event.
-            Watched::Got(None) if self.framer.has_rest() => {
+            None if self.framer.has_rest() => {
                 Err((Ending::Unknown, "the stream ended within an event"))
             }
-            Watched::Got(None) => {
+            None => {
                 self.is_over = true;
                 Ok(())
             }
-            Watched::TimeUp => Err((Ending::Unknown, "its time was up")),
-            Watched::Lost(why) => Err((Ending::Unknown, why)),
         }
     }
 }
--- /dev/null
+++ b/crates/workshold-gateway/src/relay/attempts.rs
@@ -0,0 +1,193 @@
+//! The attempts of one request that may still speak.
+//!
+//! Whatever is inferred about an instance, only its own word, the end of its connection
+//! and the request's time end an attempt. Where there is doubt another one begins beside
+//! it, and the one that speaks first goes on: an answer is never worse off for a doubt
+//! that was wrong, or for a new place that does not work.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use futures_util::future::select_all;
+use workshold_core::hosted::tries::Ending;
+use workshold_protocol::Millis;
+
+use crate::callers::requests::Job;
+use crate::events::Event;
+use crate::events::emit;
+use crate::metrics::Metric;
+use crate::node::Node;
+use crate::relay::attempt;
+use crate::relay::attempt::Current;
+use crate::relay::attempt::Errand;
+use crate::relay::attempt::Failure;
+use crate::relay::attempt::Opened;
+use crate::relay::attempt::TIME_UP;
+use crate::relay::watching;
+use crate::relay::watching::Doubt;
+use crate::relay::watching::Patience;
+use crate::table::Target;
+
+type Opening = Pin<Box<dyn Future<Output = Result<Opened, Failure>> + Send>>;
+
+enum Stage {
+    Opening(Opening),
+    Streaming(Current),
+}
+
+/// One attempt.
+pub struct Attempt {
+    /// Where.
+    pub target: Arc<Target>,
+    /// When it last said something, or began.
+    pub since: Millis,
+    is_sent: Arc<AtomicBool>,
+    stage: Stage,
+}
+
+impl Attempt {
+    /// Begins one; a stream goes on behind event `last`.
+    pub fn begin(node: &Arc<Node>, job: &Arc<Job>, target: Arc<Target>, last: Option<u64>) -> Self {
+        let is_sent = Arc::new(AtomicBool::new(false));
+        let errand = Errand {
+            job: Arc::clone(job),
+            target: Arc::clone(&target),
+            last,
+            is_sent: Arc::clone(&is_sent),
+        };
+        let opening = Box::pin(attempt::open(Arc::clone(node), errand));
+        Self { target, since: node.now(), is_sent, stage: Stage::Opening(opening) }
+    }
+
+    /// One whose answer streams.
+    pub fn streaming(current: Current, now: Millis) -> Self {
+        let target = Arc::clone(&current.target);
+        let is_sent = Arc::new(AtomicBool::new(true));
+        Self { target, since: now, is_sent, stage: Stage::Streaming(current) }
+    }
+
+    /// The stream, if its answer streams.
+    pub fn current(&mut self) -> Option<&mut Current> {
+        match &mut self.stage {
+            Stage::Opening(_) => None,
+            Stage::Streaming(current) => Some(current),
+        }
+    }
+
+    /// Whether its answer has not begun.
+    pub fn is_opening(&self) -> bool {
+        matches!(self.stage, Stage::Opening(_))
+    }
+
+    /// Waits for its word; nothing is lost if this is given up.
+    async fn speak(&mut self) -> Result<Option<Opened>, Failure> {
+        let current = match &mut self.stage {
+            Stage::Opening(opening) => return opening.await.map(Some),
+            Stage::Streaming(current) => current,
+        };
+        while current.ready.is_empty() && !current.is_over {
+            current.read().await?;
+        }
+        Ok(None)
+    }
+
+    /// How it ended if it is given up now.
+    fn given_up(&self) -> Ending {
+        if self.is_sent.load(Ordering::Relaxed) { Ending::Unknown } else { Ending::NotSent }
+    }
+}
+
+/// What came first.
+pub enum Said {
+    /// An answer; the attempt is over, or its stream begins.
+    Opened(Arc<Target>, Opened),
+    /// More of a stream; it is the only attempt now.
+    Events,
+    /// An attempt has failed.
+    Failed(Arc<Target>, Failure),
+    /// The newest attempt may not speak any more.
+    Doubt(&'static str),
+}
+
+/// All attempts that have not ended, the newest last.
+#[derive(Default)]
+pub struct Attempts {
+    live: Vec<Attempt>,
+}
+
+impl Attempts {
+    /// One more.
+    pub fn push(&mut self, attempt: Attempt) {
+        self.live.push(attempt);
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> u32 {
+        self.live.len() as u32
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.live.is_empty()
+    }
+
+    /// The newest one.
+    pub fn newest(&mut self) -> Option<&mut Attempt> {
+        self.live.last_mut()
+    }
+
+    /// Waits until one speaks or ends, or there is doubt about the newest.
+    ///
+    /// # Panics
+    ///
+    /// If there is none.
+    pub async fn next(&mut self, node: &Node, request: &str, patience: Patience) -> Said {
+        let newest = Arc::clone(&self.live.last().expect("somebody is waited for").target);
+        let words = self.live.iter_mut().map(|attempt| Box::pin(attempt.speak()));
+        let first = tokio::select! {
+            biased;
+            (word, place, _) = select_all(words) => Ok((word, place)),
+            doubt = watching::doubt(node, &newest, patience) => Err(doubt),
+        };
+        let (word, place) = match first {
+            Ok(first) => first,
+            Err(doubt) => return self.on_doubt(doubt),
+        };
+        match word {
+            Ok(None) => {
+                let speaker = self.live.swap_remove(place);
+                self.drop_all(node, request);
+                self.live.push(speaker);
+                Said::Events
+            }
+            Ok(Some(opened)) => Said::Opened(self.live.remove(place).target, opened),
+            Err(failure) => Said::Failed(self.live.remove(place).target, failure),
+        }
+    }
+
+    fn on_doubt(&mut self, doubt: Doubt) -> Said {
+        match doubt {
+            Doubt::Lost(why) => Said::Doubt(why),
+            Doubt::TimeUp => {
+                let newest = self.live.pop().expect("somebody was waited for");
+                let ending = newest.given_up();
+                Said::Failed(newest.target, (ending, TIME_UP))
+            }
+        }
+    }
+
+    /// Ends all: another one has spoken.
+    pub fn drop_all(&mut self, node: &Node, request: &str) {
+        for attempt in self.live.drain(..) {
+            node.outliers.lock().on_failure(&attempt.target.id, node.now());
+            node.metrics.count(Metric::AttemptsNotNeeded);
+            let instance = attempt.target.id.as_str();
+            let silent_ms = node.now().since(attempt.since).0.to_string();
+            let fields = [("request", request), ("instance", instance), ("silent_ms", &*silent_ms)];
+            emit(Event::AttemptNotNeeded, &fields);
+        }
+    }
+}
--- a/crates/workshold-gateway/src/relay/stream.rs
+++ b/crates/workshold-gateway/src/relay/stream.rs
@@ -9,6 +9,7 @@
 use hyper::Response;
 use hyper::body::Frame;
 use hyper::http::response::Parts;
+use workshold_core::hosted::tries::Ending;
 use workshold_core::hosted::tries::Next;
 use workshold_protocol::Millis;
 
@@ -23,20 +24,34 @@
 use crate::relay;
 use crate::relay::Course;
 use crate::relay::LEAST_TIME;
-use crate::relay::attempt;
 use crate::relay::attempt::Current;
 use crate::relay::attempt::Failure;
 use crate::relay::attempt::Opened;
+use crate::relay::attempts::Attempt;
+use crate::relay::attempts::Attempts;
+use crate::relay::attempts::Said;
+use crate::relay::watching::Patience;
+use crate::table::Target;
 
 /// A stream under way to its caller.
 pub struct StreamRelay {
     node: Arc<Node>,
     course: Course,
-    current: Current,
+    attempts: Attempts,
+    /// Who spoke last.
+    speaker: Arc<Target>,
+    /// Events that are out but not yet passed on.
+    ready: Bytes,
+    /// The last event that is out.
+    last: Option<u64>,
+    /// When it came.
+    since: Millis,
     first_at: Millis,
     longest_gap: Millis,
-    /// Events of the attempts before this one.
+    /// Events of this speaker, and of those before it.
+    events: u64,
     events_before: u64,
+    is_over: bool,
     has_ended: bool,
     _guard: RequestGuard,
 }
@@ -48,23 +63,32 @@
         course: Course,
         guard: RequestGuard,
         mut head: Parts,
-        mut current: Current,
+        current: Current,
     ) -> Response<AnswerBody> {
         answers::strip(&mut head.headers);
         let now = node.now();
-        node.outliers.lock().on_answer(&current.target.id, now.since(current.since), now);
-        current.since = now;
+        let speaker = Arc::clone(&current.target);
+        node.outliers.lock().on_answer(&speaker.id, now.since(current.since), now);
         node.metrics.time(Metric::FirstEvent, now.since(course.job.began));
-        let relay = Self {
+        let last = course.job.last_event;
+        let mut relay = Self {
             node,
             course,
-            current,
+            attempts: Attempts::default(),
+            speaker,
+            ready: Bytes::new(),
+            last,
+            since: now,
             first_at: now,
             longest_gap: Millis::ZERO,
+            events: 0,
             events_before: 0,
+            is_over: false,
             has_ended: false,
             _guard: guard,
         };
+        relay.attempts.push(Attempt::streaming(current, now));
+        relay.take_events(true);
         let events = stream::unfold(relay, |mut relay| async move {
             let next = relay.next().await?;
             Some((next.map(Frame::data), relay))
@@ -78,84 +102,110 @@
             if self.has_ended {
                 return None;
             }
-            if !self.current.ready.is_empty() {
-                return Some(Ok(std::mem::take(&mut self.current.ready)));
+            if !self.ready.is_empty() {
+                return Some(Ok(std::mem::take(&mut self.ready)));
             }
-            if self.current.is_over {
+            if self.is_over {
                 self.end();
                 return None;
             }
-            if let Err(failure) = self.read().await
-                && let Err(cut) = self.move_on(failure).await
-            {
+            if let Err(cut) = self.listen().await {
                 self.has_ended = true;
                 return Some(Err(cut));
             }
         }
     }
 
-    async fn read(&mut self) -> Result<(), Failure> {
-        let usual = self.usual_gap();
-        let goal = self.course.job.route.pause_goal;
-        let rules = self.node.silence;
-        let since = self.current.since;
-        let after = (rules.look_after(usual, goal), rules.move_after(usual, goal));
-        let patience = self.course.patience(since, after);
-        self.current.read(&self.node, patience).await?;
-        if !self.current.ready.is_empty() {
-            let now = self.node.now();
-            let gap = now.since(since);
-            self.node.gaps.lock().on_gap(&self.current.target.id, gap);
-            self.longest_gap = self.longest_gap.max(gap);
-            self.current.since = now;
+    /// Waits for whatever comes first, and acts on it.
+    async fn listen(&mut self) -> Result<(), Cut> {
+        let patience = self.patience();
+        match self.attempts.next(&self.node, &self.course.job.id, patience).await {
+            Said::Events => self.take_events(false),
+            Said::Opened(_, Opened::Stream(begun)) => self.move_to(begun.1),
+            Said::Opened(target, Opened::Whole(_)) => {
+                return self.on_failure(&target, (Ending::Failed, "an answer that is no stream"));
+            }
+            Said::Failed(target, failure) => return self.on_failure(&target, failure),
+            Said::Doubt(why) => {
+                self.course.begin_beside(&self.node, &mut self.attempts, self.last, why);
+            }
         }
         Ok(())
     }
 
-    fn usual_gap(&self) -> f64 {
-        let target = &self.current.target;
-        self.node.gaps.lock().usual(&target.id).unwrap_or(target.quiet_gap_ms)
+    fn patience(&mut self) -> Patience {
+        let under_way = self.attempts.len();
+        let newest = self.attempts.newest().expect("somebody is waited for");
+        let (id, since) = (&newest.target.id, newest.since);
+        let usual = self.node.gaps.lock().usual(id).unwrap_or(newest.target.quiet_gap_ms);
+        let goal = self.course.job.route.pause_goal;
+        let rules = self.node.silence;
+        let after = if newest.is_opening() {
+            relay::first_patience(&self.course, usual)
+        } else {
+            (rules.look_after(usual, goal), rules.move_after(usual, goal))
+        };
+        self.course.patience(since, after, under_way)
     }
 
-    /// Goes on behind the last event elsewhere; late bytes of the old attempt are
-    /// dropped with it.
-    async fn move_on(&mut self, failure: Failure) -> Result<(), Cut> {
-        let (mut ending, mut why) = failure;
-        let last = self.current.framer.last();
-        let mut target = Arc::clone(&self.current.target);
-        let since = self.current.since;
-        loop {
-            self.node.outliers.lock().on_failure(&target.id, self.node.now());
-            if self.course.after(&self.node, &target, ending, why) != Next::Again {
-                return Err(self.cut());
-            }
-            let Some(next) = relay::pick(&self.node, &self.course) else {
-                return Err(self.cut());
-            };
-            target = next;
-            match attempt::open_after(&self.node, &self.course, &target, last).await {
-                Ok(Opened::Stream(_, current)) => {
-                    self.events_before += self.current.framer.taken();
-                    self.current = current;
-                    break;
-                }
-                Ok(Opened::Whole(_)) => return Err(self.cut()),
-                Err(failure) => (ending, why) = failure,
+    /// Takes what the only attempt has brought; how long its first events took says
+    /// nothing about the gaps between them.
+    fn take_events(&mut self, is_first: bool) {
+        let now = self.node.now();
+        let Some(speaker) = self.attempts.newest() else { return };
+        let silent_for = now.since(speaker.since);
+        speaker.since = now;
+        let Some(current) = speaker.current() else { return };
+        self.ready = std::mem::take(&mut current.ready);
+        self.last = current.framer.last();
+        self.events = current.framer.taken();
+        self.is_over = current.is_over;
+        if !self.ready.is_empty() {
+            if !is_first {
+                self.node.gaps.lock().on_gap(&self.speaker.id, silent_for);
             }
+            self.longest_gap = self.longest_gap.max(now.since(self.since));
+            self.since = now;
         }
+    }
+
+    /// Goes on at an instance that has begun to speak; late bytes of others are dropped
+    /// with them.
+    fn move_to(&mut self, current: Current) {
         let now = self.node.now();
-        self.longest_gap = self.longest_gap.max(now.since(since));
-        self.current.since = now;
+        self.attempts.drop_all(&self.node, &self.course.job.id);
+        self.speaker = Arc::clone(&current.target);
+        self.events_before += self.events;
+        let behind = self.last.map_or_else(|| "none".to_owned(), |last| last.to_string());
+        let gap_ms = now.since(self.since).0.to_string();
+        self.attempts.push(Attempt::streaming(current, now));
+        self.take_events(true);
         self.node.metrics.count(Metric::StreamsMoved);
         emit(
             Event::StreamMoved,
             &[
                 ("request", &self.course.job.id),
-                ("instance", target.id.as_str()),
-                ("behind", &last.map_or_else(|| "none".to_owned(), |last| last.to_string())),
-                ("gap_ms", &now.since(since).0.to_string()),
+                ("instance", self.speaker.id.as_str()),
+                ("behind", &behind),
+                ("gap_ms", &gap_ms),
             ],
         );
+    }
+
+    /// Others may still speak; if there are none, it goes on elsewhere, or is cut.
+    fn on_failure(&mut self, target: &Target, (ending, why): Failure) -> Result<(), Cut> {
+        self.node.outliers.lock().on_failure(&target.id, self.node.now());
+        if !self.attempts.is_empty() {
+            self.course.ended_beside(&self.node, target, ending, why);
+            return Ok(());
+        }
+        if self.course.after(&self.node, target, ending, why) != Next::Again {
+            return Err(self.cut());
+        }
+        let Some(next) = relay::pick(&self.node, &self.course) else {
+            return Err(self.cut());
+        };
+        self.course.begin(&self.node, &mut self.attempts, next, self.last);
         Ok(())
     }
 
@@ -167,7 +217,7 @@
             Event::StreamCut,
             &[
                 ("request", &self.course.job.id),
-                ("instance", self.current.target.id.as_str()),
+                ("instance", self.speaker.id.as_str()),
                 ("why", self.course.why),
                 ("sent", &self.course.used.sent.to_string()),
                 ("left_ms", &left.0.to_string()),
@@ -181,7 +231,7 @@
         let job = &self.course.job;
         let is_whole = job.last_event.is_none();
         if let Some(model) = job.model.as_ref().filter(|_| is_whole) {
-            let events = (self.events_before + self.current.framer.taken()) as f64;
+            let events = (self.events_before + self.events) as f64;
             let usual = self.node.usual_events();
             self.node.demand.lock().on_answer(model, events, usual, now);
         }
@@ -198,7 +248,7 @@
             Event::RequestEnded,
             &[
                 ("request", &job.id),
-                ("instance", self.current.target.id.as_str()),
+                ("instance", self.speaker.id.as_str()),
                 ("status", "stream"),
                 ("first_ms", &self.first_at.since(job.began).0.to_string()),
                 ("first_goal_ms", &job.route.goal.0.to_string()),
--- a/crates/workshold-gateway/src/relay/watching.rs
+++ b/crates/workshold-gateway/src/relay/watching.rs
@@ -1,7 +1,4 @@
-//! Waiting for an upstream, with an eye on whether it is still there.
-
-use std::future::Future;
-use std::pin::pin;
+//! An eye on whether an upstream is still there, while its answer is waited for.
 
 use futures_util::future::join_all;
 use workshold_core::hosted::suspicion::Reach;
@@ -11,15 +8,13 @@
 use crate::table::Target;
 use crate::tasks::doubting;
 
-/// What waiting brought.
-#[derive(Debug)]
-pub enum Watched<T> {
-    /// What was waited for.
-    Got(T),
+/// Why waiting for one instance alone may be in vain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Doubt {
     /// The request's time is up.
     TimeUp,
-    /// It will not come: the instance, or one that it depends on, is out of reach, or
-    /// has been silent for too long.
+    /// It may not come: the instance, or one that it depends on, is out of reach, or has
+    /// been silent for too long.
     Lost(&'static str),
 }
 
@@ -31,53 +26,49 @@
     /// Silence after which it is looked into; `None` if the request must not run
     /// twice, whatever is seen.
     pub look_after: Option<Millis>,
-    /// Silence after which it is given up although all answer; `None` if the request
-    /// may not be sent to another one: silence alone is then no reason to end it.
+    /// Silence after which there is doubt although all answer; `None` if the request may
+    /// not be sent to another one: then no doubt is told at all.
     pub move_after: Option<Millis>,
+    /// No doubt is told before this: nothing followed from the last one.
+    pub held_until: Millis,
     /// When the request's time is up.
     pub ends: Millis,
 }
 
-/// How often an instance that answers but says nothing is looked into again.
-const LOOK_AGAIN: Millis = Millis(250);
+/// How often an instance that answers but says nothing is looked into again, and how
+/// soon doubt is told again from which nothing followed.
+pub const LOOK_AGAIN: Millis = Millis(250);
 /// A final answer leaves this early, so that it arrives in time.
 const ANSWER_LEAD: Millis = Millis(15);
 
-/// Waits for `fut` no longer than `patience` allows.
-pub async fn watch<T>(
-    node: &Node,
-    target: &Target,
-    patience: Patience,
-    fut: impl Future<Output = T>,
-) -> Watched<T> {
-    let mut fut = pin!(fut);
+/// Waits until there is doubt that `target` will say something.
+pub async fn doubt(node: &Node, target: &Target, patience: Patience) -> Doubt {
     let mut changed = node.suspicion_changed.subscribe();
     let ends = patience.ends - ANSWER_LEAD;
     let mut look_at = patience.look_after.map(|after| patience.since + after);
-    let mut move_at = patience.move_after.map(|after| patience.since + after);
+    let mut move_at =
+        patience.move_after.map(|after| (patience.since + after).max(patience.held_until));
     // With others' word that a member is lost, less silence is enough.
-    let doubt_at = patience.look_after.map(|after| patience.since + Millis(after.0 / 2));
+    let half = patience.look_after.filter(|_| patience.move_after.is_some());
+    let doubt_at =
+        half.map(|after| (patience.since + Millis(after.0 / 2)).max(patience.held_until));
     loop {
         let is_doubted = doubt_at.is_some() && node.is_in_doubt(target);
         let now = node.now();
         if is_doubted && doubt_at.is_some_and(|at| now >= at) {
-            return Watched::Lost("a member is out of reach");
+            return Doubt::Lost("a member is out of reach");
         }
         if now >= ends {
-            return Watched::TimeUp;
+            return Doubt::TimeUp;
         }
         if move_at.is_some_and(|at| now >= at) {
             if node.has_room_beside(target) {
-                return Watched::Lost("it has been silent for too long");
+                return Doubt::Lost("it has been silent for too long");
             }
             move_at = Some(now + LOOK_AGAIN);
         }
         if look_at.is_some_and(|at| now >= at) {
-            tokio::select! {
-                biased;
-                out = &mut fut => return Watched::Got(out),
-                () = look(node, target) => {}
-            }
+            look(node, target).await;
             look_at = Some(node.now() + LOOK_AGAIN);
             continue;
         }
@@ -85,7 +76,6 @@
         let wake_at = times.into_iter().flatten().min().unwrap_or(ends);
         tokio::select! {
             biased;
-            out = &mut fut => return Watched::Got(out),
             _ = changed.changed(), if doubt_at.is_some() => {}
             () = tokio::time::sleep(wake_at.since(now).to_duration()) => {}
         }
