An attempt that was not needed counts: a request goes to no more instances than its route says

Found in the logs of the mend itself: a stream whose doubt came back began a third run although its route allows two, since attempts ended beside another were forgotten. Test: whoever_was_not_needed_has_used_up_an_attempt (3 instances before, 2 after).

--- a/crates/workshold-gateway/src/relay.rs
+++ b/crates/workshold-gateway/src/relay.rs
@@ -254,7 +254,7 @@
                 return res;
             }
             Said::Opened(_, Opened::Stream(begun)) => {
-                attempts.drop_all(node, &course.job.id);
+                course.used.sent += attempts.drop_all(node, &course.job.id);
                 let (head, current) = *begun;
                 return StreamRelay::answer(Arc::clone(node), course, guard, head, current);
             }
@@ -264,7 +264,7 @@
                 continue;
             }
             // Nobody streams yet.
-            Said::Events => continue,
+            Said::Events(_) => continue,
         };
         node.outliers.lock().on_failure(&target.id, node.now());
         if !attempts.is_empty() {
--- a/crates/workshold-gateway/src/relay/attempts.rs
+++ b/crates/workshold-gateway/src/relay/attempts.rs
@@ -104,8 +104,9 @@
 pub enum Said {
     /// An answer; the attempt is over, or its stream begins.
     Opened(Arc<Target>, Opened),
-    /// More of a stream; it is the only attempt now.
-    Events,
+    /// More of a stream; it is the only attempt now, and so many that were sent beside
+    /// it have been ended.
+    Events(u32),
     /// An attempt has failed.
     Failed(Arc<Target>, Failure),
     /// The newest attempt may not speak any more.
@@ -159,9 +160,9 @@
         match word {
             Ok(None) => {
                 let speaker = self.live.swap_remove(place);
-                self.drop_all(node, request);
+                let ended = self.drop_all(node, request);
                 self.live.push(speaker);
-                Said::Events
+                Said::Events(ended)
             }
             Ok(Some(opened)) => Said::Opened(self.live.remove(place).target, opened),
             Err(failure) => Said::Failed(self.live.remove(place).target, failure),
@@ -179,8 +180,10 @@
         }
     }
 
-    /// Ends all: another one has spoken.
-    pub fn drop_all(&mut self, node: &Node, request: &str) {
+    /// Ends all: another one has spoken. Says how many of them had been sent.
+    pub fn drop_all(&mut self, node: &Node, request: &str) -> u32 {
+        let sent = self.live.iter().filter(|attempt| attempt.given_up() == Ending::Unknown);
+        let sent = sent.count() as u32;
         for attempt in self.live.drain(..) {
             node.outliers.lock().on_failure(&attempt.target.id, node.now());
             node.metrics.count(Metric::AttemptsNotNeeded);
@@ -189,5 +192,6 @@
             let fields = [("request", request), ("instance", instance), ("silent_ms", &*silent_ms)];
             emit(Event::AttemptNotNeeded, &fields);
         }
+        sent
     }
 }
--- a/crates/workshold-gateway/src/relay/stream.rs
+++ b/crates/workshold-gateway/src/relay/stream.rs
@@ -120,7 +120,10 @@
     async fn listen(&mut self) -> Result<(), Cut> {
         let patience = self.patience();
         match self.attempts.next(&self.node, &self.course.job.id, patience).await {
-            Said::Events => self.take_events(false),
+            Said::Events(ended) => {
+                self.course.used.sent += ended;
+                self.take_events(false);
+            }
             Said::Opened(_, Opened::Stream(begun)) => self.move_to(begun.1),
             Said::Opened(target, Opened::Whole(_)) => {
                 return self.on_failure(&target, (Ending::Failed, "an answer that is no stream"));
@@ -173,7 +176,7 @@
     /// with them.
     fn move_to(&mut self, current: Current) {
         let now = self.node.now();
-        self.attempts.drop_all(&self.node, &self.course.job.id);
+        self.course.used.sent += self.attempts.drop_all(&self.node, &self.course.job.id);
         self.speaker = Arc::clone(&current.target);
         self.events_before += self.events;
         let behind = self.last.map_or_else(|| "none".to_owned(), |last| last.to_string());
--- a/crates/workshold-gateway/tests/relay.rs
+++ b/crates/workshold-gateway/tests/relay.rs
@@ -319,6 +319,23 @@
     assert_eq!(*scene.script.left.lock(), [1], "who was not needed is told");
 }
 
+#[tokio::test]
+async fn whoever_was_not_needed_has_used_up_an_attempt() {
+    let twice = vec![Event(1), Rest(LONG), Event(2), Rest(LONG), Event(3), End];
+    let slow = Reply::Stream(vec![Rest(2_000), Event(2), End]);
+    let replies = vec![Reply::Stream(twice), slow.clone(), slow];
+    let scene = Scene::start(3, replies, MANY).await;
+    let mut body = scene.ask().await.into_body();
+    // Its events until the second one, before which the next instance was begun.
+    for _ in 0..2 {
+        scene.doubt_all();
+        body.frame().await.unwrap().unwrap();
+    }
+    scene.doubt_all();
+    assert!(body.collect().await.is_ok());
+    assert_eq!(scene.arrived(), 2, "a request goes to two instances at most");
+}
+
 #[tokio::test]
 async fn a_stream_whose_place_is_lost_goes_on_elsewhere_and_leaves_it() {
     let lost = Reply::Stream(vec![Event(1), Rest(4_000), Event(2), End]);
