--- a/crates/workshold-gateway/tests/doubts.rs
+++ b/crates/workshold-gateway/tests/doubts.rs
@@ -1,9 +1,19 @@
 //! Who tries an instance that fell silent, and who asks whom to: with many nodes, each
 //! that asked all others again would bury it in connections.
+//!
+//! And what a try that nobody answers shows. Seen: a dozen instances that were well were
+//! doubted at a dozen nodes within a tenth of a second, and streams at them were moved or
+//! cut. How: a long configuration came to all nodes at once and filled their links, so
+//! that no connection came up in time. Cause: the node's own trouble was taken for the
+//! instance's. Proof: doubts stood in just those tenths of a second in which the
+//! configuration came in, about instances that answered right after, and never
+//! otherwise but for instances that had ended.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use parking_lot::Mutex;
+use rstest::rstest;
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -11,7 +21,11 @@
 use workshold_gateway::node::Doubt;
 use workshold_gateway::node::DoubtTask;
 use workshold_gateway::node::Node;
+use workshold_gateway::peers::Pulse;
 use workshold_gateway::settings;
+use workshold_gateway::tasks::doubting;
+use workshold_platform_standin::proxy::Proxy;
+use workshold_platform_standin::proxy::Way;
 use workshold_protocol::Clock;
 use workshold_protocol::Millis;
 use workshold_protocol::ids::InstanceId;
@@ -84,3 +98,64 @@
     *clock.0.lock() = Millis(10_200);
     assert!(node.note_asked(&id()), "what was seen then may have changed");
 }
+
+fn pulse(callers: SocketAddr) -> Pulse {
+    Pulse {
+        callers,
+        data_centre: SmolStr::new("a"),
+        next_ms: 300,
+        hears: Vec::new(),
+        is_ready: true,
+        has_traffic: true,
+        config: None,
+        list: None,
+        acts_by: None,
+        store_age_ms: 100,
+        work: Vec::new(),
+        seen_percent: 100,
+        loads: Vec::new(),
+    }
+}
+
+async fn way(way: Way) -> Proxy {
+    let proxy = Proxy::start();
+    proxy.set(way).await;
+    proxy
+}
+
+#[rstest]
+#[case::it_reaches_its_peers(Some(Way::Open), Some(Reach::Silent))]
+#[case::it_reaches_nobody_at_the_moment(Some(Way::Silent), None)]
+#[case::it_knows_of_nobody_else(None, Some(Reach::Silent))]
+#[tokio::test]
+async fn silence_shows_something_only_to_a_node_that_others_answer(
+    #[case] peers: Option<Way>,
+    #[case] shown: Option<Reach>,
+) {
+    let (node, _, mut rx) = node();
+    let instance = way(Way::Silent).await;
+    let mut proxies = Vec::new();
+    for i in 0..if peers.is_some() { 3 } else { 0 } {
+        proxies.push(way(peers.unwrap()).await);
+        let from = SocketAddr::from(([127, 0, 0, 1], 7_100 + i));
+        let said = pulse(proxies.last().unwrap().address);
+        let own = node.settings().control();
+        node.peers.lock().on_pulse(own, from, SmolStr::new("n"), said, node.now());
+    }
+    let address = SmolStr::new(instance.address.to_string());
+    assert_eq!(doubting::look(&node, &id(), &address).await, shown);
+    assert_eq!(node.suspicions.lock().is_own(&id()), shown.is_some());
+    assert_eq!(told(&mut rx).is_empty(), shown.is_none());
+}
+
+#[tokio::test]
+async fn a_refusal_shows_that_a_life_has_ended_whoever_else_answers() {
+    let (node, _, _rx) = node();
+    let gone = way(Way::Open).await.address;
+    let peer = way(Way::Silent).await;
+    let own = node.settings().control();
+    let said = pulse(peer.address);
+    node.peers.lock().on_pulse(own, peer.address, SmolStr::new("n"), said, node.now());
+    let seen = doubting::look(&node, &id(), &SmolStr::new(gone.to_string())).await;
+    assert_eq!(seen, Some(Reach::Refused));
+}
