--- /dev/null
+++ b/crates/workshold-gateway/tests/catching_up.rs
@@ -0,0 +1,116 @@
+//! When a node asks a peer for what the store has not given.
+//!
+//! Seen: a configuration of 820 KB came twice to 28 of 61 nodes within a second, from the
+//! store and from a peer, and filled their links twice as long. How: a peer is asked if
+//! the store has not given a newer one within half a second, and the store was giving it
+//! all the while. Cause: slow was taken for silent. Proof: the nodes' own figures of bytes
+//! that came in, and of those that the asked peers sent.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use rstest::rstest;
+use smol_str::SmolStr;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use workshold_gateway::node::Node;
+use workshold_gateway::peers::Pulse;
+use workshold_gateway::settings;
+use workshold_gateway::tasks::following;
+use workshold_gateway::tasks::gossip;
+use workshold_protocol::clock::SystemClock;
+
+const SETTINGS: &str = r#"
+[node]
+name = "n-1"
+data_centre = "a"
+[listen]
+callers = "127.0.0.1:7001"
+readiness = "127.0.0.1:7002"
+directory = "127.0.0.1:7003"
+peers_port = 7004
+[store]
+address = "STORE"
+"#;
+
+/// A store whose answers come in pieces, so many of them.
+async fn store(pieces: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(async move {
+                let mut buf = [0; 4096];
+                let _ = stream.read(&mut buf).await;
+                let head = "HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n";
+                let _ = stream.write_all(head.as_bytes()).await;
+                for _ in 0..pieces {
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                    let _ = stream.write_all(&[b' '; 1000]).await;
+                }
+                tokio::time::sleep(Duration::from_secs(10)).await;
+            });
+        }
+    });
+    address
+}
+
+/// Counts who comes.
+async fn peer() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let count = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&count);
+    tokio::spawn(async move {
+        loop {
+            let _ = listener.accept().await.unwrap();
+            counted.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    (address, count)
+}
+
+fn pulse(callers: SocketAddr) -> Pulse {
+    Pulse {
+        callers,
+        data_centre: SmolStr::new("a"),
+        next_ms: 20_000,
+        hears: Vec::new(),
+        is_ready: true,
+        has_traffic: true,
+        config: Some((7, 0)),
+        list: None,
+        acts_by: None,
+        store_age_ms: 100,
+        work: Vec::new(),
+        seen_percent: 100,
+        loads: Vec::new(),
+    }
+}
+
+#[rstest]
+#[case::while_the_store_is_giving_it(18, false)]
+#[case::if_the_store_has_stopped(2, true)]
+#[tokio::test]
+async fn a_peer_is_asked_for_the_configuration(#[case] pieces: usize, #[case] is_asked: bool) {
+    let text = SETTINGS.replace("STORE", &store(pieces).await.to_string());
+    let (doubts, _rx) = mpsc::unbounded_channel();
+    let settings = settings::parse(&text).unwrap();
+    let own = settings.control();
+    let node = Arc::new(Node::new(settings, Box::new(SystemClock::default()), doubts));
+    let (address, count) = peer().await;
+    let said = pulse(address);
+    node.peers.lock().on_pulse(own, address, SmolStr::new("n-2"), said, node.now());
+    let following = tokio::spawn(following::config(Arc::clone(&node)));
+    let catching_up = tokio::spawn(gossip::catch_up(Arc::clone(&node)));
+    tokio::time::sleep(Duration::from_millis(1_150)).await;
+    following.abort();
+    catching_up.abort();
+    assert_eq!(count.load(Ordering::Relaxed) > 0, is_asked);
+}
