What the store is giving is not fetched from a peer as well

Cause: a node that had waited half a second for a newer configuration asked a peer for it, although the store was giving it: over a link of 20 Mbit/s 820 KB take a third of a second, behind sixty others more. Class: slow is taken for silent. Mend: the bytes that come from the store are counted, and the half second runs from the last of them.

--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -109,6 +109,8 @@
     clock: Box<dyn Clock>,
     /// The store's client.
     pub store: Store,
+    /// The same for the configuration alone: whether it is on its way shows there.
+    pub config_store: Store,
     catalog: RwLock<Option<(Arc<Catalog>, Bytes)>>,
     currency: Mutex<Currency>,
     /// The list of instances.
@@ -231,10 +233,12 @@
         doubts: tokio::sync::mpsc::UnboundedSender<Doubt>,
     ) -> Self {
         let store = Store::new(&settings.store.address);
+        let config_store = Store::new(&settings.store.address);
         Self {
             settings: RwLock::new(Arc::new(settings)),
             clock,
             store,
+            config_store,
             catalog: RwLock::new(None),
             currency: Mutex::default(),
             list: Mutex::default(),
--- a/crates/workshold-gateway/src/tasks/following.rs
+++ b/crates/workshold-gateway/src/tasks/following.rs
@@ -94,9 +94,9 @@
     let records = match next {
         Some(next) => {
             let wait = node.settings().config_wait();
-            node.store.read(topic, next, wait, ANSWER_TIME).await?
+            node.config_store.read(topic, next, wait, ANSWER_TIME).await?
         }
-        None => node.store.newest(topic, ANSWER_TIME).await?,
+        None => node.config_store.newest(topic, ANSWER_TIME).await?,
     };
     let last = records.records.iter().rfind(|record| record.key == names::CONFIG_KEY);
     match last {
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -254,12 +254,20 @@
 /// Fetches from a peer what the store does not give, until the node ends.
 pub async fn catch_up(node: Arc<Node>) {
     let mut newer_since = None;
+    let mut received = 0;
     loop {
         tokio::select! {
             () = tokio::time::sleep(CATCH_UP_EVERY) => {}
             () = node.catch_up_wanted.notified() => {}
         }
         let newer = peer_with_newer_config(&node);
+        // What is on its way from the store would fill this node's link and a peer's a
+        // second time: 28 of 61 nodes took 820 KB twice without this.
+        let is_coming = node.config_store.received() > received;
+        received = node.config_store.received();
+        if is_coming {
+            newer_since = None;
+        }
         newer_since = newer.and(newer_since.or(Some(node.now())));
         let has_waited = newer_since.is_some_and(|since| node.now().since(since) >= STORE_FIRST);
         if let Some(peer) = newer.filter(|_| has_waited) {
