The soak plays planned work alone, beside load, and judges that it cuts nothing

Cause: the soak knew planned work only as one fault among others, and what is cut beside faults is not judged. Members of groups that leave while the head finishes, engines that are full, and changes of the configuration in a row beside them were not played at all: that an answer was cut beside planned work alone could not show. Now: after the faults, and before each node is stopped, engines are replaced (half of them say so, the others only leave the list; they stop listening after two seconds and end once the head of their group has finished) and keys change, while all engines are full: they refuse one request in five and pause in their streams. A promise more: beside planned work alone nothing is cut, and what was read is answered or refused. A change of the configuration does not excuse work at who is leaving any more. Ruled out: streams without pauses (nodes look at silent members only; nothing is looked at).

--- a/crates/workshold-gateway/tests/soak.rs
+++ b/crates/workshold-gateway/tests/soak.rs
@@ -24,6 +24,7 @@
         size: Size { nodes: 3, domains: 2, engines: 5, group: 2, gates: 3 },
         callers: 6,
         length: Duration::from_secs(8),
+        planned: Duration::ZERO,
         recovers_within: RECOVERS_WITHIN,
     };
     let verdict = run::play(&options, seed).await.unwrap();
--- a/crates/workshold-soak/src/fleet.rs
+++ b/crates/workshold-soak/src/fleet.rs
@@ -18,6 +18,10 @@
 const LAPSES_AFTER: Duration = Duration::from_secs(3);
 /// An instance that leaves serves on for this long.
 pub const DRAINS_FOR: Duration = Duration::from_secs(2);
+/// A member that leaves stays for this long at most while the head of its group works.
+const STAYS_FOR: Duration = Duration::from_secs(10);
+/// Until the last bytes of an answer are out.
+const FLUSHED: Duration = Duration::from_millis(100);
 
 /// How large the deployment is.
 #[derive(Debug, Clone, Copy)]
@@ -62,6 +66,8 @@
     size: Size,
     keys: Mutex<Vec<Key>>,
     lives: Mutex<u64>,
+    /// How new lives treat requests.
+    manner: Mutex<Manner>,
     /// When instances stated that they will end.
     leaving: Mutex<BTreeMap<String, Instant>>,
 }
@@ -85,6 +91,7 @@
             size,
             keys: Mutex::new(vec![first]),
             lives: Mutex::default(),
+            manner: Mutex::new(Manner::Good),
             leaving: Mutex::default(),
         });
         for i in 0..fleet.engines {
@@ -114,6 +121,7 @@
             ..Identity::simple(&format!("i-{service}-{life}"), service)
         };
         let instance = StandInInstance::start(identity, &self.store).await;
+        instance.behave(*self.manner.lock());
         way.lead_to(Some(instance.address()));
         Seat { instance, way, domain, service }
     }
@@ -218,6 +226,42 @@
         *seat = self.seat(seat.service, seat.domain.clone()).await;
     }
 
+    /// All engines, and new lives of them, treat requests like this from here on.
+    pub async fn all_behave(&self, manner: Manner) {
+        *self.manner.lock() = manner;
+        for whom in 0..self.engines {
+            self.engine(whom).lock().await.instance.behave(manner);
+        }
+    }
+
+    /// An engine is replaced as planned: its next life comes first. The old one says that
+    /// it will end or only leaves the list, later takes no more connections, and ends
+    /// once it and the head of its group have finished what they had.
+    pub async fn retire(&self, whom: usize, says: bool) {
+        let seat = self.engine(whom);
+        let old = {
+            let mut seat = seat.lock().await;
+            let next = self.seat(seat.service, seat.domain.clone()).await;
+            std::mem::replace(&mut *seat, next)
+        };
+        if says {
+            old.instance.drain();
+        } else {
+            old.instance.lapse();
+        }
+        self.leaving.lock().insert(old.instance.name().to_owned(), Instant::now());
+        tokio::time::sleep(DRAINS_FOR).await;
+        old.way.stop_listening();
+        old.instance.stop_listening();
+        let began = Instant::now();
+        while old.instance.is_needed() && began.elapsed() < STAYS_FOR {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        tokio::time::sleep(FLUSHED).await;
+        old.instance.lapse();
+        old.instance.crash();
+    }
+
     /// A new configuration: one key more, the oldest taken away.
     pub fn new_config(&self) {
         let mut keys = self.keys.lock();
--- a/crates/workshold-soak/src/judge.rs
+++ b/crates/workshold-soak/src/judge.rs
@@ -36,6 +36,8 @@
     LeavingGetsNothing,
     /// a planned stop cuts nothing
     StopCutsNothing,
+    /// beside planned work alone nothing is cut, and what was read is answered or refused
+    PlannedCutsNothing,
     /// groups serve whole, and nobody is in two
     WholeGroups,
     /// a node runs until it is told to stop
@@ -76,6 +78,8 @@
     pub leaving: BTreeMap<String, Instant>,
     /// When faults began, and the last one was over: outside this, all is calm.
     pub faults: Option<(Instant, Instant)>,
+    /// When planned work began, and the last of it was over.
+    pub planned: Option<(Instant, Instant)>,
     /// When faults began that may hide a leaving instance from nodes.
     pub hidden: Vec<(Instant, Instant)>,
 }
@@ -180,7 +184,12 @@
     let is_calm = outcome.ended < began || outcome.sent > over;
     let Seen::Cut(why) = &outcome.seen else { return None };
     let what = || format!("{} at node {}: {why}", outcome.id, outcome.node.0);
-    is_calm.then(|| Breach { promise: Promise::StopCutsNothing, what: what() })
+    let is_beside = |(from, to)| outcome.ended >= from && outcome.sent <= to;
+    let promise = match record.planned {
+        Some(planned) if is_beside(planned) => Promise::PlannedCutsNothing,
+        _ => Promise::StopCutsNothing,
+    };
+    is_calm.then(|| Breach { promise, what: what() })
 }
 
 fn asked(record: &Record) -> Vec<Breach> {
--- a/crates/workshold-soak/src/main.rs
+++ b/crates/workshold-soak/src/main.rs
@@ -46,10 +46,18 @@
     let callers = number("callers", "Callers at once", 12);
     let secs = |n: u64| Duration::from_secs(n);
     let length = number("secs", "Seconds in which faults come", 12).map(secs);
+    let planned = number("planned", "Seconds in which planned work comes", 8).map(secs);
     let recovers_within =
         number("recovers-within", "Seconds until all is served again", 12).map(secs);
-    let options =
-        bpaf::construct!(Options { binary, folder, size, callers, length, recovers_within });
+    let options = bpaf::construct!(Options {
+        binary,
+        folder,
+        size,
+        callers,
+        length,
+        planned,
+        recovers_within
+    });
     let first = number("first", "The first seed", 1);
     let seeds = number("seeds", "How many seeds", 50);
     let jobs = number("jobs", "Seeds at once", 3).map(|n| n as usize);
--- a/crates/workshold-soak/src/plan.rs
+++ b/crates/workshold-soak/src/plan.rs
@@ -58,6 +58,17 @@
     BadAnswers,
     /// A new configuration with a new key, the last but one taken away.
     NewConfig,
+    /// An engine is replaced: it states that it will end.
+    RetireEngine,
+    /// An engine is replaced: its entry disappears, and it states nothing.
+    RetireUnsaid,
+}
+
+impl Kind {
+    /// Whether it is planned work alone and hides nothing from anybody.
+    pub fn is_planned(self) -> bool {
+        PLANNED.contains(&self)
+    }
 }
 
 /// All kinds, the likelier ones more than once.
@@ -95,7 +106,11 @@
     Kind::NewConfig,
 ];
 
-/// One fault.
+/// Planned work, the likelier kinds more than once.
+const PLANNED: &[Kind] =
+    &[Kind::RetireEngine, Kind::RetireEngine, Kind::RetireUnsaid, Kind::NewConfig, Kind::NewConfig];
+
+/// One fault, or one piece of planned work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Fault {
     /// When it begins, from the start of the load.
@@ -117,6 +132,15 @@
 
 /// The faults of `seed` over `length`.
 pub fn draw(seed: u64, length: Duration) -> Vec<Fault> {
+    draw_of(KINDS, seed, length)
+}
+
+/// The planned work of `seed` over `length`.
+pub fn draw_planned(seed: u64, length: Duration) -> Vec<Fault> {
+    draw_of(PLANNED, seed, length)
+}
+
+fn draw_of(kinds: &[Kind], seed: u64, length: Duration) -> Vec<Fault> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut faults = Vec::new();
     let mut at = Duration::ZERO;
@@ -127,7 +151,7 @@
         if at >= length {
             return faults;
         }
-        let kind = *KINDS.choose(&mut rng).expect("there are kinds");
+        let kind = *kinds.choose(&mut rng).expect("there are kinds");
         let lasts = Duration::from_millis(rng.random_range(LASTS_MS.0..LASTS_MS.1));
         faults.push(Fault { at, lasts, kind, whom: rng.random_range(0..1_000) });
     }
--- a/crates/workshold-soak/src/run.rs
+++ b/crates/workshold-soak/src/run.rs
@@ -49,6 +49,8 @@
     pub callers: u64,
     /// How long faults come.
     pub length: Duration,
+    /// How long planned work comes, once faults are over.
+    pub planned: Duration,
     /// All has to be served again this long after the last fault.
     pub recovers_within: Duration,
 }
@@ -129,7 +131,12 @@
     let recovered_after = is_well.then(|| last.elapsed());
     tokio::time::sleep(AFTERMATH).await;
     let over = Instant::now();
+    let mut planned = None;
     if is_well {
+        if !options.planned.is_zero() {
+            work_as_planned(&stage, plan::draw_planned(seed, options.planned)).await;
+            planned = Some((over, Instant::now()));
+        }
         stop_each(&stage).await;
     }
     let memory_kb = stage.memory_kb().await;
@@ -158,6 +165,7 @@
         keys: stage.fleet.keys(),
         leaving: stage.fleet.leaving(),
         faults: Some((began, over)),
+        planned,
         hidden: stage.hidden.lock().clone(),
     };
     breaches.extend(judge::judge(&record));
@@ -223,12 +231,22 @@
             stage.carry_out(fault).await;
             // A leaving instance's word comes through the store, to nodes that run.
             let to = Instant::now() + AFTERMATH;
-            stage.hidden.lock().push((from, to));
+            if !fault.kind.is_planned() {
+                stage.hidden.lock().push((from, to));
+            }
         });
     }
     under_way.join_all().await;
 }
 
+/// Carries planned work out while engines are full, and waits until the last is over.
+async fn work_as_planned(stage: &Arc<Stage>, work: Vec<Fault>) {
+    stage.fleet.all_behave(Manner::Full).await;
+    befall(stage, work).await;
+    stage.fleet.all_behave(Manner::Good).await;
+    tokio::time::sleep(AFTERMATH).await;
+}
+
 /// Stops one node after the other with a plan, and starts it again.
 async fn stop_each(stage: &Arc<Stage>) {
     for (i, node) in stage.nodes.iter().enumerate() {
@@ -305,6 +323,8 @@
             Kind::ResetInstance => self.fleet.reset(whom).await,
             Kind::BadAnswers => self.fleet.behave(whom, bad_manner(whom), lasts).await,
             Kind::NewConfig => self.fleet.new_config(),
+            Kind::RetireEngine => self.fleet.retire(whom, true).await,
+            Kind::RetireUnsaid => self.fleet.retire(whom, false).await,
         }
     }
 
--- a/crates/workshold-soak/tests/judge.rs
+++ b/crates/workshold-soak/tests/judge.rs
@@ -177,6 +177,10 @@
 fn a_cut_in_calm_is_seen_and_one_under_faults_is_not() {
     let mut case = Case::new(Asked::Chat).seen(Seen::Cut("reset".to_owned()));
     assert_eq!(case.broken(), [Promise::StopCutsNothing]);
+    case.record.planned = Some((case.at(3), case.at(4)));
+    assert_eq!(case.broken(), [Promise::PlannedCutsNothing]);
+    case.record.planned = Some((case.at(4), case.at(5)));
+    assert_eq!(case.broken(), [Promise::StopCutsNothing], "planned work came later");
     case.record.outcomes[0].ended = case.at(12);
     assert_eq!(case.broken(), []);
 }
--- a/crates/workshold-soak/tests/plan.rs
+++ b/crates/workshold-soak/tests/plan.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use workshold_soak::plan::draw;
+use workshold_soak::plan::draw_planned;
 
 const LENGTH: Duration = Duration::from_secs(12);
 
@@ -28,3 +29,11 @@
     assert_eq!(kinds.len(), 24, "{kinds:?}");
     assert!(overlaps > 200, "{overlaps}");
 }
+
+#[test]
+fn planned_work_is_planned_and_covers_all_kinds() {
+    let work: Vec<_> = (0..50).flat_map(|seed| draw_planned(seed, LENGTH)).collect();
+    assert!(work.iter().all(|piece| piece.kind.is_planned()));
+    let kinds: BTreeSet<_> = work.iter().map(|piece| format!("{:?}", piece.kind)).collect();
+    assert_eq!(kinds.len(), 3, "{kinds:?}");
+}
