Test, failing: a member that finishes with a plan does not cut its group

Cause: the steward takes a member that refuses connections for lost, also if it said before that it would end, if its entry went before, or if the list may lack that it did. It then closes the group by cutting, although by the users' pages such a member remains while its head has work: an answer is ended by an inference about its upstream. Shown: stewards.rs, three ways of leaving; each gets "close cut=true" where the group could be closed by waiting.

--- a/crates/workshold-core/tests/hosted/stewards.rs
+++ b/crates/workshold-core/tests/hosted/stewards.rs
@@ -634,3 +634,60 @@
     domain.heads.insert(5, id("i-1"));
     assert_eq!(kinds(&domain.plan(&mut steward(1))), ["i-1 join 2", "i-2 join 2"]);
 }
+
+/// Two of `small` that serve; the second one was leaving by whatever `is_leaving` does,
+/// and nobody can connect to it any more.
+fn with_a_member_that_has_stopped_listening(is_leaving: impl FnOnce(&mut Domain)) -> Domain {
+    let mut domain = Domain::new();
+    for name in ["i-1", "i-2"] {
+        domain.add(name, &["small"], &["small"]);
+    }
+    domain.join("small", 5, &["i-1", "i-2"], MemberState::Open);
+    domain.losses.insert(id("i-2"), (Loss::Ended, domain.now - LONG_AGO));
+    is_leaving(&mut domain);
+    domain
+}
+
+/// The member remains while the head has work: what runs is not cut off.
+fn closes_and_cuts_nothing(mut domain: Domain) {
+    let mut steward = steward(1);
+    assert_eq!(kinds(&domain.plan(&mut steward)), ["i-1 close cut=false"]);
+    domain.change("i-1", |i| i.membership.as_mut().unwrap().state = MemberState::Closing);
+    let commands: Vec<Command> = (0..40).flat_map(|_| domain.plan(&mut steward)).collect();
+    assert_eq!(kinds(&commands), [""; 0], "for eight seconds");
+}
+
+#[test]
+fn a_member_that_is_leaving_and_has_stopped_listening_cuts_nothing() {
+    closes_and_cuts_nothing(with_a_member_that_has_stopped_listening(|domain| {
+        domain.change("i-2", |i| i.is_leaving = true);
+    }));
+}
+
+/// Some never state that they will end: their entry goes, and they finish what they have.
+#[test]
+fn a_member_whose_entry_went_before_it_stopped_listening_cuts_nothing() {
+    closes_and_cuts_nothing(with_a_member_that_has_stopped_listening(|domain| {
+        let went = domain.now - Millis(2_500);
+        domain.entries.get_mut("i-2").unwrap().unlisted_since = Some(went);
+    }));
+}
+
+/// The store was away: its list does not say that the member was leaving.
+#[test]
+fn a_member_that_stopped_listening_after_an_outage_cuts_nothing() {
+    closes_and_cuts_nothing(with_a_member_that_has_stopped_listening(|domain| {
+        domain.trust.on_trouble(domain.now - LONG_AGO - Millis(100));
+    }));
+}
+
+/// Whoever has had the time to finish is lost like any other.
+#[test]
+fn a_member_that_left_long_ago_cuts_what_stands_still() {
+    let mut domain = with_a_member_that_has_stopped_listening(|domain| {
+        domain.change("i-2", |i| i.is_leaving = true);
+    });
+    domain.change("i-1", |i| i.membership.as_mut().unwrap().state = MemberState::Closing);
+    domain.now = domain.now + Millis(11_000);
+    assert_eq!(kinds(&domain.plan(&mut steward(1))), ["i-1 close cut=true"]);
+}
