A member that finishes with a plan is not lost: its group closes by waiting

Cause: has_lost_member went by reach alone. is_gone has long known that whoever was leaving (by its own word, by an entry that went, or unseen in an outage) refuses connections while it finishes; the order to cut off what runs did not ask. Now both go by one judgement, may_finish: such a member is waited for as long as it may finish (10.5 s), and its group is closed by waiting. After that it is lost like any other. Price: a member that really dies within 2.3 s of trouble with the list holds the others up until the head is broken (stall_ms) rather than at once.

--- a/crates/workshold-core/src/hosted/steward/situation.rs
+++ b/crates/workshold-core/src/hosted/steward/situation.rs
@@ -91,24 +91,44 @@
     /// Whether an instance is gone for sure: its process has ended, or neither the
     /// platform nor any of several nodes hears of it. A head that is only out of our
     /// reach may still serve, and its members are not free.
-    ///
-    /// One that was leaving refuses connections while it finishes what it has.
     pub(super) fn is_gone(&self, id: &InstanceId) -> bool {
         let loss = (self.loss)(id);
-        let since = (self.doubted_since)(id).unwrap_or(self.now);
-        if loss > Loss::None && self.now.since(since) < ALL_ARE_ASKED {
+        if loss > Loss::None && self.doubted_for(id) < ALL_ARE_ASKED {
             return false;
         }
+        if self.was_leaving(id) {
+            return loss >= Loss::Confirmed && !self.may_finish(id);
+        }
+        let entry = self.entry(id);
+        let is_unlisted = entry.is_none_or(|entry| entry.unlisted_since.is_some());
+        loss == Loss::Ended || (loss == Loss::Confirmed && is_unlisted)
+    }
+
+    /// Whether an instance that takes no connections may only finish what it has: it was
+    /// leaving before, and has not had the time for it yet.
+    fn may_finish(&self, id: &InstanceId) -> bool {
+        self.was_leaving(id) && self.doubted_for(id) < LEAVING_LINGERS
+    }
+
+    /// Whether an instance was leaving when it was last reached, by its own word or by
+    /// the list, or may have been without the list's saying so.
+    fn was_leaving(&self, id: &InstanceId) -> bool {
         let entry = self.entry(id);
+        let since = self.doubted_since(id);
         let unlisted = entry.and_then(|entry| entry.unlisted_since);
         // What is missing after an outage may have gone at any time in it.
-        let was_leaving = entry.is_some_and(|entry| entry.instance.is_leaving)
+        let is_unsure = (self.loss)(id) > Loss::None && self.trust.may_lack(since);
+        entry.is_some_and(|entry| entry.instance.is_leaving)
             || unlisted.is_some_and(|unlisted| unlisted < since)
-            || (loss > Loss::None && self.trust.may_lack(since));
-        if was_leaving {
-            return loss >= Loss::Confirmed && self.now.since(since) >= LEAVING_LINGERS;
-        }
-        loss == Loss::Ended || (loss == Loss::Confirmed && (unlisted.is_some() || entry.is_none()))
+            || is_unsure
+    }
+
+    fn doubted_since(&self, id: &InstanceId) -> Millis {
+        (self.doubted_since)(id).unwrap_or(self.now)
+    }
+
+    fn doubted_for(&self, id: &InstanceId) -> Millis {
+        self.now.since(self.doubted_since(id))
     }
 
     /// Whether an instance may be put into a group.
@@ -116,10 +136,12 @@
         entry.is_in_service(self.trust, self.now) && (self.loss)(&entry.instance.id) == Loss::None
     }
 
+    /// Whether a group stands still for good, or soon will: then what runs there can be
+    /// cut off. A member that finishes holds nobody up, although nobody can connect to it.
     pub(super) fn has_lost_member(&self, group: &Group) -> bool {
         let size = self.engine.model(group.model()).map_or(1, |model| model.size);
         (0..size).any(|rank| match group.members.get(&rank) {
-            Some(member) => self.is_lost(&member.id),
+            Some(member) => self.is_lost(&member.id) && !self.may_finish(&member.id),
             None => true,
         })
     }
@@ -129,10 +151,11 @@
     pub(super) fn has_leaving_member(&self, group: &Group) -> bool {
         group.members.iter().any(|(rank, member)| {
             let entry = self.entry(&member.id);
-            entry.is_none_or(|entry| {
+            let is_ending = entry.is_none_or(|entry| {
                 let is_there = *rank > 0 || entry.is_there(self.trust, self.now);
                 entry.instance.is_leaving || !is_there
-            })
+            });
+            is_ending || self.is_lost(&member.id)
         })
     }
 }
