Test, failing: a member that a new node never saw does not cut its group

Cause: a place in a group for which the list has no statement counts as a lost member, and the group is cut. A node that starts, takes a part of the lease and reads the list while a member finishes whose entry has gone knows nothing of that member; the other nodes' streams at the head are ended by what the list lacks. Shown: stewards.rs; "close cut=true".

--- a/crates/workshold-core/tests/hosted/stewards.rs
+++ b/crates/workshold-core/tests/hosted/stewards.rs
@@ -691,3 +691,12 @@
     domain.now = domain.now + Millis(11_000);
     assert_eq!(kinds(&domain.plan(&mut steward(1))), ["i-1 close cut=true"]);
 }
+
+/// Its entry went before this node began, and it may be finishing.
+#[test]
+fn a_member_that_a_new_node_never_saw_cuts_nothing() {
+    let mut domain = with_a_member_that_has_stopped_listening(|_| {});
+    domain.entries.remove("i-2");
+    domain.losses.clear();
+    closes_and_cuts_nothing(domain);
+}
