What the list says nothing of is not lost: such a group closes by waiting

Cause: has_lost_member took a place without a statement for a lost member. It now counts only members that are known and out of everybody's reach; a place of which nothing is known closes the group by waiting, like one that leaves. If its member really is gone, the head stands still and is broken after stall_ms, by itself. Ruled out: to hold such a group as it is: this node sends nothing to it, and its members are wanted.

--- a/crates/workshold-core/src/hosted/steward/situation.rs
+++ b/crates/workshold-core/src/hosted/steward/situation.rs
@@ -139,23 +139,23 @@
     /// Whether a group stands still for good, or soon will: then what runs there can be
     /// cut off. A member that finishes holds nobody up, although nobody can connect to it.
     pub(super) fn has_lost_member(&self, group: &Group) -> bool {
-        let size = self.engine.model(group.model()).map_or(1, |model| model.size);
-        (0..size).any(|rank| match group.members.get(&rank) {
-            Some(member) => self.is_lost(&member.id) && !self.may_finish(&member.id),
-            None => true,
-        })
+        let is_lost = |id| self.is_lost(id) && !self.may_finish(id);
+        group.members.values().any(|member| is_lost(&member.id))
     }
 
-    /// Whether a member will end. One that the list lacks, but that answers, may only
-    /// be cut off from the store; as long as it is not the head, nothing goes to it.
+    /// Whether a member will end, or may be about to: the list says nothing of it. One
+    /// that the list lacks, but that answers, may only be cut off from the store; as long
+    /// as it is not the head, nothing goes to it.
     pub(super) fn has_leaving_member(&self, group: &Group) -> bool {
-        group.members.iter().any(|(rank, member)| {
-            let entry = self.entry(&member.id);
-            let is_ending = entry.is_none_or(|entry| {
-                let is_there = *rank > 0 || entry.is_there(self.trust, self.now);
-                entry.instance.is_leaving || !is_there
-            });
-            is_ending || self.is_lost(&member.id)
+        let size = self.engine.model(group.model()).map_or(1, |model| model.size);
+        (0..size).any(|rank| {
+            let member = group.members.get(&rank);
+            let entry = member.and_then(|member| self.entry(&member.id));
+            entry.is_none_or(|entry| {
+                let is_there = rank > 0 || entry.is_there(self.trust, self.now);
+                let is_out_of_reach = self.is_lost(&entry.instance.id);
+                entry.instance.is_leaving || !is_there || is_out_of_reach
+            })
         })
     }
 }
