Test, failing: a planned stop cuts no stream that the node has taken up

Cause: a stopping node waits for what stands in its table of requests, and a stream that a caller has taken up with its id (callers/resume.rs) never stands there; then connections have two seconds to end. So an answer that its upstream would have finished is ended by a table.

--- a/crates/workshold-node/tests/requests.rs
+++ b/crates/workshold-node/tests/requests.rs
@@ -42,6 +42,25 @@
     }
 }
 
+/// The stop waits for the stream, which goes on for longer than answers that are whole
+/// need to leave the machine.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_of_a_node_cuts_no_stream_that_it_has_taken_up() {
+    const TOKENS: u32 = 1_000;
+    let mut deployment = Deployment::serving(small()).await;
+    let (first, second) = (deployment.layout.callers(0), deployment.layout.callers(1));
+    let mut stream = Stream::open(&first, "question", TOKENS).await;
+    stream.read(3).await;
+    deployment.kill(0);
+    stream.finish().await;
+    let mut resumed = Stream::resume(&second, &stream).await.unwrap();
+    deployment.signal(1, "-TERM");
+    resumed.finish().await;
+    assert!(resumed.is_whole, "cut after {} of {TOKENS} tokens", resumed.tokens);
+    assert_eq!(resumed.text, answer::whole("question", TOKENS));
+    assert_eq!(deployment.wait_exit(1).await, Some(0), "nothing was cut");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_group_that_loses_a_member_hands_its_streams_to_another_group() {
     let deployment = Deployment::serving(Layout::default()).await;
