A planned stop waits for streams that were taken up, and for answers in no table

A stream that is taken up now stands among the requests under way, and a stopping node waits until its connections have ended, not for two seconds: so a request under a key whose intent is still being recorded when the node looks is finished as well. Whoever does not read on is waited for as long as ever (caller_stall); a second signal cuts as before. Ruled out: that idle connections hold the stop up: a_planned_stop_of_a_node_waits_for_no_idle_ connection (one never used, one kept), ends within 5 s.

--- a/crates/workshold-node/src/callers/resume.rs
+++ b/crates/workshold-node/src/callers/resume.rs
@@ -27,6 +27,7 @@
 use crate::callers::identity;
 use crate::callers::sse;
 use crate::node::Node;
+use crate::requests::InFlight;
 use crate::requests::StreamPlace;
 
 const CONNECT_TIME: Duration = Duration::from_millis(500);
@@ -59,8 +60,9 @@
     node.counters.resumed.add(1);
     let lines = Lines::new(res.into_body(), silence);
     let (tx, rx) = tokio::sync::mpsc::channel(PIECES_WAITING);
-    tokio::spawn(relay(Arc::clone(node), lines, from, tx, driver));
-    Ok(response(&place, id, rx))
+    let res = response(&place, id, rx);
+    tokio::spawn(relay(Arc::clone(node), place, lines, from, tx, driver));
+    Ok(res)
 }
 
 const PIECES_WAITING: usize = 64;
@@ -86,11 +88,18 @@
 /// Hands on what the engine still generates; whole, or with a problem at its end.
 async fn relay(
     node: Arc<Node>,
+    place: StreamPlace,
     mut lines: Lines,
     from: u32,
     tx: tokio::sync::mpsc::Sender<Piece>,
     _driver: client::Driver,
 ) {
+    let _guard = node.in_flight.enter(InFlight {
+        team: place.team,
+        target: place.model.to_string(),
+        group: None,
+        since: node.now(),
+    });
     let stall = node.settings.times.caller_stall.to_duration();
     let mut next = from;
     loop {
--- a/crates/workshold-node/src/daemon.rs
+++ b/crates/workshold-node/src/daemon.rs
@@ -204,37 +204,62 @@
 
 /// Leaves the addresses, waits until callers have forgotten this one, finishes
 /// what is in flight, and ends. A second signal cuts what is left.
-async fn stop(node: &Arc<Node>, servers: Servers, signals: &mut Signals) -> Ended {
+async fn stop(node: &Arc<Node>, mut servers: Servers, signals: &mut Signals) -> Ended {
     node.leaving.store(true, Ordering::Relaxed);
     emit(Event::Leaving, &[]);
-    let times = &node.settings.times;
-    // Others hear of it within one question, and callers keep what they were
-    // told for the time it is good for.
-    let forgotten = node.now() + times.probe_every + times.probe_every + times.entries_ttl;
-    let patience = forgotten + times.stop_patience;
-    let finished = async {
-        wait_until(node, forgotten).await;
-        // Whoever comes now did not heed the addresses, and is told others.
-        node.closing.store(true, Ordering::Relaxed);
-        wait_until_idle(node, patience).await;
-    };
-    tokio::select! {
-        () = finished => {}
+    let is_finished = tokio::select! {
+        is_finished = finish(node, &mut servers) => is_finished,
         () = wait_for_stop(signals, node) => {
             let left = node.in_flight.len().to_string();
             emit(Event::Cut, &[("in_flight", &left)]);
+            false
         }
+    };
+    if is_finished {
+        return Ended { cut: 0 };
     }
-    let stage = if node.in_flight.is_empty() { Stage::Finishing } else { Stage::Cutting };
     let cut = node.in_flight.len();
-    servers.stage.send_replace(stage);
-    let ended = tokio::time::timeout(FINISH_TIME, servers.callers).await;
+    servers.stage.send_replace(Stage::Cutting);
+    let ended = tokio::time::timeout(CUT_TIME, servers.callers).await;
     let unfinished = ended.ok().and_then(Result::ok).unwrap_or(0);
-    Ended { cut: cut.max(if stage == Stage::Cutting { unfinished } else { 0 }) }
+    Ended { cut: cut.max(unfinished) }
 }
 
-/// Time for answers that are complete to leave the machine.
-const FINISH_TIME: Duration = Duration::from_secs(2);
+/// Time for connections to be cut.
+const CUT_TIME: Duration = Duration::from_secs(2);
+
+/// Finishes what is in flight; false if that takes too long.
+async fn finish(node: &Node, servers: &mut Servers) -> bool {
+    let times = &node.settings.times;
+    // Others hear of it within one question, and callers keep what they were
+    // told for the time it is good for.
+    let forgotten = node.now() + times.probe_every + times.probe_every + times.entries_ttl;
+    let patience = forgotten + times.stop_patience;
+    wait_until(node, forgotten).await;
+    // Whoever comes now did not heed the addresses, and is told others.
+    node.closing.store(true, Ordering::Relaxed);
+    wait_until_idle(node, patience).await;
+    if !node.in_flight.is_empty() {
+        return false;
+    }
+    servers.stage.send_replace(Stage::Finishing);
+    end_connections(node, servers, patience).await
+}
+
+/// Waits until all connections have ended: an answer ends with its own, also one that
+/// stood in no table yet. Whoever does not read on is waited for as long as ever.
+async fn end_connections(node: &Node, servers: &mut Servers, patience: Millis) -> bool {
+    let stall = node.settings.times.caller_stall;
+    loop {
+        let left = patience.since(node.now()).min(stall);
+        if tokio::time::timeout(left.to_duration(), &mut servers.callers).await.is_ok() {
+            return true;
+        }
+        if node.in_flight.is_empty() || node.now() >= patience {
+            return false;
+        }
+    }
+}
 
 async fn wait_until(node: &Node, time: Millis) {
     while node.now() < time {
--- a/crates/workshold-node/tests/requests.rs
+++ b/crates/workshold-node/tests/requests.rs
@@ -3,9 +3,13 @@
 mod support;
 
 use std::time::Duration;
+use std::time::Instant;
 
 use hyper::Method;
 use hyper::StatusCode;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
 use workshold_standins::Layout;
 use workshold_standins::answer;
 use workshold_standins::faults::Fault;
@@ -61,6 +65,24 @@
     assert_eq!(deployment.wait_exit(1).await, Some(0), "nothing was cut");
 }
 
+/// Connections on which nothing is asked are no answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_of_a_node_waits_for_no_idle_connection() {
+    let mut deployment = Deployment::serving(small()).await;
+    let address = deployment.layout.callers(0);
+    let unused = TcpStream::connect(&address).await.unwrap();
+    let mut used = TcpStream::connect(&address).await.unwrap();
+    used.write_all(b"GET /health HTTP/1.1\r\nhost: node\r\n\r\n").await.unwrap();
+    let mut first = [0; 12];
+    used.read_exact(&mut first).await.unwrap();
+    assert_eq!(&first, b"HTTP/1.1 200");
+    let began = Instant::now();
+    deployment.signal(0, "-TERM");
+    assert_eq!(deployment.wait_exit(0).await, Some(0), "nothing was cut");
+    assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
+    drop((unused, used));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_group_that_loses_a_member_hands_its_streams_to_another_group() {
     let deployment = Deployment::serving(Layout::default()).await;
