Test, failing: a stream that falls silent ends by its own end

Cause: the node gives an attempt up as soon as its upstream has said nothing for upstream_ silence, before another has spoken, and also if no other may be asked; after three the answer is cut although the first would have gone on. A stream that was taken up with its id is cut after the first silence.

--- a/crates/workshold-node/tests/requests.rs
+++ b/crates/workshold-node/tests/requests.rs
@@ -7,6 +7,7 @@
 
 use hyper::Method;
 use hyper::StatusCode;
+use rstest::rstest;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
@@ -15,6 +16,7 @@
 use workshold_standins::faults::Fault;
 
 use crate::support::Deployment;
+use crate::support::TIMES;
 use crate::support::caller;
 use crate::support::caller::Stream;
 use crate::support::caller::ask;
@@ -101,6 +103,55 @@
     }
 }
 
+/// Where `upstream_silence` is shorter than the pause that follows.
+async fn with_little_patience(layout: Layout) -> Deployment {
+    let times = TIMES.replace("upstream_silence = 3000", "upstream_silence = 800");
+    let deployment = Deployment::start_with(layout, &times, |_, settings| settings).await;
+    deployment.roll_out_first().await;
+    deployment
+}
+
+/// One step of all engines takes longer than three attempts that are each given up.
+async fn pause_all(deployment: &Deployment) {
+    let engines = || (0..deployment.layout.engines).map(|i| deployment.layout.engine_id(i));
+    for engine in engines() {
+        deployment.platform.inject(Fault::Slow(engine, 900)).await;
+    }
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    for engine in engines() {
+        deployment.platform.inject(Fault::Slow(engine, 1)).await;
+    }
+}
+
+/// Nobody else can take it, or nobody who could is any faster.
+#[rstest]
+#[case::one_group(small())]
+#[case::two_groups(Layout::default())]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_falls_silent_ends_by_its_own_end(#[case] layout: Layout) {
+    let deployment = with_little_patience(layout).await;
+    let mut stream = Stream::open(&deployment.layout.callers(0), "question", 40).await;
+    stream.read(3).await;
+    pause_all(&deployment).await;
+    stream.finish().await;
+    assert!(stream.is_whole, "cut after {} of 40 tokens", stream.tokens);
+    assert_eq!(stream.text, answer::whole("question", 40));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_was_taken_up_and_falls_silent_ends_by_its_own_end() {
+    let deployment = with_little_patience(small()).await;
+    let address = deployment.layout.callers(0);
+    let mut stream = Stream::open(&address, "question", 200).await;
+    stream.read(3).await;
+    let mut resumed = Stream::resume(&address, &stream).await.unwrap();
+    resumed.read(10).await;
+    pause_all(&deployment).await;
+    resumed.finish().await;
+    assert!(resumed.is_whole, "cut after {} of 200 tokens", resumed.tokens);
+    assert_eq!(resumed.text, answer::whole("question", 200));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_booking_runs_once_though_the_append_reply_is_lost_and_it_is_asked_for_elsewhere() {
     let deployment = Deployment::serving(small()).await;
