Silence does not end an attempt: another engine is asked beside it, and who speaks first has it

Cause: silence was told like a break. Now whoever listens hears the difference (callers/talk.rs): after upstream_silence the node looks for another group, or waits for a turn at one, and goes on listening; the silent one is given up only when the other has said its first token. From asking on both are one attempt of the course, so one of them only is ever heard, and attempts and budget are counted as before. Where nobody else may be asked (attempts used up, at most once, no room) the answer has all of its time. A stream that was taken up has max_deadline. Ruled out: that streams of a group that is frozen now hang: streams_of_a_group_that_freezes_go_ on_elsewhere, with room elsewhere and with none at first (a turn in the queue).

--- a/crates/workshold-core/src/course.rs
+++ b/crates/workshold-core/src/course.rs
@@ -167,10 +167,15 @@
         self.try_again(Code::UpstreamFailed, now, may_retry)
     }
 
-    fn try_again(&mut self, code: Code, now: Millis, may_retry: impl FnOnce() -> bool) -> Next {
+    /// Whether the rules allow another attempt, if the retry budget does.
+    pub fn may_try_again(&self, now: Millis) -> bool {
         let is_safe = !self.may_have_run() || self.repeatability == Repeatability::Repeatable;
         let in_time = now < self.deadline && self.attempt < self.max_attempts;
-        if is_safe && in_time && may_retry() {
+        self.end.is_none() && is_safe && in_time
+    }
+
+    fn try_again(&mut self, code: Code, now: Millis, may_retry: impl FnOnce() -> bool) -> Next {
+        if self.may_try_again(now) && may_retry() {
             self.attempt += 1;
             self.sent_earlier |= self.sent;
             self.sent = false;
--- a/crates/workshold-node/src/callers.rs
+++ b/crates/workshold-node/src/callers.rs
@@ -10,6 +10,7 @@
 pub mod problems;
 pub mod resume;
 pub mod sse;
+pub mod talk;
 
 use std::sync::Arc;
 
--- a/crates/workshold-node/src/callers/generation.rs
+++ b/crates/workshold-node/src/callers/generation.rs
@@ -1,16 +1,11 @@
 //! One generation: placing it, attempting it, relaying its tokens.
 
-use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use bytes::BytesMut;
-use http_body_util::BodyExt;
 use hyper::Method;
-use hyper::StatusCode;
-use hyper::body::Incoming;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::time::timeout;
 use uuid::Uuid;
 use workshold_core::admission::Arrival;
@@ -26,7 +21,6 @@
 use workshold_http::client;
 use workshold_protocol::Millis;
 use workshold_protocol::engine::GenerateRequest;
-use workshold_protocol::engine::NOT_STARTED_HEADER;
 use workshold_protocol::engine::TokenEvent;
 use workshold_protocol::ids::AdapterName;
 use workshold_protocol::ids::ModelName;
@@ -35,6 +29,8 @@
 use workshold_protocol::problem::Problem;
 
 use crate::callers::completions::Style;
+use crate::callers::talk::Heard;
+use crate::callers::talk::Talk;
 use crate::desk::DeskView;
 use crate::desk::ModelDesk;
 use crate::desk::Placed;
@@ -117,8 +113,17 @@
         since: node.now(),
     });
     let course = Course::new(job.repeatability, job.deadline, RetryRules::default().max_attempts);
-    let mut run =
-        Run { node: &node, job: &job, tx: &tx, guard, course, generated: Vec::new(), hint: None };
+    let mut run = Run {
+        node: &node,
+        job: &job,
+        tx: &tx,
+        guard,
+        course,
+        generated: Vec::new(),
+        placed: None,
+        turn: None,
+        hint: None,
+    };
     run.on_request();
     let end = run.drive().await;
     run.finish(end).await;
@@ -131,6 +136,10 @@
     guard: InFlightGuard<'a>,
     course: Course,
     generated: Vec<String>,
+    /// The stream that the caller was last told of.
+    placed: Option<Uuid>,
+    /// Its turn at a second engine, while the first one is silent.
+    turn: Option<oneshot::Receiver<Turn>>,
     hint: Option<Millis>,
 }
 
@@ -138,16 +147,15 @@
     /// Makes attempts until the request is over; none if its caller went away.
     async fn drive(&mut self) -> Option<End> {
         loop {
-            let attempt = self.course.attempt();
             let ended = match self.place().await {
-                Ok(group) => self.attempt(attempt, &group).await,
+                Ok(group) => self.attempt(group).await,
                 Err(event) => Ended::By(event),
             };
             let event = match ended {
                 Ended::By(event) => event,
                 Ended::CallerGone => return None,
             };
-            let now = self.node.now();
+            let (attempt, now) = (self.course.attempt(), self.node.now());
             let (node, job) = (self.node, self.job);
             match self.course.on(attempt, event, now, || may_retry(node, job)) {
                 Next::Finish(end) => return Some(end),
@@ -157,10 +165,13 @@
         }
     }
 
-    async fn before_retry(&self, next: u32, event: Event) {
+    fn note_failed(&self, why: &str) {
         self.node.counters.retries.add(1);
-        let why = format!("{event:?}");
-        emit(events::Event::AttemptFailed, &[("model", self.job.model.as_str()), ("why", &why)]);
+        emit(events::Event::AttemptFailed, &[("model", self.job.model.as_str()), ("why", why)]);
+    }
+
+    async fn before_retry(&self, next: u32, event: Event) {
+        self.note_failed(&format!("{event:?}"));
         let budget = RetryBudget::new(RetryRules::default());
         tokio::time::sleep(budget.backoff(next, rand::random()).to_duration()).await;
     }
@@ -178,17 +189,7 @@
             return Err(Event::DeadlinePassed);
         }
         let draw = rand::random::<f64>();
-        let placed = self.with_desk(|desk, view| {
-            let reserve = desk.service_time().0.min(self.course.deadline().since(now).0 / 2);
-            let arrival = Arrival {
-                team: &self.job.team,
-                share: self.job.share,
-                priority: self.job.priority,
-                start_by: self.course.deadline() - Millis(reserve),
-                draw,
-            };
-            desk.place(view, &self.job.chain, &arrival)
-        });
+        let placed = self.ask_for_place(now, draw);
         match placed {
             Some(Placed::Go(group)) => Ok(group),
             Some(Placed::Waits(turn)) => self.wait(turn).await,
@@ -203,10 +204,21 @@
         }
     }
 
-    async fn wait(
-        &self,
-        turn: tokio::sync::oneshot::Receiver<Turn>,
-    ) -> Result<Box<ServingGroup>, Event> {
+    fn ask_for_place(&self, now: Millis, draw: f64) -> Option<Placed> {
+        self.with_desk(|desk, view| {
+            let reserve = desk.service_time().0.min(self.course.deadline().since(now).0 / 2);
+            let arrival = Arrival {
+                team: &self.job.team,
+                share: self.job.share,
+                priority: self.job.priority,
+                start_by: self.course.deadline() - Millis(reserve),
+                draw,
+            };
+            desk.place(view, &self.job.chain, &arrival)
+        })
+    }
+
+    async fn wait(&self, turn: oneshot::Receiver<Turn>) -> Result<Box<ServingGroup>, Event> {
         tokio::select! {
             turn = turn => match turn {
                 Ok(Turn::Go(group)) => Ok(group),
@@ -223,24 +235,60 @@
     }
 
     /// Makes one attempt at `group`, and gives its place there back.
-    async fn attempt(&mut self, attempt: u32, group: &ServingGroup) -> Ended {
+    async fn attempt(&mut self, group: Box<ServingGroup>) -> Ended {
         self.guard.set_group(&group.group);
-        let started = self.node.now();
-        let stream = Uuid::new_v4();
-        let mut first_token = None;
-        let left = self.course.deadline().since(started).to_duration();
-        let ended = match timeout(left, self.talk(attempt, group, stream, &mut first_token)).await {
-            Ok(ended) => ended,
-            Err(_) => Ended::By(Event::DeadlinePassed),
+        let talk = match self.begin(group).await {
+            Ok(talk) => talk,
+            Err(group) => {
+                let ended = Ended::By(Event::ConnectFailed);
+                self.give_back(&group, &ended, None, self.node.now());
+                return ended;
+            }
         };
+        let (attempt, now) = (self.course.attempt(), self.node.now());
+        if let Next::Finish(_) = self.course.on(attempt, Event::Sending, now, || false) {
+            let ended = Ended::By(Event::DeadlinePassed);
+            self.give_back(&talk.group, &ended, None, talk.started);
+            return ended;
+        }
+        let mut talks = vec![talk];
+        let mut first_token = None;
+        let ended = self.relay(&mut talks, &mut first_token).await;
+        self.give_turn_back();
         let is_done = matches!(ended, Ended::By(Event::Done));
-        if !is_done && self.course.tokens() > 0 || matches!(ended, Ended::CallerGone) {
-            cancel(group.address.clone(), stream);
+        let is_wanted = is_done || self.course.tokens() == 0 && talks.len() == 1;
+        for talk in &talks {
+            if !is_wanted || matches!(ended, Ended::CallerGone) {
+                cancel(talk.group.address.clone(), talk.stream);
+            }
+            let first_token = first_token.map(|at: Millis| at.since(talk.started));
+            self.give_back(&talk.group, &ended, first_token, talk.started);
         }
-        self.give_back(group, &ended, first_token.map(|at: Millis| at.since(started)), started);
         ended
     }
 
+    /// Connects to the head of a group; what is sent leaves when its answer is listened to.
+    async fn begin(&self, group: Box<ServingGroup>) -> Result<Talk, Box<ServingGroup>> {
+        let started = self.node.now();
+        let Ok(connected) = client::connect(&group.address, CONNECT_TIME).await else {
+            return Err(group);
+        };
+        let now = self.node.now();
+        if now >= group.valid_until {
+            // The reports that it was chosen by have run out meanwhile.
+            return Err(group);
+        }
+        let stream = Uuid::new_v4();
+        let generate = self.generate_request(&group, stream);
+        let req =
+            client::request(&group.address, Method::POST, "/engine/generate", Some(&generate));
+        // Whoever listens keeps to the deadline.
+        let left = self.course.deadline().since(now).to_duration() + CONNECT_TIME;
+        let opening = Box::pin(connected.send(req, left));
+        let silence = self.node.settings.times.upstream_silence.to_duration();
+        Ok(Talk::new(group, stream, started, opening, silence))
+    }
+
     fn give_back(
         &self,
         group: &ServingGroup,
@@ -264,49 +312,6 @@
         });
     }
 
-    async fn talk(
-        &mut self,
-        attempt: u32,
-        group: &ServingGroup,
-        stream: Uuid,
-        first_token: &mut Option<Millis>,
-    ) -> Ended {
-        let Ok(connected) = client::connect(&group.address, CONNECT_TIME).await else {
-            return Ended::By(Event::ConnectFailed);
-        };
-        if self.node.now() >= group.valid_until {
-            // The reports that it was chosen by have run out meanwhile.
-            return Ended::By(Event::ConnectFailed);
-        }
-        let now = self.node.now();
-        if let Next::Finish(_) = self.course.on(attempt, Event::Sending, now, || false) {
-            return Ended::By(Event::DeadlinePassed);
-        }
-        let generate = self.generate_request(group, stream);
-        let req =
-            client::request(&group.address, Method::POST, "/engine/generate", Some(&generate));
-        let silence = self.node.settings.times.upstream_silence.to_duration();
-        let Ok((res, _driver)) = connected.send(req, silence).await else {
-            return Ended::By(Event::Broken);
-        };
-        if res.status() != StatusCode::OK {
-            let refused = res.headers().contains_key(NOT_STARTED_HEADER);
-            return Ended::By(if refused { Event::RefusedBeforeStart } else { Event::Broken });
-        }
-        let place = StreamPlace {
-            stream,
-            team: self.job.team.clone(),
-            model: self.job.model.clone(),
-            instance: group.head.clone(),
-            is_chat: self.job.style == Style::Chat,
-        };
-        let id = place.seal(&self.node.checked.cluster_key);
-        if self.tell(Piece::Placed(id)).await.is_err() {
-            return Ended::CallerGone;
-        }
-        self.relay(attempt, Lines::new(res.into_body(), silence), first_token).await
-    }
-
     fn generate_request(&self, group: &ServingGroup, stream: Uuid) -> GenerateRequest {
         GenerateRequest {
             stream: stream.to_string(),
@@ -321,34 +326,157 @@
         }
     }
 
-    async fn relay(
-        &mut self,
-        attempt: u32,
-        mut lines: Lines,
-        first_token: &mut Option<Millis>,
-    ) -> Ended {
+    /// Hands on what is heard, until the answer's end or its time. While an engine is
+    /// silent another one is asked; whichever speaks first has the answer.
+    async fn relay(&mut self, talks: &mut Vec<Talk>, first_token: &mut Option<Millis>) -> Ended {
         loop {
-            match lines.next().await {
-                Some(TokenEvent::Token { index, text }) => {
-                    first_token.get_or_insert_with(|| self.node.now());
-                    if !self.course.take_token(attempt, index) {
-                        continue;
+            let left = self.course.deadline().since(self.node.now());
+            if left == Millis::ZERO {
+                return Ended::By(Event::DeadlinePassed);
+            }
+            let heard = tokio::select! {
+                heard = timeout(left.to_duration(), listen(talks)) => heard,
+                turn = its_turn(&mut self.turn) => {
+                    self.turn = None;
+                    if let Some(group) = turn {
+                        self.begin_beside(talks, group).await;
                     }
-                    self.generated.push(text.clone());
-                    if self.tell(Piece::Token { index, text }).await.is_err() {
-                        return Ended::CallerGone;
+                    continue;
+                }
+            };
+            let Ok((who, heard)) = heard else { return Ended::By(Event::DeadlinePassed) };
+            let event = match heard {
+                Heard::Event(TokenEvent::Token { index, text }) => {
+                    if self.course.take_token(self.course.attempt(), index) {
+                        self.give_turn_back();
+                        self.choose(talks, who, first_token);
+                        first_token.get_or_insert_with(|| self.node.now());
+                        if self.hand_on(self.place_of(&talks[0]), index, text).await.is_err() {
+                            return Ended::CallerGone;
+                        }
                     }
-                    self.node.counters.tokens.add(1);
+                    continue;
                 }
-                Some(TokenEvent::Done { tokens }) if tokens == self.course.tokens() => {
+                Heard::Event(TokenEvent::Done { tokens }) if tokens == self.course.tokens() => {
+                    self.choose(talks, who, first_token);
                     return Ended::By(Event::Done);
                 }
-                // Fewer tokens than it says it had: not the whole answer.
-                Some(TokenEvent::Done { .. } | TokenEvent::Failed { .. }) | None => {
-                    return Ended::By(Event::Broken);
+                Heard::Opened if who > 0 => continue,
+                Heard::Opened => match self.tell_place(self.place_of(&talks[0])).await {
+                    Ok(()) => continue,
+                    Err(()) => return Ended::CallerGone,
+                },
+                Heard::Silence if talks.len() == 1 => {
+                    self.ask_another(talks).await;
+                    continue;
                 }
+                Heard::Silence if who == 0 => continue,
+                Heard::Refused => Event::RefusedBeforeStart,
+                // Fewer tokens than it says it had: not the whole answer.
+                Heard::Event(_) | Heard::Broken | Heard::Silence => Event::Broken,
+            };
+            if talks.len() == 1 {
+                return Ended::By(event);
             }
+            self.give_up(&talks.remove(who), event);
+        }
+    }
+
+    /// One of two speaks first: nobody wants the other one any more.
+    fn choose(&mut self, talks: &mut Vec<Talk>, who: usize, first_token: &mut Option<Millis>) {
+        if talks.len() == 1 {
+            return;
+        }
+        let other = talks.remove(1 - who);
+        if who == 0 {
+            cancel(other.group.address.clone(), other.stream);
+            self.give_back(&other.group, &Ended::CallerGone, None, other.started);
+            return;
         }
+        self.give_up(&other, Event::Broken);
+        self.guard.set_group(&talks[0].group.group);
+        *first_token = None;
+    }
+
+    /// One of two has failed; the other goes on.
+    fn give_up(&self, talk: &Talk, event: Event) {
+        cancel(talk.group.address.clone(), talk.stream);
+        self.give_back(&talk.group, &Ended::By(event), None, talk.started);
+    }
+
+    /// Looks for another engine beside the one that is silent, or waits for its turn at one.
+    async fn ask_another(&mut self, talks: &mut Vec<Talk>) {
+        let now = self.node.now();
+        if self.turn.is_some() || !self.course.may_try_again(now) {
+            return;
+        }
+        let silent = &talks[0].group.group;
+        self.with_desk(|desk, _| desk.on_silent(silent, now));
+        match self.ask_for_place(now, rand::random()) {
+            Some(Placed::Go(group)) => self.begin_beside(talks, group).await,
+            Some(Placed::Waits(turn)) => self.turn = Some(turn),
+            Some(Placed::Refused(_) | Placed::NoGroup) | None => {}
+        }
+    }
+
+    /// Asks a second engine, if that is allowed. From then on both are the same attempt:
+    /// only one of them is ever heard.
+    async fn begin_beside(&mut self, talks: &mut Vec<Talk>, group: Box<ServingGroup>) {
+        let began = match self.begin(group).await {
+            Ok(talk) => talk,
+            Err(group) => {
+                let ended = Ended::By(Event::ConnectFailed);
+                self.give_back(&group, &ended, None, self.node.now());
+                return;
+            }
+        };
+        let (attempt, now) = (self.course.attempt(), self.node.now());
+        let is_other = began.group.group != talks[0].group.group;
+        let may_try = is_other && self.course.may_try_again(now);
+        if !may_try || !may_retry(self.node, self.job) {
+            self.give_back(&began.group, &Ended::CallerGone, None, began.started);
+            return;
+        }
+        self.note_failed("Silent");
+        if let Next::TryAgain(next) = self.course.on(attempt, Event::Broken, now, || true) {
+            self.course.on(next, Event::Sending, now, || false);
+        }
+        talks.push(began);
+    }
+
+    /// No second engine is wanted any more.
+    fn give_turn_back(&mut self) {
+        let Some(mut turn) = self.turn.take() else { return };
+        turn.close();
+        if let Ok(Turn::Go(group)) = turn.try_recv() {
+            self.give_back(&group, &Ended::CallerGone, None, self.node.now());
+        }
+    }
+
+    async fn hand_on(&mut self, place: StreamPlace, index: u32, text: String) -> Result<(), ()> {
+        self.tell_place(place).await?;
+        self.generated.push(text.clone());
+        self.tell(Piece::Token { index, text }).await?;
+        self.node.counters.tokens.add(1);
+        Ok(())
+    }
+
+    fn place_of(&self, talk: &Talk) -> StreamPlace {
+        StreamPlace {
+            stream: talk.stream,
+            team: self.job.team.clone(),
+            model: self.job.model.clone(),
+            instance: talk.group.head.clone(),
+            is_chat: self.job.style == Style::Chat,
+        }
+    }
+
+    /// Tells the caller by what id the answer can be taken up, once for each engine.
+    async fn tell_place(&mut self, place: StreamPlace) -> Result<(), ()> {
+        if self.placed.replace(place.stream) == Some(place.stream) {
+            return Ok(());
+        }
+        self.tell(Piece::Placed(place.seal(&self.node.checked.cluster_key))).await
     }
 
     /// Hands a piece to the caller, who may take only so long to read on.
@@ -434,46 +562,23 @@
     });
 }
 
-/// The events of an engine's stream, a line each.
-#[derive(Debug)]
-pub struct Lines {
-    body: Incoming,
-    buf: BytesMut,
-    silence: Duration,
-}
-
-/// A line longer than this is no event, in bytes.
-const MAX_LINE_LEN: usize = 1024 * 1024;
-
-impl Lines {
-    /// Reads `body`, which may say nothing for `silence` at most.
-    pub fn new(body: Incoming, silence: Duration) -> Self {
-        Self { body, buf: BytesMut::new(), silence }
-    }
-
-    /// The next event; none once the stream broke off, fell silent or made no sense.
-    pub async fn next(&mut self) -> Option<TokenEvent> {
-        loop {
-            if let Some(line) = self.take_line() {
-                return serde_json::from_slice(&line).ok();
-            }
-            if self.buf.len() > MAX_LINE_LEN {
-                return None;
-            }
-            let frame = within(self.silence, self.body.frame()).await??.ok()?;
-            if let Ok(data) = frame.into_data() {
-                self.buf.extend_from_slice(&data);
-            }
-        }
-    }
-
-    fn take_line(&mut self) -> Option<Bytes> {
-        let end = self.buf.iter().position(|byte| *byte == b'\n')?;
-        let line = self.buf.split_to(end + 1).freeze();
-        Some(line.slice(..end))
+/// What is heard next, and who says it: of two, whoever speaks first.
+async fn listen(talks: &mut [Talk]) -> (usize, Heard) {
+    match talks {
+        [first, second] => tokio::select! {
+            heard = first.next() => (0, heard),
+            heard = second.next() => (1, heard),
+        },
+        [only, ..] => (0, only.next().await),
+        [] => (0, Heard::Broken),
     }
 }
 
-async fn within<F: Future>(time: Duration, work: F) -> Option<F::Output> {
-    timeout(time, work).await.ok()
+/// Where it goes, once it is its turn; never if it waits for none.
+async fn its_turn(turn: &mut Option<oneshot::Receiver<Turn>>) -> Option<Box<ServingGroup>> {
+    let Some(turn) = turn else { return std::future::pending().await };
+    match turn.await {
+        Ok(Turn::Go(group)) => Some(group),
+        Ok(Turn::Expired) | Err(_) => None,
+    }
 }
--- a/crates/workshold-node/src/callers/resume.rs
+++ b/crates/workshold-node/src/callers/resume.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
+use tokio::time::Instant;
 use workshold_http::Body;
 use workshold_http::body;
 use workshold_http::client;
@@ -21,11 +22,12 @@
 use crate::callers::completions::Style;
 use crate::callers::completions::event;
 use crate::callers::completions::set_request_id;
-use crate::callers::generation::Lines;
 use crate::callers::generation::Piece;
 use crate::callers::generation::cancel as cancel_upstream;
 use crate::callers::identity;
 use crate::callers::sse;
+use crate::callers::talk::Heard;
+use crate::callers::talk::Lines;
 use crate::node::Node;
 use crate::requests::InFlight;
 use crate::requests::StreamPlace;
@@ -58,7 +60,7 @@
         return Err(lost("its instance does not have it any more"));
     }
     node.counters.resumed.add(1);
-    let lines = Lines::new(res.into_body(), silence);
+    let lines = Lines::new(res.into_body());
     let (tx, rx) = tokio::sync::mpsc::channel(PIECES_WAITING);
     let res = response(&place, id, rx);
     tokio::spawn(relay(Arc::clone(node), place, lines, from, tx, driver));
@@ -101,16 +103,22 @@
         since: node.now(),
     });
     let stall = node.settings.times.caller_stall.to_duration();
+    // Nobody else can go on with it: it has as much time as any request.
+    let until = Instant::now() + node.settings.times.max_deadline.to_duration();
     let mut next = from;
     loop {
-        let piece = match lines.next().await {
-            Some(TokenEvent::Token { index, .. }) if index < next => continue,
-            Some(TokenEvent::Token { index, text }) if index == next => {
+        let heard = tokio::select! {
+            heard = lines.next_until(until) => heard,
+            () = tx.closed() => return,
+        };
+        let piece = match heard {
+            Heard::Event(TokenEvent::Token { index, .. }) if index < next => continue,
+            Heard::Event(TokenEvent::Token { index, text }) if index == next => {
                 next += 1;
                 node.counters.tokens.add(1);
                 Piece::Token { index, text }
             }
-            Some(TokenEvent::Done { tokens }) if tokens == next => Piece::Done { tokens },
+            Heard::Event(TokenEvent::Done { tokens }) if tokens == next => Piece::Done { tokens },
             _ => {
                 let detail = format!("the stream broke off after token {next}");
                 Piece::Problem(Problem::unknown(Code::ResumeLost, detail))
--- a/crates/workshold-node/src/desk.rs
+++ b/crates/workshold-node/src/desk.rs
@@ -164,6 +164,12 @@
         self.failed_at.insert(group.clone(), now);
     }
 
+    /// A request at `group` hears nothing: until all members have been heard since, the
+    /// group gets no other.
+    pub fn on_silent(&mut self, group: &GroupId, now: Millis) {
+        self.failed_at.insert(group.clone(), now);
+    }
+
     /// What a request takes on average, once it has started.
     pub fn service_time(&self) -> Millis {
         self.service_time.unwrap_or_default()
--- a/crates/workshold-node/tests/requests.rs
+++ b/crates/workshold-node/tests/requests.rs
@@ -103,6 +103,30 @@
     }
 }
 
+/// The other group has room for all of them, or for none at first.
+#[rstest]
+#[case::room(16)]
+#[case::full(4)]
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_group_that_freezes_go_on_elsewhere(#[case] slots: u32) {
+    let deployment = Deployment::serving(Layout { slots, ..Layout::default() }).await;
+    let address = deployment.layout.callers(0);
+    let mut streams = Vec::new();
+    for n in 0..8 {
+        let mut stream = Stream::open(&address, &format!("question {n}"), 400).await;
+        stream.read(3).await;
+        streams.push(stream);
+    }
+    for i in 0..deployment.layout.engines_per_domain {
+        deployment.platform.inject(Fault::Freeze(deployment.layout.engine_id(i), true)).await;
+    }
+    for (n, stream) in streams.iter_mut().enumerate() {
+        stream.finish().await;
+        assert!(stream.is_whole, "stream {n}: {} tokens", stream.tokens);
+        assert_eq!(stream.text, answer::whole(&format!("question {n}"), 400));
+    }
+}
+
 /// Where `upstream_silence` is shorter than the pause that follows.
 async fn with_little_patience(layout: Layout) -> Deployment {
     let times = TIMES.replace("upstream_silence = 3000", "upstream_silence = 800");
