Test, failing: a loss is as old as the last who reached it

Cause: the age of a doubt counts from the first node's first failure, although others reached the instance then. If it leaves later (its entry goes) and then stops listening, its entry seems to have gone after the loss: it is not taken for leaving, its group is cut, and the members of a head are taken at once. Shown: sight.rs: 1000 in place of 8040.

--- a/crates/workshold-core/tests/hosted/sight.rs
+++ b/crates/workshold-core/tests/hosted/sight.rs
@@ -138,3 +138,20 @@
     suspicions.clear(&id("i-1"));
     assert_eq!(suspicions.loss(&id("i-1"), 8), Loss::None);
 }
+
+/// One path to an instance is cut; seconds later it ends, and nobody reaches it.
+#[test]
+fn a_loss_is_as_old_as_the_last_who_reached_it() {
+    let mut suspicions = Suspicions::default();
+    suspicions.on_own(&id("i-1"), Reach::Silent, Millis(1_000));
+    suspicions.on_peer(&id("i-1"), "n-2", Reach::Answers, Millis(1_040));
+    assert_eq!(suspicions.loss(&id("i-1"), 1), Loss::Doubted);
+    assert_eq!(suspicions.since(&id("i-1")), Some(Millis(1_000)));
+    suspicions.on_own(&id("i-1"), Reach::Refused, Millis(8_000));
+    suspicions.on_peer(&id("i-1"), "n-2", Reach::Refused, Millis(8_040));
+    assert_eq!(suspicions.loss(&id("i-1"), 1), Loss::Ended);
+    assert_eq!(suspicions.since(&id("i-1")), Some(Millis(8_040)));
+    suspicions.on_own(&id("i-1"), Reach::Refused, Millis(9_500));
+    suspicions.on_peer(&id("i-1"), "n-3", Reach::Refused, Millis(9_600));
+    assert_eq!(suspicions.since(&id("i-1")), Some(Millis(8_040)), "it grows no younger");
+}
