A loss counts from when nobody reached the instance any more, not from the first doubt

A doubt's age begins anew when this node and another do not reach the instance and nobody does who was asked; as long as anybody did, it may have gone on, left the list, and stopped listening with a plan. Ruled out: counting from the first refusal instead: a machine that comes back without its process refuses seconds after it fell silent, and would be held for finishing. Price: where the second word comes 40 ms after the first, so does the age.

--- a/crates/workshold-core/src/hosted/suspicion.rs
+++ b/crates/workshold-core/src/hosted/suspicion.rs
@@ -41,6 +41,7 @@
 
 #[derive(Debug, Clone)]
 struct Doubt {
+    /// Since when nobody reaches it; of a mere doubt, since when there is one.
     since: Millis,
     seen_by: BTreeSet<SmolStr>,
     /// Who was asked and reaches it: then only some paths to it are cut.
@@ -49,6 +50,23 @@
     was_refused: bool,
 }
 
+impl Doubt {
+    /// Takes what one node saw. From the moment on at which nobody reaches it any more,
+    /// it counts anew: until then it may have gone on with whatever it did.
+    fn take(&mut self, now: Millis, seen: impl FnOnce(&mut Self)) {
+        let was_agreed = self.is_agreed();
+        seen(self);
+        if self.is_agreed() && !was_agreed {
+            self.since = now;
+        }
+    }
+
+    /// Whether this node and another do not reach it, and nobody does who was asked.
+    fn is_agreed(&self) -> bool {
+        self.own && !self.seen_by.is_empty() && self.answered.is_empty()
+    }
+}
+
 /// How sure a node is that an instance is lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Loss {
@@ -78,9 +96,10 @@
             self.doubts.remove(id);
             return;
         }
-        let doubt = self.doubt(id, now);
-        doubt.own = true;
-        doubt.was_refused |= reach == Reach::Refused;
+        self.doubt(id, now).take(now, |doubt| {
+            doubt.own = true;
+            doubt.was_refused |= reach == Reach::Refused;
+        });
     }
 
     /// A peer tried.
@@ -95,9 +114,10 @@
             }
             return;
         }
-        let doubt = self.doubt(id, now);
-        doubt.seen_by.insert(SmolStr::new(peer));
-        doubt.answered.remove(peer);
+        self.doubt(id, now).take(now, |doubt| {
+            doubt.seen_by.insert(SmolStr::new(peer));
+            doubt.answered.remove(peer);
+        });
     }
 
     /// How sure this is; `peers` is how many other nodes could be asked.
@@ -110,7 +130,7 @@
         if doubt.was_refused { Loss::Ended } else { Loss::Confirmed }
     }
 
-    /// Since when there is doubt.
+    /// Since when nobody reaches it, or there is doubt whether anybody does.
     pub fn since(&self, id: &InstanceId) -> Option<Millis> {
         self.doubts.get(id).map(|doubt| doubt.since)
     }
