Test, failing: an ask that is lost is said again

Cause: the first node that finds an instance silent asks all others once. Shown: doubts.rs, a socket that drops the first ask hears no other within 2 s.

--- a/crates/workshold-gateway/tests/doubts.rs
+++ b/crates/workshold-gateway/tests/doubts.rs
@@ -11,16 +11,21 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
 
 use parking_lot::Mutex;
 use rstest::rstest;
 use smol_str::SmolStr;
+use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
 use workshold_core::hosted::suspicion::Reach;
 use workshold_gateway::node::Doubt;
 use workshold_gateway::node::DoubtTask;
 use workshold_gateway::node::Node;
+use workshold_gateway::peers::Datagram;
+use workshold_gateway::peers::Message;
 use workshold_gateway::peers::Pulse;
 use workshold_gateway::settings;
 use workshold_gateway::tasks::doubting;
@@ -159,3 +164,32 @@
     let seen = doubting::look(&node, &id(), &SmolStr::new(gone.to_string())).await;
     assert_eq!(seen, Some(Reach::Refused));
 }
+/// The way to another node loses the first ask.
+#[tokio::test]
+async fn an_ask_that_is_lost_is_said_again() {
+    let (node, _, rx) = node();
+    let node = Arc::new(node);
+    let other = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    node.peers.lock().add(other.local_addr().unwrap(), node.now());
+    let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
+    let tells = tokio::spawn(doubting::run(Arc::clone(&node), socket, rx));
+    node.on_reach(&id(), &SmolStr::new("10.0.0.1:80"), Reach::Silent);
+    let lost = next_ask(&other).await;
+    let began = Instant::now();
+    assert_eq!(next_ask(&other).await, lost, "the same once more");
+    let after = began.elapsed();
+    assert!(after < Duration::from_millis(180), "one try answers both: {after:?}");
+    tells.abort();
+}
+
+/// The next instance that others are asked to try.
+async fn next_ask(socket: &UdpSocket) -> Option<u32> {
+    let mut buf = [0; 2_048];
+    let heard = tokio::time::timeout(Duration::from_secs(2), socket.recv_from(&mut buf)).await;
+    let (len, _) = heard.ok()?.unwrap();
+    let datagram: Datagram = postcard::from_bytes(&buf[..len]).unwrap();
+    match datagram.message {
+        Message::Verdict { instance, ask: true, .. } => Some(instance),
+        _ => None,
+    }
+}
