An ask is said twice, 100 ms apart

Cause: see the test. Whoever asks does so once more after 100 ms, unless the instance has answered it meanwhile. Those who heard the first ask do not try again (200 ms), and all have answered before anybody is taken (300 ms). Price: a second datagram of a few dozen bytes to each node for each instance that falls silent. Proof: doubts.rs an_ask_that_is_lost_is_said_again, seen failing (no second ask in 2 s); the other three as before.

--- a/crates/workshold-gateway/src/tasks/doubting.rs
+++ b/crates/workshold-gateway/src/tasks/doubting.rs
@@ -35,6 +35,11 @@
 /// How often an instance in doubt is tried again.
 const AGAIN_EVERY: Duration = Duration::from_millis(1_500);
 
+/// The others are asked once more after this, for a datagram may be lost: so soon that
+/// whoever heard the first one need not try again, and has answered before anybody is
+/// taken.
+const ASK_AGAIN: Duration = Duration::from_millis(100);
+
 /// Tries to reach an instance; `None` if the try shows nothing.
 pub async fn reach(node: &Node, address: &str) -> Option<Reach> {
     let began = node.now();
@@ -147,7 +152,14 @@
             };
             let instance = short_id(&doubt.id);
             let message = Message::Verdict { instance, reach: reach.into(), ask };
-            gossip::broadcast(&node, &socket, message).await;
+            gossip::broadcast(&node, &socket, message.clone()).await;
+            if !ask {
+                return;
+            }
+            tokio::time::sleep(ASK_AGAIN).await;
+            if node.suspicions.lock().is_own(&doubt.id) {
+                gossip::broadcast(&node, &socket, message).await;
+            }
         });
     }
 }
