Repeats beyond the allowance: three tests that fail on the code as it is

Cause: not mended here. A node reckons its part of what all nodes may repeat from what its process sees and remembers at this moment: one that starts again takes its part anew, one that hears nobody takes the slack of all. Besides, takes of the oldest step are forgotten up to a twentieth of the window too early.

--- a/crates/workshold-core/tests/hosted/requests.rs
+++ b/crates/workshold-core/tests/hosted/requests.rs
@@ -151,6 +151,20 @@
     assert!(taken.len() > 400, "the budget is there to be used: {}", taken.len());
 }
 
+/// Seen on reading: what was taken late in one step was forgotten when its step began to
+/// be the oldest but one, up to a twentieth of the window too early, so that two bursts
+/// just within a window were each given the whole allowance.
+#[test]
+fn two_bursts_within_a_window_share_one_allowance() {
+    let rules = BudgetRules { ratio: 0.2, window: Millis(10_000), slack: 100.0 };
+    for (first, second) in [(499, 10_001), (250, 10_249), (0, 9_999), (499, 10_498)] {
+        let mut budget = Budget::new(rules);
+        let mut taken = |at| (0..200).filter(|_| budget.take(Millis(at), 1)).count();
+        let both = taken(first) + taken(second);
+        assert!(both <= 100, "{both} at {first} and {second} ms");
+    }
+}
+
 const fn candidate(load: u32, pace_ms: f64, is_aside: bool) -> Candidate {
     Candidate { load, unread_ms: 0.0, slots: 17, pace_ms, is_near: true, is_aside }
 }
--- /dev/null
+++ b/crates/workshold-gateway/tests/repeats.rs
@@ -0,0 +1,202 @@
+//! What all nodes together repeat, whatever each of them sees of the others.
+//!
+//! Seen: while instances failed many requests, nodes were killed and came back, and an
+//! upstream got 603 repeats within ten seconds where 518 were allowed.
+//! How it came about: a node took its part of the allowance, was killed, and took it
+//! once more after its start; while it had heard of nobody, it took the part of all.
+//! Cause: a part of what all nodes share was reckoned from what one process sees and
+//! remembers at this moment.
+//! Proof: the same days without kills stay within the allowance, and here no caller,
+//! instance or socket takes part.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use smol_str::SmolStr;
+use tokio::sync::mpsc;
+use workshold_gateway::node::Node;
+use workshold_gateway::peers::Pulse;
+use workshold_gateway::settings;
+use workshold_protocol::Clock;
+use workshold_protocol::Millis;
+use workshold_protocol::ids::ServiceName;
+
+const NODES: usize = 9;
+const RATIO: f64 = 0.2;
+const SLACK: f64 = 109.0;
+const WINDOW_MS: u64 = 10_000;
+/// A request every so many milliseconds, at one node after the other.
+const REQUEST_EVERY_MS: u64 = 10;
+const PULSE_EVERY_MS: u64 = 100;
+
+/// Time that the test sets, counted from this process's start.
+#[derive(Debug, Clone)]
+struct HandClock {
+    now: Arc<Mutex<Millis>>,
+    start: Millis,
+}
+
+impl Clock for HandClock {
+    fn now(&self) -> Millis {
+        Millis(self.now.lock().since(self.start).0)
+    }
+
+    fn wall(&self) -> Millis {
+        *self.now.lock()
+    }
+}
+
+/// Nodes without sockets, of whose requests every one fails.
+struct Fleet {
+    now: Arc<Mutex<Millis>>,
+    nodes: Vec<Node>,
+    service: ServiceName,
+    asked: Vec<u64>,
+    repeated: Vec<u64>,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let mut fleet = Self {
+            now: Arc::default(),
+            nodes: Vec::new(),
+            service: ServiceName::new("llm").unwrap(),
+            asked: Vec::new(),
+            repeated: Vec::new(),
+        };
+        (0..NODES).for_each(|i| fleet.nodes.push(fleet.start(i, true)));
+        fleet
+    }
+
+    fn start(&self, i: usize, is_first_start: bool) -> Node {
+        let host = format!("127.0.0.{}", i + 1);
+        let text = format!(
+            "[node]\nname = \"n-{i}\"\ndata_centre = \"a\"\nis_first_start = {is_first_start}\n\
+             [listen]\ncallers = \"{host}:7001\"\nreadiness = \"{host}:7002\"\n\
+             directory = \"{host}:7003\"\npeers_port = 7004\n[store]\naddress = \"{host}:7005\"\n\
+             [bounds]\nrepeat_ratio = {RATIO}\nrepeat_slack = {SLACK}\n"
+        );
+        let clock = HandClock { now: Arc::clone(&self.now), start: *self.now.lock() };
+        Node::new(settings::parse(&text).unwrap(), Box::new(clock), mpsc::unbounded_channel().0)
+    }
+
+    /// Kills a node; another process takes its place at once.
+    fn restart(&mut self, i: usize) {
+        self.nodes[i] = self.start(i, false);
+    }
+
+    /// Goes on until `until`; nodes hear each other except those in `cut`.
+    fn run(&mut self, until: u64, cut: &BTreeSet<usize>) {
+        let from = self.now.lock().0;
+        for ms in (from..until).step_by(REQUEST_EVERY_MS as usize) {
+            *self.now.lock() = Millis(ms);
+            if ms % PULSE_EVERY_MS == 0 {
+                self.pulse(cut);
+            }
+            let node = &self.nodes[(ms / REQUEST_EVERY_MS) as usize % self.nodes.len()];
+            node.count_request(&self.service);
+            self.asked.push(ms);
+            if node.take_repeat(&self.service) {
+                self.repeated.push(ms);
+            }
+        }
+        *self.now.lock() = Millis(until);
+    }
+
+    fn pulse(&self, cut: &BTreeSet<usize>) {
+        for (i, node) in self.nodes.iter().enumerate() {
+            let own = node.settings().control();
+            let mut peers = node.peers.lock();
+            let others = self.nodes.iter().enumerate().filter(|(j, _)| *j != i);
+            for (j, other) in others.filter(|(j, _)| !cut.contains(&i) && !cut.contains(j)) {
+                let name = SmolStr::new(format!("n-{j}"));
+                peers.on_pulse(own, other.settings().control(), name, pulse(other), node.now());
+            }
+            peers.forget(node.now());
+        }
+    }
+
+    /// Every window, wherever it begins, keeps to the allowance.
+    fn check(&self) {
+        let within = |all: &[u64], from| {
+            all.iter().filter(|at| (from..from + WINDOW_MS).contains(*at)).count() as f64
+        };
+        let most = |from: &u64| within(&self.repeated, *from) as u64;
+        let from = (0..self.now.lock().0).step_by(10).max_by_key(most).unwrap();
+        let (repeats, requests) = (within(&self.repeated, from), within(&self.asked, from));
+        let allowed = RATIO.mul_add(requests, SLACK);
+        assert!(repeats <= allowed, "{repeats} of {requests} from {from}, allowed {allowed}");
+    }
+}
+
+/// Requests in a whole window.
+fn steady() -> f64 {
+    (WINDOW_MS / REQUEST_EVERY_MS) as f64
+}
+
+fn pulse(of: &Node) -> Pulse {
+    let callers: SocketAddr = of.settings().listen.callers;
+    Pulse {
+        callers,
+        data_centre: SmolStr::new("a"),
+        next_ms: 300,
+        hears: Vec::new(),
+        is_ready: true,
+        has_traffic: true,
+        config: None,
+        list: None,
+        acts_by: None,
+        store_age_ms: 100,
+        work: Vec::new(),
+        seen_percent: 100,
+        loads: Vec::new(),
+    }
+}
+
+fn nobody() -> BTreeSet<usize> {
+    BTreeSet::new()
+}
+
+#[test]
+fn nodes_that_start_again_repeat_no_more_than_those_that_do_not() {
+    let mut fleet = Fleet::new();
+    for round in 1..=4 {
+        fleet.run(12_000 + round * 2_000, &nobody());
+        (0..NODES).filter(|i| i % 2 == round as usize % 2).for_each(|i| fleet.restart(i));
+    }
+    fleet.run(50_000, &nobody());
+    fleet.check();
+}
+
+#[test]
+fn nodes_that_hear_nobody_repeat_no_more_than_those_that_do() {
+    let mut fleet = Fleet::new();
+    fleet.run(12_000, &nobody());
+    fleet.run(60_000, &(0..NODES).collect());
+    fleet.run(80_000, &nobody());
+    fleet.check();
+}
+
+#[test]
+fn nodes_that_are_added_take_their_part_from_the_others() {
+    let mut fleet = Fleet::new();
+    fleet.run(14_000, &nobody());
+    (NODES..NODES + 3).for_each(|i| fleet.nodes.push(fleet.start(i, false)));
+    fleet.run(50_000, &nobody());
+    fleet.check();
+}
+
+/// What is safe is not worth much if nothing is left of the allowance.
+#[test]
+fn what_is_allowed_is_there_to_be_used() {
+    let mut fleet = Fleet::new();
+    fleet.run(40_000, &nobody());
+    fleet.restart(0);
+    fleet.run(60_000, &nobody());
+    fleet.check();
+    let late = fleet.repeated.iter().filter(|at| **at >= 50_000).count() as f64;
+    let allowed = RATIO.mul_add(steady(), SLACK);
+    assert!(late > 0.7 * allowed, "{late} of {allowed} in the last ten seconds");
+}
