A repeat counts until its whole step is older than a window

Cause: a window was counted in twenty steps with the one under way, so that it covered 9.5 to 10 of its 10 seconds: what was taken late in a step was forgotten too early, and two bursts just within a window were each given the whole allowance. Now repeats are kept one step longer; requests still count for no more than a window.

--- a/crates/workshold-core/src/hosted/tries.rs
+++ b/crates/workshold-core/src/hosted/tries.rs
@@ -97,6 +97,17 @@
     steps: VecDeque<(u64, u32, u32)>,
 }
 
+/// How far a budget is used.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Usage {
+    /// Requests in the window.
+    pub requests: u32,
+    /// Repeats that were taken in it.
+    pub repeats: u32,
+    /// Repeats that this node may take in it.
+    pub allowed: f64,
+}
+
 impl Budget {
     /// Nothing used yet.
     pub fn new(rules: BudgetRules) -> Self {
@@ -110,22 +121,29 @@
 
     /// Takes one repeat, if this node's part allows it; `nodes` share the slack.
     pub fn take(&mut self, now: Millis, nodes: usize) -> bool {
-        self.step(now);
-        let requests: u32 = self.steps.iter().map(|step| step.1).sum();
-        let repeats: u32 = self.steps.iter().map(|step| step.2).sum();
-        let own_slack = self.rules.slack / nodes.max(1) as f64;
-        let allowed = (self.rules.ratio * f64::from(requests) + own_slack) * USED_PART;
-        if f64::from(repeats) + 1.0 > allowed {
+        let usage = self.usage(now, nodes);
+        if f64::from(usage.repeats) + 1.0 > usage.allowed {
             return false;
         }
         self.step(now).2 += 1;
         true
     }
 
+    /// How far it is used.
+    pub fn usage(&mut self, now: Millis, nodes: usize) -> Usage {
+        let number = self.step(now).0;
+        let recent = self.steps.iter().filter(|step| step.0 + STEPS > number);
+        let requests = recent.map(|step| step.1).sum();
+        let repeats = self.steps.iter().map(|step| step.2).sum();
+        let earned = self.rules.ratio * f64::from(requests);
+        let own_slack = self.rules.slack / nodes.max(1) as f64;
+        Usage { requests, repeats, allowed: (earned + own_slack) * USED_PART }
+    }
+
+    /// The step under way. A repeat counts until its whole step is older than a window.
     fn step(&mut self, now: Millis) -> &mut (u64, u32, u32) {
-        let len = (self.rules.window.0 / STEPS).max(1);
-        let number = now.0 / len;
-        while self.steps.front().is_some_and(|step| step.0 + STEPS <= number) {
+        let number = now.0 / step_len(self.rules).0;
+        while self.steps.front().is_some_and(|step| step.0 + STEPS < number) {
             self.steps.pop_front();
         }
         if self.steps.back().is_none_or(|step| step.0 != number) {
@@ -134,3 +152,7 @@
         self.steps.back_mut().expect("one was just pushed")
     }
 }
+
+fn step_len(rules: BudgetRules) -> Millis {
+    Millis(rules.window.0.div_ceil(STEPS).max(1))
+}
