A part of what all nodes may repeat is reckoned from who may be there, not from who is in sight

Cause: each node took its part of the allowance by what its process saw and remembered at this moment. One that was killed and came back had used nothing by its own word, though the process before it had used its part within the same window, in part by requests that had left the window since; and one that heard nobody, as at its start or cut off, took the slack of all. Class: a part of something fleet-wide that grows when its holder forgets or loses sight. Now the slack is divided by all nodes that may be there: whoever was ever heard or named, until it gave no sign for five minutes and the store, which answers, does not name it. A process that starts when the system already runs takes one in five of what its own requests earn, and no slack, until it has lived for a window. A bucket that starts empty would be enough too, but by reckoning nine nodes could move only 109 streams at once, not 320; not played. Left: a process that has lived for a window and that neither peers nor the store told of others counts itself as the only one.

--- a/crates/workshold-core/src/hosted.rs
+++ b/crates/workshold-core/src/hosted.rs
@@ -10,7 +10,8 @@
 //! - What is asked: [`demand`]; what groups make of it: [`capacity`]; which groups there
 //!   should be: [`planner`].
 //! - Who forms them: [`steward`], and when it may order: [`tenure`].
-//! - Requests: [`placement`], [`silence`], [`tries`].
+//! - Requests: [`placement`], [`silence`], [`tries`]; among how many nodes what all of them
+//!   may repeat is divided: [`sharing`].
 
 pub mod capacity;
 pub mod catalog;
@@ -20,6 +21,7 @@
 pub mod placement;
 pub mod planner;
 pub mod roster;
+pub mod sharing;
 pub mod silence;
 pub mod steward;
 pub mod suspicion;
--- a/crates/workshold-core/src/hosted/tries.rs
+++ b/crates/workshold-core/src/hosted/tries.rs
@@ -85,8 +85,13 @@
     pub slack: f64,
 }
 
-/// Part of the allowance that is used; the rest is for nodes whose view is late.
+/// Part of the allowance that is used; the rest is for nodes whose view is late and for
+/// processes in their first window.
 const USED_PART: f64 = 0.8;
+/// The part that a process uses in its first window, of the ratio only. One that it
+/// replaces may have used its whole part just before, by requests that have left the
+/// window since: what is taken then must come out of what nobody uses.
+const PART_AT_FIRST: f64 = 1.0 - USED_PART;
 /// Steps that a window is counted in.
 const STEPS: u64 = 20;
 
@@ -94,6 +99,7 @@
 #[derive(Debug, Clone)]
 pub struct Budget {
     rules: BudgetRules,
+    whole_from: Millis,
     steps: VecDeque<(u64, u32, u32)>,
 }
 
@@ -109,9 +115,17 @@
 }
 
 impl Budget {
-    /// Nothing used yet.
+    /// Nothing used yet, by nobody.
     pub fn new(rules: BudgetRules) -> Self {
-        Self { rules, steps: VecDeque::new() }
+        Self { rules, whole_from: Millis::ZERO, steps: VecDeque::new() }
+    }
+
+    /// Of a process that `began` when the system ran already: it has its whole part once
+    /// all has left the window that another one may have taken in its place, or that
+    /// others took before they heard of a new node.
+    pub fn of_later_start(rules: BudgetRules, began: Millis) -> Self {
+        let whole_from = began + rules.window + step_len(rules);
+        Self { whole_from, ..Self::new(rules) }
     }
 
     /// A request came.
@@ -137,7 +151,10 @@
         let repeats = self.steps.iter().map(|step| step.2).sum();
         let earned = self.rules.ratio * f64::from(requests);
         let own_slack = self.rules.slack / nodes.max(1) as f64;
-        Usage { requests, repeats, allowed: (earned + own_slack) * USED_PART }
+        let is_whole = now >= self.whole_from;
+        let allowed =
+            if is_whole { (earned + own_slack) * USED_PART } else { earned * PART_AT_FIRST };
+        Usage { requests, repeats, allowed }
     }
 
     /// The step under way. A repeat counts until its whole step is older than a window.
--- a/crates/workshold-core/tests/hosted.rs
+++ b/crates/workshold-core/tests/hosted.rs
@@ -6,6 +6,8 @@
 mod planning;
 #[path = "hosted/requests.rs"]
 mod requests;
+#[path = "hosted/sharing.rs"]
+mod sharing;
 #[path = "hosted/sight.rs"]
 mod sight;
 #[path = "hosted/stewards.rs"]
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -107,6 +107,7 @@
 pub struct Node {
     settings: RwLock<Arc<Settings>>,
     clock: Box<dyn Clock>,
+    began: Millis,
     /// The store's client.
     pub store: Store,
     /// The same for the configuration alone: whether it is on its way shows there.
@@ -236,6 +237,7 @@
         let config_store = Store::new(&settings.store.address);
         Self {
             settings: RwLock::new(Arc::new(settings)),
+            began: clock.now(),
             clock,
             store,
             config_store,
@@ -354,7 +356,7 @@
     /// Takes one repeat out of the budget of a service.
     pub fn take_repeat(&self, service: &ServiceName) -> bool {
         let now = self.now();
-        let nodes = self.peers.lock().heard(now).count() + 1;
+        let nodes = self.peers.lock().may_be_there();
         self.budget(service, |budget| budget.take(now, nodes))
     }
 
@@ -367,11 +369,19 @@
     fn budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = self.budgets.lock();
         if !budgets.contains_key(service) {
-            budgets.insert(service.clone(), Budget::new(self.settings().budget()));
+            budgets.insert(service.clone(), self.new_budget());
         }
         act(budgets.get_mut(service).expect("it was just put in"))
     }
 
+    fn new_budget(&self) -> Budget {
+        let settings = self.settings();
+        if settings.node.is_first_start {
+            return Budget::new(settings.budget());
+        }
+        Budget::of_later_start(settings.budget(), self.began)
+    }
+
     /// How sure it is that an instance is lost.
     pub fn loss(&self, id: &InstanceId) -> Loss {
         let peers = self.peers.lock().heard(self.now()).count();
--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 use workshold_core::hosted::capacity::Work;
+use workshold_core::hosted::sharing::Sharers;
 use workshold_core::hosted::suspicion::Reach;
 use workshold_protocol::Millis;
 use workshold_protocol::ids::InstanceId;
@@ -243,6 +244,7 @@
     /// Where to send datagrams, and since when nothing was heard from there.
     addresses: BTreeMap<SocketAddr, Millis>,
     by_address: HashMap<SocketAddr, Peer>,
+    sharers: Sharers<SocketAddr>,
 }
 
 /// A peer that was not heard for so many of its pulses, and a little, is not counted on.
@@ -257,6 +259,20 @@
     /// There may be a node at this address.
     pub fn add(&mut self, address: SocketAddr, now: Millis) {
         self.addresses.entry(address).or_insert(now);
+        self.sharers.on_sign(address, now);
+    }
+
+    /// The store, asked at `at`, named nodes at these addresses.
+    pub fn on_named(&mut self, addresses: &[SocketAddr], at: Millis) {
+        for address in addresses {
+            self.addresses.entry(*address).or_insert(at);
+        }
+        self.sharers.on_named(addresses.iter().copied(), at);
+    }
+
+    /// How many nodes there may be with this one, heard or not.
+    pub fn may_be_there(&self) -> usize {
+        self.sharers.count() + 1
     }
 
     /// Some of those that are heard: `draw` is any number.
@@ -286,6 +302,7 @@
             self.add(*address, now);
         });
         self.addresses.insert(from, now);
+        self.sharers.on_sign(from, now);
         self.by_address.insert(from, Peer { name, pulse, heard: now });
     }
 
--- a/crates/workshold-gateway/src/tasks/leasing.rs
+++ b/crates/workshold-gateway/src/tasks/leasing.rs
@@ -102,10 +102,8 @@
         if let Ok(owners) = node.store.owners(GROUP, ANSWER_TIME).await {
             node.store_answered(sent);
             let addresses = owners.iter().filter_map(|owner| address_of(&owner.member));
-            let mut peers = node.peers.lock();
-            addresses
-                .filter(|address| *address != own)
-                .for_each(|address| peers.add(address, sent));
+            let others: Vec<SocketAddr> = addresses.filter(|address| *address != own).collect();
+            node.peers.lock().on_named(&others, sent);
         }
         let is_alone = node.peers.lock().heard(node.now()).next().is_none();
         let pause = if is_alone { OWNERS_EVERY_AT_FIRST } else { OWNERS_EVERY };
--- a/crates/workshold-gateway/tests/repeats.rs
+++ b/crates/workshold-gateway/tests/repeats.rs
@@ -48,9 +48,10 @@
     }
 }
 
-/// Nodes without sockets, of whose requests every one fails.
+/// Nodes without sockets; once there is trouble, each of their requests fails.
 struct Fleet {
     now: Arc<Mutex<Millis>>,
+    trouble_from: u64,
     nodes: Vec<Node>,
     service: ServiceName,
     asked: Vec<u64>,
@@ -58,9 +59,10 @@
 }
 
 impl Fleet {
-    fn new() -> Self {
+    fn new(trouble_from: u64) -> Self {
         let mut fleet = Self {
             now: Arc::default(),
+            trouble_from,
             nodes: Vec::new(),
             service: ServiceName::new("llm").unwrap(),
             asked: Vec::new(),
@@ -98,7 +100,7 @@
             let node = &self.nodes[(ms / REQUEST_EVERY_MS) as usize % self.nodes.len()];
             node.count_request(&self.service);
             self.asked.push(ms);
-            if node.take_repeat(&self.service) {
+            if ms >= self.trouble_from && node.take_repeat(&self.service) {
                 self.repeated.push(ms);
             }
         }
@@ -161,7 +163,7 @@
 
 #[test]
 fn nodes_that_start_again_repeat_no_more_than_those_that_do_not() {
-    let mut fleet = Fleet::new();
+    let mut fleet = Fleet::new(0);
     for round in 1..=4 {
         fleet.run(12_000 + round * 2_000, &nobody());
         (0..NODES).filter(|i| i % 2 == round as usize % 2).for_each(|i| fleet.restart(i));
@@ -170,9 +172,21 @@
     fleet.check();
 }
 
+/// What the requests before the trouble earned was used by those who were killed.
+#[test]
+fn nodes_that_start_again_in_trouble_earn_only_what_others_leave() {
+    for killed in [11_000, 13_000, 16_000] {
+        let mut fleet = Fleet::new(10_000);
+        fleet.run(killed, &nobody());
+        (0..NODES).for_each(|i| fleet.restart(i));
+        fleet.run(40_000, &nobody());
+        fleet.check();
+    }
+}
+
 #[test]
 fn nodes_that_hear_nobody_repeat_no_more_than_those_that_do() {
-    let mut fleet = Fleet::new();
+    let mut fleet = Fleet::new(0);
     fleet.run(12_000, &nobody());
     fleet.run(60_000, &(0..NODES).collect());
     fleet.run(80_000, &nobody());
@@ -181,7 +195,7 @@
 
 #[test]
 fn nodes_that_are_added_take_their_part_from_the_others() {
-    let mut fleet = Fleet::new();
+    let mut fleet = Fleet::new(0);
     fleet.run(14_000, &nobody());
     (NODES..NODES + 3).for_each(|i| fleet.nodes.push(fleet.start(i, false)));
     fleet.run(50_000, &nobody());
@@ -191,7 +205,7 @@
 /// What is safe is not worth much if nothing is left of the allowance.
 #[test]
 fn what_is_allowed_is_there_to_be_used() {
-    let mut fleet = Fleet::new();
+    let mut fleet = Fleet::new(0);
     fleet.run(40_000, &nobody());
     fleet.restart(0);
     fleet.run(60_000, &nobody());
