A refused repeat is told with what its budget holds, and repeats are counted

Cause: logs showed that an attempt was not followed by another, but not whether its attempts, its time or the budget was used up, nor how much of the budget a node had used.

--- a/crates/workshold-gateway/src/events.rs
+++ b/crates/workshold-gateway/src/events.rs
@@ -33,6 +33,7 @@
     CallerGone = 1407, Info, "a caller left before the answer was complete", "Nothing; the upstream was told.";
     AttemptInDoubt = 1408, Warn, "an attempt is in doubt; another one begins beside it if there is a place and budget", "Nothing; in_doubt names who cannot be reached, lacks what was missing.";
     AttemptNotNeeded = 1409, Info, "an attempt was ended because another one spoke first", "Nothing.";
+    RepeatRefused = 1410, Warn, "a request is not repeated: its upstream's budget is used up", "Find out why its attempts fail; requests, repeats and allowed are those of this node in the last window, nodes is among how many the slack is divided.";
 }
 
 /// The text of `docs/EVENTS-PLATFORM.md`.
--- a/crates/workshold-gateway/src/metrics.rs
+++ b/crates/workshold-gateway/src/metrics.rs
@@ -48,6 +48,8 @@
     Unknown = "unknown", "counter", "requests of which nobody knows whether they ran";
     AttemptsFailed = "attempts_failed", "counter", "attempts at an instance that failed";
     AttemptsNotNeeded = "attempts_not_needed", "counter", "attempts that another one made needless by speaking first";
+    Repeats = "repeats", "counter", "repeats that the budget of their upstream allowed";
+    RepeatsRefused = "repeats_refused", "counter", "repeats refused because the budget of their upstream was used up";
     StreamsMoved = "streams_moved", "counter", "streams that went on at another instance";
     StreamsCut = "streams_cut", "counter", "streams cut before their end";
     CallersGone = "callers_gone", "counter", "callers who left before the end";
@@ -67,6 +69,7 @@
     Targets = "targets", "gauge", "groups and plain instances that take requests";
     InDoubt = "in_doubt", "gauge", "instances that somebody cannot reach";
     Peers = "peers", "gauge", "other nodes that are heard";
+    Sharers = "sharers", "gauge", "nodes among which the slack of repeats is divided, this one included";
 }
 
 /// The beginning of every metric's name.
@@ -114,6 +117,7 @@
         self.gauge(Metric::Targets, node.table().len() as u64);
         self.gauge(Metric::InDoubt, node.suspicions.lock().iter().count() as u64);
         self.gauge(Metric::Peers, node.peers.lock().heard(now).count() as u64);
+        self.gauge(Metric::Sharers, node.peers.lock().may_be_there() as u64);
         self.exposition.text().unwrap_or_else(|err| format!("# {err}\n").into_bytes())
     }
 }
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -30,6 +30,7 @@
 use workshold_core::hosted::suspicion::Suspicions;
 use workshold_core::hosted::tenure::Tenure;
 use workshold_core::hosted::tries::Budget;
+use workshold_core::hosted::tries::Usage;
 use workshold_core::outlier::OutlierRules;
 use workshold_core::outlier::Outliers;
 use workshold_platform::store::Store;
@@ -43,6 +44,7 @@
 use crate::events::emit;
 use crate::loads::Loads;
 use crate::loads::short_name;
+use crate::metrics::Metric;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::settings::Settings;
@@ -357,7 +359,15 @@
     pub fn take_repeat(&self, service: &ServiceName) -> bool {
         let now = self.now();
         let nodes = self.peers.lock().may_be_there();
-        self.budget(service, |budget| budget.take(now, nodes))
+        let take = |budget: &mut Budget| (budget.take(now, nodes), budget.usage(now, nodes));
+        let (is_taken, usage) = self.budget(service, take);
+        if is_taken {
+            self.metrics.count(Metric::Repeats);
+        } else {
+            self.metrics.count(Metric::RepeatsRefused);
+            tell_refusal(service, usage, nodes);
+        }
+        is_taken
     }
 
     /// Counts a request towards the budget of a service.
@@ -639,6 +649,19 @@
     }
 }
 
+fn tell_refusal(service: &ServiceName, usage: Usage, nodes: usize) {
+    emit(
+        Event::RepeatRefused,
+        &[
+            ("service", service.as_str()),
+            ("requests", &usage.requests.to_string()),
+            ("repeats", &usage.repeats.to_string()),
+            ("allowed", &format!("{:.1}", usage.allowed)),
+            ("nodes", &nodes.to_string()),
+        ],
+    );
+}
+
 /// A request under way.
 pub struct RequestGuard(Arc<Node>);
 
--- a/crates/workshold-gateway/tests/repeats.rs
+++ b/crates/workshold-gateway/tests/repeats.rs
@@ -214,3 +214,18 @@
     let allowed = RATIO.mul_add(steady(), SLACK);
     assert!(late > 0.7 * allowed, "{late} of {allowed} in the last ten seconds");
 }
+
+#[test]
+fn what_is_refused_is_counted_and_the_nodes_that_share_are_told() {
+    let mut fleet = Fleet::new(0);
+    fleet.run(20_000, &nobody());
+    let text = String::from_utf8(fleet.nodes[0].metrics.text(&fleet.nodes[0])).unwrap();
+    let value = |name: &str| {
+        let line = text.lines().find(|line| line.starts_with(&format!("workshold_{name} ")));
+        line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).unwrap()
+    };
+    assert!((value("sharers") - NODES as f64).abs() < 0.5);
+    let asked = fleet.asked.len().div_ceil(NODES) as f64;
+    assert!(value("repeats") > 0.0);
+    assert!((value("repeats") + value("repeats_refused") - asked).abs() < 0.5);
+}
