--- a/crates/workshold-gateway/tests/catching_up.rs
+++ b/crates/workshold-gateway/tests/catching_up.rs
@@ -76,6 +76,22 @@
     (address, count)
 }
 
+/// A store that turns this node away, with a few words.
+async fn refusing_store() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut buf = [0; 4096];
+            let _ = stream.read(&mut buf).await;
+            let refusal = "HTTP/1.1 503 Down\r\ncontent-length: 2\r\n\r\n{}";
+            let _ = stream.write_all(refusal.as_bytes()).await;
+        }
+    });
+    address
+}
+
 fn pulse(callers: SocketAddr) -> Pulse {
     Pulse {
         callers,
@@ -114,3 +130,35 @@
     catching_up.abort();
     assert_eq!(count.load(Ordering::Relaxed) > 0, is_asked);
 }
+
+/// Whether a peer that holds a newer configuration is asked within `within`.
+async fn is_asked(store: SocketAddr, within: Duration) -> bool {
+    let text = SETTINGS.replace("STORE", &store.to_string());
+    let (doubts, _rx) = mpsc::unbounded_channel();
+    let settings = settings::parse(&text).unwrap();
+    let own = settings.control();
+    let node = Arc::new(Node::new(settings, Box::new(SystemClock::default()), doubts));
+    let (address, count) = peer().await;
+    let said = pulse(address);
+    node.peers.lock().on_pulse(own, address, SmolStr::new("n-2"), said, node.now());
+    let following = tokio::spawn(following::config(Arc::clone(&node)));
+    let catching_up = tokio::spawn(gossip::catch_up(Arc::clone(&node)));
+    tokio::time::sleep(within).await;
+    following.abort();
+    catching_up.abort();
+    count.load(Ordering::Relaxed) > 0
+}
+
+/// A refusal is no part of a configuration, however many bytes it has: a store may turn
+/// one node away for long while it serves the others.
+#[tokio::test]
+async fn a_peer_is_asked_if_the_store_turns_this_node_away() {
+    assert!(is_asked(refusing_store().await, Duration::from_secs(4)).await);
+}
+
+/// What comes too slowly to be whole in time is given up, and begins anew: so it may never
+/// come from there, though bytes do.
+#[tokio::test]
+async fn a_peer_is_asked_if_the_store_is_too_slow_ever_to_give_the_whole() {
+    assert!(is_asked(store(1_000).await, Duration::from_secs(6)).await);
+}
--- a/crates/workshold-gateway/tests/doubts.rs
+++ b/crates/workshold-gateway/tests/doubts.rs
@@ -20,6 +20,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
+use workshold_core::hosted::roster::Instance;
 use workshold_core::hosted::suspicion::Reach;
 use workshold_gateway::node::Doubt;
 use workshold_gateway::node::DoubtTask;
@@ -33,7 +34,9 @@
 use workshold_platform_standin::proxy::Way;
 use workshold_protocol::Clock;
 use workshold_protocol::Millis;
+use workshold_protocol::ids::DataCentre;
 use workshold_protocol::ids::InstanceId;
+use workshold_protocol::ids::ServiceName;
 
 #[derive(Debug, Clone)]
 struct HandClock(Arc<Mutex<Millis>>);
@@ -164,6 +167,7 @@
     let seen = doubting::look(&node, &id(), &SmolStr::new(gone.to_string())).await;
     assert_eq!(seen, Some(Reach::Refused));
 }
+
 /// The way to another node loses the first ask.
 #[tokio::test]
 async fn an_ask_that_is_lost_is_said_again() {
@@ -193,3 +197,51 @@
         _ => None,
     }
 }
+
+/// A peer that was lost together with an instance is still counted as heard for a second.
+#[tokio::test]
+async fn silence_shows_something_to_a_node_that_other_instances_answer() {
+    let (node, _, _rx) = node();
+    let instance = way(Way::Silent).await;
+    let peer = way(Way::Silent).await;
+    let own = node.settings().control();
+    let said = pulse(peer.address);
+    node.peers.lock().on_pulse(own, peer.address, SmolStr::new("n"), said, node.now());
+    let other = way(Way::Open).await;
+    let entry = Instance {
+        id: InstanceId::new("i-2").unwrap(),
+        service: ServiceName::new("llm").unwrap(),
+        address: SmolStr::new(other.address.to_string()),
+        data_centre: DataCentre::new("a").unwrap(),
+        domain: None,
+        slots: 17,
+        is_leaving: false,
+        staged: Vec::new(),
+        loaded: Vec::new(),
+        membership: None,
+    };
+    let other_id = entry.id.clone();
+    node.list.lock().roster.apply(1, &other_id, Some(entry), node.now());
+    let address = SmolStr::new(instance.address.to_string());
+    assert_eq!(doubting::look(&node, &id(), &address).await, Some(Reach::Silent));
+}
+
+/// Who hears nobody may be cut off from the others, which are still there and repeat as
+/// well.
+#[test]
+fn a_node_that_hears_nobody_any_more_does_not_take_the_others_part_of_the_budget() {
+    let (node, clock, _rx) = node();
+    let own = node.settings().control();
+    for i in 0..9 {
+        let from = SocketAddr::from(([127, 0, 0, 1], 7_100 + i));
+        let name = SmolStr::new(format!("n-{i}"));
+        node.peers.lock().on_pulse(own, from, name, pulse(from), node.now());
+    }
+    let service = ServiceName::new("llm").unwrap();
+    let mut taken = 0;
+    while node.take_repeat(&service) {
+        taken += 1;
+    }
+    *clock.0.lock() = node.now() + Millis(1_500);
+    assert!(!node.take_repeat(&service), "beyond {taken} that are its part");
+}
