--- a/crates/workshold-core/tests/hosted/stewards.rs
+++ b/crates/workshold-core/tests/hosted/stewards.rs
@@ -700,3 +700,17 @@
     domain.losses.clear();
     closes_and_cuts_nothing(domain);
 }
+
+/// Two nodes whose links are full at the same moment agree at once that an instance is
+/// silent, and are wrong together; what a group has under way ends with the cut.
+#[test]
+fn no_group_is_cut_before_all_others_have_been_asked_for_its_member() {
+    let mut domain = Domain::new();
+    for name in ["i-1", "i-2"] {
+        domain.add(name, &["small"], &["small"]);
+    }
+    domain.join("small", 5, &["i-1", "i-2"], MemberState::Open);
+    domain.losses.insert(id("i-2"), (Loss::Confirmed, domain.now - Millis(10)));
+    let mut steward = steward(1);
+    assert_eq!(kinds(&domain.plan(&mut steward)), [""; 0]);
+}
--- a/crates/workshold-gateway/tests/relay.rs
+++ b/crates/workshold-gateway/tests/relay.rs
@@ -86,6 +86,7 @@
     /// Replies whose asker closed before the end, by their place.
     left: Mutex<Vec<usize>>,
     arrived: Mutex<Vec<SocketAddr>>,
+    listeners: Mutex<Vec<(SocketAddr, tokio::task::JoinHandle<()>)>>,
 }
 
 impl Script {
@@ -100,12 +101,14 @@
 async fn upstream(script: Arc<Script>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
+    let of_all = Arc::clone(&script);
+    let task = tokio::spawn(async move {
         loop {
             let (stream, _) = listener.accept().await.unwrap();
             tokio::spawn(serve(stream, address, Arc::clone(&script)));
         }
     });
+    of_all.listeners.lock().push((address, task));
     address
 }
 
@@ -245,6 +248,13 @@
         self.node.note_reach(&id, Reach::Silent);
     }
 
+    /// From here on only the instance that serves takes connections; the list lacks that.
+    fn stop_others(&self) {
+        let at = *self.script.arrived.lock().last().unwrap();
+        let listeners = self.script.listeners.lock();
+        listeners.iter().filter(|(own, _)| *own != at).for_each(|(_, task)| task.abort());
+    }
+
     fn arrived(&self) -> usize {
         self.script.arrived.lock().len()
     }
@@ -355,3 +365,46 @@
     scene.doubt_all();
     assert_eq!(events(scene.ask().await).await, Ok(vec![1, 2]));
 }
+
+/// An instance that was begun beside another one and ended because that one spoke first
+/// has done nothing wrong: it is not kept from others' requests.
+#[tokio::test]
+async fn whoever_was_not_needed_has_not_failed() {
+    let slow = Reply::Stream(vec![Rest(2_000), Event(2), End]);
+    let rounds = [rests_and_ends(LONG), slow];
+    let scene = Scene::start(4, rounds.iter().cycle().take(4).cloned().collect(), MANY).await;
+    let (beside, others) = scene.members.split_at(2);
+    for id in &scene.members {
+        scene.node.outliers.lock().on_answer(id, Millis(10), scene.node.now());
+    }
+    let reach = |ids: &[InstanceId], reach| {
+        ids.iter().for_each(|id| {
+            scene.node.note_reach(id, reach);
+        });
+    };
+    for _ in 0..2 {
+        reach(others, Reach::Answers);
+        reach(beside, Reach::Silent);
+        let res = scene.ask().await;
+        reach(others, Reach::Silent);
+        reach(beside, Reach::Answers);
+        assert_eq!(events(res).await, Ok(vec![1, 2, 3]));
+    }
+    assert_eq!(scene.arrived(), 4);
+    let now = scene.node.now();
+    assert!(!scene.node.outliers.lock().is_set_aside(&beside[0], now));
+}
+
+/// What never left is no repeat at any instance, and takes none of the budget.
+#[tokio::test]
+async fn a_try_beside_that_never_left_takes_nothing_of_the_budget() {
+    let scene = Scene::start(6, vec![rests_and_ends(LONG)], 10.0).await;
+    let res = scene.ask().await;
+    let service = ServiceName::new("llm").unwrap();
+    scene.doubt_serving();
+    scene.stop_others();
+    assert_eq!(events(res).await, Ok(vec![1, 2, 3]));
+    assert_eq!(scene.arrived(), 1, "nothing was repeated");
+    let left = std::iter::repeat(()).take_while(|()| scene.node.take_repeat(&service)).count();
+    assert_eq!(left, 8, "four fifths of the slack");
+}
