--- a/crates/workshold-core/tests/hosted/stewards.rs
+++ b/crates/workshold-core/tests/hosted/stewards.rs
@@ -714,3 +714,18 @@
     let mut steward = steward(1);
     assert_eq!(kinds(&domain.plan(&mut steward)), [""; 0]);
 }
+
+/// In a release: a member that has said it leaves stops taking connections while it goes on
+/// with what its head has. What refuses there has not ended, and the head's answers go on.
+#[test]
+fn a_closing_group_whose_leaving_member_refuses_connections_may_still_finish() {
+    let mut domain = Domain::new();
+    for name in ["i-1", "i-2"] {
+        domain.add(name, &["small"], &["small"]);
+    }
+    domain.join("small", 5, &["i-1", "i-2"], MemberState::Closing);
+    domain.change("i-2", |i| i.is_leaving = true);
+    domain.losses.insert(id("i-2"), (Loss::Ended, domain.now - LONG_AGO));
+    let mut steward = steward(1);
+    assert_eq!(kinds(&domain.plan(&mut steward)), [""; 0]);
+}
