What never left is no repeat, and a repeat that does not follow is given back

And a repeat was taken although none followed: for requests that may run once only, and where no place was left. Mend: the budget is asked only if another try would follow, and is given back what never left. Test: a_try_beside_that_never_left_takes_nothing_of_the_budget, seen failing (4 of 8). The scenes of relay.rs are of a system's first start: a process that starts later has hardly any budget in its first window.

--- a/crates/workshold-core/src/hosted/tries.rs
+++ b/crates/workshold-core/src/hosted/tries.rs
@@ -158,6 +158,13 @@
     }
 
     /// The step under way. A repeat counts until its whole step is older than a window.
+    /// Gives the last repeat back: it never left.
+    pub fn give_back(&mut self) {
+        if let Some(step) = self.steps.iter_mut().rev().find(|step| step.2 > 0) {
+            step.2 -= 1;
+        }
+    }
+
     fn step(&mut self, now: Millis) -> &mut (u64, u32, u32) {
         let number = now.0 / step_len(self.rules).0;
         while self.steps.front().is_some_and(|step| step.0 + STEPS < number) {
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -370,6 +370,11 @@
         is_taken
     }
 
+    /// Gives a repeat back to the budget of a service: it never left.
+    pub fn give_back_repeat(&self, service: &ServiceName) {
+        self.budget(service, Budget::give_back);
+    }
+
     /// Counts a request towards the budget of a service.
     pub fn count_request(&self, service: &ServiceName) {
         let now = self.now();
@@ -464,13 +469,13 @@
         })
     }
 
-    /// Whether a target's members were all seen to answer just now.
+    /// Whether a target's members were all tried just now.
     pub fn was_looked_at(&self, id: &InstanceId) -> bool {
         let now = self.now();
         self.looks.lock().get(id).is_some_and(|at| now.since(*at) < LOOK_GOOD_FOR)
     }
 
-    /// A target's members all answer.
+    /// A target's members were all tried.
     pub fn note_look(&self, id: &InstanceId) {
         let now = self.now();
         let mut looks = self.looks.lock();
--- a/crates/workshold-gateway/src/relay.rs
+++ b/crates/workshold-gateway/src/relay.rs
@@ -36,6 +36,7 @@
 use crate::metrics::Metric;
 use crate::node::Node;
 use crate::node::RequestGuard;
+use crate::relay::attempt::Failure;
 use crate::relay::attempt::Opened;
 use crate::relay::attempts::Attempt;
 use crate::relay::attempts::Attempts;
@@ -157,10 +158,16 @@
         }
     }
 
-    fn note(&mut self, ending: Ending, why: &'static str) {
+    /// Notes how an attempt ended beside `others`; what never left was no repeat.
+    fn note(&mut self, node: &Node, ending: Ending, why: &'static str, others: u32) {
         self.why = why;
         match ending {
-            Ending::NotSent => self.used.not_sent += 1,
+            Ending::NotSent => {
+                self.used.not_sent += 1;
+                if self.used.sent + others > 0 {
+                    node.give_back_repeat(&self.job.service);
+                }
+            }
             Ending::Refused => self.used.sent += 1,
             Ending::Unknown | Ending::Failed => {
                 self.used.sent += 1;
@@ -169,18 +176,25 @@
         }
     }
 
-    /// Notes how an attempt ended beside others, which go on.
+    /// Notes how an attempt ended beside `others`, which go on.
     pub fn ended_beside(
         &mut self,
         node: &Node,
         target: &Target,
-        ending: Ending,
-        why: &'static str,
+        (ending, why): Failure,
+        others: u32,
     ) {
-        self.note(ending, why);
+        self.note(node, ending, why, others);
         self.tell_failure(node, target, ending, "Beside", "nothing");
     }
 
+    /// Gives back what [`Self::after`] took: there is no place for another attempt.
+    pub fn give_up_repeat(&self, node: &Node) {
+        if self.used.sent > 0 {
+            node.give_back_repeat(&self.job.service);
+        }
+    }
+
     fn tell_failure(&self, node: &Node, target: &Target, ending: Ending, next: &str, lacks: &str) {
         node.metrics.count(Metric::AttemptsFailed);
         emit(
@@ -206,18 +220,20 @@
         ending: Ending,
         why: &'static str,
     ) -> Next {
-        self.note(ending, why);
+        self.note(node, ending, why, 0);
         let has_time = self.left(node) > LEAST_TIME;
-        let wants_budget = ending != Ending::NotSent && has_time;
-        let may_send = self.used.sent < self.job.route.attempts.max(1);
-        let has_budget = wants_budget && may_send && node.take_repeat(&self.job.service);
-        let lacks = match (has_time, may_send, has_budget || !wants_budget) {
+        let has_attempts = self.used.sent < self.job.route.attempts.max(1);
+        let next =
+            |has_budget| tries::next(&self.job.route, ending, self.used, has_budget, has_time);
+        let is_repeat = self.used.sent > 0 && next(true) == Next::Again;
+        let has_budget = !is_repeat || node.take_repeat(&self.job.service);
+        let lacks = match (has_time, has_attempts, has_budget) {
             (false, ..) => "time",
             (_, false, _) => "attempts",
             (.., false) => "budget",
             _ => "nothing",
         };
-        let next = tries::next(&self.job.route, ending, self.used, has_budget, has_time);
+        let next = next(has_budget);
         self.tell_failure(node, target, ending, &format!("{next:?}"), lacks);
         next
     }
@@ -234,6 +250,7 @@
     loop {
         if attempts.is_empty() {
             let Some(target) = wait_for_target(node, &course).await else {
+                course.give_up_repeat(node);
                 let next = if course.used.may_have_run { Next::Unknown } else { Next::NotRun };
                 return give_up(node, &course, next);
             };
@@ -268,7 +285,7 @@
         };
         node.outliers.lock().on_failure(&target.id, node.now());
         if !attempts.is_empty() {
-            course.ended_beside(node, &target, ending, why);
+            course.ended_beside(node, &target, (ending, why), attempts.len());
             continue;
         }
         match (course.after(node, &target, ending, why), res) {
--- a/crates/workshold-gateway/src/relay/stream.rs
+++ b/crates/workshold-gateway/src/relay/stream.rs
@@ -199,13 +199,15 @@
     fn on_failure(&mut self, target: &Target, (ending, why): Failure) -> Result<(), Cut> {
         self.node.outliers.lock().on_failure(&target.id, self.node.now());
         if !self.attempts.is_empty() {
-            self.course.ended_beside(&self.node, target, ending, why);
+            let others = self.attempts.len();
+            self.course.ended_beside(&self.node, target, (ending, why), others);
             return Ok(());
         }
         if self.course.after(&self.node, target, ending, why) != Next::Again {
             return Err(self.cut());
         }
         let Some(next) = relay::pick(&self.node, &self.course) else {
+            self.course.give_up_repeat(&self.node);
             return Err(self.cut());
         };
         self.course.begin(&self.node, &mut self.attempts, next, self.last);
--- a/crates/workshold-gateway/tests/relay.rs
+++ b/crates/workshold-gateway/tests/relay.rs
@@ -167,6 +167,7 @@
 [node]
 name = "n-1"
 data_centre = "a"
+is_first_start = true
 [listen]
 callers = "127.0.0.1:7001"
 readiness = "127.0.0.1:7002"
