--- a/crates/workshold-gateway/src/relay/attempts.rs
+++ b/crates/workshold-gateway/src/relay/attempts.rs
@@ -117,6 +117,8 @@
 #[derive(Default)]
 pub struct Attempts {
     live: Vec<Attempt>,
+    /// How many of them began before the one that spoke last.
+    older: usize,
 }
 
 impl Attempts {
@@ -159,12 +161,16 @@
         };
         match word {
             Ok(None) => {
-                let speaker = self.live.swap_remove(place);
+                self.older = place;
+                let speaker = self.live.remove(place);
                 let ended = self.drop_all(node, request);
                 self.live.push(speaker);
                 Said::Events(ended)
             }
-            Ok(Some(opened)) => Said::Opened(self.live.remove(place).target, opened),
+            Ok(Some(opened)) => {
+                self.older = place;
+                Said::Opened(self.live.remove(place).target, opened)
+            }
             Err(failure) => Said::Failed(self.live.remove(place).target, failure),
         }
     }
@@ -180,12 +186,15 @@
         }
     }
 
-    /// Ends all: another one has spoken. Says how many of them had been sent.
+    /// Ends all: another one has spoken. Says how many of them had been sent. Only those
+    /// that began before that one had their time and failed.
     pub fn drop_all(&mut self, node: &Node, request: &str) -> u32 {
         let sent = self.live.iter().filter(|attempt| attempt.given_up() == Ending::Unknown);
         let sent = sent.count() as u32;
-        for attempt in self.live.drain(..) {
-            node.outliers.lock().on_failure(&attempt.target.id, node.now());
+        for (place, attempt) in self.live.drain(..).enumerate() {
+            if place < self.older {
+                node.outliers.lock().on_failure(&attempt.target.id, node.now());
+            }
             node.metrics.count(Metric::AttemptsNotNeeded);
             let instance = attempt.target.id.as_str();
             let silent_ms = node.now().since(attempt.since).0.to_string();
