--- a/crates/workshold-core/src/hosted/steward/situation.rs
+++ b/crates/workshold-core/src/hosted/steward/situation.rs
@@ -88,6 +88,11 @@
         (self.loss)(id) >= Loss::Confirmed
     }
 
+    /// The same once all others have had the time to say that they reach it.
+    fn is_lost_to_all(&self, id: &InstanceId) -> bool {
+        self.is_lost(id) && self.doubted_for(id) >= ALL_ARE_ASKED
+    }
+
     /// Whether an instance is gone for sure: its process has ended, or neither the
     /// platform nor any of several nodes hears of it. A head that is only out of our
     /// reach may still serve, and its members are not free.
@@ -137,9 +142,10 @@
     }
 
     /// Whether a group stands still for good, or soon will: then what runs there can be
-    /// cut off. A member that finishes holds nobody up, although nobody can connect to it.
+    /// cut off. A member that finishes holds nobody up, although nobody can connect to it;
+    /// and two nodes whose own links are full agree sooner than the others can answer.
     pub(super) fn has_lost_member(&self, group: &Group) -> bool {
-        let is_lost = |id| self.is_lost(id) && !self.may_finish(id);
+        let is_lost = |id| self.is_lost_to_all(id) && !self.may_finish(id);
         group.members.values().any(|member| is_lost(&member.id))
     }
 
@@ -153,7 +159,7 @@
             let entry = member.and_then(|member| self.entry(&member.id));
             entry.is_none_or(|entry| {
                 let is_there = rank > 0 || entry.is_there(self.trust, self.now);
-                let is_out_of_reach = self.is_lost(&entry.instance.id);
+                let is_out_of_reach = self.is_lost_to_all(&entry.instance.id);
                 entry.instance.is_leaving || !is_there || is_out_of_reach
             })
         })
