--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -57,6 +57,9 @@
 const LIST_STALE: Millis = Millis(4_000);
 /// A newer configuration is asked of a peer if the store has not given it by then.
 const STORE_FIRST: Millis = Millis(500);
+/// While the store is giving it, a peer is asked only after this: a reading that is not
+/// whole by then may never be.
+const STORE_MOST: Millis = Millis(1_500);
 /// Time for a peer's answer.
 const PEER_TIME: Duration = Duration::from_millis(600);
 
@@ -255,21 +258,24 @@
 pub async fn catch_up(node: Arc<Node>) {
     let mut newer_since = None;
     let mut received = 0;
+    let mut received_at = Millis::ZERO;
     loop {
         tokio::select! {
             () = tokio::time::sleep(CATCH_UP_EVERY) => {}
             () = node.catch_up_wanted.notified() => {}
         }
         let newer = peer_with_newer_config(&node);
+        let now = node.now();
+        if node.config_store.received() > received {
+            received = node.config_store.received();
+            received_at = now;
+        }
+        newer_since = newer.and(newer_since.or(Some(now)));
+        let waited = newer_since.map_or(Millis::ZERO, |since| now.since(since));
         // What is on its way from the store would fill this node's link and a peer's a
         // second time: 28 of 61 nodes took 820 KB twice without this.
-        let is_coming = node.config_store.received() > received;
-        received = node.config_store.received();
-        if is_coming {
-            newer_since = None;
-        }
-        newer_since = newer.and(newer_since.or(Some(node.now())));
-        let has_waited = newer_since.is_some_and(|since| node.now().since(since) >= STORE_FIRST);
+        let is_coming = now.since(received_at) < STORE_FIRST && waited < STORE_MOST;
+        let has_waited = waited >= STORE_FIRST && !is_coming;
         if let Some(peer) = newer.filter(|_| has_waited) {
             fetch_config(&node, peer).await;
         }
