--- a/crates/workshold-gateway/src/tasks/doubting.rs
+++ b/crates/workshold-gateway/src/tasks/doubting.rs
@@ -30,7 +30,7 @@
 /// If a try took this much longer than it may, this node itself stood still, and
 /// the try shows nothing.
 const OWN_DELAY: Millis = Millis(25);
-/// Others that are tried beside an instance that seems silent: one may itself be gone.
+/// Peers that are tried beside an instance that seems silent: one may itself be gone.
 const OTHERS_TRIED: usize = 2;
 /// How often an instance in doubt is tried again.
 const AGAIN_EVERY: Duration = Duration::from_millis(1_500);
@@ -90,25 +90,22 @@
     if answer.is_ok() { Others::Answer } else { Others::Silent }
 }
 
-/// Whom to try beside an instance: peers, or without any, instances that are not in doubt.
+/// Whom to try beside an instance: peers, and an instance that is not in doubt, for
+/// peers may be lost together with the first one.
 fn others(node: &Node, id: &InstanceId) -> Vec<SmolStr> {
-    let heard = node.peers.lock().sample(rand::rng().random(), node.now());
+    let draw: u64 = rand::rng().random();
+    let heard = node.peers.lock().sample(draw, node.now());
     let peers = node.peers.lock().callers_of(&heard);
-    if !peers.is_empty() {
-        return peers
-            .into_iter()
-            .take(OTHERS_TRIED)
-            .map(|at| SmolStr::new(at.to_string()))
-            .collect();
-    }
+    let peers = peers.iter().take(OTHERS_TRIED).map(|peer| SmolStr::new(peer.to_string()));
     let list = node.list.lock();
     let suspicions = node.suspicions.lock();
-    let is_other = |entry: &&Entry| {
+    let is_well = |entry: &&Entry| {
         let other = &entry.instance.id;
         other != id && entry.unlisted_since.is_none() && suspicions.since(other).is_none()
     };
-    let others = list.roster.iter().filter(is_other);
-    others.take(OTHERS_TRIED).map(|entry| entry.instance.address.clone()).collect()
+    let well: Vec<&Entry> = list.roster.iter().filter(is_well).collect();
+    let drawn = well.get(draw as usize % well.len().max(1));
+    peers.chain(drawn.map(|entry| entry.instance.address.clone())).collect()
 }
 
 /// Whether anything comes back in time, be it a refusal.
