--- a/crates/workshold-core/src/hosted/roster.rs
+++ b/crates/workshold-core/src/hosted/roster.rs
@@ -183,6 +183,11 @@
         self.trouble_at = Some(now);
     }
 
+    /// When the store last did not answer.
+    pub fn trouble_at(&self) -> Option<Millis> {
+        self.trouble_at
+    }
+
     /// Whether the list may have lacked something that was so at `at`: then an instance
     /// may have been leaving although its entry does not say so.
     pub fn may_lack(&self, at: Millis) -> bool {
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -46,6 +46,7 @@
 use crate::loads::short_name;
 use crate::metrics::Metric;
 use crate::metrics::Metrics;
+use crate::peers::LIST_TROUBLE_MOST;
 use crate::peers::Peers;
 use crate::settings::Settings;
 use crate::table::Table;
@@ -626,6 +627,17 @@
         !self.has_followers() || self.is_among_first(READERS)
     }
 
+    /// How long ago a reading of the list failed, in ms, if this node reads it: told to
+    /// those who go by it.
+    pub fn list_trouble(&self) -> Option<u32> {
+        if !self.is_reader() {
+            return None;
+        }
+        let trouble_at = self.list.lock().trust.trouble_at();
+        let age = trouble_at.and_then(|at| u32::try_from(self.now().since(at).0).ok());
+        Some(age.unwrap_or(LIST_TROUBLE_MOST).min(LIST_TROUBLE_MOST))
+    }
+
     /// Whether this node tells its data centre what has come to the list.
     pub fn is_announcer(&self) -> bool {
         self.has_followers() && self.is_among_first(1)
--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -19,7 +19,7 @@
 use crate::loads::short_name;
 
 /// The form of these messages; another one is passed over.
-pub const VERSION: u8 = 3;
+pub const VERSION: u8 = 4;
 
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -206,6 +206,9 @@
     pub acts_by: Option<u64>,
     /// How long ago the store last answered it, in ms.
     pub store_age_ms: u64,
+    /// How long ago a reading of the list last failed, in ms and at most
+    /// [`LIST_TROUBLE_MOST`]; `None` if it goes by what others read.
+    pub list_trouble_ms: Option<u32>,
     /// Some of those that it hears, drawn anew each time: so all come to know of each
     /// other, whoever the store names.
     pub hears: Vec<SocketAddr>,
@@ -217,6 +220,9 @@
     pub loads: Vec<ToldLoad>,
 }
 
+/// Trouble with the list that is older is told no more.
+pub const LIST_TROUBLE_MOST: u32 = 60_000;
+
 /// Another node as it is heard.
 #[derive(Debug, Clone)]
 pub struct Peer {
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -156,6 +156,7 @@
         hears: node.peers.lock().sample(rand::rng().random(), node.now()),
         acts_by: node.lease.lock().acts_by(),
         store_age_ms: node.store_age().0,
+        list_trouble_ms: node.list_trouble(),
         work: work.iter().map(|(model, work)| ToldWork::new(model, *work)).collect(),
         seen_percent: (seen_part * 100.0) as u8,
         loads: loads.collect(),
--- a/crates/workshold-gateway/tests/peers.rs
+++ b/crates/workshold-gateway/tests/peers.rs
@@ -32,6 +32,7 @@
         list: Some((12, 100)),
         acts_by: None,
         store_age_ms: 100,
+        list_trouble_ms: None,
         work: vec![ToldWork::new("m0", WORK)],
         seen_percent: 100,
         loads,
