Nodes that go by what others read heed the trouble that these had with the list

The list counts as in trouble when it last was for all who read it in this data centre (for all at all, where nobody near reads): what one reads without trouble is as it should be, so a reader that is turned away alone spoils nobody's trust. Looked at when the table is made anew and before a steward plans. Ruled out: heeding any node's trouble: absent entries would be excused for 2.3 s on all nodes, more than the 2 s after which nothing may go to who has left.

--- a/crates/workshold-core/src/hosted/roster.rs
+++ b/crates/workshold-core/src/hosted/roster.rs
@@ -178,9 +178,9 @@
 const ENTRIES_RETURN: Millis = Millis(2_300);
 
 impl ListTrust {
-    /// The store did not answer at `now`.
-    pub fn on_trouble(&mut self, now: Millis) {
-        self.trouble_at = Some(now);
+    /// The store did not answer at `at`, this node or one that reads for it.
+    pub fn on_trouble(&mut self, at: Millis) {
+        self.trouble_at = self.trouble_at.max(Some(at));
     }
 
     /// When the store last did not answer.
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -347,8 +347,22 @@
         Arc::clone(&self.table.read())
     }
 
+    /// Takes over what trouble with the list those had who read it for this node.
+    pub fn hear_of_list_trouble(&self) {
+        if self.is_reader() {
+            return;
+        }
+        let settings = self.settings();
+        let data_centre = settings.node.data_centre.as_str();
+        let trouble_at = self.peers.lock().list_trouble_at(data_centre, self.now());
+        if let Some(at) = trouble_at {
+            self.list.lock().trust.on_trouble(at);
+        }
+    }
+
     /// Makes the table anew.
     pub fn remake_table(&self) {
+        self.hear_of_list_trouble();
         let Some(catalog) = self.catalog() else { return };
         let list = self.list.lock();
         let table = Table::make(&catalog, &list.roster, &list.trust, self.now());
--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -351,6 +351,21 @@
         sums
     }
 
+    /// When the list was last in trouble for all who read it, those of a data centre if
+    /// there are any: what one of them reads without trouble is as it should be.
+    pub fn list_trouble_at(&self, data_centre: &str, now: Millis) -> Option<Millis> {
+        let told = |peer: &Peer| {
+            let age = peer.pulse.list_trouble_ms?;
+            let is_near = peer.pulse.data_centre == data_centre;
+            let at = (age < LIST_TROUBLE_MOST).then(|| peer.heard - Millis(age.into()));
+            Some((is_near, at))
+        };
+        let told: Vec<_> = self.heard(now).filter_map(|(_, peer)| told(peer)).collect();
+        let has_near = told.iter().any(|(is_near, _)| *is_near);
+        let counts = told.iter().filter(|(is_near, _)| *is_near || !has_near);
+        counts.map(|(_, at)| *at).min().flatten()
+    }
+
     /// Drops addresses that have long been silent.
     pub fn forget(&mut self, now: Millis) {
         self.addresses.retain(|_, since| now.since(*since) < FORGET_AFTER);
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -138,6 +138,7 @@
     };
     let Some(catalog) = node.catalog() else { return Vec::new() };
     stewards.retain(|part, _| lease.parts.contains_key(part));
+    node.hear_of_list_trouble();
     let now = node.now();
     let list = node.list.lock();
     if list.next.is_none() {
