Test, failing: pulses are sent while others come

Cause: the sender of pulses holds the lock of the gaps while it looks at the list; the taker of pulses holds the list while it notes gaps. When both meet, the node stands still for good, and every answer that needs the list with it.

--- /dev/null
+++ b/crates/workshold-gateway/tests/locks.rs
@@ -0,0 +1,89 @@
+//! Parts of a node that run at the same time do not wait for each other for ever.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use workshold_gateway::loads::Load;
+use workshold_gateway::node::Node;
+use workshold_gateway::peers::Datagram;
+use workshold_gateway::peers::Message;
+use workshold_gateway::peers::Pulse;
+use workshold_gateway::peers::ToldLoad;
+use workshold_gateway::peers::VERSION;
+use workshold_gateway::settings;
+use workshold_gateway::tasks::gossip;
+use workshold_protocol::clock::SystemClock;
+use workshold_protocol::ids::InstanceId;
+
+const SETTINGS: &str = r#"
+[node]
+name = "n-1"
+data_centre = "a"
+[listen]
+callers = "127.0.0.1:7001"
+readiness = "127.0.0.1:7002"
+directory = "127.0.0.1:7003"
+peers_port = 7004
+[store]
+address = "127.0.0.1:7005"
+"#;
+
+fn datagram() -> Vec<u8> {
+    let told = |i: u32| {
+        let id = InstanceId::new(&format!("i-{i}")).unwrap();
+        ToldLoad::new(&id, Load { requests: 1, unread: 0 }, 40.0)
+    };
+    let pulse = Pulse {
+        callers: "127.0.0.1:7011".parse().unwrap(),
+        data_centre: SmolStr::new("a"),
+        next_ms: 300,
+        is_ready: true,
+        has_traffic: true,
+        config: None,
+        list: None,
+        acts_by: None,
+        store_age_ms: 0,
+        list_trouble_ms: None,
+        hears: Vec::new(),
+        work: Vec::new(),
+        seen_percent: 0,
+        loads: (0..100).map(told).collect(),
+    };
+    let from = SmolStr::new("n-2");
+    let datagram = Datagram { version: VERSION, from, message: Message::Pulse(pulse) };
+    postcard::to_stdvec(&datagram).unwrap()
+}
+
+#[test]
+fn pulses_are_sent_while_others_come() {
+    let mut runtime = tokio::runtime::Builder::new_multi_thread();
+    let runtime = runtime.worker_threads(4).enable_all().build().unwrap();
+    let is_free = runtime.block_on(both_are_free());
+    // What waits for ever would hold its end up.
+    runtime.shutdown_background();
+    assert!(is_free, "two parts wait for each other");
+}
+
+async fn both_are_free() -> bool {
+    let (doubts, _) = mpsc::unbounded_channel();
+    let settings = settings::parse(SETTINGS).unwrap();
+    let node = Arc::new(Node::new(settings, Box::new(SystemClock::default()), doubts));
+    let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
+    let to = socket.local_addr().unwrap();
+    tokio::spawn(gossip::receive(Arc::clone(&node), Arc::clone(&socket)));
+    tokio::spawn(gossip::send_pulses(Arc::clone(&node), socket));
+    let other = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let bytes = datagram();
+    for _ in 0..20_000 {
+        node.pulse_wanted.notify_one();
+        other.send_to(&bytes, to).await.unwrap();
+    }
+    let is_free = tokio::task::spawn_blocking(move || {
+        let gaps = node.gaps.try_lock_for(Duration::from_secs(2)).is_some();
+        gaps && node.list.try_lock_for(Duration::from_secs(2)).is_some()
+    });
+    is_free.await.unwrap()
+}
