A pulse is made without holding the gaps while the list is looked at

Cause: see the test. What a pulse tells of loads is put together first to last under the lock of the gaps alone; whoever takes pulses locks the list first. Ruled out: the other places that lock the gaps (control, upkeep, relay): one lock at a time, or the list first. Proof: locks.rs pulses_are_sent_while_others_come, seen failing twice of twice, then passing six of six.

--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -141,10 +141,6 @@
     let settings = node.settings();
     let config = node.config_age().map(|(version, age)| (version, age.0));
     let (work, seen_part) = node.own_work();
-    let gaps = node.gaps.lock();
-    let loads = node.loads.all_own();
-    let loads =
-        loads.iter().map(|(id, load)| ToldLoad::new(id, *load, gaps.usual(id).unwrap_or_default()));
     Pulse {
         callers: settings.listen.callers,
         data_centre: SmolStr::new(settings.node.data_centre.as_str()),
@@ -159,10 +155,18 @@
         list_trouble_ms: node.list_trouble(),
         work: work.iter().map(|(model, work)| ToldWork::new(model, *work)).collect(),
         seen_percent: (seen_part * 100.0) as u8,
-        loads: loads.collect(),
+        loads: told_loads(node),
     }
 }
 
+/// Nothing else is locked beside the gaps: whoever takes pulses locks the list first.
+fn told_loads(node: &Node) -> Vec<ToldLoad> {
+    let loads = node.loads.all_own();
+    let gaps = node.gaps.lock();
+    let told = loads.iter();
+    told.map(|(id, load)| ToldLoad::new(id, *load, gaps.usual(id).unwrap_or_default())).collect()
+}
+
 fn list_end(node: &Node) -> Option<(u64, u64)> {
     let list = node.list.lock();
     list.next.map(|next| (next, node.now().since(list.read_at).0))
