A pulse asks for its parts one after the other: a lock taken within it is held to its end

Cause: temporaries in the fields of a struct live to the end of the whole expression, so that the lock of the peers was still held when the trouble with the list was asked for, which locks them again. A node stood still with its first pulse. Found by tests of the platform that hung (a whole run of the workspace stood for ten minutes), before it had landed.

--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -141,6 +141,9 @@
     let settings = node.settings();
     let config = node.config_age().map(|(version, age)| (version, age.0));
     let (work, seen_part) = node.own_work();
+    // No lock may be held while the next part is asked for.
+    let hears = node.peers.lock().sample(rand::rng().random(), node.now());
+    let acts_by = node.lease.lock().acts_by();
     Pulse {
         callers: settings.listen.callers,
         data_centre: SmolStr::new(settings.node.data_centre.as_str()),
@@ -149,8 +152,8 @@
         has_traffic: node.has_own_traffic(),
         config,
         list: list_end(node),
-        hears: node.peers.lock().sample(rand::rng().random(), node.now()),
-        acts_by: node.lease.lock().acts_by(),
+        hears,
+        acts_by,
         store_age_ms: node.store_age().0,
         list_trouble_ms: node.list_trouble(),
         work: work.iter().map(|(model, work)| ToldWork::new(model, *work)).collect(),
