--- a/crates/workshold-gateway/tests/catching_up.rs
+++ b/crates/workshold-gateway/tests/catching_up.rs
@@ -6,6 +6,8 @@
 //! all the while. Cause: slow was taken for silent. Proof: the nodes' own figures of bytes
 //! that came in, and of those that the asked peers sent.
 
+mod common;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -92,24 +94,6 @@
     address
 }
 
-fn pulse(callers: SocketAddr) -> Pulse {
-    Pulse {
-        callers,
-        data_centre: SmolStr::new("a"),
-        next_ms: 20_000,
-        hears: Vec::new(),
-        is_ready: true,
-        has_traffic: true,
-        config: Some((7, 0)),
-        list: None,
-        acts_by: None,
-        store_age_ms: 100,
-        work: Vec::new(),
-        seen_percent: 100,
-        loads: Vec::new(),
-    }
-}
-
 #[rstest]
 #[case::while_the_store_is_giving_it(18, false)]
 #[case::if_the_store_has_stopped(2, true)]
@@ -121,7 +105,7 @@
     let own = settings.control();
     let node = Arc::new(Node::new(settings, Box::new(SystemClock::default()), doubts));
     let (address, count) = peer().await;
-    let said = pulse(address);
+    let said = Pulse { next_ms: 20_000, config: Some((7, 0)), ..common::pulse(address) };
     node.peers.lock().on_pulse(own, address, SmolStr::new("n-2"), said, node.now());
     let following = tokio::spawn(following::config(Arc::clone(&node)));
     let catching_up = tokio::spawn(gossip::catch_up(Arc::clone(&node)));
@@ -139,7 +123,7 @@
     let own = settings.control();
     let node = Arc::new(Node::new(settings, Box::new(SystemClock::default()), doubts));
     let (address, count) = peer().await;
-    let said = pulse(address);
+    let said = Pulse { next_ms: 20_000, config: Some((7, 0)), ..common::pulse(address) };
     node.peers.lock().on_pulse(own, address, SmolStr::new("n-2"), said, node.now());
     let following = tokio::spawn(following::config(Arc::clone(&node)));
     let catching_up = tokio::spawn(gossip::catch_up(Arc::clone(&node)));
--- a/crates/workshold-gateway/tests/doubts.rs
+++ b/crates/workshold-gateway/tests/doubts.rs
@@ -9,6 +9,8 @@
 //! configuration came in, about instances that answered right after, and never
 //! otherwise but for instances that had ended.
 
+mod common;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,7 +29,6 @@
 use workshold_gateway::node::Node;
 use workshold_gateway::peers::Datagram;
 use workshold_gateway::peers::Message;
-use workshold_gateway::peers::Pulse;
 use workshold_gateway::settings;
 use workshold_gateway::tasks::doubting;
 use workshold_platform_standin::proxy::Proxy;
@@ -38,6 +39,8 @@
 use workshold_protocol::ids::InstanceId;
 use workshold_protocol::ids::ServiceName;
 
+use crate::common::pulse;
+
 #[derive(Debug, Clone)]
 struct HandClock(Arc<Mutex<Millis>>);
 
@@ -107,24 +110,6 @@
     assert!(node.note_asked(&id()), "what was seen then may have changed");
 }
 
-fn pulse(callers: SocketAddr) -> Pulse {
-    Pulse {
-        callers,
-        data_centre: SmolStr::new("a"),
-        next_ms: 300,
-        hears: Vec::new(),
-        is_ready: true,
-        has_traffic: true,
-        config: None,
-        list: None,
-        acts_by: None,
-        store_age_ms: 100,
-        work: Vec::new(),
-        seen_percent: 100,
-        loads: Vec::new(),
-    }
-}
-
 async fn way(way: Way) -> Proxy {
     let proxy = Proxy::start();
     proxy.set(way).await;
--- a/crates/workshold-gateway/tests/followers.rs
+++ b/crates/workshold-gateway/tests/followers.rs
@@ -1,5 +1,7 @@
 //! Nodes that go by what others read of the store know when it was in trouble.
 
+mod common;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -55,22 +57,7 @@
 }
 
 fn pulse(callers: SocketAddr, data_centre: &str, list_trouble_ms: Option<u32>) -> Pulse {
-    Pulse {
-        callers,
-        data_centre: SmolStr::new(data_centre),
-        next_ms: 300,
-        is_ready: true,
-        has_traffic: true,
-        config: None,
-        list: None,
-        acts_by: None,
-        store_age_ms: 0,
-        list_trouble_ms,
-        hears: Vec::new(),
-        work: Vec::new(),
-        seen_percent: 0,
-        loads: Vec::new(),
-    }
+    Pulse { data_centre: SmolStr::new(data_centre), list_trouble_ms, ..common::pulse(callers) }
 }
 
 /// A node that has heard of many others: the first of them tell what trouble they had
--- a/crates/workshold-gateway/tests/locks.rs
+++ b/crates/workshold-gateway/tests/locks.rs
@@ -1,5 +1,7 @@
 //! Parts of a node that run at the same time do not wait for each other for ever.
 
+mod common;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -36,22 +38,8 @@
         let id = InstanceId::new(&format!("i-{i}")).unwrap();
         ToldLoad::new(&id, Load { requests: 1, unread: 0 }, 40.0)
     };
-    let pulse = Pulse {
-        callers: "127.0.0.1:7011".parse().unwrap(),
-        data_centre: SmolStr::new("a"),
-        next_ms: 300,
-        is_ready: true,
-        has_traffic: true,
-        config: None,
-        list: None,
-        acts_by: None,
-        store_age_ms: 0,
-        list_trouble_ms: None,
-        hears: Vec::new(),
-        work: Vec::new(),
-        seen_percent: 0,
-        loads: (0..100).map(told).collect(),
-    };
+    let loads = (0..100).map(told).collect();
+    let pulse = Pulse { loads, ..common::pulse("127.0.0.1:7011".parse().unwrap()) };
     let from = SmolStr::new("n-2");
     let datagram = Datagram { version: VERSION, from, message: Message::Pulse(pulse) };
     postcard::to_stdvec(&datagram).unwrap()
@@ -82,8 +70,10 @@
         other.send_to(&bytes, to).await.unwrap();
     }
     let is_free = tokio::task::spawn_blocking(move || {
-        let gaps = node.gaps.try_lock_for(Duration::from_secs(2)).is_some();
-        gaps && node.list.try_lock_for(Duration::from_secs(2)).is_some()
+        let within = Duration::from_secs(2);
+        let is_list_free = node.list.try_lock_for(within).is_some();
+        let is_free = is_list_free && node.peers.try_lock_for(within).is_some();
+        is_free && node.gaps.try_lock_for(within).is_some()
     });
     is_free.await.unwrap()
 }
--- a/crates/workshold-gateway/tests/repeats.rs
+++ b/crates/workshold-gateway/tests/repeats.rs
@@ -9,15 +9,15 @@
 //! Proof: the same days without kills stay within the allowance, and here no caller,
 //! instance or socket takes part.
 
+mod common;
+
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 use workshold_gateway::node::Node;
-use workshold_gateway::peers::Pulse;
 use workshold_gateway::settings;
 use workshold_protocol::Clock;
 use workshold_protocol::Millis;
@@ -114,7 +114,8 @@
             let others = self.nodes.iter().enumerate().filter(|(j, _)| *j != i);
             for (j, other) in others.filter(|(j, _)| !cut.contains(&i) && !cut.contains(j)) {
                 let name = SmolStr::new(format!("n-{j}"));
-                peers.on_pulse(own, other.settings().control(), name, pulse(other), node.now());
+                let said = common::pulse(other.settings().listen.callers);
+                peers.on_pulse(own, other.settings().control(), name, said, node.now());
             }
             peers.forget(node.now());
         }
@@ -138,25 +139,6 @@
     (WINDOW_MS / REQUEST_EVERY_MS) as f64
 }
 
-fn pulse(of: &Node) -> Pulse {
-    let callers: SocketAddr = of.settings().listen.callers;
-    Pulse {
-        callers,
-        data_centre: SmolStr::new("a"),
-        next_ms: 300,
-        hears: Vec::new(),
-        is_ready: true,
-        has_traffic: true,
-        config: None,
-        list: None,
-        acts_by: None,
-        store_age_ms: 100,
-        work: Vec::new(),
-        seen_percent: 100,
-        loads: Vec::new(),
-    }
-}
-
 fn nobody() -> BTreeSet<usize> {
     BTreeSet::new()
 }
