--- a/crates/workshold-gateway/tests/doubts.rs
+++ b/crates/workshold-gateway/tests/doubts.rs
@@ -5,9 +5,9 @@
 //! doubted at a dozen nodes within a tenth of a second, and streams at them were moved or
 //! cut. How: a long configuration came to all nodes at once and filled their links, so
 //! that no connection came up in time. Cause: the node's own trouble was taken for the
-//! instance's. Proof: doubts stood in just those tenths of a second in which the
-//! configuration came in, about instances that answered right after, and never
-//! otherwise but for instances that had ended.
+//! instance's. Proof: nearly all doubts about instances that were well fell within 0.2 s
+//! of a new configuration at the same node; without its 1,400 routes there were none, and
+//! none with links ten times as wide, and nearly as many with more of a processor.
 
 mod common;
 
--- a/crates/workshold-gateway/tests/relay.rs
+++ b/crates/workshold-gateway/tests/relay.rs
@@ -6,9 +6,10 @@
 //! no attempt left, since its first instance had refused it; the other was moved, and
 //! ended with the instance that could not take it. Cause: an answer under way was ended
 //! by an inference about its upstream, and what was there was given up before its
-//! replacement worked. Proof: in both records the upstream saw the end before or as the
-//! caller did, so that it was the node that ended it; the first two cases of
-//! `an_answer_is_not_ended_by_a_doubt` play the two records.
+//! replacement worked. What speaks for it: the first upstream of the second stream was
+//! still at work when the caller's connection closed; the same planned work, played with
+//! logs, cut streams by just these two ways, and cuts none since. The first and the third
+//! case of `an_answer_is_not_ended_by_a_doubt` play them.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
