--- a/crates/workshold-gateway/tests/catching_up.rs
+++ b/crates/workshold-gateway/tests/catching_up.rs
@@ -98,21 +98,9 @@
 #[case::while_the_store_is_giving_it(18, false)]
 #[case::if_the_store_has_stopped(2, true)]
 #[tokio::test]
-async fn a_peer_is_asked_for_the_configuration(#[case] pieces: usize, #[case] is_asked: bool) {
-    let text = SETTINGS.replace("STORE", &store(pieces).await.to_string());
-    let (doubts, _rx) = mpsc::unbounded_channel();
-    let settings = settings::parse(&text).unwrap();
-    let own = settings.control();
-    let node = Arc::new(Node::new(settings, Box::new(SystemClock::default()), doubts));
-    let (address, count) = peer().await;
-    let said = Pulse { next_ms: 20_000, config: Some((7, 0)), ..common::pulse(address) };
-    node.peers.lock().on_pulse(own, address, SmolStr::new("n-2"), said, node.now());
-    let following = tokio::spawn(following::config(Arc::clone(&node)));
-    let catching_up = tokio::spawn(gossip::catch_up(Arc::clone(&node)));
-    tokio::time::sleep(Duration::from_millis(1_150)).await;
-    following.abort();
-    catching_up.abort();
-    assert_eq!(count.load(Ordering::Relaxed) > 0, is_asked);
+async fn a_peer_is_asked_for_the_configuration(#[case] pieces: usize, #[case] expected: bool) {
+    let asked = is_asked(store(pieces).await, Duration::from_millis(1_150)).await;
+    assert_eq!(asked, expected);
 }
 
 /// Whether a peer that holds a newer configuration is asked within `within`.
