--- a/crates/workshold-gateway/tests/catching_up.rs
+++ b/crates/workshold-gateway/tests/catching_up.rs
@@ -27,19 +27,6 @@
 use workshold_gateway::tasks::gossip;
 use workshold_protocol::clock::SystemClock;
 
-const SETTINGS: &str = r#"
-[node]
-name = "n-1"
-data_centre = "a"
-[listen]
-callers = "127.0.0.1:7001"
-readiness = "127.0.0.1:7002"
-directory = "127.0.0.1:7003"
-peers_port = 7004
-[store]
-address = "STORE"
-"#;
-
 /// A store whose answers come in pieces, so many of them.
 async fn store(pieces: usize) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -105,7 +92,7 @@
 
 /// Whether a peer that holds a newer configuration is asked within `within`.
 async fn is_asked(store: SocketAddr, within: Duration) -> bool {
-    let text = SETTINGS.replace("STORE", &store.to_string());
+    let text = common::SETTINGS.replace("127.0.0.1:7005", &store.to_string());
     let (doubts, _rx) = mpsc::unbounded_channel();
     let settings = settings::parse(&text).unwrap();
     let own = settings.control();
--- a/crates/workshold-gateway/tests/common/mod.rs
+++ b/crates/workshold-gateway/tests/common/mod.rs
@@ -1,9 +1,74 @@
-//! What several tests say in another node's name.
+//! What several tests need: a node that nothing runs in, and what others say to it.
+
+#![allow(dead_code, reason = "each test uses a part of it")]
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
+use parking_lot::Mutex;
 use smol_str::SmolStr;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
+use workshold_gateway::node::Doubt;
+use workshold_gateway::node::Node;
 use workshold_gateway::peers::Pulse;
+use workshold_gateway::settings;
+use workshold_protocol::Clock;
+use workshold_protocol::Millis;
+
+/// A node in data centre `a`.
+pub const SETTINGS: &str = r#"
+[node]
+name = "n-1"
+data_centre = "a"
+[listen]
+callers = "127.0.0.1:7001"
+readiness = "127.0.0.1:7002"
+directory = "127.0.0.1:7003"
+peers_port = 7004
+[store]
+address = "127.0.0.1:7005"
+"#;
+
+/// A clock that goes on when it is told to.
+#[derive(Debug, Clone)]
+pub struct HandClock(pub Arc<Mutex<Millis>>);
+
+impl HandClock {
+    /// One that shows `now`.
+    pub fn at(now: Millis) -> Self {
+        Self(Arc::new(Mutex::new(now)))
+    }
+
+    /// Lets time pass.
+    pub fn go_on(&self, by: Millis) {
+        let mut now = self.0.lock();
+        *now = *now + by;
+    }
+}
+
+impl Clock for HandClock {
+    fn now(&self) -> Millis {
+        *self.0.lock()
+    }
+
+    fn wall(&self) -> Millis {
+        *self.0.lock()
+    }
+}
+
+/// A node by [`SETTINGS`] that nothing runs in, at second ten, and what it wants tried.
+pub fn node() -> (Node, HandClock, UnboundedReceiver<Doubt>) {
+    node_with(SETTINGS)
+}
+
+/// The same by other settings.
+pub fn node_with(text: &str) -> (Node, HandClock, UnboundedReceiver<Doubt>) {
+    let clock = HandClock::at(Millis(10_000));
+    let (doubts, rx) = mpsc::unbounded_channel();
+    let settings = settings::parse(text).unwrap();
+    (Node::new(settings, Box::new(clock.clone()), doubts), clock, rx)
+}
 
 /// A pulse of a node that serves at `callers` and has nothing else to tell.
 pub fn pulse(callers: SocketAddr) -> Pulse {
--- a/crates/workshold-gateway/tests/doubts.rs
+++ b/crates/workshold-gateway/tests/doubts.rs
@@ -16,64 +16,27 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use parking_lot::Mutex;
 use rstest::rstest;
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
 use workshold_core::hosted::roster::Instance;
 use workshold_core::hosted::suspicion::Reach;
 use workshold_gateway::node::Doubt;
 use workshold_gateway::node::DoubtTask;
-use workshold_gateway::node::Node;
 use workshold_gateway::peers::Datagram;
 use workshold_gateway::peers::Message;
-use workshold_gateway::settings;
 use workshold_gateway::tasks::doubting;
 use workshold_platform_standin::proxy::Proxy;
 use workshold_platform_standin::proxy::Way;
-use workshold_protocol::Clock;
 use workshold_protocol::Millis;
 use workshold_protocol::ids::DataCentre;
 use workshold_protocol::ids::InstanceId;
 use workshold_protocol::ids::ServiceName;
 
+use crate::common::node;
 use crate::common::pulse;
 
-#[derive(Debug, Clone)]
-struct HandClock(Arc<Mutex<Millis>>);
-
-impl Clock for HandClock {
-    fn now(&self) -> Millis {
-        *self.0.lock()
-    }
-
-    fn wall(&self) -> Millis {
-        *self.0.lock()
-    }
-}
-
-const SETTINGS: &str = r#"
-[node]
-name = "n-1"
-data_centre = "a"
-[listen]
-callers = "127.0.0.1:7001"
-readiness = "127.0.0.1:7002"
-directory = "127.0.0.1:7003"
-peers_port = 7004
-[store]
-address = "127.0.0.1:7005"
-"#;
-
-fn node() -> (Node, HandClock, UnboundedReceiver<Doubt>) {
-    let clock = HandClock(Arc::new(Mutex::new(Millis(10_000))));
-    let (doubts, rx) = mpsc::unbounded_channel();
-    let settings = settings::parse(SETTINGS).unwrap();
-    (Node::new(settings, Box::new(clock.clone()), doubts), clock, rx)
-}
-
 fn id() -> InstanceId {
     InstanceId::new("i-1").unwrap()
 }
@@ -106,7 +69,7 @@
     let (node, clock, _rx) = node();
     let asked: Vec<bool> = (0..90).map(|_| node.note_asked(&id())).collect();
     assert_eq!(asked.iter().filter(|is_tried| **is_tried).count(), 1);
-    *clock.0.lock() = Millis(10_200);
+    clock.go_on(Millis(200));
     assert!(node.note_asked(&id()), "what was seen then may have changed");
 }
 
@@ -227,6 +190,6 @@
     while node.take_repeat(&service) {
         taken += 1;
     }
-    *clock.0.lock() = node.now() + Millis(1_500);
+    clock.go_on(Millis(1_500));
     assert!(!node.take_repeat(&service), "beyond {taken} that are its part");
 }
--- a/crates/workshold-gateway/tests/followers.rs
+++ b/crates/workshold-gateway/tests/followers.rs
@@ -9,51 +9,23 @@
 use rstest::rstest;
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
 use workshold_gateway::node::Node;
 use workshold_gateway::peers::Datagram;
 use workshold_gateway::peers::LIST_TROUBLE_MOST;
 use workshold_gateway::peers::Message;
 use workshold_gateway::peers::Pulse;
 use workshold_gateway::peers::VERSION;
-use workshold_gateway::settings;
 use workshold_gateway::tasks::gossip;
-use workshold_protocol::Clock;
 use workshold_protocol::Millis;
 
-/// It stands still.
-#[derive(Debug)]
-struct StillClock;
-
-impl Clock for StillClock {
-    fn now(&self) -> Millis {
-        Millis(100_000)
-    }
-
-    fn wall(&self) -> Millis {
-        Millis(100_000)
-    }
-}
-
-const SETTINGS: &str = r#"
-[node]
-name = "follower"
-data_centre = "a"
-[listen]
-callers = "127.0.0.1:7001"
-readiness = "127.0.0.1:7002"
-directory = "127.0.0.1:7003"
-peers_port = 7004
-[store]
-address = "127.0.0.1:7005"
-"#;
-
 /// Beyond this many other nodes, most go by what a few read.
 const OTHERS: usize = 24;
 
 fn node() -> Node {
-    let (doubts, _) = mpsc::unbounded_channel();
-    Node::new(settings::parse(SETTINGS).unwrap(), Box::new(StillClock), doubts)
+    let text = common::SETTINGS.replace("n-1", "follower");
+    let (node, clock, _) = common::node_with(&text);
+    clock.go_on(Millis(90_000));
+    node
 }
 
 fn pulse(callers: SocketAddr, data_centre: &str, list_trouble_ms: Option<u32>) -> Pulse {
--- a/crates/workshold-gateway/tests/locks.rs
+++ b/crates/workshold-gateway/tests/locks.rs
@@ -20,19 +20,6 @@
 use workshold_protocol::clock::SystemClock;
 use workshold_protocol::ids::InstanceId;
 
-const SETTINGS: &str = r#"
-[node]
-name = "n-1"
-data_centre = "a"
-[listen]
-callers = "127.0.0.1:7001"
-readiness = "127.0.0.1:7002"
-directory = "127.0.0.1:7003"
-peers_port = 7004
-[store]
-address = "127.0.0.1:7005"
-"#;
-
 fn datagram() -> Vec<u8> {
     let told = |i: u32| {
         let id = InstanceId::new(&format!("i-{i}")).unwrap();
@@ -57,7 +44,7 @@
 
 async fn both_are_free() -> bool {
     let (doubts, _) = mpsc::unbounded_channel();
-    let settings = settings::parse(SETTINGS).unwrap();
+    let settings = settings::parse(common::SETTINGS).unwrap();
     let node = Arc::new(Node::new(settings, Box::new(SystemClock::default()), doubts));
     let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
     let to = socket.local_addr().unwrap();
