Nodes tell the relays of their data centre how they are, and hear of all others by digest

Cause: at 295 nodes each told some 60 near ones every 300 ms and all others every 900 ms: 460 datagrams a second each, 135,000 in all; that grows with the square of the nodes. Now three nodes of each data centre, the first by a hash that all see alike, are its relays, at all sizes. They sum up loads, work and lease numbers, tell relays of other data centres the sums of theirs and all others of their own the sums of all, with the nodes that have changed, and the rest in turn. Who hears of fewer nodes than others do seeks, and is told its relays first. A relay says nothing of all before most of its data centre says to it how it is.

A node that hears fewer than half of those that may be there does not go on by an expired lease: two nodes that are cut off together did. The directory names others first in each answer; until now chance did, by the order of a hash map, which also made the new tests differ from run to run.

--- a/crates/workshold-core/src/hosted/steward.rs
+++ b/crates/workshold-core/src/hosted/steward.rs
@@ -88,13 +88,15 @@
     seen: Seen,
 }
 
+/// Who is free, and by model whether weights are missing or on their way, and whether the
+/// last head has to leave first.
+type FreeHost = (Identity, Vec<(bool, bool, bool)>);
+
 /// What a domain had when all of them were last planned for.
 #[derive(Debug, Clone)]
 struct Planned {
     at: Millis,
-    /// Who is free, and by model whether weights are missing or on their way, and whether
-    /// the last head has to leave first.
-    free: Vec<(Identity, Vec<(bool, bool, bool)>)>,
+    free: Vec<FreeHost>,
     standing: Vec<u64>,
 }
 
--- a/crates/workshold-gateway/src/callers/directory.rs
+++ b/crates/workshold-gateway/src/callers/directory.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
+use rand::Rng;
 use workshold_platform::face;
 use workshold_platform::face::Question;
 use workshold_platform::names;
@@ -57,6 +58,9 @@
     } else {
         all.into_iter().map(|(_, address)| address).collect()
     };
+    // Each answer names others first, or all callers would go to the same ones.
+    let turn = rand::rng().random_range(0..chosen.len().max(1));
+    chosen.rotate_left(turn);
     chosen.truncate(face::MOST_ADDRESSES);
     chosen
 }
--- a/crates/workshold-gateway/src/loads.rs
+++ b/crates/workshold-gateway/src/loads.rs
@@ -37,6 +37,14 @@
         Self { requests: self.requests + other.requests, unread: self.unread + other.unread }
     }
 
+    /// What is left without a part of it.
+    pub fn less(self, part: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_sub(part.requests),
+            unread: self.unread.saturating_sub(part.unread),
+        }
+    }
+
     /// Adds what another node has there.
     pub fn add(&mut self, other: Self) {
         *self = self.and(other);
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -556,17 +556,16 @@
     /// What is asked of all nodes of the models of `engine`.
     pub fn work(&self, engine: &Engine) -> Asked {
         let (own, seen_part) = self.own_work();
-        let own = own.iter().map(|(model, work)| (short_name(model), *work));
-        let mut by_name: HashMap<u32, Work> = own.collect();
         let now = self.now();
         let peers = self.peers.lock();
-        let mut seen_part = seen_part;
-        for (_, peer) in peers.heard(now) {
-            seen_part = seen_part.max(f64::from(peer.pulse.seen_percent) / 100.0);
-            for told in &peer.pulse.work {
-                let work = by_name.entry(told.model).or_default();
-                *work = work.and(told.work());
-            }
+        let sums = peers.sums(now);
+        let holds_own = peers.sums_hold_own(now);
+        drop(peers);
+        let seen_part = seen_part.max(f64::from(sums.seen_percent) / 100.0);
+        let mut by_name = sums.work().clone();
+        for (model, work) in own.iter().filter(|_| !holds_own) {
+            let sum = by_name.entry(short_name(model)).or_default();
+            *sum = sum.and(*work);
         }
         let of = |name: &ModelName| by_name.get(&short_name(name.as_str())).copied();
         let names = engine.models.iter().map(|shape| &shape.name);
@@ -594,8 +593,7 @@
     /// Whether requests have come, here or at a peer.
     pub fn has_traffic(&self) -> bool {
         let now = self.now();
-        self.has_traffic.load(Ordering::Relaxed)
-            || self.peers.lock().heard(now).any(|(_, peer)| peer.pulse.has_traffic)
+        self.has_traffic.load(Ordering::Relaxed) || self.peers.lock().sums(now).has_traffic
     }
 
     /// Whether this node itself has seen requests.
--- /dev/null
+++ b/crates/workshold-gateway/src/peers/exchange.rs
@@ -0,0 +1,487 @@
+//! Who says what to whom, and what all nodes say together.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use smol_str::SmolStr;
+use workshold_core::hosted::capacity::Work;
+use workshold_protocol::Millis;
+
+use crate::loads::Load;
+use crate::peers::Heard;
+use crate::peers::PULSE_LATE;
+use crate::peers::Peer;
+use crate::peers::Peers;
+use crate::peers::SILENT_LEAST;
+use crate::peers::messages::AGE_UNIT_MS;
+use crate::peers::messages::Digest;
+use crate::peers::messages::Message;
+use crate::peers::messages::Pulse;
+use crate::peers::messages::Scope;
+use crate::peers::messages::ToldLoad;
+use crate::peers::messages::ToldNode;
+use crate::peers::messages::ToldWork;
+
+/// Relays of a data centre: with two of them lost at the same moment nobody misses
+/// anything.
+pub const RELAYS: usize = 3;
+/// A node that hears no relay asks so many of those that there may be.
+const SOUGHT: usize = 4;
+/// Nodes that a digest tells of in turn: with three relays all of 300 within 1.3 s.
+const IN_TURN: usize = 24;
+/// Nodes that have changed are told of for so long, so many of them in one digest.
+const CHANGE_TOLD: Millis = Millis(1_000);
+const MOST_CHANGED: usize = 40;
+/// Two relays that hear a node hear it within this of each other.
+const HEARD_ALIKE: Millis = Millis(400);
+/// Loads in a digest: what is left out is at the instances with the least of it.
+const MOST_LOADS: usize = 400;
+
+/// The node that speaks.
+#[derive(Debug, Clone, Copy)]
+pub struct Own<'a> {
+    /// Where it is heard.
+    pub address: SocketAddr,
+    /// Its name.
+    pub name: &'a str,
+    /// Its data centre.
+    pub data_centre: &'a str,
+}
+
+/// A message and where it goes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Outgoing {
+    /// Where.
+    pub to: Vec<SocketAddr>,
+    /// What.
+    pub message: Message,
+}
+
+/// What nodes say together.
+#[derive(Debug, Clone, Default)]
+pub struct Sums {
+    by_model: BTreeMap<u32, Work>,
+    by_instance: BTreeMap<u32, (Load, u8)>,
+    acts_by: BTreeMap<SocketAddr, u64>,
+    /// The part of what is asked that is seen, in 100.
+    pub seen_percent: u8,
+    /// Whether any of them has seen requests.
+    pub has_traffic: bool,
+    /// When the store last answered any of them.
+    pub store_answered: Option<Millis>,
+}
+
+impl Sums {
+    /// What is asked of them, by the short names of models.
+    pub fn work(&self) -> &BTreeMap<u32, Work> {
+        &self.by_model
+    }
+
+    /// The numbers by which nodes give orders, with where they are heard.
+    pub fn acts_by(&self) -> impl Iterator<Item = (&SocketAddr, u64)> {
+        self.acts_by.iter().map(|(address, number)| (address, *number))
+    }
+
+    pub(super) fn loads(&self) -> HashMap<u32, Load> {
+        self.by_instance.iter().map(|(instance, (load, _))| (*instance, *load)).collect()
+    }
+
+    fn add_work(&mut self, work: &[ToldWork]) {
+        for told in work {
+            let sum = self.by_model.entry(told.model).or_default();
+            *sum = sum.and(told.work());
+        }
+    }
+
+    fn add_loads(&mut self, loads: &[ToldLoad]) {
+        for told in loads {
+            let (sum, gap) = self.by_instance.entry(told.instance).or_default();
+            sum.add(told.load());
+            *gap = (*gap).max(told.gap);
+        }
+    }
+
+    fn add_answer(&mut self, at: Millis) {
+        self.store_answered = self.store_answered.max(Some(at));
+    }
+
+    fn add_pulse(&mut self, address: SocketAddr, pulse: &Pulse, heard: Millis) {
+        self.add_work(&pulse.work);
+        self.add_loads(&pulse.loads);
+        self.acts_by.extend(pulse.acts_by.map(|number| (address, number)));
+        self.seen_percent = self.seen_percent.max(pulse.seen_percent);
+        self.has_traffic |= pulse.has_traffic;
+        self.add_answer(heard - Millis(pulse.store_age_ms));
+    }
+
+    fn add_digest(&mut self, heard: &Heard) {
+        let digest = &heard.digest;
+        self.add_work(&digest.work);
+        self.add_loads(&digest.loads);
+        self.acts_by.extend(digest.acts_by.iter().copied());
+        self.seen_percent = self.seen_percent.max(digest.seen_percent);
+        self.has_traffic |= digest.has_traffic;
+        self.add_answer(heard.at - Millis(digest.store_age_ms));
+    }
+}
+
+impl Peers {
+    /// What is to be said now; `pulse` is how this node is, `draw` any number.
+    pub fn outgoing(
+        &mut self,
+        own: &Own<'_>,
+        pulse: &Pulse,
+        now: Millis,
+        draw: u64,
+    ) -> Vec<Outgoing> {
+        self.told = pulse.loads.iter().map(|told| (told.instance, told.load())).collect();
+        let is_relay = self.is_relay(own, now);
+        let mut relays = self.relays(own.data_centre, now);
+        relays.truncate(if is_relay { RELAYS - 1 } else { RELAYS });
+        let mut said = Vec::new();
+        if is_relay && self.hears_near(own, now) {
+            self.add_digest_of_data_centre(own, pulse, now, &mut said);
+            if self.hears_all(own, now) || self.fresh_of_all(now).is_none() {
+                self.of_all = None;
+                self.add_digest_of_all(own, pulse, now, &mut said);
+            }
+        }
+        if !is_relay {
+            self.of_data_centres.clear();
+        }
+        let hears_a_relay =
+            !self.lacks_nodes(now) && (is_relay || self.fresh_of_all(now).is_some());
+        let seeks = Pulse { seeks: true, hears: self.sample(draw, now), ..pulse.clone() };
+        let to = self.sought(hears_a_relay, now, draw);
+        said.push(Outgoing { to, message: Message::Pulse(seeks) });
+        said.push(Outgoing { to: relays, message: Message::Pulse(pulse.clone()) });
+        said.retain(|outgoing| !outgoing.to.is_empty());
+        said
+    }
+
+    /// What is said to a node of `data_centre` that seeks relays: who they are, first of all.
+    pub fn answer(
+        &mut self,
+        own: &Own<'_>,
+        pulse: &Pulse,
+        data_centre: &str,
+        now: Millis,
+    ) -> Message {
+        let mut digest = self.digest(Scope::All, own, pulse, now);
+        for relay in self.relays(data_centre, now) {
+            digest.nodes.retain(|told| told.address != relay);
+            digest.nodes.extend(self.by_address.get(&relay).map(|peer| tell(relay, peer, now)));
+        }
+        Message::Digest(Box::new(digest))
+    }
+
+    /// Whether others hear of more nodes than this one, or none was asked yet: then it may
+    /// take itself or the wrong ones for relays.
+    fn lacks_nodes(&self, now: Millis) -> bool {
+        let heard = self.heard(now).count();
+        let most = self.most_heard.map_or(usize::MAX, usize::from);
+        let may_be_more = heard == 0 || (heard + 1) * 10 < most.saturating_mul(9);
+        may_be_more && !self.addresses.is_empty()
+    }
+
+    /// Whether this node is one of its data centre's relays.
+    pub fn is_relay(&self, own: &Own<'_>, now: Millis) -> bool {
+        self.is_among(own.name, own.data_centre, RELAYS, now)
+    }
+
+    /// A digest came. Returns whether it says something that others wait for.
+    pub fn on_digest(
+        &mut self,
+        own: &Own<'_>,
+        from: SocketAddr,
+        name: SmolStr,
+        digest: Digest,
+        now: Millis,
+    ) -> bool {
+        let cycle = told_again_after(&digest);
+        let mut is_news = self.on_pulse(own.address, from, name, digest.own.clone(), now);
+        for told in digest.nodes.iter().filter(|told| told.address != own.address) {
+            is_news |= self.on_told(told, cycle, now);
+        }
+        if digest.scope == Scope::All {
+            self.most_heard = Some(digest.heard);
+        }
+        let data_centre = digest.own.data_centre.clone();
+        let heard = Heard { digest, at: now };
+        match heard.digest.scope {
+            // A relay goes by what it hears itself, once that is all there is.
+            Scope::All if self.is_relay(own, now) && self.hears_all(own, now) => {}
+            Scope::All => self.of_all = Some(heard),
+            Scope::DataCentre => {
+                let last = self.of_data_centres.insert(data_centre, heard);
+                is_news |= last.is_none();
+            }
+        }
+        is_news
+    }
+
+    /// A relay tells of a node.
+    fn on_told(&mut self, told: &ToldNode, cycle: Millis, now: Millis) -> bool {
+        let heard = now - Millis(u64::from(told.age) * AGE_UNIT_MS);
+        let since = self.addresses.entry(told.address).or_insert(heard);
+        *since = (*since).max(heard);
+        let is_new = !self.by_address.contains_key(&told.address);
+        let peer = self.by_address.entry(told.address).or_insert_with(|| as_told(told, heard));
+        if !told.is_gone {
+            self.sharers.on_sign(told.address, now);
+        }
+        let was_ready = peer.pulse.is_ready && peer.is_heard(now);
+        if told.is_gone {
+            // Who has heard it later says so again.
+            if peer.heard <= heard + HEARD_ALIKE {
+                peer.silent_after = SILENT_LEAST + PULSE_LATE;
+            }
+        } else if is_new || heard > peer.heard {
+            peer.heard = heard;
+            peer.pulse.is_ready = told.is_ready;
+            peer.silent_after = SILENT_LEAST + PULSE_LATE + cycle;
+        }
+        let is_news = is_new || was_ready != (peer.pulse.is_ready && peer.is_heard(now));
+        if is_news {
+            self.changed.insert(told.address, now);
+        }
+        is_news
+    }
+
+    /// The relays of a data centre, this node not among them.
+    fn relays(&self, data_centre: &str, now: Millis) -> Vec<SocketAddr> {
+        let near = self.heard(now).filter(|(_, peer)| peer.pulse.data_centre == data_centre);
+        let mut ranked: Vec<(u32, SocketAddr)> =
+            near.map(|(address, peer)| (peer.rank, *address)).collect();
+        ranked.sort_unstable();
+        ranked.truncate(RELAYS);
+        ranked.into_iter().map(|(_, address)| address).collect()
+    }
+
+    /// Who is asked although it is no relay: some of those that there may be, by one that
+    /// hears no relay; by others now and then one that is silent, so that parts of a fleet
+    /// that have lost each other find together again.
+    fn sought(&self, hears_a_relay: bool, now: Millis, draw: u64) -> Vec<SocketAddr> {
+        let is_heard = |address: &SocketAddr| {
+            self.by_address.get(address).is_some_and(|peer| peer.is_heard(now))
+        };
+        let all = self.addresses.keys().filter(|address| !hears_a_relay || !is_heard(address));
+        let all: Vec<SocketAddr> = all.copied().collect();
+        let start = draw as usize % all.len().max(1);
+        let most = if hears_a_relay { 1 } else { SOUGHT };
+        all.iter().cycle().skip(start).take(most.min(all.len())).copied().collect()
+    }
+
+    /// Whether most nodes of this data centre say to this one how they are: it may have
+    /// become a relay a moment ago, and others have not noticed.
+    fn hears_near(&self, own: &Own<'_>, now: Millis) -> bool {
+        let near = self.heard(now).filter(|(_, peer)| peer.pulse.data_centre == own.data_centre);
+        let (direct, all) = near.fold((0, 0), |(direct, all), (_, peer)| {
+            (direct + usize::from(peer.is_direct(now)), all + 1)
+        });
+        direct * 5 >= all * 4
+    }
+
+    /// Whether relays of all other data centres say to this node how theirs are, too.
+    fn hears_all(&self, own: &Own<'_>, now: Millis) -> bool {
+        let is_fresh = |place: &SmolStr| {
+            self.of_data_centres.get(place).is_some_and(|heard| heard.is_fresh(now))
+        };
+        self.hears_near(own, now) && self.far(own, now).iter().all(is_fresh)
+    }
+
+    /// The other data centres, as far as any node of them is heard.
+    fn far(&self, own: &Own<'_>, now: Millis) -> BTreeSet<SmolStr> {
+        let places = self.heard(now).map(|(_, peer)| &peer.pulse.data_centre);
+        places.filter(|place| *place != own.data_centre).cloned().collect()
+    }
+
+    fn add_digest_of_data_centre(
+        &mut self,
+        own: &Own<'_>,
+        pulse: &Pulse,
+        now: Millis,
+        said: &mut Vec<Outgoing>,
+    ) {
+        let far = self.far(own, now);
+        let to: Vec<SocketAddr> = far.iter().flat_map(|place| self.relays(place, now)).collect();
+        if !to.is_empty() {
+            let digest = self.digest(Scope::DataCentre, own, pulse, now);
+            said.push(Outgoing { to, message: Message::Digest(Box::new(digest)) });
+        }
+    }
+
+    fn add_digest_of_all(
+        &mut self,
+        own: &Own<'_>,
+        pulse: &Pulse,
+        now: Millis,
+        said: &mut Vec<Outgoing>,
+    ) {
+        let mut relays = self.relays(own.data_centre, now);
+        relays.truncate(RELAYS - 1);
+        let is_follower = |address: &SocketAddr, peer: &Peer| {
+            let is_near = peer.pulse.data_centre == own.data_centre;
+            is_near && peer.is_direct(now) && !relays.contains(address)
+        };
+        let heard = self.heard(now).filter(|(address, peer)| is_follower(address, peer));
+        let to: Vec<SocketAddr> = heard.map(|(address, _)| *address).collect();
+        if !to.is_empty() {
+            let digest = self.digest(Scope::All, own, pulse, now);
+            said.push(Outgoing { to, message: Message::Digest(Box::new(digest)) });
+        }
+    }
+
+    fn digest(&mut self, scope: Scope, own: &Own<'_>, pulse: &Pulse, now: Millis) -> Digest {
+        let mut sums = match scope {
+            Scope::All => self.sums(now),
+            Scope::DataCentre => self.near_sums(own.data_centre, now),
+        };
+        if !self.sums_hold_own(now) {
+            sums.add_pulse(own.address, pulse, now);
+        }
+        let is_told =
+            |peer: &Peer| scope == Scope::All || peer.pulse.data_centre == own.data_centre;
+        let heard = self.heard(now).filter(|(_, peer)| is_told(peer)).count() + 1;
+        let mut loads: Vec<ToldLoad> = sums
+            .by_instance
+            .iter()
+            .map(|(instance, (load, gap))| ToldLoad::of_short(*instance, *load, *gap))
+            .collect();
+        loads.sort_by_key(|told| std::cmp::Reverse(told.requests));
+        loads.truncate(MOST_LOADS);
+        let work = sums.by_model.iter().map(|(model, work)| ToldWork::of_short(*model, *work));
+        let answered = sums.store_answered.unwrap_or_default();
+        Digest {
+            scope,
+            own: Pulse { work: Vec::new(), loads: Vec::new(), ..pulse.clone() },
+            nodes: self.told_nodes(scope, own, now),
+            heard: heard.min(usize::from(u16::MAX)) as u16,
+            acts_by: sums.acts_by.into_iter().collect(),
+            store_age_ms: now.since(answered).0,
+            has_traffic: sums.has_traffic,
+            work: work.collect(),
+            seen_percent: sums.seen_percent,
+            loads,
+        }
+    }
+
+    /// What all other nodes say together, as far as this node knows: by its relays' word if
+    /// it goes by that, and by its own ears and other relays' digests otherwise.
+    pub fn sums(&self, now: Millis) -> Sums {
+        let mut sums = Sums::default();
+        if let Some(heard) = self.fresh_of_all(now) {
+            sums.add_digest(heard);
+            return sums;
+        }
+        let fresh =
+            |place: &SmolStr| self.of_data_centres.get(place).filter(|heard| heard.is_fresh(now));
+        self.of_data_centres.values().filter(|heard| heard.is_fresh(now)).for_each(|heard| {
+            sums.add_digest(heard);
+        });
+        for (address, peer) in self.by_address.iter().filter(|(_, peer)| peer.is_direct(now)) {
+            if fresh(&peer.pulse.data_centre).is_none() {
+                sums.add_pulse(*address, &peer.pulse, peer.heard);
+            }
+        }
+        sums
+    }
+
+    /// Whether what all say together holds what this node itself has said: by the relays'
+    /// word it does.
+    pub fn sums_hold_own(&self, now: Millis) -> bool {
+        self.fresh_of_all(now).is_some()
+    }
+
+    fn near_sums(&self, data_centre: &str, now: Millis) -> Sums {
+        let mut sums = Sums::default();
+        let is_near = |peer: &Peer| peer.is_direct(now) && peer.pulse.data_centre == data_centre;
+        for (address, peer) in self.by_address.iter().filter(|(_, peer)| is_near(peer)) {
+            sums.add_pulse(*address, &peer.pulse, peer.heard);
+        }
+        sums
+    }
+
+    /// Nodes that have changed, and the next ones in turn.
+    fn told_nodes(&mut self, scope: Scope, own: &Own<'_>, now: Millis) -> Vec<ToldNode> {
+        let is_told = |peer: &Peer| match scope {
+            Scope::All => true,
+            Scope::DataCentre => peer.pulse.data_centre == own.data_centre,
+        };
+        let silent = self.by_address.iter().filter(|(_, peer)| has_just_gone(peer, now));
+        let silent = silent.map(|(address, _)| *address);
+        let changed = self.changed.iter().filter(|(_, at)| now.since(**at) < CHANGE_TOLD);
+        let changed = silent.chain(changed.map(|(address, _)| *address));
+        let first: BTreeSet<SocketAddr> = changed.take(MOST_CHANGED).collect();
+        let heard: BTreeSet<SocketAddr> = self
+            .heard(now)
+            .filter(|(address, peer)| is_told(peer) && !first.contains(address))
+            .map(|(address, _)| *address)
+            .collect();
+        let turn = &mut self.turns[usize::from(scope == Scope::All)];
+        let after = heard.iter().filter(|address| turn.is_none_or(|last| **address > last));
+        let in_turn =
+            after.chain(heard.iter().filter(|address| turn.is_some_and(|l| **address <= l)));
+        let in_turn: Vec<SocketAddr> = in_turn.take(IN_TURN).copied().collect();
+        *turn = in_turn.last().copied().or(*turn);
+        let all = first.iter().chain(&in_turn);
+        let peers = all.filter_map(|address| Some((address, self.by_address.get(address)?)));
+        peers.filter(|(_, peer)| is_told(peer)).map(|(a, peer)| tell(*a, peer, now)).collect()
+    }
+}
+
+/// Whether a node has fallen silent a moment ago: it is told of for as long as it may be
+/// believed to be there.
+fn has_just_gone(peer: &Peer, now: Millis) -> bool {
+    let silent_for = now.since(peer.heard);
+    !peer.is_heard(now) && silent_for < peer.silent_after + CHANGE_TOLD
+}
+
+fn tell(address: SocketAddr, peer: &Peer, now: Millis) -> ToldNode {
+    ToldNode {
+        address,
+        callers: peer.pulse.callers,
+        data_centre: peer.pulse.data_centre.clone(),
+        rank: peer.rank,
+        is_ready: peer.pulse.is_ready,
+        is_gone: !peer.is_heard(now),
+        age: (now.since(peer.heard).0 / AGE_UNIT_MS).min(u64::from(u8::MAX)) as u8,
+    }
+}
+
+/// How long it takes until one relay alone has told of all its nodes; all of them together
+/// take a third of it.
+fn told_again_after(digest: &Digest) -> Millis {
+    let rounds = u64::from(digest.heard).div_ceil(IN_TURN as u64);
+    Millis(u64::from(digest.own.next_ms) * rounds)
+}
+
+/// A node that is known by a relay's word alone.
+fn as_told(told: &ToldNode, heard: Millis) -> Peer {
+    Peer {
+        name: SmolStr::default(),
+        rank: told.rank,
+        pulse: Pulse {
+            callers: told.callers,
+            data_centre: told.data_centre.clone(),
+            next_ms: 0,
+            is_ready: told.is_ready,
+            has_traffic: false,
+            config: None,
+            list: None,
+            acts_by: None,
+            store_age_ms: 0,
+            list_trouble_ms: None,
+            hears: Vec::new(),
+            seeks: false,
+            work: Vec::new(),
+            seen_percent: 0,
+            loads: Vec::new(),
+        },
+        heard,
+        direct: None,
+        silent_after: SILENT_LEAST + PULSE_LATE,
+    }
+}
--- /dev/null
+++ b/crates/workshold-gateway/src/peers/messages.rs
@@ -0,0 +1,290 @@
+//! What nodes tell each other by datagram.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+use workshold_core::hosted::capacity::Work;
+use workshold_core::hosted::identity::Identity;
+use workshold_core::hosted::suspicion::Reach;
+use workshold_protocol::Millis;
+
+use crate::loads::Load;
+use crate::loads::short_id;
+use crate::loads::short_name;
+
+/// The form of these messages; another one is passed over.
+pub const VERSION: u8 = 5;
+
+/// A datagram.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// [`VERSION`].
+    pub version: u8,
+    /// The sender's name.
+    pub from: SmolStr,
+    /// What it says.
+    pub message: Message,
+}
+
+/// What a node says.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// How it is; said several times a second to the relays of its data centre.
+    Pulse(Pulse),
+    /// What a relay has put together of many pulses.
+    Digest(Box<Digest>),
+    /// What has come to the list of instances since another place in it.
+    News(ListNews),
+    /// What its try to reach an instance showed; `ask` wants the same try of others.
+    Verdict {
+        /// The instance's short id.
+        instance: u32,
+        /// What was seen.
+        reach: WireReach,
+        /// Whether the others are to try as well.
+        ask: bool,
+    },
+}
+
+/// [`Reach`] as it is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WireReach {
+    /// It answered.
+    Answers,
+    /// It says nothing.
+    Silent,
+    /// Its process is gone.
+    Refused,
+}
+
+impl From<Reach> for WireReach {
+    fn from(reach: Reach) -> Self {
+        match reach {
+            Reach::Answers => Self::Answers,
+            Reach::Silent => Self::Silent,
+            Reach::Refused => Self::Refused,
+        }
+    }
+}
+
+impl From<WireReach> for Reach {
+    fn from(reach: WireReach) -> Self {
+        match reach {
+            WireReach::Answers => Self::Answers,
+            WireReach::Silent => Self::Silent,
+            WireReach::Refused => Self::Refused,
+        }
+    }
+}
+
+/// What one node passes on to another of the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListNews {
+    /// The first record that may be among them; all that are newer are.
+    pub from: u64,
+    /// The next record that it would read.
+    pub next: u64,
+    /// How long ago it asked for what it has, in ms.
+    pub age_ms: u64,
+    /// The newest record of each instance, from `from` on.
+    pub records: Vec<ListRecord>,
+}
+
+/// A record of the list as one node passes it on to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListRecord {
+    /// Its place.
+    pub offset: u64,
+    /// The instance.
+    pub key: SmolStr,
+    /// Its entry as it stands in the store; empty if it is gone.
+    pub value: Vec<u8>,
+}
+
+/// What callers ask of a node of one model, a second; small whole numbers are short in
+/// a datagram.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldWork {
+    /// The model's short name.
+    pub model: u32,
+    /// Requests, in tenths.
+    pub requests: u32,
+    /// Prompt tokens, in tens.
+    pub prompt_tokens: u32,
+    /// Events of answers.
+    pub events: u32,
+    /// The longest pause that is in time, in ms.
+    pub pause_goal: u32,
+}
+
+const REQUESTS_UNIT: f64 = 0.1;
+const TOKENS_UNIT: f64 = 10.0;
+
+impl ToldWork {
+    /// Puts `work` of a model into a datagram.
+    pub fn new(model: &str, work: Work) -> Self {
+        Self::of_short(short_name(model), work)
+    }
+
+    /// The same for the model with this short name.
+    pub fn of_short(model: u32, work: Work) -> Self {
+        Self {
+            model,
+            requests: (work.requests / REQUESTS_UNIT).round() as u32,
+            prompt_tokens: (work.prompt_tokens / TOKENS_UNIT).round() as u32,
+            events: work.events.round() as u32,
+            pause_goal: work.pause_goal.0 as u32,
+        }
+    }
+
+    /// What was put in.
+    pub fn work(&self) -> Work {
+        Work {
+            requests: f64::from(self.requests) * REQUESTS_UNIT,
+            prompt_tokens: f64::from(self.prompt_tokens) * TOKENS_UNIT,
+            events: f64::from(self.events),
+            pause_goal: Millis(u64::from(self.pause_goal)),
+        }
+    }
+}
+
+/// What a node has at an instance, or all nodes that a relay speaks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldLoad {
+    /// The instance's short id.
+    pub instance: u32,
+    /// Requests there.
+    pub requests: u16,
+    /// Tokens of prompts that are not read yet, in units of [`UNREAD_UNIT`].
+    pub unread: u16,
+    /// The usual gap between its events, in units of [`GAP_UNIT_MS`].
+    pub gap: u8,
+}
+
+const UNREAD_UNIT: u32 = 64;
+const GAP_UNIT_MS: f64 = 4.0;
+
+impl ToldLoad {
+    /// Puts what a node has at `id` into a datagram.
+    pub fn new(id: &Identity, load: Load, gap_ms: f64) -> Self {
+        Self::of_short(short_id(id), load, (gap_ms / GAP_UNIT_MS).min(255.0) as u8)
+    }
+
+    /// The same for the instance with this short id; `gap` is in units of a datagram.
+    pub fn of_short(instance: u32, load: Load, gap: u8) -> Self {
+        Self {
+            instance,
+            requests: load.requests.min(u32::from(u16::MAX)) as u16,
+            unread: load.unread.div_ceil(UNREAD_UNIT).min(u32::from(u16::MAX)) as u16,
+            gap,
+        }
+    }
+
+    /// What it has there.
+    pub fn load(&self) -> Load {
+        Load { requests: u32::from(self.requests), unread: u32::from(self.unread) * UNREAD_UNIT }
+    }
+
+    /// The usual gap, if it has seen any.
+    pub fn gap_ms(&self) -> Option<f64> {
+        (self.gap > 0).then(|| f64::from(self.gap) * GAP_UNIT_MS)
+    }
+}
+
+/// What a digest speaks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Scope {
+    /// The relay's own data centre; said to the relays of others.
+    DataCentre,
+    /// All nodes; said to those that the relay hears and that are no relays.
+    All,
+}
+
+/// What a relay has put together of the pulses that it hears and of other relays' digests.
+/// Its length grows with heads and changes, not with nodes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Digest {
+    /// What it speaks for.
+    pub scope: Scope,
+    /// How the relay itself is; what it asks and has at instances is in the sums.
+    pub own: Pulse,
+    /// Some of the nodes: those that have changed, the others in turn.
+    pub nodes: Vec<ToldNode>,
+    /// How many nodes it hears of, itself included.
+    pub heard: u16,
+    /// By what numbers nodes give orders.
+    pub acts_by: Vec<(SocketAddr, u64)>,
+    /// How long ago the store last answered any node, in ms.
+    pub store_age_ms: u64,
+    /// Whether any node has seen requests.
+    pub has_traffic: bool,
+    /// What callers ask of the nodes, by model.
+    pub work: Vec<ToldWork>,
+    /// The part of that which is seen so soon after the first request, in 100.
+    pub seen_percent: u8,
+    /// What the nodes have at instances.
+    pub loads: Vec<ToldLoad>,
+}
+
+/// Another node as a relay tells of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldNode {
+    /// Where it is heard.
+    pub address: SocketAddr,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Its data centre.
+    pub data_centre: SmolStr,
+    /// Its place in the order that all nodes see alike.
+    pub rank: u32,
+    /// Whether it serves callers.
+    pub is_ready: bool,
+    /// Whether it has fallen silent.
+    pub is_gone: bool,
+    /// How long ago it was heard, in units of [`AGE_UNIT_MS`].
+    pub age: u8,
+}
+
+/// The unit of ages of nodes in digests, in milliseconds.
+pub const AGE_UNIT_MS: u64 = 50;
+
+/// How a node is.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Pulse {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Its data centre.
+    pub data_centre: SmolStr,
+    /// When its next one comes at the latest, in ms.
+    pub next_ms: u16,
+    /// Whether it serves callers and will go on doing so.
+    pub is_ready: bool,
+    /// Whether it has seen requests.
+    pub has_traffic: bool,
+    /// The configuration that it holds, and how long ago that was the newest, in ms.
+    pub config: Option<(u64, u64)>,
+    /// Where its list of instances ends, and how long ago that was the end, in ms.
+    pub list: Option<(u64, u64)>,
+    /// The lease's number by which it gives orders, if it does.
+    pub acts_by: Option<u64>,
+    /// How long ago the store last answered it, in ms.
+    pub store_age_ms: u64,
+    /// How long ago a reading of the list last failed, in ms and at most
+    /// [`LIST_TROUBLE_MOST`]; `None` if it goes by what others read.
+    pub list_trouble_ms: Option<u32>,
+    /// Some of those that it hears, drawn anew each time, from one that seeks relays.
+    pub hears: Vec<SocketAddr>,
+    /// Whether it hears no relay, and wants a digest of whoever takes this.
+    pub seeks: bool,
+    /// What callers ask of it, by model.
+    pub work: Vec<ToldWork>,
+    /// The part of that which is seen so soon after its first request, in 100.
+    pub seen_percent: u8,
+    /// What it has at instances.
+    pub loads: Vec<ToldLoad>,
+}
+
+/// Trouble with the list that is older is told no more.
+pub const LIST_TROUBLE_MOST: u32 = 60_000;
--- a/crates/workshold-gateway/src/settings.rs
+++ b/crates/workshold-gateway/src/settings.rs
@@ -9,6 +9,8 @@
 use workshold_protocol::Millis;
 use workshold_protocol::ids::DataCentre;
 
+use crate::peers::exchange::Own;
+
 /// All settings of a node.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -141,6 +143,15 @@
 const LEASE_TTL: Millis = Millis(1_500);
 
 impl Settings {
+    /// This node as others know it.
+    pub fn own(&self) -> Own<'_> {
+        Own {
+            address: self.control(),
+            name: &self.node.name,
+            data_centre: self.node.data_centre.as_str(),
+        }
+    }
+
     /// Where other nodes and operators reach this one.
     pub fn control(&self) -> SocketAddr {
         SocketAddr::new(self.listen.callers.ip(), self.listen.peers_port)
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -1,4 +1,4 @@
-//! Pulses and verdicts between nodes, by datagram; and catching up from a peer.
+//! Pulses, digests and verdicts between nodes, by datagram; and catching up from a peer.
 
 use std::io;
 use std::net::SocketAddr;
@@ -22,25 +22,26 @@
 use crate::node::DoubtTask;
 use crate::node::Node;
 use crate::peers::Datagram;
+use crate::peers::Digest;
 use crate::peers::ListNews;
 use crate::peers::Message;
 use crate::peers::Peer;
 use crate::peers::Pulse;
+use crate::peers::Scope;
 use crate::peers::ToldLoad;
 use crate::peers::ToldWork;
 use crate::peers::VERSION;
 use crate::tasks::following;
 
-/// How often a node says how it is to those of its data centre, and with few nodes to
-/// all: the fresher the loads of others, the better is the choice of a group.
+/// How often a node says how it is: the fresher the loads of others, the better is the
+/// choice of a group.
 const PULSE_LEAST: Millis = Millis(100);
 const PULSE_MOST: Millis = Millis(300);
-/// It says so less often by this much for each node that hears it.
+/// It says so less often by this much for each node that there may be, up to that: what a
+/// relay takes grows with them.
 const PULSE_FOR_EACH: Millis = Millis(16);
-/// With more nodes than this, those of other data centres hear only one pulse in so
-/// many: what all nodes hear grows with their square.
-const FEW_NODES: usize = 16;
-const FAR_PULSE: u64 = 3;
+/// However much is new, it says so no more often than this.
+const PULSE_GAP: Millis = Millis(60);
 /// News of the list is passed on no more often than this, several changes at once.
 const NEWS_EVERY: Duration = Duration::from_millis(60);
 /// The longest news: what does not fit into a datagram is fetched.
@@ -72,21 +73,21 @@
     UdpSocket::bind(node.settings().control()).await
 }
 
-/// Sends pulses until the node ends.
+/// Says how this node is, and what it has put together as a relay, until the node ends.
 pub async fn send_pulses(node: Arc<Node>, socket: Arc<UdpSocket>) {
-    let mut far = 0;
     loop {
-        let addresses = node.peers.lock().addresses();
-        let has_many = addresses.len() >= FEW_NODES;
-        let every = if has_many { FAR_PULSE } else { 1 };
-        let own = pulse_every(addresses.len());
-        let next_ms = own.0 * every;
-        let is_for_all = far == 0;
-        let to = if is_for_all { addresses } else { near_addresses(&node) };
-        send(&node, &socket, &to, Message::Pulse(pulse(&node, next_ms as u16))).await;
+        let every = pulse_every(node.peers.lock().addresses().len());
+        let pulse = pulse(&node, every.0 as u16);
+        let settings = node.settings();
+        let draw = rand::rng().random();
+        let said = node.peers.lock().outgoing(&settings.own(), &pulse, node.now(), draw);
+        for outgoing in said {
+            send(&node, &socket, &outgoing.to, outgoing.message).await;
+        }
+        tokio::time::sleep(PULSE_GAP.to_duration()).await;
         tokio::select! {
-            () = tokio::time::sleep(own.to_duration()) => far = (far + 1) % every,
-            () = node.pulse_wanted.notified() => far = 0,
+            () = tokio::time::sleep(every.since(PULSE_GAP).to_duration()) => {}
+            () = node.pulse_wanted.notified() => {}
         }
     }
 }
@@ -142,7 +143,6 @@
     let config = node.config_age().map(|(version, age)| (version, age.0));
     let (work, seen_part) = node.own_work();
     // No lock may be held while the next part is asked for.
-    let hears = node.peers.lock().sample(rand::rng().random(), node.now());
     let acts_by = node.lease.lock().acts_by();
     Pulse {
         callers: settings.listen.callers,
@@ -152,7 +152,8 @@
         has_traffic: node.has_own_traffic(),
         config,
         list: list_end(node),
-        hears,
+        hears: Vec::new(),
+        seeks: false,
         acts_by,
         store_age_ms: node.store_age().0,
         list_trouble_ms: node.list_trouble(),
@@ -184,36 +185,19 @@
             continue;
         };
         let Ok(datagram) = postcard::from_bytes::<Datagram>(&buf[..len]) else { continue };
-        if datagram.version == VERSION {
-            take(&node, from, datagram);
+        if datagram.version == VERSION
+            && let Some(answer) = take(&node, from, datagram)
+        {
+            send(&node, &socket, &[from], answer).await;
         }
     }
 }
 
-fn take(node: &Node, from: SocketAddr, datagram: Datagram) {
-    let now = node.now();
+/// Takes a datagram; says what is answered, if anything is.
+fn take(node: &Node, from: SocketAddr, datagram: Datagram) -> Option<Message> {
     match datagram.message {
-        Message::Pulse(pulse) => {
-            if let Some((version, age)) = pulse.config
-                && node.confirm_config(version, now - Millis(age) - ON_THE_WAY)
-            {
-                node.catch_up_wanted.notify_one();
-            }
-            if let Some((next, age)) = pulse.list {
-                confirm_list(node, next, now - Millis(age) - ON_THE_WAY);
-            }
-            hear_of_lease(node, pulse.acts_by);
-            take_gaps(node, &pulse);
-            let own = node.settings().control();
-            let mut peers = node.peers.lock();
-            peers.on_pulse(own, from, datagram.from, pulse, now);
-            let every = Millis(pulse_every(peers.addresses().len()).0 / LOADS_SUMMED);
-            if node.loads.are_old(now, every) {
-                let others = peers.loads(now);
-                drop(peers);
-                node.loads.set_others(others, now);
-            }
-        }
+        Message::Pulse(pulse) => return take_pulse(node, from, datagram.from, pulse),
+        Message::Digest(digest) => take_digest(node, from, datagram.from, *digest),
         Message::News(news) => {
             if !following::take_news(node, &news) {
                 node.catch_up_wanted.notify_one();
@@ -223,6 +207,71 @@
             take_verdict(node, &datagram.from, instance, reach.into(), ask);
         }
     }
+    None
+}
+
+fn take_pulse(node: &Node, from: SocketAddr, name: SmolStr, said: Pulse) -> Option<Message> {
+    let now = node.now();
+    take_statement(node, &said);
+    hear_of_lease(node, said.acts_by);
+    take_gaps(node, &said.loads);
+    let seeks = said.seeks.then(|| said.data_centre.clone());
+    let settings = node.settings();
+    let own = settings.own();
+    let is_news = node.peers.lock().on_pulse(own.address, from, name, said, now);
+    tell_on(node, is_news);
+    sum_loads(node, true);
+    // What this node itself is asked and has at instances comes with its pulses.
+    let data_centre = seeks?;
+    let own_pulse = pulse(node, PULSE_MOST.0 as u16);
+    let mut peers = node.peers.lock();
+    Some(peers.answer(&own, &own_pulse, &data_centre, now))
+}
+
+fn take_digest(node: &Node, from: SocketAddr, name: SmolStr, digest: Digest) {
+    take_statement(node, &digest.own);
+    take_gaps(node, &digest.loads);
+    let settings = node.settings();
+    let own = settings.own();
+    let of_others = digest.acts_by.iter().filter(|(address, _)| *address != own.address);
+    hear_of_lease(node, of_others.map(|(_, number)| *number).max());
+    let is_of_some = digest.scope == Scope::DataCentre;
+    let is_news = node.peers.lock().on_digest(&own, from, name, digest, node.now());
+    tell_on(node, is_news);
+    sum_loads(node, is_of_some);
+}
+
+/// What a node says of the configuration and the list that it holds.
+fn take_statement(node: &Node, said: &Pulse) {
+    let now = node.now();
+    if let Some((version, age)) = said.config
+        && node.confirm_config(version, now - Millis(age) - ON_THE_WAY)
+    {
+        node.catch_up_wanted.notify_one();
+    }
+    if let Some((next, age)) = said.list {
+        confirm_list(node, next, now - Millis(age) - ON_THE_WAY);
+    }
+}
+
+/// A relay passes on at once what others wait for.
+fn tell_on(node: &Node, is_news: bool) {
+    let settings = node.settings();
+    if is_news && node.peers.lock().is_relay(&settings.own(), node.now()) {
+        node.pulse_wanted.notify_one();
+    }
+}
+
+/// Sums up others' loads anew; where many parts make up the sum, not for each of them.
+fn sum_loads(node: &Node, is_of_many: bool) {
+    let now = node.now();
+    let peers = node.peers.lock();
+    let every = Millis(pulse_every(peers.addresses().len()).0 / LOADS_SUMMED);
+    if !is_of_many || node.loads.are_old(now, every) {
+        let others = peers.loads(now);
+        drop(peers);
+        node.loads.set_others(others, now);
+    }
 }
 
 /// A peer acts by a later number than this node: the parts have been dealt anew.
@@ -237,13 +286,13 @@
 /// What a datagram may have taken: its age is only known by its sender's word.
 const ON_THE_WAY: Millis = Millis(200);
 
-fn take_gaps(node: &Node, pulse: &Pulse) {
-    if pulse.loads.is_empty() {
+fn take_gaps(node: &Node, loads: &[ToldLoad]) {
+    if loads.is_empty() {
         return;
     }
     let list = node.list.lock();
     let mut gaps = node.gaps.lock();
-    for told in &pulse.loads {
+    for told in loads {
         if let (Some(id), Some(gap)) = (list.by_short_id.get(&told.instance), told.gap_ms()) {
             gaps.on_peer(id, gap);
         }
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -64,11 +64,13 @@
 /// else can hold it either.
 fn is_store_away_for_all(node: &Node, lease: &Lease) -> bool {
     let now = node.now();
-    let age = now.since(lease.renewed_at).0;
     let peers = node.peers.lock();
-    let mut heard = peers.heard(now).peekable();
-    let ttl = node.settings().lease_ttl().0;
-    heard.peek().is_some() && heard.all(|(_, peer)| peer.pulse.store_age_ms + ttl > age)
+    let others = peers.heard(now).count();
+    // Who hears less than half of all may be cut off with them, and others go on.
+    let hears_most = others > 0 && 2 * (others + 1) > peers.may_be_there();
+    let answered = peers.sums(now).store_answered;
+    let ttl = node.settings().lease_ttl();
+    hears_most && answered.is_none_or(|at| at < lease.renewed_at + ttl)
 }
 
 /// The lease, with a look at who else acts; wakes the reader of the list if a part
@@ -77,8 +79,10 @@
     let now = node.now();
     let rules =
         TenureRules { orders_arrive: ORDERS_ARRIVE, lease_ttl: node.settings().lease_ttl() };
+    let own = node.settings().control();
+    let sums = node.peers.lock().sums(now);
     let acting: Vec<u64> =
-        node.peers.lock().heard(now).filter_map(|(_, peer)| peer.pulse.acts_by).collect();
+        sums.acts_by().filter(|(at, _)| **at != own).map(|(_, number)| number).collect();
     let lease = {
         let mut lease = node.lease.lock();
         let parts = lease.parts.values_mut();
--- a/crates/workshold-gateway/src/tasks/stewarding/look.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding/look.rs
@@ -132,10 +132,7 @@
 
     /// The domains whose instances this node may order, with their entries, and how many
     /// domains there are in all.
-    fn own_domains(
-        &self,
-        service: &ServiceName,
-    ) -> (BTreeMap<&FabricDomain, Vec<&Entry>>, usize) {
+    fn own_domains(&self, service: &ServiceName) -> (BTreeMap<&FabricDomain, Vec<&Entry>>, usize) {
         let mut parts: BTreeMap<&FabricDomain, bool> = BTreeMap::new();
         let mut domains: BTreeMap<&FabricDomain, Vec<&Entry>> = BTreeMap::new();
         for entry in self.roster.iter().filter(|entry| entry.instance.service == *service) {
--- a/crates/workshold-gateway/tests/common/mod.rs
+++ b/crates/workshold-gateway/tests/common/mod.rs
@@ -77,6 +77,7 @@
         data_centre: SmolStr::new("a"),
         next_ms: 300,
         hears: Vec::new(),
+        seeks: false,
         is_ready: true,
         has_traffic: true,
         config: None,
--- a/crates/workshold-gateway/tests/peers.rs
+++ b/crates/workshold-gateway/tests/peers.rs
@@ -27,6 +27,7 @@
         data_centre: SmolStr::new("a"),
         next_ms: 300,
         hears: Vec::new(),
+        seeks: false,
         is_ready: true,
         has_traffic: false,
         config: Some((7, 100)),
