A few nodes of each data centre try a silent instance for all; all are asked before its group is given up

Who has to be asked depends on what follows. To send elsewhere, the word of four nodes of each data centre, others for each instance, and of those who give orders, is enough: two have to agree, and one that reaches it speaks against it. To take the members of a head, all are asked as before, twice and with 300 ms to answer, and only who reaches it answers. With fewer than 24 nodes nothing changes. Tests: doubts.rs, stewards.rs (members of a head are not taken before all were asked).

--- a/crates/workshold-core/src/hosted/steward/situation.rs
+++ b/crates/workshold-core/src/hosted/steward/situation.rs
@@ -57,6 +57,9 @@
     pub loss: &'a dyn Fn(&Identity) -> Loss,
     /// Who was seen as the head of a formation.
     pub head_of: &'a dyn Fn(&Group) -> Option<Identity>,
+    /// Whether all nodes were asked whether they reach an instance, and had the time to say
+    /// so; asking is begun where it was not.
+    pub all_asked: &'a dyn Fn(&Identity) -> bool,
     /// Whether a member of a formation has begun anew.
     pub is_broken: &'a dyn Fn(&Group) -> bool,
     /// Since when somebody could not reach them.
@@ -107,12 +110,15 @@
         if loss > Loss::None && self.doubted_for(id) < ALL_ARE_ASKED {
             return false;
         }
-        if self.was_leaving(id) {
-            return loss >= Loss::Confirmed && !self.may_finish(id);
-        }
-        let entry = self.entry(id);
-        let is_unlisted = entry.is_none_or(|entry| entry.unlisted_since.is_some());
-        loss == Loss::Ended || (loss == Loss::Confirmed && is_unlisted)
+        let is_gone = if self.was_leaving(id) {
+            loss >= Loss::Confirmed && !self.may_finish(id)
+        } else {
+            let entry = self.entry(id);
+            let is_unlisted = entry.is_none_or(|entry| entry.unlisted_since.is_some());
+            loss == Loss::Ended || (loss == Loss::Confirmed && is_unlisted)
+        };
+        // A few nodes try an instance for all; one that none of them reaches may serve others.
+        is_gone && (self.all_asked)(id)
     }
 
     /// Whether an instance that takes no connections may only finish what it has: it was
--- a/crates/workshold-core/src/hosted/suspicion.rs
+++ b/crates/workshold-core/src/hosted/suspicion.rs
@@ -49,6 +49,8 @@
     was_refused: bool,
     /// Another life has begun at its id.
     is_over: bool,
+    /// This node is not one of those that try it, and goes by what they say.
+    by_word: bool,
 }
 
 impl Doubt {
@@ -87,6 +89,9 @@
     doubts: BTreeMap<K, Doubt>,
 }
 
+/// So many others have to agree before a node goes by their word: one of them may itself be
+/// cut off.
+const AGREED_BY: usize = 2;
 /// A doubt that nobody renews is dropped after this: the instance may be back.
 const DOUBT_TTL: Millis = Millis::from_secs(30);
 
@@ -167,6 +172,21 @@
         self.doubts.get(id).is_some_and(|doubt| doubt.own)
     }
 
+    /// This node is not one of those that try an instance: it goes by what they say.
+    pub fn go_by_others(&mut self, id: &K) {
+        if let Some(doubt) = self.doubts.get_mut(id) {
+            doubt.by_word = true;
+        }
+    }
+
+    /// Whether nothing is to be sent to it for now: this node could not reach it, or none
+    /// of those who try it for all can.
+    pub fn is_out_of_reach(&self, id: &K) -> bool {
+        let Some(doubt) = self.doubts.get(id) else { return false };
+        let by_others = doubt.seen_by.len() >= AGREED_BY && doubt.answered.is_empty();
+        doubt.own || (doubt.by_word && by_others)
+    }
+
     /// Whether another node could not reach it: then that one has asked all.
     pub fn is_seen_by_others(&self, id: &K) -> bool {
         self.doubts.get(id).is_some_and(|doubt| !doubt.seen_by.is_empty())
@@ -198,6 +218,7 @@
             own: false,
             was_refused: false,
             is_over: false,
+            by_word: false,
         })
     }
 }
--- a/crates/workshold-core/tests/hosted/stewards.rs
+++ b/crates/workshold-core/tests/hosted/stewards.rs
@@ -72,6 +72,8 @@
     heads: BTreeMap<u64, Identity>,
     /// Formations a member of which has begun anew.
     broken: BTreeSet<u64>,
+    /// Of whom not all nodes were asked.
+    unasked: BTreeSet<Identity>,
     before_traffic: bool,
     now: Millis,
 }
@@ -112,6 +114,7 @@
             may_close: false,
             heads: BTreeMap::new(),
             broken: BTreeSet::new(),
+            unasked: BTreeSet::new(),
             before_traffic: false,
             now: Millis(100_000),
         }
@@ -218,6 +221,7 @@
             trust: &self.trust,
             loss: &loss,
             head_of: &head_of,
+            all_asked: &|id| !self.unasked.contains(id),
             is_broken: &is_broken,
             doubted_since: &since,
             others: &|| self.others.clone(),
@@ -809,3 +813,21 @@
     assert!(joined(&joins).is_disjoint(&joined(&next)), "it is given up: {next:?}");
     assert!(kinds(&next).contains(&"i-1 leave".to_owned()), "its head has to leave it first");
 }
+
+/// A few nodes try an instance for all of them: a head that none of these reaches may serve
+/// others, until all were asked.
+#[test]
+fn members_of_a_head_are_not_taken_before_all_nodes_were_asked_for_it() {
+    let mut domain = Domain::new();
+    for name in ["i-1", "i-2", "i-3", "i-4", "i-5"] {
+        domain.add(name, &["big"], &["big"]);
+    }
+    domain.join("big", 5, &["i-1", "i-2", "i-3", "i-4"], MemberState::Open);
+    domain.losses.insert(id("i-1"), (Loss::Ended, domain.now - LONG_AGO));
+    domain.unasked.insert(id("i-1"));
+    let mut steward = steward(1);
+    assert_eq!(kinds(&domain.plan(&mut steward)), [""; 0]);
+    domain.unasked.clear();
+    let joins = domain.plan(&mut steward);
+    assert_eq!(kinds(&joins), ["i-2 join 4", "i-3 join 4", "i-4 join 4", "i-5 join 4"]);
+}
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -22,6 +23,7 @@
 use workshold_core::hosted::currency::Currency;
 use workshold_core::hosted::demand::Demand;
 use workshold_core::hosted::identity::Identity;
+use workshold_core::hosted::roster::Instance;
 use workshold_core::hosted::roster::ListTrust;
 use workshold_core::hosted::roster::Roster;
 use workshold_core::hosted::silence::Gaps;
@@ -43,9 +45,11 @@
 use crate::events::Event;
 use crate::events::emit;
 use crate::loads::Loads;
+use crate::loads::short_id;
 use crate::loads::short_name;
 use crate::metrics::Metric;
 use crate::metrics::Metrics;
+use crate::peers::Ask;
 use crate::peers::LIST_TROUBLE_MOST;
 use crate::peers::Peers;
 use crate::settings::Settings;
@@ -176,6 +180,7 @@
     in_flight: AtomicUsize,
     looks: Mutex<HashMap<Identity, Millis>>,
     asked: Mutex<HashMap<Identity, Millis>>,
+    all_asked: Mutex<HashMap<Identity, Millis>>,
     /// How silence is judged.
     pub silence: SilenceRules,
 }
@@ -207,12 +212,14 @@
     Look,
     /// To try it because another node asked, and to tell all what it showed.
     AnswerOthers,
-    /// To tell the others what this node's own try showed; `asks` wants theirs.
+    /// To try it because this node asked all, and to tell it if the instance answers.
+    AnswerOne(SocketAddr),
+    /// To tell the others what this node's own try showed.
     Tell {
         /// What it showed.
         reach: Reach,
-        /// Whether the others are to try as well.
-        asks: bool,
+        /// Who is to try as well.
+        asks: Ask,
     },
 }
 
@@ -235,6 +242,14 @@
 /// A look at a group's members serves all its streams for this long.
 const LOOK_GOOD_FOR: Millis = Millis(250);
 
+/// With fewer nodes than this all of them try a silent instance when one asks.
+const FEW_NODES: usize = 24;
+/// Beyond that, so many of each data centre do.
+const WITNESSES: usize = 4;
+/// All who were asked have answered by then, and had the question twice.
+const ALL_ANSWER: Millis = Millis(300);
+/// What all answered holds for so long; then they are asked again.
+const ASKED_FOR: Millis = Millis(10_000);
 /// Many nodes ask at once when an instance falls silent: one try answers all who ask
 /// within this.
 const ASKED_AGAIN: Millis = Millis(200);
@@ -287,6 +302,7 @@
             in_flight: AtomicUsize::new(0),
             looks: Mutex::default(),
             asked: Mutex::default(),
+            all_asked: Mutex::default(),
             silence: SilenceRules::default(),
         }
     }
@@ -461,14 +477,17 @@
     /// The first member of a target's group that cannot be reached.
     pub fn in_doubt(&self, target: &Target) -> Option<SmolStr> {
         let suspicions = self.suspicions.lock();
-        let doubted = target.members.iter().find(|member| suspicions.is_own(&member.identity));
+        let is_out = |member: &&Arc<Instance>| suspicions.is_out_of_reach(&member.identity);
+        let doubted = target.members.iter().find(is_out);
         doubted.map(|member| SmolStr::new(member.identity.as_str()))
     }
 
     /// What this node's own try to reach an instance showed; tells the others, and asks
     /// them unless another one has.
     pub fn on_reach(&self, id: &Identity, address: &SmolStr, reach: Reach) {
-        let asks = reach != Reach::Answers && !self.suspicions.lock().is_seen_by_others(id);
+        let is_first = !self.suspicions.lock().is_seen_by_others(id);
+        let is_asking = reach != Reach::Answers && is_first;
+        let asks = if is_asking { Ask::Witnesses } else { Ask::Nobody };
         if self.note_reach(id, reach) {
             self.doubt(id, address, DoubtTask::Tell { reach, asks });
         }
@@ -503,6 +522,35 @@
         let _ = self.doubts.send(Doubt { id: id.clone(), address: address.clone(), task });
     }
 
+    /// Whether this node tries an instance for all nodes when one of them asks: a few of
+    /// each data centre do, and whoever may have to act on it.
+    pub fn is_witness(&self, id: &Identity) -> bool {
+        let acts = self.lease.lock().acts_by().is_some();
+        let settings = self.settings();
+        let now = self.now();
+        let peers = self.peers.lock();
+        let are_few = peers.heard(now).count() < FEW_NODES;
+        are_few || acts || peers.is_witness(&settings.own(), short_id(id), WITNESSES, now)
+    }
+
+    /// Whether all nodes were asked whether they reach an instance, and have had the time to
+    /// answer; the first question has that begun. Few nodes are all asked from the start.
+    pub fn were_all_asked(&self, id: &Identity, address: &SmolStr) -> bool {
+        let now = self.now();
+        if self.peers.lock().heard(now).count() < FEW_NODES {
+            return true;
+        }
+        let mut all_asked = self.all_asked.lock();
+        all_asked.retain(|_, at| now.since(*at) < ASKED_FOR);
+        let at = all_asked.get(id).copied();
+        if at.is_none() {
+            all_asked.insert(id.clone(), now);
+            let task = DoubtTask::Tell { reach: Reach::Silent, asks: Ask::All };
+            self.doubt(id, address, task);
+        }
+        at.is_some_and(|at| now.since(at) >= ALL_ANSWER)
+    }
+
     /// Whether an instance is to be tried because another node asks: not if it was
     /// just now, for the same reason.
     pub fn note_asked(&self, id: &Identity) -> bool {
--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -22,9 +22,12 @@
 use workshold_core::hosted::sharing::Sharers;
 use workshold_protocol::Millis;
 use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::loads::Load;
+use crate::peers::exchange::Own;
 
+pub use self::messages::Ask;
 pub use self::messages::Datagram;
 pub use self::messages::Digest;
 pub use self::messages::LIST_TROUBLE_MOST;
@@ -234,6 +237,16 @@
         sums
     }
 
+    /// Whether a node is among the `most` of its data centre that try an instance for all
+    /// nodes: others for each instance, so that none is buried in tries nor bears all of
+    /// them.
+    pub fn is_witness(&self, own: &Own<'_>, instance: u32, most: usize, now: Millis) -> bool {
+        let place = |rank: u32| xxh3_64_with_seed(&instance.to_le_bytes(), u64::from(rank));
+        let own_place = place(rank(own.name));
+        let near = self.heard(now).filter(|(_, peer)| peer.pulse.data_centre == own.data_centre);
+        near.filter(|(_, peer)| place(peer.rank) < own_place).take(most).count() < most
+    }
+
     /// When the list was last in trouble for all who read it, those of a data centre if
     /// there are any: what one of them reads without trouble is as it should be.
     pub fn list_trouble_at(&self, data_centre: &str, now: Millis) -> Option<Millis> {
--- a/crates/workshold-gateway/src/peers/messages.rs
+++ b/crates/workshold-gateway/src/peers/messages.rs
@@ -37,17 +37,28 @@
     Digest(Box<Digest>),
     /// What has come to the list of instances since another place in it.
     News(ListNews),
-    /// What its try to reach an instance showed; `ask` wants the same try of others.
+    /// What its try to reach an instance showed.
     Verdict {
         /// The instance's short id.
         instance: u32,
         /// What was seen.
         reach: WireReach,
-        /// Whether the others are to try as well.
-        ask: bool,
+        /// Who is to try as well.
+        ask: Ask,
     },
 }
 
+/// Who is asked to try an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ask {
+    /// Nobody: this is an answer.
+    Nobody,
+    /// Those who try it for all nodes; they tell all what they see.
+    Witnesses,
+    /// Everybody, before a group is given up for it; only who reaches it answers.
+    All,
+}
+
 /// [`Reach`] as it is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WireReach {
--- a/crates/workshold-gateway/src/tasks/doubting.rs
+++ b/crates/workshold-gateway/src/tasks/doubting.rs
@@ -21,6 +21,7 @@
 use crate::node::Doubt;
 use crate::node::DoubtTask;
 use crate::node::Node;
+use crate::peers::Ask;
 use crate::peers::Message;
 use crate::tasks::gossip;
 
@@ -143,14 +144,21 @@
                         return;
                     };
                     node.note_reach(&doubt.id, reach);
-                    (reach, false)
+                    (reach, Ask::Nobody)
+                }
+                DoubtTask::AnswerOne(asker) => {
+                    let seen = try_twice(&node, &doubt.id, &doubt.address).await;
+                    if seen == Some(Reach::Answers) {
+                        let message = verdict(&doubt.id, Reach::Answers, Ask::Nobody);
+                        gossip::send(&node, &socket, &[asker], message).await;
+                    }
+                    return;
                 }
                 DoubtTask::Tell { reach, asks } => (reach, asks),
             };
-            let instance = short_id(&doubt.id);
-            let message = Message::Verdict { instance, reach: reach.into(), ask };
+            let message = verdict(&doubt.id, reach, ask);
             gossip::broadcast(&node, &socket, message.clone()).await;
-            if !ask {
+            if ask == Ask::Nobody {
                 return;
             }
             tokio::time::sleep(ASK_AGAIN).await;
@@ -161,12 +169,17 @@
     }
 }
 
+fn verdict(id: &Identity, reach: Reach, ask: Ask) -> Message {
+    Message::Verdict { instance: short_id(id), reach: reach.into(), ask }
+}
+
 /// Tries instances in doubt again, until the node ends.
 pub async fn try_again(node: Arc<Node>) {
     loop {
         tokio::time::sleep(AGAIN_EVERY).await;
         let doubted: Vec<Identity> = node.suspicions.lock().iter().cloned().collect();
-        for id in doubted {
+        let is_own = |id: &Identity| node.suspicions.lock().is_own(id);
+        for id in doubted.into_iter().filter(|id| is_own(id) || node.is_witness(id)) {
             let entry = node.list.lock().roster.life(&id).cloned();
             let Some(entry) = entry.filter(|entry| entry.unlisted_since.is_none()) else {
                 continue;
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -21,6 +21,7 @@
 use crate::events::emit;
 use crate::node::DoubtTask;
 use crate::node::Node;
+use crate::peers::Ask;
 use crate::peers::Datagram;
 use crate::peers::Digest;
 use crate::peers::ListNews;
@@ -128,7 +129,8 @@
     send(node, socket, &addresses, message).await;
 }
 
-async fn send(node: &Node, socket: &UdpSocket, to: &[SocketAddr], message: Message) {
+/// Sends a message.
+pub async fn send(node: &Node, socket: &UdpSocket, to: &[SocketAddr], message: Message) {
     let from = SmolStr::new(&node.settings().node.name);
     let datagram = Datagram { version: VERSION, from, message };
     let bytes = postcard::to_stdvec(&datagram).expect("datagrams have only plain fields");
@@ -204,7 +206,7 @@
             }
         }
         Message::Verdict { instance, reach, ask } => {
-            take_verdict(node, &datagram.from, instance, reach.into(), ask);
+            take_verdict(node, from, &datagram.from, (instance, reach.into()), ask);
         }
     }
     None
@@ -299,14 +301,33 @@
     }
 }
 
-fn take_verdict(node: &Node, peer: &str, instance: u32, reach: Reach, ask: bool) {
+fn take_verdict(
+    node: &Node,
+    from: SocketAddr,
+    peer: &str,
+    (instance, reach): (u32, Reach),
+    ask: Ask,
+) {
     let list = node.list.lock();
     let entry = list.by_short_id.get(&instance).and_then(|id| list.roster.life(id));
     let Some(instance) = entry.map(|entry| Arc::clone(&entry.instance)) else { return };
     drop(list);
-    node.suspicions.lock().on_peer(&instance.identity, peer, reach, node.now());
-    if ask && node.note_asked(&instance.identity) {
-        node.doubt(&instance.identity, &instance.address, DoubtTask::AnswerOthers);
+    let id = &instance.identity;
+    let is_witness = node.is_witness(id);
+    {
+        let mut suspicions = node.suspicions.lock();
+        suspicions.on_peer(id, peer, reach, node.now());
+        if !is_witness {
+            suspicions.go_by_others(id);
+        }
+    }
+    let task = match ask {
+        Ask::Witnesses if is_witness => Some(DoubtTask::AnswerOthers),
+        Ask::All => Some(DoubtTask::AnswerOne(from)),
+        Ask::Nobody | Ask::Witnesses => None,
+    };
+    if let Some(task) = task.filter(|_| node.note_asked(id)) {
+        node.doubt(id, &instance.address, task);
     }
     node.suspicions_changed();
 }
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use smol_str::SmolStr;
 use workshold_core::hosted::identity::Identity;
 use workshold_core::hosted::roster::Entry;
 use workshold_core::hosted::steward::Command;
@@ -115,7 +116,9 @@
     let list_read_at = list.read_at;
     let peers = node.peers.lock().heard(now).count();
     let suspicions = node.suspicions.lock().clone();
+    let all_asked = |id: &Identity, address: &SmolStr| node.were_all_asked(id, address);
     let look = Look {
+        all_asked: &all_asked,
         roster: &list.roster,
         trust: &list.trust,
         suspicions: &suspicions,
--- a/crates/workshold-gateway/src/tasks/stewarding/look.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding/look.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::AtomicU64;
 
 use parking_lot::Mutex;
+use smol_str::SmolStr;
 use workshold_core::hosted::capacity::Load;
 use workshold_core::hosted::capacity::Work;
 use workshold_core::hosted::capacity::Worth;
@@ -66,6 +67,8 @@
     pub suspicions: &'a Suspicions<Identity>,
     /// How many other nodes could be asked.
     pub peers: usize,
+    /// Whether all were asked about an instance that listens there.
+    pub all_asked: &'a dyn Fn(&Identity, &SmolStr) -> bool,
     /// When domains were last told of.
     pub told: &'a Told,
     /// Whether no request has come yet.
@@ -98,6 +101,10 @@
         let loss = |id: &Identity| -> Loss { self.suspicions.loss(id, self.peers) };
         let doubted_since = |id: &Identity| self.suspicions.since(id);
         let head_of = |group: &Group| self.roster.head_of(group.epoch, &group.id).cloned();
+        let all_asked = |id: &Identity| {
+            let entry = self.roster.life(id);
+            entry.is_none_or(|entry| (self.all_asked)(id, &entry.instance.address))
+        };
         let is_broken = |group: &Group| self.roster.is_broken(group.epoch, &group.id);
         let mut commands = Vec::new();
         for (domain, entries) in &own {
@@ -115,6 +122,7 @@
                 trust: self.trust,
                 loss: &loss,
                 head_of: &head_of,
+                all_asked: &all_asked,
                 is_broken: &is_broken,
                 doubted_since: &doubted_since,
                 others: &|| whole.others(domain),
--- a/crates/workshold-gateway/tests/doubts.rs
+++ b/crates/workshold-gateway/tests/doubts.rs
@@ -23,10 +23,15 @@
 use workshold_core::hosted::identity::Identity;
 use workshold_core::hosted::roster::Instance;
 use workshold_core::hosted::suspicion::Reach;
+use workshold_core::hosted::suspicion::Suspicions;
 use workshold_gateway::node::Doubt;
 use workshold_gateway::node::DoubtTask;
+use workshold_gateway::node::Node;
+use workshold_gateway::peers::Ask;
 use workshold_gateway::peers::Datagram;
 use workshold_gateway::peers::Message;
+use workshold_gateway::peers::Pulse;
+use workshold_gateway::peers::exchange::Own;
 use workshold_gateway::tasks::doubting;
 use workshold_platform_standin::proxy::Proxy;
 use workshold_platform_standin::proxy::Way;
@@ -52,9 +57,9 @@
     let address = SmolStr::new("10.0.0.1:80");
     node.on_reach(&id(), &address, Reach::Silent);
     node.on_reach(&id(), &address, Reach::Silent);
-    assert_eq!(told(&mut rx), [DoubtTask::Tell { reach: Reach::Silent, asks: true }]);
+    assert_eq!(told(&mut rx), [DoubtTask::Tell { reach: Reach::Silent, asks: Ask::Witnesses }]);
     node.on_reach(&id(), &address, Reach::Answers);
-    assert_eq!(told(&mut rx), [DoubtTask::Tell { reach: Reach::Answers, asks: false }]);
+    assert_eq!(told(&mut rx), [DoubtTask::Tell { reach: Reach::Answers, asks: Ask::Nobody }]);
 }
 
 #[test]
@@ -62,7 +67,7 @@
     let (node, _, mut rx) = node();
     node.suspicions.lock().on_peer(&id(), "n-2", Reach::Silent, node.now());
     node.on_reach(&id(), &SmolStr::new("10.0.0.1:80"), Reach::Silent);
-    assert_eq!(told(&mut rx), [DoubtTask::Tell { reach: Reach::Silent, asks: false }]);
+    assert_eq!(told(&mut rx), [DoubtTask::Tell { reach: Reach::Silent, asks: Ask::Nobody }]);
 }
 
 #[test]
@@ -142,7 +147,7 @@
     let (len, _) = heard.ok()?.unwrap();
     let datagram: Datagram = postcard::from_bytes(&buf[..len]).unwrap();
     match datagram.message {
-        Message::Verdict { instance, ask: true, .. } => Some(instance),
+        Message::Verdict { instance, ask: Ask::Witnesses, .. } => Some(instance),
         _ => None,
     }
 }
@@ -194,3 +199,79 @@
     clock.go_on(Millis(1_500));
     assert!(!node.take_repeat(&service), "beyond {taken} that are its part");
 }
+
+fn hear_of_many(node: &Node, nodes: usize) {
+    let own = node.settings().control();
+    for i in 0..nodes {
+        let from = SocketAddr::from(([10, 0, (i / 250) as u8, (i % 250) as u8 + 1], 7_340));
+        let data_centre = SmolStr::new(["a", "b", "c"][i % 3]);
+        let said = Pulse { data_centre, ..pulse(from) };
+        let name = SmolStr::new(format!("n-of-many-{i}"));
+        node.peers.lock().on_pulse(own, from, name, said, node.now());
+    }
+}
+
+fn named(i: usize) -> Identity {
+    InstanceId::new(&format!("i-{i}")).unwrap().into()
+}
+
+/// With hundreds of nodes, each of which tried when one asked and told all others, a dark
+/// domain of nineteen cost a million datagrams.
+#[rstest]
+#[case::few(20, 100, 100)]
+#[case::hundreds(300, 1, 10)]
+fn with_many_nodes_a_few_try_an_instance_for_all(
+    #[case] nodes: usize,
+    #[case] least: usize,
+    #[case] most: usize,
+) {
+    let (node, _, _rx) = common::node();
+    hear_of_many(&node, nodes);
+    let witnessed = (0..100).filter(|i| node.is_witness(&named(*i))).count();
+    assert!((least..=most).contains(&witnessed), "{witnessed} of 100 instances");
+}
+
+#[test]
+fn of_each_data_centre_as_many_try_an_instance() {
+    let (node, _, _rx) = common::node();
+    hear_of_many(&node, 300);
+    let now = node.now();
+    let peers = node.peers.lock();
+    let tries = |i: &usize| {
+        let (name, place) = (format!("n-of-many-{i}"), ["a", "b", "c"][i % 3]);
+        let address = SocketAddr::from(([10, 0, 0, 1], 7_340));
+        let own = Own { address, name: &name, data_centre: place };
+        // It counts itself among those that it hears here, behind which it does not stand.
+        peers.is_witness(&own, 77, 4, now)
+    };
+    let witnesses: Vec<usize> = (0..300).filter(tries).collect();
+    let of = |place: usize| witnesses.iter().filter(|i| **i % 3 == place).count();
+    assert_eq!([of(0), of(1), of(2)], [4, 4, 4]);
+}
+
+/// Nobody's group is given up before all were asked for its head, each by this node itself.
+#[test]
+fn all_are_asked_once_before_a_group_is_given_up() {
+    let (node, clock, mut rx) = common::node();
+    hear_of_many(&node, 300);
+    let address = SmolStr::new("10.0.0.1:80");
+    assert!(!node.were_all_asked(&id(), &address));
+    assert!(!node.were_all_asked(&id(), &address));
+    assert_eq!(told(&mut rx), [DoubtTask::Tell { reach: Reach::Silent, asks: Ask::All }]);
+    clock.go_on(Millis(300));
+    assert!(node.were_all_asked(&id(), &address), "they have had the time to answer");
+}
+
+/// Who does not try an instance goes by those who do, as long as none of them reaches it.
+#[test]
+fn a_node_that_does_not_try_goes_by_those_who_do() {
+    let mut suspicions = Suspicions::default();
+    let mut say = |peer: &str, reach| {
+        suspicions.on_peer(&id(), peer, reach, Millis(1_000));
+        suspicions.go_by_others(&id());
+        suspicions.is_out_of_reach(&id())
+    };
+    assert!(!say("n-2", Reach::Silent), "one of them may be cut off itself");
+    assert!(say("n-3", Reach::Refused));
+    assert!(!say("n-4", Reach::Answers), "only some paths to it are cut");
+}
--- a/crates/workshold-model/src/hosted/office.rs
+++ b/crates/workshold-model/src/hosted/office.rs
@@ -188,6 +188,7 @@
             trust: view.trust,
             loss: &loss,
             head_of: &head_of,
+            all_asked: &|_| true,
             is_broken: &is_broken,
             doubted_since: &since,
             others: &Vec::new,
