Relays pass on at once only what cannot wait, and who is gone is their own word

A node that had become a relay a moment ago said nothing, so its near ones did not hear it and dropped it from their relays; relays that were not told by a node took it for gone, and said so; and each node that came or went was news to be passed on at once. Now a new relay says how it is to all near nodes until they answer; only a relay of its own data centre says that a node is gone; at once are passed on a planned stop, lease numbers and a newer configuration; silent nodes are sought by relays, once a second.

--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -15,6 +15,7 @@
 pub mod messages;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -107,6 +108,10 @@
     told: HashMap<u32, Load>,
     /// Nodes that have changed, and when: they are told of first.
     changed: BTreeMap<SocketAddr, Millis>,
+    /// Nodes that have fallen silent, by this node's own ears as a relay or by others' word.
+    gone: BTreeSet<SocketAddr>,
+    /// When a silent node was last sought, in case parts of a fleet have lost each other.
+    sought_at: Millis,
     /// The last node that was told of in turn, by scope.
     turns: [Option<SocketAddr>; 2],
 }
@@ -178,9 +183,11 @@
         });
         self.addresses.insert(from, now);
         self.sharers.on_sign(from, now);
-        let last = self.by_address.get(&from).filter(|last| last.is_heard(now));
-        let is_news = last.is_none_or(|last| is_news(&last.pulse, &pulse));
-        if is_news {
+        let was_gone = self.gone.remove(&from);
+        let last = self.by_address.get(&from);
+        let is_new = was_gone || last.is_none_or(|last| !last.is_heard(now));
+        let is_news = last.is_some_and(|last| is_news(&last.pulse, &pulse));
+        if is_new || is_news {
             self.changed.insert(from, now);
         }
         // Whoever seeks relays says so to anybody, and not again: it is known by what they
@@ -268,6 +275,8 @@
         let addresses = &self.addresses;
         self.by_address.retain(|address, _| addresses.contains_key(address));
         self.changed.retain(|_, at| now.since(*at) < FORGET_AFTER);
+        let by_address = &self.by_address;
+        self.gone.retain(|address| by_address.contains_key(address));
         self.of_data_centres.retain(|_, heard| heard.is_fresh(now));
     }
 
@@ -276,11 +285,11 @@
     }
 }
 
-/// Whether others wait for what is new in a pulse.
+/// Whether others wait for what is new in a pulse: that a node stops serving, who gives
+/// orders, and a newer configuration.
 fn is_news(last: &Pulse, next: &Pulse) -> bool {
     let version = |pulse: &Pulse| pulse.config.map(|(version, _)| version);
-    last.is_ready != next.is_ready
-        || last.has_traffic != next.has_traffic
+    (last.is_ready && !next.is_ready)
         || last.acts_by != next.acts_by
         || version(last) < version(next)
 }
--- a/crates/workshold-gateway/src/peers/exchange.rs
+++ b/crates/workshold-gateway/src/peers/exchange.rs
@@ -33,7 +33,11 @@
 const IN_TURN: usize = 24;
 /// Nodes that have changed are told of for so long, so many of them in one digest.
 const CHANGE_TOLD: Millis = Millis(1_000);
-const MOST_CHANGED: usize = 40;
+const MOST_CHANGED: usize = 24;
+/// A relay seeks a silent node no more often than this.
+const SEEK_EVERY: Millis = Millis(1_000);
+/// A node that relays tell of is counted on for at least so long after it was heard.
+const LEAST_KNOWN: Millis = Millis(SILENT_LEAST.0 + PULSE_LATE.0);
 /// Two relays that hear a node hear it within this of each other.
 const HEARD_ALIKE: Millis = Millis(400);
 /// Loads in a digest: what is left out is at the instances with the least of it.
@@ -141,7 +145,14 @@
         let mut relays = self.relays(own.data_centre, now);
         relays.truncate(if is_relay { RELAYS - 1 } else { RELAYS });
         let mut said = Vec::new();
-        if is_relay && self.hears_near(own, now) {
+        let is_established = is_relay && self.hears_near(own, now);
+        if is_relay && !is_established {
+            // All near nodes are to notice that this one has become a relay.
+            let near = self.heard(now).filter(|(_, p)| p.pulse.data_centre == own.data_centre);
+            relays = near.map(|(address, _)| *address).collect();
+        }
+        if is_established {
+            self.note_gone(own, now);
             self.add_digest_of_data_centre(own, pulse, now, &mut said);
             if self.hears_all(own, now) || self.fresh_of_all(now).is_none() {
                 self.of_all = None;
@@ -154,7 +165,7 @@
         let hears_a_relay =
             !self.lacks_nodes(now) && (is_relay || self.fresh_of_all(now).is_some());
         let seeks = Pulse { seeks: true, hears: self.sample(draw, now), ..pulse.clone() };
-        let to = self.sought(hears_a_relay, now, draw);
+        let to = self.sought(hears_a_relay, is_relay, now, draw);
         said.push(Outgoing { to, message: Message::Pulse(seeks) });
         said.push(Outgoing { to: relays, message: Message::Pulse(pulse.clone()) });
         said.retain(|outgoing| !outgoing.to.is_empty());
@@ -172,7 +183,8 @@
         let mut digest = self.digest(Scope::All, own, pulse, now);
         for relay in self.relays(data_centre, now) {
             digest.nodes.retain(|told| told.address != relay);
-            digest.nodes.extend(self.by_address.get(&relay).map(|peer| tell(relay, peer, now)));
+            let told = self.by_address.get(&relay).map(|peer| tell(relay, peer, false, now));
+            digest.nodes.extend(told);
         }
         Message::Digest(Box::new(digest))
     }
@@ -227,27 +239,52 @@
         let heard = now - Millis(u64::from(told.age) * AGE_UNIT_MS);
         let since = self.addresses.entry(told.address).or_insert(heard);
         *since = (*since).max(heard);
-        let is_new = !self.by_address.contains_key(&told.address);
-        let peer = self.by_address.entry(told.address).or_insert_with(|| as_told(told, heard));
         if !told.is_gone {
             self.sharers.on_sign(told.address, now);
         }
-        let was_ready = peer.pulse.is_ready && peer.is_heard(now);
+        let Some(peer) = self.by_address.get_mut(&told.address) else {
+            let silent_after = if told.is_gone { Millis::ZERO } else { LEAST_KNOWN + cycle };
+            let peer = as_told(told, heard, silent_after);
+            self.by_address.insert(told.address, peer);
+            self.changed.insert(told.address, now);
+            return false;
+        };
         if told.is_gone {
             // Who has heard it later says so again.
-            if peer.heard <= heard + HEARD_ALIKE {
-                peer.silent_after = SILENT_LEAST + PULSE_LATE;
+            let is_believed = peer.heard <= heard + HEARD_ALIKE && peer.is_heard(now);
+            if is_believed {
+                peer.silent_after = LEAST_KNOWN.min(now.since(peer.heard));
+                self.gone.insert(told.address);
+                self.changed.insert(told.address, now);
             }
-        } else if is_new || heard > peer.heard {
-            peer.heard = heard;
-            peer.pulse.is_ready = told.is_ready;
-            peer.silent_after = SILENT_LEAST + PULSE_LATE + cycle;
+            return is_believed && peer.pulse.is_ready;
         }
-        let is_news = is_new || was_ready != (peer.pulse.is_ready && peer.is_heard(now));
-        if is_news {
+        if heard <= peer.heard {
+            return false;
+        }
+        let stops = peer.pulse.is_ready && !told.is_ready;
+        peer.heard = heard;
+        peer.pulse.is_ready = told.is_ready;
+        peer.silent_after = LEAST_KNOWN + cycle;
+        if self.gone.remove(&told.address) || stops {
             self.changed.insert(told.address, now);
         }
-        is_news
+        stops
+    }
+
+    /// Notes which nodes of its data centre a relay does not hear any more.
+    fn note_gone(&mut self, own: &Own<'_>, now: Millis) {
+        let is_gone = |peer: &Peer| {
+            let is_near = peer.pulse.data_centre == own.data_centre;
+            is_near && peer.direct.is_some() && !peer.is_heard(now)
+        };
+        let silent = self.by_address.iter().filter(|(_, peer)| is_gone(peer));
+        let silent: Vec<SocketAddr> = silent.map(|(address, _)| *address).collect();
+        for address in silent {
+            if self.gone.insert(address) {
+                self.changed.insert(address, now);
+            }
+        }
     }
 
     /// The relays of a data centre, this node not among them.
@@ -261,9 +298,19 @@
     }
 
     /// Who is asked although it is no relay: some of those that there may be, by one that
-    /// hears no relay; by others now and then one that is silent, so that parts of a fleet
+    /// hears no relay; by relays now and then one that is silent, so that parts of a fleet
     /// that have lost each other find together again.
-    fn sought(&self, hears_a_relay: bool, now: Millis, draw: u64) -> Vec<SocketAddr> {
+    fn sought(
+        &mut self,
+        hears_a_relay: bool,
+        is_relay: bool,
+        now: Millis,
+        draw: u64,
+    ) -> Vec<SocketAddr> {
+        if hears_a_relay && (!is_relay || now.since(self.sought_at) < SEEK_EVERY) {
+            return Vec::new();
+        }
+        self.sought_at = now;
         let is_heard = |address: &SocketAddr| {
             self.by_address.get(address).is_some_and(|peer| peer.is_heard(now))
         };
@@ -410,11 +457,11 @@
             Scope::All => true,
             Scope::DataCentre => peer.pulse.data_centre == own.data_centre,
         };
-        let silent = self.by_address.iter().filter(|(_, peer)| has_just_gone(peer, now));
-        let silent = silent.map(|(address, _)| *address);
         let changed = self.changed.iter().filter(|(_, at)| now.since(**at) < CHANGE_TOLD);
-        let changed = silent.chain(changed.map(|(address, _)| *address));
-        let first: BTreeSet<SocketAddr> = changed.take(MOST_CHANGED).collect();
+        let mut changed: Vec<SocketAddr> = changed.map(|(address, _)| *address).collect();
+        // That a node is gone is told before that one has come.
+        changed.sort_by_key(|address| !self.gone.contains(address));
+        let first: BTreeSet<SocketAddr> = changed.into_iter().take(MOST_CHANGED).collect();
         let heard: BTreeSet<SocketAddr> = self
             .heard(now)
             .filter(|(address, peer)| is_told(peer) && !first.contains(address))
@@ -428,25 +475,20 @@
         *turn = in_turn.last().copied().or(*turn);
         let all = first.iter().chain(&in_turn);
         let peers = all.filter_map(|address| Some((address, self.by_address.get(address)?)));
-        peers.filter(|(_, peer)| is_told(peer)).map(|(a, peer)| tell(*a, peer, now)).collect()
+        let peers = peers.filter(|(_, peer)| is_told(peer));
+        let is_gone = |address: &SocketAddr| self.gone.contains(address);
+        peers.map(|(address, peer)| tell(*address, peer, is_gone(address), now)).collect()
     }
 }
 
-/// Whether a node has fallen silent a moment ago: it is told of for as long as it may be
-/// believed to be there.
-fn has_just_gone(peer: &Peer, now: Millis) -> bool {
-    let silent_for = now.since(peer.heard);
-    !peer.is_heard(now) && silent_for < peer.silent_after + CHANGE_TOLD
-}
-
-fn tell(address: SocketAddr, peer: &Peer, now: Millis) -> ToldNode {
+fn tell(address: SocketAddr, peer: &Peer, is_gone: bool, now: Millis) -> ToldNode {
     ToldNode {
         address,
         callers: peer.pulse.callers,
         data_centre: peer.pulse.data_centre.clone(),
         rank: peer.rank,
         is_ready: peer.pulse.is_ready,
-        is_gone: !peer.is_heard(now),
+        is_gone,
         age: (now.since(peer.heard).0 / AGE_UNIT_MS).min(u64::from(u8::MAX)) as u8,
     }
 }
@@ -459,7 +501,7 @@
 }
 
 /// A node that is known by a relay's word alone.
-fn as_told(told: &ToldNode, heard: Millis) -> Peer {
+fn as_told(told: &ToldNode, heard: Millis, silent_after: Millis) -> Peer {
     Peer {
         name: SmolStr::default(),
         rank: told.rank,
@@ -482,6 +524,6 @@
         },
         heard,
         direct: None,
-        silent_after: SILENT_LEAST + PULSE_LATE,
+        silent_after,
     }
 }
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -42,7 +42,7 @@
 /// relay takes grows with them.
 const PULSE_FOR_EACH: Millis = Millis(16);
 /// However much is new, it says so no more often than this.
-const PULSE_GAP: Millis = Millis(60);
+const PULSE_GAP: Millis = Millis(100);
 /// News of the list is passed on no more often than this, several changes at once.
 const NEWS_EVERY: Duration = Duration::from_millis(60);
 /// The longest news: what does not fit into a datagram is fetched.
