Few nodes hold the lease and read the list at a start; idle nodes wake up less often

Cause: at 295 nodes all joined the lease once a second and read list and configuration at their start, 4,620 store calls by the fourth second of traffic; and each woke some 40 times a second to look whether anything was to be done. Now those who read the list hold the lease, others give back what they hold; a starting node waits up to 1.5 s for a peer to hand the list on, and at the first start of all each leaves those before it 0.8 s at most. Nodes without a part look for one a second, and readers' followers three times a second whether they have to read.

--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -52,6 +52,7 @@
 use crate::peers::Ask;
 use crate::peers::LIST_TROUBLE_MOST;
 use crate::peers::Peers;
+use crate::peers::rank;
 use crate::settings::Settings;
 use crate::table::Table;
 use crate::table::Target;
@@ -242,6 +243,10 @@
 /// A look at a group's members serves all its streams for this long.
 const LOOK_GOOD_FOR: Millis = Millis(250);
 
+/// Over how long nodes begin to read and to hold the lease at the first start of all: some
+/// seconds before the first callers, and long enough that the first of hundreds have what
+/// the others need.
+const FIRST_START_SPREAD: Millis = Millis(800);
 /// With fewer nodes than this all of them try a silent instance when one asks.
 const FEW_NODES: usize = 24;
 /// Beyond that, so many of each data centre do.
@@ -723,6 +728,24 @@
         self.lease.lock().parts.values().any(|tenure| tenure.wants_list(read_at))
     }
 
+    /// How long ago this process began.
+    pub fn age(&self) -> Millis {
+        self.now().since(self.began)
+    }
+
+    /// Whether this node knows the others, as far as it can: there is nobody whom it could
+    /// ask, or it hears of as many as those do whom it asked. At the very first start all
+    /// nodes begin at once; each gives those before it in the order of all a moment, so that
+    /// there is somebody to ask.
+    pub fn is_settled(&self) -> bool {
+        let settings = self.settings();
+        let turn = (u64::from(rank(&settings.node.name)) * FIRST_START_SPREAD.0) >> u32::BITS;
+        if settings.node.is_first_start && self.age() < Millis(turn) {
+            return false;
+        }
+        !self.peers.lock().lacks_nodes(self.now())
+    }
+
     /// Whether this node reads the store itself, or goes by what others read: with
     /// many nodes a few of them are enough.
     pub fn is_reader(&self) -> bool {
--- a/crates/workshold-gateway/src/peers/exchange.rs
+++ b/crates/workshold-gateway/src/peers/exchange.rs
@@ -191,7 +191,7 @@
 
     /// Whether others hear of more nodes than this one, or none was asked yet: then it may
     /// take itself or the wrong ones for relays.
-    fn lacks_nodes(&self, now: Millis) -> bool {
+    pub fn lacks_nodes(&self, now: Millis) -> bool {
         let heard = self.heard(now).count();
         let most = self.most_heard.map_or(usize::MAX, usize::from);
         let may_be_more = heard == 0 || (heard + 1) * 10 < most.saturating_mul(9);
--- a/crates/workshold-gateway/src/tasks/following.rs
+++ b/crates/workshold-gateway/src/tasks/following.rs
@@ -36,8 +36,13 @@
 const LIST_EVERY_BUSY: Millis = Millis(40);
 /// The same before there is traffic: nobody waits for the group yet.
 const LIST_EVERY_BUSY_EARLY: Millis = Millis(160);
-/// How often a node looks whether it has to read for itself.
-const READER_LOOK: Millis = Millis(100);
+/// How often a node looks whether it has to read for itself: a fraction of the time for
+/// which what others have read is current.
+const READER_LOOK: Millis = Millis(300);
+/// The same while it has just started, and for how long it waits then for others to hand on
+/// what they have: hundreds of nodes that start at once would all read it.
+const STARTER_LOOK: Millis = Millis(50);
+const STARTER_WAITS: Millis = Millis(1_500);
 /// What others have read is current if it is not older: their waits and a pulse's way.
 const LIST_CURRENT: Millis = Millis(4_200);
 /// After a call that failed.
@@ -68,6 +73,15 @@
     }
 }
 
+/// Waits at its start until a node has the list from others, or is one of those who read
+/// it, or has waited for too long.
+async fn wait_to_start(node: &Node) {
+    let has_it = || node.list.lock().next.is_some();
+    while node.age() < STARTER_WAITS && !has_it() && !(node.is_settled() && node.is_reader()) {
+        tokio::time::sleep(STARTER_LOOK.to_duration()).await;
+    }
+}
+
 /// Waits as long as others read for this node and what it has is current.
 async fn wait_while_others_read(node: &Node, is_current: impl Fn() -> bool) {
     while !node.is_reader() && is_current() {
@@ -131,6 +145,7 @@
 pub async fn list(node: Arc<Node>) {
     let mut pause = RETRY;
     loop {
+        wait_to_start(&node).await;
         wait_while_others_read(&node, || is_list_current(&node)).await;
         let wait = if node.wants_list_anew() { Millis::ZERO } else { LIST_WAIT };
         let sent = node.now();
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -85,10 +85,13 @@
         for outgoing in said {
             send(&node, &socket, &outgoing.to, outgoing.message).await;
         }
-        tokio::time::sleep(PULSE_GAP.to_duration()).await;
+        let spoke = node.now();
         tokio::select! {
-            () = tokio::time::sleep(every.since(PULSE_GAP).to_duration()) => {}
-            () = node.pulse_wanted.notified() => {}
+            () = tokio::time::sleep(every.to_duration()) => {}
+            () = node.pulse_wanted.notified() => {
+                let left = PULSE_GAP.since(node.now().since(spoke));
+                tokio::time::sleep(left.to_duration()).await;
+            }
         }
     }
 }
--- a/crates/workshold-gateway/src/tasks/leasing.rs
+++ b/crates/workshold-gateway/src/tasks/leasing.rs
@@ -22,6 +22,10 @@
 const RENEW_EVERY_IDLE: Duration = Duration::from_millis(1_000);
 /// The least time between two renewals, whatever others are heard to act by.
 const RENEW_LEAST: Duration = Duration::from_millis(60);
+/// How often a node looks whether it is to hold the lease.
+const HOLDER_LOOK: Duration = Duration::from_millis(200);
+/// A node that has started knows the others by then, or there are none.
+const SETTLES_WITHIN: Millis = Millis(2_000);
 /// Time for the answer.
 const ANSWER_TIME: Millis = Millis(700);
 /// How often a node asks who else there is. Whoever is new asks at its start, and its
@@ -41,6 +45,11 @@
     let member = member(&node);
     let ttl = node.settings().lease_ttl();
     while !node.is_leaving() {
+        if !is_holder(&node) {
+            stand_down(&node, &member).await;
+            tokio::time::sleep(HOLDER_LOOK).await;
+            continue;
+        }
         let generation = node.lease.lock().generation;
         let sent = node.now();
         node.metrics.count(Metric::LeaseCalls);
@@ -55,6 +64,23 @@
     let _ = node.store.leave(GROUP, &member, ANSWER_TIME).await;
 }
 
+/// Whether this node is one of those who hold the lease: those who read the list, once it
+/// knows who they are. So a fleet of any size has a few stewards, and who else starts or
+/// ends moves no part.
+fn is_holder(node: &Node) -> bool {
+    let knows = node.is_settled() || node.age() >= SETTLES_WITHIN;
+    knows && node.is_reader()
+}
+
+/// Gives back what a node holds that is no holder any more.
+async fn stand_down(node: &Node, member: &str) {
+    let held = std::mem::take(&mut node.lease.lock().parts);
+    if !held.is_empty() {
+        // If this is lost, the lease runs out by itself.
+        let _ = node.store.leave(GROUP, member, ANSWER_TIME).await;
+    }
+}
+
 /// Rests before the next renewal: short if others act by a later number.
 async fn rest(node: &Node) {
     let has_parts = !node.lease.lock().parts.is_empty();
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -30,6 +30,8 @@
 
 /// How often a steward looks, if nothing wakes it.
 const LOOK_EVERY: Duration = Duration::from_millis(150);
+/// The same of a node that holds no part: it is woken when it does.
+const LOOK_EVERY_IDLE: Duration = Duration::from_millis(1_000);
 /// Time for the answer to an order.
 const ORDER_TIME: Millis = Millis(250);
 /// Orders of a part's last steward are on their way for this long at most.
@@ -42,8 +44,10 @@
     let stewards: Stewards = Arc::default();
     let told = Told::default();
     loop {
+        let is_holder = !node.lease.lock().parts.is_empty();
+        let every = if is_holder { LOOK_EVERY } else { LOOK_EVERY_IDLE };
         tokio::select! {
-            () = tokio::time::sleep(LOOK_EVERY) => {}
+            () = tokio::time::sleep(every) => {}
             () = node.steward_wanted.notified() => {}
         }
         let commands = plan(&node, &stewards, &told);
