Names: probes, suspicions and dispatches in place of doubts, errands and tellings

Types and functions were called by sayings: Doubt (three different things), Errand, Said, tell. They are now Probe, Suspicion and WaitOver; Dispatch; AttemptEvent; log_ and describe. Nothing else changes.

--- a/crates/workshold-core/src/hosted/steward.rs
+++ b/crates/workshold-core/src/hosted/steward.rs
@@ -39,7 +39,7 @@
 use workshold_protocol::ids::GroupId;
 use workshold_protocol::ids::ModelName;
 
-use self::planning::tell_changes;
+use self::planning::describe_changes;
 use self::situation::LEAVING_LINGERS;
 use self::view::Free;
 use super::groups;
@@ -225,8 +225,8 @@
             free: pool.len(),
             staging: pool.iter().filter(|free| self.is_staging(free.instance(), s)).count(),
             forming: self.forming.len(),
-            who: pool.iter().map(Free::tell).collect::<Vec<_>>().join(" "),
-            intends: tell_changes(s, &changes),
+            who: pool.iter().map(Free::describe).collect::<Vec<_>>().join(" "),
+            intends: describe_changes(s, &changes),
         };
         commands
     }
--- a/crates/workshold-core/src/hosted/steward/planning.rs
+++ b/crates/workshold-core/src/hosted/steward/planning.rs
@@ -215,7 +215,7 @@
 }
 
 /// The changes in a few words, for logs.
-pub(super) fn tell_changes(s: &Situation<'_>, changes: &[Change]) -> String {
+pub(super) fn describe_changes(s: &Situation<'_>, changes: &[Change]) -> String {
     let tell = |change: &Change| {
         let model = &s.engine.models[change.model].name;
         let (size, closes, loads) = (change.members.len(), change.closes.len(), change.loads.len());
--- a/crates/workshold-core/src/hosted/steward/view.rs
+++ b/crates/workshold-core/src/hosted/steward/view.rs
@@ -36,7 +36,7 @@
 
 impl Free {
     /// The instance with what it could serve soon, for logs.
-    pub(super) fn tell(&self) -> String {
+    pub(super) fn describe(&self) -> String {
         let names = |models: &[ModelName]| {
             models.iter().map(ModelName::as_str).collect::<Vec<_>>().join("+")
         };
--- a/crates/workshold-core/src/hosted/suspicion.rs
+++ b/crates/workshold-core/src/hosted/suspicion.rs
@@ -39,7 +39,7 @@
 }
 
 #[derive(Debug, Clone)]
-struct Doubt {
+struct Suspicion {
     /// Since when nobody reaches it; of a mere doubt, since when there is one.
     since: Millis,
     seen_by: BTreeSet<SmolStr>,
@@ -53,7 +53,7 @@
     by_word: bool,
 }
 
-impl Doubt {
+impl Suspicion {
     /// Takes what one node saw. From the moment on at which nobody reaches it any more,
     /// it counts anew: until then it may have gone on with whatever it did.
     fn take(&mut self, now: Millis, seen: impl FnOnce(&mut Self)) {
@@ -86,7 +86,7 @@
 /// Doubts, each about one life of an instance.
 #[derive(Debug, Clone)]
 pub struct Suspicions<K> {
-    doubts: BTreeMap<K, Doubt>,
+    doubts: BTreeMap<K, Suspicion>,
 }
 
 /// So many others have to agree before a node goes by their word: one of them may itself be
@@ -111,7 +111,7 @@
             self.doubts.remove(id);
             return;
         }
-        self.doubt(id, now).take(now, |doubt| {
+        self.entry(id, now).take(now, |doubt| {
             doubt.own = true;
             doubt.was_refused |= reach == Reach::Refused;
         });
@@ -129,7 +129,7 @@
             }
             return;
         }
-        self.doubt(id, now).take(now, |doubt| {
+        self.entry(id, now).take(now, |doubt| {
             doubt.seen_by.insert(SmolStr::new(peer));
             doubt.answered.remove(peer);
         });
@@ -138,7 +138,7 @@
     /// Another life has begun at the instance's id: this one has ended, whatever anybody
     /// reaches there.
     pub fn on_superseded(&mut self, id: &K, now: Millis) {
-        self.doubt(id, now).take(now, |doubt| {
+        self.entry(id, now).take(now, |doubt| {
             doubt.own = true;
             doubt.is_over = true;
         });
@@ -210,8 +210,8 @@
         });
     }
 
-    fn doubt(&mut self, id: &K, now: Millis) -> &mut Doubt {
-        self.doubts.entry(id.clone()).or_insert_with(|| Doubt {
+    fn entry(&mut self, id: &K, now: Millis) -> &mut Suspicion {
+        self.doubts.entry(id.clone()).or_insert_with(|| Suspicion {
             since: now,
             seen_by: BTreeSet::new(),
             answered: BTreeSet::new(),
--- a/crates/workshold-gateway/src/daemon.rs
+++ b/crates/workshold-gateway/src/daemon.rs
@@ -88,8 +88,8 @@
     path: PathBuf,
     mut signals: Signals,
 ) -> Result<(), DaemonError> {
-    let (doubts, doubts_rx) = mpsc::unbounded_channel();
-    let node = Arc::new(Node::new(settings, Box::new(SystemClock::default()), doubts));
+    let (probes, probes_rx) = mpsc::unbounded_channel();
+    let node = Arc::new(Node::new(settings, Box::new(SystemClock::default()), probes));
     let (stage, rx) = watch::channel(Stage::Running);
     let callers = start_servers(&node, &rx)?;
     let socket = tasks::gossip::open(&node).await.map_err(DaemonError::Peers)?;
@@ -101,8 +101,8 @@
     parts.spawn(tasks::gossip::send_news(Arc::clone(&node), Arc::clone(&socket)));
     parts.spawn(tasks::gossip::receive(Arc::clone(&node), Arc::clone(&socket)));
     parts.spawn(tasks::gossip::catch_up(Arc::clone(&node)));
-    parts.spawn(tasks::doubting::run(Arc::clone(&node), socket, doubts_rx));
-    parts.spawn(tasks::doubting::try_again(Arc::clone(&node)));
+    parts.spawn(tasks::probing::run(Arc::clone(&node), socket, probes_rx));
+    parts.spawn(tasks::probing::try_again(Arc::clone(&node)));
     parts.spawn(tasks::leasing::find_peers(Arc::clone(&node)));
     parts.spawn(tasks::stewarding::run(Arc::clone(&node)));
     parts.spawn(tasks::upkeep::run(Arc::clone(&node)));
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -135,7 +135,7 @@
     made: Mutex<MadeTable>,
     /// Who cannot be reached.
     pub suspicions: Mutex<Suspicions<Identity>>,
-    /// Said whenever suspicions change.
+    /// AttemptEvent whenever suspicions change.
     pub suspicion_changed: watch::Sender<u64>,
     /// The usual gaps between events.
     pub gaps: Mutex<Gaps<Identity>>,
@@ -171,7 +171,7 @@
     /// Whether the steward waits for statements.
     pub is_steward_busy: AtomicBool,
     /// Instances to try to reach, with what to do about others.
-    pub doubts: tokio::sync::mpsc::UnboundedSender<Doubt>,
+    pub probes: tokio::sync::mpsc::UnboundedSender<Probe>,
     /// When the store last answered.
     pub store_answered: Mutex<Millis>,
     has_traffic: AtomicBool,
@@ -197,18 +197,18 @@
 
 /// An instance that somebody could not reach.
 #[derive(Debug, Clone)]
-pub struct Doubt {
+pub struct Probe {
     /// Which.
     pub id: Identity,
     /// Where it listens.
     pub address: SmolStr,
     /// What is to be done about it.
-    pub task: DoubtTask,
+    pub task: ProbeTask,
 }
 
 /// What is to be done about an instance in doubt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum DoubtTask {
+pub enum ProbeTask {
     /// To try it, for this node's own sake.
     Look,
     /// To try it because another node asked, and to tell all what it showed.
@@ -264,7 +264,7 @@
     pub fn new(
         settings: Settings,
         clock: Box<dyn Clock>,
-        doubts: tokio::sync::mpsc::UnboundedSender<Doubt>,
+        probes: tokio::sync::mpsc::UnboundedSender<Probe>,
     ) -> Self {
         let store = Store::new(&settings.store.address);
         let config_store = Store::new(&settings.store.address);
@@ -298,7 +298,7 @@
             lease_wanted: Notify::new(),
             epochs_issued: Arc::default(),
             is_steward_busy: AtomicBool::new(false),
-            doubts,
+            probes,
             store_answered: Mutex::default(),
             has_traffic: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
@@ -430,7 +430,7 @@
             self.metrics.count(Metric::Repeats);
         } else {
             self.metrics.count(Metric::RepeatsRefused);
-            tell_refusal(service, usage, nodes);
+            log_refusal(service, usage, nodes);
         }
         is_taken
     }
@@ -494,7 +494,7 @@
         let is_asking = reach != Reach::Answers && is_first;
         let asks = if is_asking { Ask::Witnesses } else { Ask::Nobody };
         if self.note_reach(id, reach) {
-            self.doubt(id, address, DoubtTask::Tell { reach, asks });
+            self.probe(id, address, ProbeTask::Tell { reach, asks });
         }
     }
 
@@ -522,9 +522,9 @@
     }
 
     /// Has something done about an instance in doubt.
-    pub fn doubt(&self, id: &Identity, address: &SmolStr, task: DoubtTask) {
-        // The one who takes doubts lives as long as the node.
-        let _ = self.doubts.send(Doubt { id: id.clone(), address: address.clone(), task });
+    pub fn probe(&self, id: &Identity, address: &SmolStr, task: ProbeTask) {
+        // The one who takes probes lives as long as the node.
+        let _ = self.probes.send(Probe { id: id.clone(), address: address.clone(), task });
     }
 
     /// Whether this node tries an instance for all nodes when one of them asks: a few of
@@ -550,8 +550,8 @@
         let at = all_asked.get(id).copied();
         if at.is_none() {
             all_asked.insert(id.clone(), now);
-            let task = DoubtTask::Tell { reach: Reach::Silent, asks: Ask::All };
-            self.doubt(id, address, task);
+            let task = ProbeTask::Tell { reach: Reach::Silent, asks: Ask::All };
+            self.probe(id, address, task);
         }
         at.is_some_and(|at| now.since(at) >= ALL_ANSWER)
     }
@@ -791,7 +791,7 @@
     }
 }
 
-fn tell_refusal(service: &ServiceName, usage: Usage, nodes: usize) {
+fn log_refusal(service: &ServiceName, usage: Usage, nodes: usize) {
     emit(
         Event::RepeatRefused,
         &[
--- a/crates/workshold-gateway/src/peers/exchange.rs
+++ b/crates/workshold-gateway/src/peers/exchange.rs
@@ -183,7 +183,7 @@
         let mut digest = self.digest(Scope::All, own, pulse, now);
         for relay in self.relays(data_centre, now) {
             digest.nodes.retain(|told| told.address != relay);
-            let told = self.by_address.get(&relay).map(|peer| tell(relay, peer, false, now));
+            let told = self.by_address.get(&relay).map(|peer| describe(relay, peer, false, now));
             digest.nodes.extend(told);
         }
         Message::Digest(Box::new(digest))
@@ -477,11 +477,11 @@
         let peers = all.filter_map(|address| Some((address, self.by_address.get(address)?)));
         let peers = peers.filter(|(_, peer)| is_told(peer));
         let is_gone = |address: &SocketAddr| self.gone.contains(address);
-        peers.map(|(address, peer)| tell(*address, peer, is_gone(address), now)).collect()
+        peers.map(|(address, peer)| describe(*address, peer, is_gone(address), now)).collect()
     }
 }
 
-fn tell(address: SocketAddr, peer: &Peer, is_gone: bool, now: Millis) -> ToldNode {
+fn describe(address: SocketAddr, peer: &Peer, is_gone: bool, now: Millis) -> ToldNode {
     ToldNode {
         address,
         callers: peer.pulse.callers,
--- a/crates/workshold-gateway/src/relay.rs
+++ b/crates/workshold-gateway/src/relay.rs
@@ -39,8 +39,8 @@
 use crate::relay::attempt::Failure;
 use crate::relay::attempt::Opened;
 use crate::relay::attempts::Attempt;
+use crate::relay::attempts::AttemptEvent;
 use crate::relay::attempts::Attempts;
-use crate::relay::attempts::Said;
 use crate::relay::stream::StreamRelay;
 use crate::relay::watching::LOOK_AGAIN;
 use crate::relay::watching::Patience;
@@ -185,7 +185,7 @@
         others: u32,
     ) {
         self.note(node, ending, why, others);
-        self.tell_failure(node, target, ending, "Beside", "nothing");
+        self.log_failure(node, target, ending, "Beside", "nothing");
     }
 
     /// Gives back what [`Self::after`] took: there is no place for another attempt.
@@ -195,7 +195,7 @@
         }
     }
 
-    fn tell_failure(&self, node: &Node, target: &Target, ending: Ending, next: &str, lacks: &str) {
+    fn log_failure(&self, node: &Node, target: &Target, ending: Ending, next: &str, lacks: &str) {
         node.metrics.count(Metric::AttemptsFailed);
         emit(
             Event::AttemptFailed,
@@ -234,7 +234,7 @@
             _ => "nothing",
         };
         let next = next(has_budget);
-        self.tell_failure(node, target, ending, &format!("{next:?}"), lacks);
+        self.log_failure(node, target, ending, &format!("{next:?}"), lacks);
         next
     }
 }
@@ -262,26 +262,28 @@
         let patience = opening_patience(node, &course, &mut attempts);
         let (target, (ending, why), res) = match attempts.next(node, &course.job.id, patience).await
         {
-            Said::Opened(target, Opened::Whole(res)) if is_worth_repeating(&course, &res) => {
+            AttemptEvent::Opened(target, Opened::Whole(res))
+                if is_worth_repeating(&course, &res) =>
+            {
                 (target, (Ending::Failed, "the upstream failed"), Some(res))
             }
-            Said::Opened(target, Opened::Whole(res)) => {
+            AttemptEvent::Opened(target, Opened::Whole(res)) => {
                 attempts.drop_all(node, &course.job.id);
-                tell_end(node, &course, &target, res.status());
+                log_end(node, &course, &target, res.status());
                 return res;
             }
-            Said::Opened(_, Opened::Stream(begun)) => {
+            AttemptEvent::Opened(_, Opened::Stream(begun)) => {
                 course.used.sent += attempts.drop_all(node, &course.job.id);
                 let (head, current) = *begun;
                 return StreamRelay::answer(Arc::clone(node), course, guard, head, current);
             }
-            Said::Failed(target, failure) => (target, failure, None),
-            Said::Doubt(why) => {
+            AttemptEvent::Failed(target, failure) => (target, failure, None),
+            AttemptEvent::Suspect(why) => {
                 course.begin_beside(node, &mut attempts, last, why);
                 continue;
             }
             // Nobody streams yet.
-            Said::Events(_) => continue,
+            AttemptEvent::Events(_) => continue,
         };
         node.outliers.lock().on_failure(&target.id, node.now());
         if !attempts.is_empty() {
@@ -291,7 +293,7 @@
         match (course.after(node, &target, ending, why), res) {
             (Next::Again, _) => {}
             (Next::PassOn, Some(res)) => {
-                tell_end(node, &course, &target, res.status());
+                log_end(node, &course, &target, res.status());
                 return res;
             }
             (next, _) => return give_up(node, &course, next),
@@ -322,7 +324,7 @@
     res.status().is_server_error() && course.job.route.is_repeatable()
 }
 
-fn tell_end(node: &Node, course: &Course, target: &Target, status: StatusCode) {
+fn log_end(node: &Node, course: &Course, target: &Target, status: StatusCode) {
     let took = node.now().since(course.job.began);
     node.metrics.count(Metric::Answered);
     node.metrics.time(Metric::FirstEvent, took);
--- a/crates/workshold-gateway/src/relay/attempt.rs
+++ b/crates/workshold-gateway/src/relay/attempt.rs
@@ -29,8 +29,8 @@
 use crate::callers::answers::AnswerBody;
 use crate::callers::requests::Job;
 use crate::loads::InFlight;
-use crate::node::DoubtTask;
 use crate::node::Node;
+use crate::node::ProbeTask;
 use crate::relay::LEAST_TIME;
 use crate::relay::events::Framer;
 use crate::table::Target;
@@ -74,7 +74,7 @@
 
 /// What is sent, and where.
 #[derive(Debug, Clone)]
-pub struct Errand {
+pub struct Dispatch {
     /// The request.
     pub job: Arc<Job>,
     /// Where it goes.
@@ -91,12 +91,12 @@
 /// # Errors
 ///
 /// How the attempt ended without an answer.
-pub async fn open(node: Arc<Node>, errand: Errand) -> Result<Opened, Failure> {
-    let Errand { job, target, last, is_sent } = errand;
+pub async fn open(node: Arc<Node>, dispatch: Dispatch) -> Result<Opened, Failure> {
+    let Dispatch { job, target, last, is_sent } = dispatch;
     let in_flight = node.loads.begin(&target.id, job.prompt_tokens as u32);
     let connected = client::connect(&target.address, CONNECT_TIME.to_duration()).await;
     let connected = connected.map_err(|_| {
-        node.doubt(&target.id, &target.address, DoubtTask::Look);
+        node.probe(&target.id, &target.address, ProbeTask::Look);
         (Ending::NotSent, "no connection")
     })?;
     let left = job.left(node.now());
--- a/crates/workshold-gateway/src/relay/attempts.rs
+++ b/crates/workshold-gateway/src/relay/attempts.rs
@@ -22,13 +22,13 @@
 use crate::node::Node;
 use crate::relay::attempt;
 use crate::relay::attempt::Current;
-use crate::relay::attempt::Errand;
+use crate::relay::attempt::Dispatch;
 use crate::relay::attempt::Failure;
 use crate::relay::attempt::Opened;
 use crate::relay::attempt::TIME_UP;
 use crate::relay::watching;
-use crate::relay::watching::Doubt;
 use crate::relay::watching::Patience;
+use crate::relay::watching::WaitOver;
 use crate::table::Target;
 
 type Opening = Pin<Box<dyn Future<Output = Result<Opened, Failure>> + Send>>;
@@ -52,13 +52,13 @@
     /// Begins one; a stream goes on behind event `last`.
     pub fn begin(node: &Arc<Node>, job: &Arc<Job>, target: Arc<Target>, last: Option<u64>) -> Self {
         let is_sent = Arc::new(AtomicBool::new(false));
-        let errand = Errand {
+        let dispatch = Dispatch {
             job: Arc::clone(job),
             target: Arc::clone(&target),
             last,
             is_sent: Arc::clone(&is_sent),
         };
-        let opening = Box::pin(attempt::open(Arc::clone(node), errand));
+        let opening = Box::pin(attempt::open(Arc::clone(node), dispatch));
         Self { target, since: node.now(), is_sent, stage: Stage::Opening(opening) }
     }
 
@@ -101,7 +101,7 @@
 }
 
 /// What came first.
-pub enum Said {
+pub enum AttemptEvent {
     /// An answer; the attempt is over, or its stream begins.
     Opened(Arc<Target>, Opened),
     /// More of a stream; it is the only attempt now, and so many that were sent beside
@@ -110,7 +110,7 @@
     /// An attempt has failed.
     Failed(Arc<Target>, Failure),
     /// The newest attempt may not speak any more.
-    Doubt(&'static str),
+    Suspect(&'static str),
 }
 
 /// All attempts that have not ended, the newest last.
@@ -147,7 +147,7 @@
     /// # Panics
     ///
     /// If there is none.
-    pub async fn next(&mut self, node: &Node, request: &str, patience: Patience) -> Said {
+    pub async fn next(&mut self, node: &Node, request: &str, patience: Patience) -> AttemptEvent {
         let newest = Arc::clone(&self.live.last().expect("somebody is waited for").target);
         let words = self.live.iter_mut().map(|attempt| Box::pin(attempt.speak()));
         let first = tokio::select! {
@@ -165,28 +165,28 @@
                 let speaker = self.live.remove(place);
                 let ended = self.drop_all(node, request);
                 self.live.push(speaker);
-                Said::Events(ended)
+                AttemptEvent::Events(ended)
             }
             Ok(Some(opened)) => {
                 self.older = place;
-                Said::Opened(self.live.remove(place).target, opened)
+                AttemptEvent::Opened(self.live.remove(place).target, opened)
             }
-            Err(failure) => Said::Failed(self.live.remove(place).target, failure),
+            Err(failure) => AttemptEvent::Failed(self.live.remove(place).target, failure),
         }
     }
 
-    fn on_doubt(&mut self, doubt: Doubt) -> Said {
+    fn on_doubt(&mut self, doubt: WaitOver) -> AttemptEvent {
         match doubt {
-            Doubt::Lost(why) => Said::Doubt(why),
-            Doubt::TimeUp => self.give_up_newest(TIME_UP),
-            Doubt::Ended => self.give_up_newest("its instance has begun anew"),
+            WaitOver::Suspect(why) => AttemptEvent::Suspect(why),
+            WaitOver::TimeUp => self.give_up_newest(TIME_UP),
+            WaitOver::Ended => self.give_up_newest("its instance has begun anew"),
         }
     }
 
-    fn give_up_newest(&mut self, why: &'static str) -> Said {
+    fn give_up_newest(&mut self, why: &'static str) -> AttemptEvent {
         let newest = self.live.pop().expect("somebody was waited for");
         let ending = newest.given_up();
-        Said::Failed(newest.target, (ending, why))
+        AttemptEvent::Failed(newest.target, (ending, why))
     }
 
     /// Ends all: another one has spoken. Says how many of them had been sent. Only those
--- a/crates/workshold-gateway/src/relay/stream.rs
+++ b/crates/workshold-gateway/src/relay/stream.rs
@@ -28,8 +28,8 @@
 use crate::relay::attempt::Failure;
 use crate::relay::attempt::Opened;
 use crate::relay::attempts::Attempt;
+use crate::relay::attempts::AttemptEvent;
 use crate::relay::attempts::Attempts;
-use crate::relay::attempts::Said;
 use crate::relay::watching::Patience;
 use crate::table::Target;
 
@@ -120,16 +120,16 @@
     async fn listen(&mut self) -> Result<(), Cut> {
         let patience = self.patience();
         match self.attempts.next(&self.node, &self.course.job.id, patience).await {
-            Said::Events(ended) => {
+            AttemptEvent::Events(ended) => {
                 self.course.used.sent += ended;
                 self.take_events(false);
             }
-            Said::Opened(_, Opened::Stream(begun)) => self.move_to(begun.1),
-            Said::Opened(target, Opened::Whole(_)) => {
+            AttemptEvent::Opened(_, Opened::Stream(begun)) => self.move_to(begun.1),
+            AttemptEvent::Opened(target, Opened::Whole(_)) => {
                 return self.on_failure(&target, (Ending::Failed, "an answer that is no stream"));
             }
-            Said::Failed(target, failure) => return self.on_failure(&target, failure),
-            Said::Doubt(why) => {
+            AttemptEvent::Failed(target, failure) => return self.on_failure(&target, failure),
+            AttemptEvent::Suspect(why) => {
                 self.course.begin_beside(&self.node, &mut self.attempts, self.last, why);
             }
         }
--- a/crates/workshold-gateway/src/relay/watching.rs
+++ b/crates/workshold-gateway/src/relay/watching.rs
@@ -5,18 +5,18 @@
 
 use crate::node::Node;
 use crate::table::Target;
-use crate::tasks::doubting;
+use crate::tasks::probing;
 
 /// Why waiting for one instance alone may be in vain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Doubt {
+pub enum WaitOver {
     /// The request's time is up.
     TimeUp,
     /// It will not: another life of the instance has begun.
     Ended,
     /// It may not come: the instance, or one that it depends on, is out of reach, or has
     /// been silent for too long.
-    Lost(&'static str),
+    Suspect(&'static str),
 }
 
 /// How long to wait, and since when.
@@ -45,7 +45,7 @@
 const LAST_WORDS: Millis = Millis(500);
 
 /// Waits until there is doubt that `target` will say something.
-pub async fn doubt(node: &Node, target: &Target, patience: Patience) -> Doubt {
+pub async fn doubt(node: &Node, target: &Target, patience: Patience) -> WaitOver {
     let mut changed = node.suspicion_changed.subscribe();
     let ends = patience.ends - ANSWER_LEAD;
     let mut look_at = patience.look_after.map(|after| patience.since + after);
@@ -59,18 +59,18 @@
         let is_doubted = doubt_at.is_some() && node.is_in_doubt(target);
         let now = node.now();
         if is_doubted && doubt_at.is_some_and(|at| now >= at) {
-            return Doubt::Lost("a member is out of reach");
+            return WaitOver::Suspect("a member is out of reach");
         }
         if now >= ends {
-            return Doubt::TimeUp;
+            return WaitOver::TimeUp;
         }
         let ended_at = node.is_superseded(target).then_some(patience.since + LAST_WORDS);
         if ended_at.is_some_and(|at| now >= at) {
-            return Doubt::Ended;
+            return WaitOver::Ended;
         }
         if move_at.is_some_and(|at| now >= at) {
             if node.has_room_beside(target) {
-                return Doubt::Lost("it has been silent for too long");
+                return WaitOver::Suspect("it has been silent for too long");
             }
             move_at = Some(now + LOOK_AGAIN);
         }
@@ -96,7 +96,7 @@
         return;
     }
     let tries =
-        target.members.iter().map(|member| doubting::look(node, &member.identity, &member.address));
+        target.members.iter().map(|member| probing::look(node, &member.identity, &member.address));
     join_all(tries).await;
     node.note_look(&target.id);
 }
--- a/crates/workshold-gateway/src/tasks.rs
+++ b/crates/workshold-gateway/src/tasks.rs
@@ -1,8 +1,8 @@
 //! What runs beside the callers.
 
-pub mod doubting;
 pub mod following;
 pub mod gossip;
 pub mod leasing;
+pub mod probing;
 pub mod stewarding;
 pub mod upkeep;
--- a/crates/workshold-gateway/src/tasks/following.rs
+++ b/crates/workshold-gateway/src/tasks/following.rs
@@ -216,7 +216,7 @@
     let mut seen = BTreeSet::new();
     for record in &records.records {
         let Ok(id) = InstanceId::new(&record.key) else {
-            tell_unreadable(node, record, "its key is no name");
+            log_unreadable(node, record, "its key is no name");
             keep_raw(&mut node.list.lock(), record, false);
             continue;
         };
@@ -236,7 +236,7 @@
         false => entries::decode(id, &record.value).map(Some),
     };
     if let Err(err) = &decoded {
-        tell_unreadable(node, record, &err.to_string());
+        log_unreadable(node, record, &err.to_string());
     }
     let mut list = node.list.lock();
     let is_newer = list.raw.get(&record.key).is_none_or(|(offset, _)| *offset <= record.offset);
@@ -271,7 +271,7 @@
 }
 
 /// Says that a record cannot be read, once for each.
-fn tell_unreadable(node: &Node, record: &Record, why: &str) {
+fn log_unreadable(node: &Node, record: &Record, why: &str) {
     let list = node.list.lock();
     let is_known = list.raw.get(&record.key).is_some_and(|(offset, _)| *offset >= record.offset);
     drop(list);
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -19,8 +19,8 @@
 
 use crate::events::Event;
 use crate::events::emit;
-use crate::node::DoubtTask;
 use crate::node::Node;
+use crate::node::ProbeTask;
 use crate::peers::Ask;
 use crate::peers::Datagram;
 use crate::peers::Digest;
@@ -224,7 +224,7 @@
     let settings = node.settings();
     let own = settings.own();
     let is_news = node.peers.lock().on_pulse(own.address, from, name, said, now);
-    tell_on(node, is_news);
+    pass_on(node, is_news);
     sum_loads(node, true);
     // What this node itself is asked and has at instances comes with its pulses.
     let data_centre = seeks?;
@@ -242,7 +242,7 @@
     hear_of_lease(node, of_others.map(|(_, number)| *number).max());
     let is_of_some = digest.scope == Scope::DataCentre;
     let is_news = node.peers.lock().on_digest(&own, from, name, digest, node.now());
-    tell_on(node, is_news);
+    pass_on(node, is_news);
     sum_loads(node, is_of_some);
 }
 
@@ -260,7 +260,7 @@
 }
 
 /// A relay passes on at once what others wait for.
-fn tell_on(node: &Node, is_news: bool) {
+fn pass_on(node: &Node, is_news: bool) {
     let settings = node.settings();
     if is_news && node.peers.lock().is_relay(&settings.own(), node.now()) {
         node.pulse_wanted.notify_one();
@@ -325,12 +325,12 @@
         }
     }
     let task = match ask {
-        Ask::Witnesses if is_witness => Some(DoubtTask::AnswerOthers),
-        Ask::All => Some(DoubtTask::AnswerOne(from)),
+        Ask::Witnesses if is_witness => Some(ProbeTask::AnswerOthers),
+        Ask::All => Some(ProbeTask::AnswerOne(from)),
         Ask::Nobody | Ask::Witnesses => None,
     };
     if let Some(task) = task.filter(|_| node.note_asked(id)) {
-        node.doubt(id, &instance.address, task);
+        node.probe(id, &instance.address, task);
     }
     node.suspicions_changed();
 }
--- a/crates/workshold-gateway/src/tasks/doubting.rs
+++ b/crates/workshold-gateway/src/tasks/probing.rs
@@ -18,9 +18,9 @@
 
 use crate::loads::short_id;
 use crate::metrics::Metric;
-use crate::node::Doubt;
-use crate::node::DoubtTask;
 use crate::node::Node;
+use crate::node::Probe;
+use crate::node::ProbeTask;
 use crate::peers::Ask;
 use crate::peers::Message;
 use crate::tasks::gossip;
@@ -127,42 +127,42 @@
     seen
 }
 
-/// Takes doubts until the node ends: tries where asked to, and tells the others.
-pub async fn run(node: Arc<Node>, socket: Arc<UdpSocket>, mut doubts: UnboundedReceiver<Doubt>) {
-    while let Some(doubt) = doubts.recv().await {
+/// Takes probes until the node ends: tries where asked to, and tells the others.
+pub async fn run(node: Arc<Node>, socket: Arc<UdpSocket>, mut probes: UnboundedReceiver<Probe>) {
+    while let Some(probe) = probes.recv().await {
         let node = Arc::clone(&node);
         let socket = Arc::clone(&socket);
         tokio::spawn(async move {
-            let (reach, ask) = match doubt.task {
-                DoubtTask::Look => {
+            let (reach, ask) = match probe.task {
+                ProbeTask::Look => {
                     // What it shows is told by itself, if it is news.
-                    look(&node, &doubt.id, &doubt.address).await;
+                    look(&node, &probe.id, &probe.address).await;
                     return;
                 }
-                DoubtTask::AnswerOthers => {
-                    let Some(reach) = try_twice(&node, &doubt.id, &doubt.address).await else {
+                ProbeTask::AnswerOthers => {
+                    let Some(reach) = try_twice(&node, &probe.id, &probe.address).await else {
                         return;
                     };
-                    node.note_reach(&doubt.id, reach);
+                    node.note_reach(&probe.id, reach);
                     (reach, Ask::Nobody)
                 }
-                DoubtTask::AnswerOne(asker) => {
-                    let seen = try_twice(&node, &doubt.id, &doubt.address).await;
+                ProbeTask::AnswerOne(asker) => {
+                    let seen = try_twice(&node, &probe.id, &probe.address).await;
                     if seen == Some(Reach::Answers) {
-                        let message = verdict(&doubt.id, Reach::Answers, Ask::Nobody);
+                        let message = verdict(&probe.id, Reach::Answers, Ask::Nobody);
                         gossip::send(&node, &socket, &[asker], message).await;
                     }
                     return;
                 }
-                DoubtTask::Tell { reach, asks } => (reach, asks),
+                ProbeTask::Tell { reach, asks } => (reach, asks),
             };
-            let message = verdict(&doubt.id, reach, ask);
+            let message = verdict(&probe.id, reach, ask);
             gossip::broadcast(&node, &socket, message.clone()).await;
             if ask == Ask::Nobody {
                 return;
             }
             tokio::time::sleep(ASK_AGAIN).await;
-            if node.suspicions.lock().is_own(&doubt.id) {
+            if node.suspicions.lock().is_own(&probe.id) {
                 gossip::broadcast(&node, &socket, message).await;
             }
         });
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -22,9 +22,9 @@
 use crate::events::Event;
 use crate::events::emit;
 use crate::metrics::Metric;
-use crate::node::DoubtTask;
 use crate::node::Lease;
 use crate::node::Node;
+use crate::node::ProbeTask;
 use crate::tasks::stewarding::look::Look;
 use crate::tasks::stewarding::look::Told;
 
@@ -189,7 +189,7 @@
         let entry = node.list.lock().roster.life(&id).cloned();
         if let Some(entry) = entry {
             let address = entry.instance.address.clone();
-            node.doubt(&id, &address, DoubtTask::Look);
+            node.probe(&id, &address, ProbeTask::Look);
         }
     }
 }
--- a/crates/workshold-gateway/src/tasks/stewarding/look.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding/look.rs
@@ -133,7 +133,7 @@
                 last_new: self.roster.last_new(),
                 now: self.now,
             }));
-            self.tell(domain, &whole, &forming, steward.seen());
+            self.log_domain(domain, &whole, &forming, steward.seen());
         }
         commands
     }
@@ -200,7 +200,7 @@
     }
 
     /// Says now and then what a domain looks like.
-    fn tell(&self, domain: &FabricDomain, whole: &Whole<'_>, forming: &Forming, seen: &Seen) {
+    fn log_domain(&self, domain: &FabricDomain, whole: &Whole<'_>, forming: &Forming, seen: &Seen) {
         let mut told = self.told.lock();
         let last = told.get(domain);
         if last.is_some_and(|last| self.now.since(*last) < TELL_EVERY) {
--- a/crates/workshold-gateway/tests/common/mod.rs
+++ b/crates/workshold-gateway/tests/common/mod.rs
@@ -9,8 +9,8 @@
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
-use workshold_gateway::node::Doubt;
 use workshold_gateway::node::Node;
+use workshold_gateway::node::Probe;
 use workshold_gateway::peers::Pulse;
 use workshold_gateway::settings;
 use workshold_protocol::Clock;
@@ -58,12 +58,12 @@
 }
 
 /// A node by [`SETTINGS`] that nothing runs in, at second ten, and what it wants tried.
-pub fn node() -> (Node, HandClock, UnboundedReceiver<Doubt>) {
+pub fn node() -> (Node, HandClock, UnboundedReceiver<Probe>) {
     node_with(SETTINGS)
 }
 
 /// The same by other settings.
-pub fn node_with(text: &str) -> (Node, HandClock, UnboundedReceiver<Doubt>) {
+pub fn node_with(text: &str) -> (Node, HandClock, UnboundedReceiver<Probe>) {
     let clock = HandClock::at(Millis(10_000));
     let (doubts, rx) = mpsc::unbounded_channel();
     let settings = settings::parse(text).unwrap();
--- a/crates/workshold-gateway/tests/doubts.rs
+++ b/crates/workshold-gateway/tests/doubts.rs
@@ -24,15 +24,15 @@
 use workshold_core::hosted::roster::Instance;
 use workshold_core::hosted::suspicion::Reach;
 use workshold_core::hosted::suspicion::Suspicions;
-use workshold_gateway::node::Doubt;
-use workshold_gateway::node::DoubtTask;
 use workshold_gateway::node::Node;
+use workshold_gateway::node::Probe;
+use workshold_gateway::node::ProbeTask;
 use workshold_gateway::peers::Ask;
 use workshold_gateway::peers::Datagram;
 use workshold_gateway::peers::Message;
 use workshold_gateway::peers::Pulse;
 use workshold_gateway::peers::exchange::Own;
-use workshold_gateway::tasks::doubting;
+use workshold_gateway::tasks::probing;
 use workshold_platform_standin::proxy::Proxy;
 use workshold_platform_standin::proxy::Way;
 use workshold_protocol::Millis;
@@ -47,7 +47,7 @@
     InstanceId::new("i-1").unwrap().into()
 }
 
-fn told(rx: &mut UnboundedReceiver<Doubt>) -> Vec<DoubtTask> {
+fn told(rx: &mut UnboundedReceiver<Probe>) -> Vec<ProbeTask> {
     std::iter::from_fn(|| rx.try_recv().ok()).map(|doubt| doubt.task).collect()
 }
 
@@ -57,9 +57,9 @@
     let address = SmolStr::new("10.0.0.1:80");
     node.on_reach(&id(), &address, Reach::Silent);
     node.on_reach(&id(), &address, Reach::Silent);
-    assert_eq!(told(&mut rx), [DoubtTask::Tell { reach: Reach::Silent, asks: Ask::Witnesses }]);
+    assert_eq!(told(&mut rx), [ProbeTask::Tell { reach: Reach::Silent, asks: Ask::Witnesses }]);
     node.on_reach(&id(), &address, Reach::Answers);
-    assert_eq!(told(&mut rx), [DoubtTask::Tell { reach: Reach::Answers, asks: Ask::Nobody }]);
+    assert_eq!(told(&mut rx), [ProbeTask::Tell { reach: Reach::Answers, asks: Ask::Nobody }]);
 }
 
 #[test]
@@ -67,7 +67,7 @@
     let (node, _, mut rx) = node();
     node.suspicions.lock().on_peer(&id(), "n-2", Reach::Silent, node.now());
     node.on_reach(&id(), &SmolStr::new("10.0.0.1:80"), Reach::Silent);
-    assert_eq!(told(&mut rx), [DoubtTask::Tell { reach: Reach::Silent, asks: Ask::Nobody }]);
+    assert_eq!(told(&mut rx), [ProbeTask::Tell { reach: Reach::Silent, asks: Ask::Nobody }]);
 }
 
 #[test]
@@ -105,7 +105,7 @@
         node.peers.lock().on_pulse(own, from, SmolStr::new("n"), said, node.now());
     }
     let address = SmolStr::new(instance.address.to_string());
-    assert_eq!(doubting::look(&node, &id(), &address).await, shown);
+    assert_eq!(probing::look(&node, &id(), &address).await, shown);
     assert_eq!(node.suspicions.lock().is_own(&id()), shown.is_some());
     assert_eq!(told(&mut rx).is_empty(), shown.is_none());
 }
@@ -118,7 +118,7 @@
     let own = node.settings().control();
     let said = pulse(peer.address);
     node.peers.lock().on_pulse(own, peer.address, SmolStr::new("n"), said, node.now());
-    let seen = doubting::look(&node, &id(), &SmolStr::new(gone.to_string())).await;
+    let seen = probing::look(&node, &id(), &SmolStr::new(gone.to_string())).await;
     assert_eq!(seen, Some(Reach::Refused));
 }
 
@@ -130,7 +130,7 @@
     let other = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     node.peers.lock().add(other.local_addr().unwrap(), node.now());
     let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
-    let tells = tokio::spawn(doubting::run(Arc::clone(&node), socket, rx));
+    let tells = tokio::spawn(probing::run(Arc::clone(&node), socket, rx));
     node.on_reach(&id(), &SmolStr::new("10.0.0.1:80"), Reach::Silent);
     let lost = next_ask(&other).await;
     let began = Instant::now();
@@ -177,7 +177,7 @@
     let other_id = entry.identity.id.clone();
     node.list.lock().roster.apply(1, &other_id, Some(entry), node.now());
     let address = SmolStr::new(instance.address.to_string());
-    assert_eq!(doubting::look(&node, &id(), &address).await, Some(Reach::Silent));
+    assert_eq!(probing::look(&node, &id(), &address).await, Some(Reach::Silent));
 }
 
 /// Who hears nobody may be cut off from the others, which are still there and repeat as
@@ -257,7 +257,7 @@
     let address = SmolStr::new("10.0.0.1:80");
     assert!(!node.were_all_asked(&id(), &address));
     assert!(!node.were_all_asked(&id(), &address));
-    assert_eq!(told(&mut rx), [DoubtTask::Tell { reach: Reach::Silent, asks: Ask::All }]);
+    assert_eq!(told(&mut rx), [ProbeTask::Tell { reach: Reach::Silent, asks: Ask::All }]);
     clock.go_on(Millis(300));
     assert!(node.were_all_asked(&id(), &address), "they have had the time to answer");
 }
