Who is missed for a moment moves no part of the lease

Nodes near the bound of those who hold the lease took themselves for holders whenever another one was missed for a moment, joined and left again, and what stewards had begun was begun anew by the next.

--- a/crates/workshold-gateway/src/tasks/leasing.rs
+++ b/crates/workshold-gateway/src/tasks/leasing.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use workshold_core::hosted::tenure::Office;
 use workshold_core::hosted::tenure::Tenure;
 use workshold_protocol::Millis;
 
@@ -44,8 +45,9 @@
 pub async fn hold(node: Arc<Node>) {
     let member = member(&node);
     let ttl = node.settings().lease_ttl();
+    let mut office = Office::default();
     while !node.is_leaving() {
-        if !is_holder(&node) {
+        if !is_holder(&node, &mut office) {
             stand_down(&node, &member).await;
             tokio::time::sleep(HOLDER_LOOK).await;
             continue;
@@ -67,9 +69,12 @@
 /// Whether this node is one of those who hold the lease: those who read the list, once it
 /// knows who they are. So a fleet of any size has a few stewards, and who else starts or
 /// ends moves no part.
-fn is_holder(node: &Node) -> bool {
+fn is_holder(node: &Node, office: &mut Office) -> bool {
     let knows = node.is_settled() || node.age() >= SETTLES_WITHIN;
-    knows && node.is_reader()
+    if !node.has_followers() {
+        return knows;
+    }
+    knows && office.look(node.is_reader(), node.now())
 }
 
 /// Gives back what a node holds that is no holder any more.
