As many nodes hold the lease as it has parts; tables are made anew 60 ms apart at most

And every batch of changed entries made the whole table anew, ten and more times a second before traffic.

--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -164,6 +164,8 @@
     pub list_wanted: Notify,
     /// Ends a reading that waits: one that began later is needed.
     pub list_wanted_anew: Notify,
+    /// Wakes the one who makes the table anew.
+    pub table_wanted: Notify,
     /// Wakes the one who renews the lease.
     pub lease_wanted: Notify,
     /// Epochs that this process has issued.
@@ -238,6 +240,8 @@
 /// Beyond that, so many of each data centre read for all of it: so many that a third of
 /// them may be turned away.
 const READERS: usize = 4;
+/// Tables are made anew no more often than this for changes of the list.
+pub const TABLE_GAP: Millis = Millis(60);
 /// A table is made anew after this whatever has changed.
 const TABLE_STANDS: Millis = Millis(2_000);
 /// A look at a group's members serves all its streams for this long.
@@ -295,6 +299,7 @@
             news_wanted: Notify::new(),
             list_wanted: Notify::new(),
             list_wanted_anew: Notify::new(),
+            table_wanted: Notify::new(),
             lease_wanted: Notify::new(),
             epochs_issued: Arc::default(),
             is_steward_busy: AtomicBool::new(false),
@@ -405,6 +410,17 @@
         *self.made.lock() = made;
     }
 
+    /// The list has changed: the table is made anew, at once or a moment later if that was
+    /// just done. At a start the entries of hundreds of instances change many times a second.
+    pub fn list_changed(&self) {
+        let since = self.now().since(self.made.lock().at);
+        if since >= TABLE_GAP {
+            self.remake_table();
+        } else {
+            self.table_wanted.notify_one();
+        }
+    }
+
     /// Makes the table anew if the list has changed, or time alone may change what it says:
     /// entries that are missing are excused for a while after the store was away.
     pub fn renew_table(&self) {
@@ -763,6 +779,14 @@
         Some(age.unwrap_or(LIST_TROUBLE_MOST).min(LIST_TROUBLE_MOST))
     }
 
+    /// Whether this node is one of those who hold the lease: of each data centre as many as
+    /// make up one for each part.
+    pub fn is_steward(&self) -> bool {
+        let places = self.peers.lock().data_centres(self.now()).max(1) as u64;
+        let most = self.settings().store.parts.div_ceil(places);
+        self.is_among_first(most.max(READERS as u64) as usize)
+    }
+
     /// Whether this node tells its data centre what has come to the list.
     pub fn is_announcer(&self) -> bool {
         self.has_followers() && self.is_among_first(1)
--- a/crates/workshold-gateway/src/tasks/following.rs
+++ b/crates/workshold-gateway/src/tasks/following.rs
@@ -226,7 +226,7 @@
     if is_whole {
         node.list.lock().roster.keep_only(&seen, records.end, sent);
     }
-    node.remake_table();
+    node.list_changed();
     node.steward_wanted.notify_one();
 }
 
--- a/crates/workshold-gateway/src/tasks/leasing.rs
+++ b/crates/workshold-gateway/src/tasks/leasing.rs
@@ -66,15 +66,15 @@
     let _ = node.store.leave(GROUP, &member, ANSWER_TIME).await;
 }
 
-/// Whether this node is one of those who hold the lease: those who read the list, once it
-/// knows who they are. So a fleet of any size has a few stewards, and who else starts or
-/// ends moves no part.
+/// Whether this node is one of those who hold the lease, once it knows who they are: as
+/// many as there are parts, for a steward's work is much for a small node. So who else
+/// starts or ends moves no part.
 fn is_holder(node: &Node, office: &mut Office) -> bool {
     let knows = node.is_settled() || node.age() >= SETTLES_WITHIN;
     if !node.has_followers() {
         return knows;
     }
-    knows && office.look(node.is_reader(), node.now())
+    knows && office.look(node.is_steward(), node.now())
 }
 
 /// Gives back what a node holds that is no holder any more.
--- a/crates/workshold-gateway/src/tasks/upkeep.rs
+++ b/crates/workshold-gateway/src/tasks/upkeep.rs
@@ -10,6 +10,7 @@
 use crate::events::Event;
 use crate::events::emit;
 use crate::node::Node;
+use crate::node::TABLE_GAP;
 
 /// How often: entries are excused or not by the clock alone.
 const EVERY: Duration = Duration::from_millis(250);
@@ -30,7 +31,14 @@
             last = Some(readiness);
             node.pulse_wanted.notify_one();
         }
-        tokio::time::sleep(EVERY).await;
+        tokio::select! {
+            () = tokio::time::sleep(EVERY) => {}
+            () = node.table_wanted.notified() => {
+                tokio::time::sleep(TABLE_GAP.to_duration()).await;
+                node.renew_table();
+                continue;
+            }
+        }
         node.renew_table();
         turn = (turn + 1) % FORGET_EVERY;
         if turn == 0 {
