All nodes hold the lease again, once they know the others

Failed try: only some nodes hold the lease, the readers of each data centre (20 at 295 nodes), then as many as there are parts. Kept: a node joins once it knows the others, at most 2 s after its start.

--- a/crates/workshold-core/src/hosted/tenure.rs
+++ b/crates/workshold-core/src/hosted/tenure.rs
@@ -56,34 +56,3 @@
         self.settled_at.is_some_and(|at| list_read_at >= at)
     }
 }
-
-/// Whether a node is one of the few who hold the lease, for long enough: each that comes or
-/// goes moves parts, and every part that moves is without a steward for a moment.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Office {
-    is_held: bool,
-    /// Since when it ought to be otherwise.
-    changes_since: Option<Millis>,
-}
-
-/// A node that ought to hold the lease does so after this: it may only have missed others.
-const BEGINS_AFTER: Millis = Millis(1_000);
-/// One that ought not to any more gives it back after this.
-const ENDS_AFTER: Millis = Millis(5_000);
-
-impl Office {
-    /// Takes whether the node ought to hold the lease; says whether it does.
-    pub fn look(&mut self, ought: bool, now: Millis) -> bool {
-        if ought == self.is_held {
-            self.changes_since = None;
-            return self.is_held;
-        }
-        let since = *self.changes_since.get_or_insert(now);
-        let after = if ought { BEGINS_AFTER } else { ENDS_AFTER };
-        if now.since(since) >= after {
-            self.is_held = ought;
-            self.changes_since = None;
-        }
-        self.is_held
-    }
-}
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -779,14 +779,6 @@
         Some(age.unwrap_or(LIST_TROUBLE_MOST).min(LIST_TROUBLE_MOST))
     }
 
-    /// Whether this node is one of those who hold the lease: of each data centre as many as
-    /// make up one for each part.
-    pub fn is_steward(&self) -> bool {
-        let places = self.peers.lock().data_centres(self.now()).max(1) as u64;
-        let most = self.settings().store.parts.div_ceil(places);
-        self.is_among_first(most.max(READERS as u64) as usize)
-    }
-
     /// Whether this node tells its data centre what has come to the list.
     pub fn is_announcer(&self) -> bool {
         self.has_followers() && self.is_among_first(1)
--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -244,12 +244,6 @@
         sums
     }
 
-    /// How many data centres any node is heard of.
-    pub fn data_centres(&self, now: Millis) -> usize {
-        let places = self.heard(now).map(|(_, peer)| &peer.pulse.data_centre);
-        places.collect::<BTreeSet<_>>().len()
-    }
-
     /// Whether a node is among the `most` of its data centre that try an instance for all
     /// nodes: others for each instance, so that none is buried in tries nor bears all of
     /// them.
--- a/crates/workshold-gateway/src/tasks/leasing.rs
+++ b/crates/workshold-gateway/src/tasks/leasing.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use workshold_core::hosted::tenure::Office;
 use workshold_core::hosted::tenure::Tenure;
 use workshold_protocol::Millis;
 
@@ -23,8 +22,8 @@
 const RENEW_EVERY_IDLE: Duration = Duration::from_millis(1_000);
 /// The least time between two renewals, whatever others are heard to act by.
 const RENEW_LEAST: Duration = Duration::from_millis(60);
-/// How often a node looks whether it is to hold the lease.
-const HOLDER_LOOK: Duration = Duration::from_millis(200);
+/// How often a node that starts looks whether it does.
+const SETTLE_LOOK: Duration = Duration::from_millis(100);
 /// A node that has started knows the others by then, or there are none.
 const SETTLES_WITHIN: Millis = Millis(2_000);
 /// Time for the answer.
@@ -45,13 +44,8 @@
 pub async fn hold(node: Arc<Node>) {
     let member = member(&node);
     let ttl = node.settings().lease_ttl();
-    let mut office = Office::default();
+    settle(&node).await;
     while !node.is_leaving() {
-        if !is_holder(&node, &mut office) {
-            stand_down(&node, &member).await;
-            tokio::time::sleep(HOLDER_LOOK).await;
-            continue;
-        }
         let generation = node.lease.lock().generation;
         let sent = node.now();
         node.metrics.count(Metric::LeaseCalls);
@@ -66,23 +60,11 @@
     let _ = node.store.leave(GROUP, &member, ANSWER_TIME).await;
 }
 
-/// Whether this node is one of those who hold the lease, once it knows who they are: as
-/// many as there are parts, for a steward's work is much for a small node. So who else
-/// starts or ends moves no part.
-fn is_holder(node: &Node, office: &mut Office) -> bool {
-    let knows = node.is_settled() || node.age() >= SETTLES_WITHIN;
-    if !node.has_followers() {
-        return knows;
-    }
-    knows && office.look(node.is_steward(), node.now())
-}
-
-/// Gives back what a node holds that is no holder any more.
-async fn stand_down(node: &Node, member: &str) {
-    let held = std::mem::take(&mut node.lease.lock().parts);
-    if !held.is_empty() {
-        // If this is lost, the lease runs out by itself.
-        let _ = node.store.leave(GROUP, member, ANSWER_TIME).await;
+/// Waits at its start until a node knows the others: hundreds that begin at once would each
+/// move all parts.
+async fn settle(node: &Node) {
+    while !node.is_leaving() && !node.is_settled() && node.age() < SETTLES_WITHIN {
+        tokio::time::sleep(SETTLE_LOOK).await;
     }
 }
 
