--- a/crates/workshold-core/src/hosted/planner.rs
+++ b/crates/workshold-core/src/hosted/planner.rs
@@ -127,8 +127,7 @@
 ///
 /// What a change of a domain is made of depends on that domain alone; only its worth
 /// changes with what is done elsewhere. So the ways to change a domain are worked out once,
-/// and anew for the domain whose change was chosen; with 40 domains of 19 instances that
-/// takes a hundredth of working all of them out after every change, by the bench of it.
+/// and anew for the domain whose change was chosen.
 pub fn plan(domains: Vec<Domain>, models: &[Model], limits: Limits) -> Vec<Change> {
     let mut planner = Planner { ways: Vec::new(), domains, models: models.to_vec(), limits };
     planner.ways = (0..planner.domains.len()).map(|domain| planner.ways(domain)).collect();
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -135,7 +135,7 @@
     made: Mutex<MadeTable>,
     /// Who cannot be reached.
     pub suspicions: Mutex<Suspicions<Identity>>,
-    /// AttemptEvent whenever suspicions change.
+    /// Changes whenever suspicions do.
     pub suspicion_changed: watch::Sender<u64>,
     /// The usual gaps between events.
     pub gaps: Mutex<Gaps<Identity>>,
@@ -550,15 +550,16 @@
         let settings = self.settings();
         let now = self.now();
         let peers = self.peers.lock();
-        let are_few = peers.heard(now).count() < FEW_NODES;
-        are_few || acts || peers.is_witness(&settings.own(), short_id(id), WITNESSES, now)
+        are_few(&peers, now)
+            || acts
+            || peers.is_witness(&settings.own(), short_id(id), WITNESSES, now)
     }
 
     /// Whether all nodes were asked whether they reach an instance, and have had the time to
     /// answer; the first question has that begun. Few nodes are all asked from the start.
     pub fn were_all_asked(&self, id: &Identity, address: &SmolStr) -> bool {
         let now = self.now();
-        if self.peers.lock().heard(now).count() < FEW_NODES {
+        if are_few(&self.peers.lock(), now) {
             return true;
         }
         let mut all_asked = self.all_asked.lock();
@@ -807,6 +808,11 @@
     }
 }
 
+/// Whether there are so few nodes that all of them try a silent instance.
+fn are_few(peers: &Peers, now: Millis) -> bool {
+    peers.heard(now).count() < FEW_NODES
+}
+
 fn log_refusal(service: &ServiceName, usage: Usage, nodes: usize) {
     emit(
         Event::RepeatRefused,
--- a/crates/workshold-gateway/src/tasks/upkeep.rs
+++ b/crates/workshold-gateway/src/tasks/upkeep.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use workshold_core::hosted::identity::Identity;
+use workshold_protocol::Millis;
 
 use crate::events::Event;
 use crate::events::emit;
@@ -14,13 +15,13 @@
 
 /// How often: entries are excused or not by the clock alone.
 const EVERY: Duration = Duration::from_millis(250);
-/// What is over is forgotten every so many times: that goes through all there is.
-const FORGET_EVERY: u32 = 4;
+/// How often what is over is forgotten: that goes through all there is.
+const FORGET_EVERY: Millis = Millis(1_000);
 
 /// Keeps a node in order until it ends.
 pub async fn run(node: Arc<Node>) {
     let mut last = None;
-    let mut turn = 0;
+    let mut tidied = node.now();
     loop {
         let readiness = node.readiness();
         if last != Some(readiness) {
@@ -35,13 +36,12 @@
             () = tokio::time::sleep(EVERY) => {}
             () = node.table_wanted.notified() => {
                 tokio::time::sleep(TABLE_GAP.to_duration()).await;
-                node.renew_table();
-                continue;
             }
         }
         node.renew_table();
-        turn = (turn + 1) % FORGET_EVERY;
-        if turn == 0 {
+        // By the clock: while the list changes all the time, there are no quiet turns.
+        if node.now().since(tidied) >= FORGET_EVERY {
+            tidied = node.now();
             tidy(&node);
         }
     }
--- a/crates/workshold-gateway/tests/relay.rs
+++ b/crates/workshold-gateway/tests/relay.rs
@@ -11,6 +11,8 @@
 //! logs, cut streams by just these two ways, and cuts none since. The first and the third
 //! case of `an_answer_is_not_ended_by_a_doubt` play them.
 
+mod common;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -165,22 +167,6 @@
     true
 }
 
-const SETTINGS: &str = r#"
-[node]
-name = "n-1"
-data_centre = "a"
-is_first_start = true
-[listen]
-callers = "127.0.0.1:7001"
-readiness = "127.0.0.1:7002"
-directory = "127.0.0.1:7003"
-peers_port = 7004
-[store]
-address = "127.0.0.1:7005"
-[bounds]
-repeat_slack = SLACK
-"#;
-
 /// A node without anybody that acts beside requests, before `groups` of two members.
 struct Scene {
     node: Arc<Node>,
@@ -191,7 +177,8 @@
 impl Scene {
     async fn start(groups: usize, replies: Vec<Reply>, slack: f64) -> Self {
         let (doubts, _) = mpsc::unbounded_channel();
-        let text = SETTINGS.replace("SLACK", &format!("{slack:.1}"));
+        let first = common::SETTINGS.replace("[listen]", "is_first_start = true\n[listen]");
+        let text = format!("{first}[bounds]\nrepeat_slack = {slack:.1}\n");
         let settings = settings::parse(&text).unwrap();
         let node = Node::new(settings, Box::new(SystemClock::default()), doubts);
         let script = Arc::new(Script::default());
