Logs tell what a request asks apart from its id

Cause: failed attempts are known by request ids alone, so three hypotheses of the incident (one content under many ids, repeats of one arrival, overload) look alike. Failures, unknown ends, cuts and refusals now carry a fingerprint of path, caller and body, and an attempt that breaks off before its first event says so. Ruled out: the body's length or the model as the mark, which many share.

--- a/crates/workshold-core/src/hosted.rs
+++ b/crates/workshold-core/src/hosted.rs
@@ -11,13 +11,14 @@
 //! - What is asked: [`demand`]; what groups make of it: [`capacity`]; which groups there
 //!   should be: [`planner`].
 //! - Who forms them: [`steward`], and when it may order: [`tenure`].
-//! - Requests: [`placement`], [`silence`], [`tries`]; among how many nodes what all of them
+//! - Requests: what they ask: [`fingerprint`]; [`placement`], [`silence`], [`tries`]; among how many nodes what all of them
 //!   may repeat is divided: [`sharing`].
 
 pub mod capacity;
 pub mod catalog;
 pub mod currency;
 pub mod demand;
+pub mod fingerprint;
 pub mod groups;
 pub mod identity;
 pub mod placement;
--- a/crates/workshold-gateway/src/callers/requests.rs
+++ b/crates/workshold-gateway/src/callers/requests.rs
@@ -17,6 +17,7 @@
 use workshold_core::hosted::catalog::Caller;
 use workshold_core::hosted::catalog::Catalog;
 use workshold_core::hosted::catalog::Route;
+use workshold_core::hosted::fingerprint::Fingerprint;
 use workshold_http::body;
 use workshold_http::body::BodyError;
 use workshold_platform::names;
@@ -48,6 +49,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// What it asks, whatever its id.
+    pub fingerprint: Fingerprint,
     /// The model that it is for.
     pub model: Option<SmolStr>,
     /// Tokens of its prompt, by the caller's word.
@@ -116,8 +119,10 @@
     let prompt_tokens = prompt_tokens(&headers);
     let last_event = text(&headers, &names::LAST_EVENT).and_then(|text| text.parse().ok());
     let rank = team.as_ref().map_or(0, |(_, rank)| *rank);
-    set_headers(&mut headers, team.map(|(name, _)| name), urgency(rank, route.priority));
     let path = parts.uri.path_and_query().map_or(path, |path| path.as_str());
+    let caller = team.as_ref().map(|(name, _)| name.as_str());
+    let fingerprint = Fingerprint::of(caller, path, &body);
+    set_headers(&mut headers, team.map(|(name, _)| name), urgency(rank, route.priority));
     Ok(Job {
         id,
         route: Arc::clone(route),
@@ -126,6 +131,7 @@
         path: SmolStr::new(path),
         headers,
         body,
+        fingerprint,
         model,
         prompt_tokens,
         last_event,
--- a/crates/workshold-gateway/src/relay.rs
+++ b/crates/workshold-gateway/src/relay.rs
@@ -201,6 +201,7 @@
             Event::AttemptFailed,
             &[
                 ("request", &self.job.id),
+                ("fingerprint", &self.job.fingerprint.to_string()),
                 ("instance", target.id.as_str()),
                 ("ending", &format!("{ending:?}")),
                 ("why", self.why),
@@ -344,8 +345,14 @@
     let is_time_up = course.left(node) <= LEAST_TIME;
     let took = node.now().since(course.job.began).0.to_string();
     let sent = course.used.sent.to_string();
-    let fields =
-        [("request", &*course.job.id), ("why", course.why), ("ms", &*took), ("sent", &*sent)];
+    let fingerprint = course.job.fingerprint.to_string();
+    let fields = [
+        ("request", &*course.job.id),
+        ("fingerprint", &*fingerprint),
+        ("why", course.why),
+        ("ms", &*took),
+        ("sent", &*sent),
+    ];
     if next == Next::NotRun {
         emit(Event::RequestNotRun, &fields);
         node.metrics.count(Metric::NotRun);
--- a/crates/workshold-gateway/src/relay/attempt.rs
+++ b/crates/workshold-gateway/src/relay/attempt.rs
@@ -132,7 +132,10 @@
         in_flight,
     };
     while current.ready.is_empty() && !current.is_over {
-        current.read().await?;
+        current
+            .read()
+            .await
+            .map_err(|(ending, _)| (ending, "it broke off before its first event"))?;
     }
     current.in_flight.on_read();
     Ok(Opened::Stream(Box::new((parts, current))))
--- a/crates/workshold-gateway/src/relay/stream.rs
+++ b/crates/workshold-gateway/src/relay/stream.rs
@@ -222,6 +222,7 @@
             Event::StreamCut,
             &[
                 ("request", &self.course.job.id),
+                ("fingerprint", &self.course.job.fingerprint.to_string()),
                 ("instance", self.speaker.id.as_str()),
                 ("why", self.course.why),
                 ("sent", &self.course.used.sent.to_string()),
--- a/crates/workshold-gateway/tests/relay.rs
+++ b/crates/workshold-gateway/tests/relay.rs
@@ -30,6 +30,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use workshold_core::hosted::fingerprint::Fingerprint;
 use workshold_core::hosted::groups;
 use workshold_core::hosted::identity::Identity;
 use workshold_core::hosted::roster::Instance;
@@ -211,6 +212,7 @@
             path: SmolStr::new("/chat/x"),
             headers: HeaderMap::new(),
             body: Bytes::new(),
+            fingerprint: Fingerprint::of(Some("t-1"), "/chat/x", b""),
             model: Some(SmolStr::new("m1")),
             prompt_tokens: 100.0,
             last_event: None,
