A request that ends whoever begins to run it is kept from all instances

Cause: what a request had done was forgotten with its arrival, and each arrival was new by its id: at any node it took as many instances as it had attempts. Class: repeats bounded in volume and by instance, never by what is repeated. Ends of lives are now held against the fingerprint (path, caller, body) of the requests that had just begun there. After the third life, wherever it ended, all nodes refuse at once, call back what waits unread, and say not to come back soon; a run to its end clears it. Nodes tell each other with their pulses; the verdict is kept in the store for whoever starts later, who reads it before it serves. A suspect runs at one place at a time, and before a third instance is risked the word on the second is waited for (one try to connect). Ruled out: broken connections alone as evidence (resets, answers that break off), silence, counting by request id over callers' repeats, a verdict by two ends (an innocent request beside two crashes is that too).

--- a/crates/workshold-core/src/hosted.rs
+++ b/crates/workshold-core/src/hosted.rs
@@ -11,7 +11,8 @@
 //! - What is asked: [`demand`]; what groups make of it: [`capacity`]; which groups there
 //!   should be: [`planner`].
 //! - Who forms them: [`steward`], and when it may order: [`tenure`].
-//! - Requests: what they ask: [`fingerprint`]; [`placement`], [`silence`], [`tries`]; among how many nodes what all of them
+//! - Requests: what they ask: [`fingerprint`]; which of them end whoever runs them:
+//!   [`quarantine`]; [`placement`], [`silence`], [`tries`]; among how many nodes what all of them
 //!   may repeat is divided: [`sharing`].
 
 pub mod capacity;
@@ -23,6 +24,7 @@
 pub mod identity;
 pub mod placement;
 pub mod planner;
+pub mod quarantine;
 pub mod roster;
 pub mod sharing;
 pub mod silence;
--- a/crates/workshold-core/src/hosted/tries.rs
+++ b/crates/workshold-core/src/hosted/tries.rs
@@ -15,6 +15,9 @@
     Refused,
     /// It may have run: the connection broke, or nothing came.
     Unknown,
+    /// The same, and its connection broke while it had just begun to run, or waited: its
+    /// instance may have ended by it.
+    Broken,
     /// It ran and failed, by the upstream's word.
     Failed,
 }
@@ -56,7 +59,9 @@
             used.not_sent < MOST_NOT_SENT && may_send && (is_first || route.is_repeatable())
         }
         Ending::Refused => may_send && has_budget,
-        Ending::Unknown | Ending::Failed => may_send && has_budget && route.is_repeatable(),
+        Ending::Unknown | Ending::Broken | Ending::Failed => {
+            may_send && has_budget && route.is_repeatable()
+        }
     };
     if again {
         return Next::Again;
--- a/crates/workshold-gateway/src/callers/control.rs
+++ b/crates/workshold-gateway/src/callers/control.rs
@@ -1,14 +1,18 @@
 //! What other nodes and operators ask of a node: its configuration, list and state.
 
 use bytes::Bytes;
+use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use serde_json::json;
+use workshold_core::hosted::fingerprint::Fingerprint;
 
 use crate::callers::answers;
 use crate::callers::answers::AnswerBody;
+use crate::events::Event;
+use crate::events::emit;
 use crate::node::Node;
 use crate::tasks::following;
 use crate::tasks::gossip;
@@ -16,6 +20,9 @@
 /// Where operators read a node's state.
 pub const STATE_PATH: &str = "/state";
 
+/// Where operators let a request go that is kept from instances: its fingerprint follows.
+pub const QUARANTINE_PATH: &str = "/quarantine/";
+
 /// Where metrics are told as text.
 pub const METRICS_PATH: &str = "/metrics";
 
@@ -27,12 +34,28 @@
             None => answers::own(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
         },
         gossip::LIST_PATH => list(node, req.uri().query().unwrap_or_default()),
+        path if path.starts_with(QUARANTINE_PATH) => release(node, req.method(), path),
         METRICS_PATH => Response::new(answers::whole(node.metrics.text(node).into())),
         STATE_PATH => Response::new(answers::whole(state(node).into())),
         _ => answers::own(StatusCode::NOT_FOUND, "no such question"),
     }
 }
 
+fn release(node: &Node, method: &Method, path: &str) -> Response<AnswerBody> {
+    if method != Method::DELETE {
+        return answers::own(StatusCode::METHOD_NOT_ALLOWED, "DELETE lets a request go");
+    }
+    let name = path.strip_prefix(QUARANTINE_PATH).unwrap_or_default();
+    let Ok(fingerprint) = Fingerprint::parse(name) else {
+        return answers::own(StatusCode::BAD_REQUEST, "a fingerprint is a number in base 16");
+    };
+    if !node.release(fingerprint) {
+        return answers::own(StatusCode::NOT_FOUND, "nothing is held against this fingerprint");
+    }
+    emit(Event::RequestReleased, &[("fingerprint", name)]);
+    answers::own(StatusCode::OK, "it is let go, here and soon at all nodes")
+}
+
 fn list(node: &Node, query: &str) -> Response<AnswerBody> {
     let from = query.strip_prefix("from=").and_then(|from| from.parse().ok()).unwrap_or(0);
     let records = following::news(node, from);
@@ -72,6 +95,20 @@
             |(address, peer)| json!({ "name": peer.name.as_str(), "address": address.to_string() }),
         )
         .collect();
+    let held: Vec<_> = node
+        .quarantine
+        .lock()
+        .held(now)
+        .into_iter()
+        .map(|(known, until)| {
+            json!({
+                "fingerprint": known.subject.fingerprint.to_string(),
+                "caller": format!("{:08x}", known.subject.caller),
+                "ended": known.ends.len(),
+                "for_ms": until.since(now).0,
+            })
+        })
+        .collect();
     let readiness = node.readiness();
     json!({
         "node": node.settings().node.name,
@@ -82,6 +119,7 @@
         "store_age_ms": node.store_age().0,
         "lease": { "generation": lease.generation, "parts": lease.parts.keys().collect::<Vec<_>>() },
         "requests": node.in_flight(),
+        "held": held,
         "peers": peers,
         "instances": instances,
     })
--- a/crates/workshold-gateway/src/callers/requests.rs
+++ b/crates/workshold-gateway/src/callers/requests.rs
@@ -18,6 +18,8 @@
 use workshold_core::hosted::catalog::Catalog;
 use workshold_core::hosted::catalog::Route;
 use workshold_core::hosted::fingerprint::Fingerprint;
+use workshold_core::hosted::quarantine;
+use workshold_core::hosted::quarantine::Subject;
 use workshold_http::body;
 use workshold_http::body::BodyError;
 use workshold_platform::names;
@@ -51,6 +53,8 @@
     pub body: Bytes,
     /// What it asks, whatever its id.
     pub fingerprint: Fingerprint,
+    /// Who asks, as a mark.
+    pub caller: u32,
     /// The model that it is for.
     pub model: Option<SmolStr>,
     /// Tokens of its prompt, by the caller's word.
@@ -64,6 +68,11 @@
 }
 
 impl Job {
+    /// The request as it is told from others.
+    pub fn subject(&self) -> Subject {
+        Subject { fingerprint: self.fingerprint, caller: self.caller }
+    }
+
     /// Time that is left at `now`.
     pub fn left(&self, now: Millis) -> Millis {
         self.ends.since(now)
@@ -122,6 +131,7 @@
     let path = parts.uri.path_and_query().map_or(path, |path| path.as_str());
     let caller = team.as_ref().map(|(name, _)| name.as_str());
     let fingerprint = Fingerprint::of(caller, path, &body);
+    let caller = quarantine::mark(caller.unwrap_or_default());
     set_headers(&mut headers, team.map(|(name, _)| name), urgency(rank, route.priority));
     Ok(Job {
         id,
@@ -132,6 +142,7 @@
         headers,
         body,
         fingerprint,
+        caller,
         model,
         prompt_tokens,
         last_event,
--- a/crates/workshold-gateway/src/daemon.rs
+++ b/crates/workshold-gateway/src/daemon.rs
@@ -105,6 +105,7 @@
     parts.spawn(tasks::probing::try_again(Arc::clone(&node)));
     parts.spawn(tasks::leasing::find_peers(Arc::clone(&node)));
     parts.spawn(tasks::stewarding::run(Arc::clone(&node)));
+    parts.spawn(tasks::quarantining::run(Arc::clone(&node)));
     parts.spawn(tasks::upkeep::run(Arc::clone(&node)));
     parts.spawn(watch_settings(Arc::clone(&node), path.clone()));
     let lease = tokio::spawn(tasks::leasing::hold(Arc::clone(&node)));
--- a/crates/workshold-gateway/src/events.rs
+++ b/crates/workshold-gateway/src/events.rs
@@ -35,6 +35,9 @@
     AttemptInDoubt = 1408, Warn, "an attempt is in doubt; another one begins beside it if there is a place and budget", "Nothing; in_doubt names who cannot be reached, lacks what was missing.";
     AttemptNotNeeded = 1409, Info, "an attempt was ended because another one spoke first", "Nothing.";
     RepeatRefused = 1410, Warn, "a request is not repeated: its upstream's budget is used up", "Find out why its attempts fail; requests, repeats and allowed are those of this node in the last window, nodes is among how many the slack is divided.";
+    RequestHeld = 1411, Error, "requests of this content are kept from all instances: whoever began to run one has ended", "Find the caller and the cause by the failed attempts with this fingerprint; DELETE /quarantine/FINGERPRINT lets it go.";
+    RequestReleased = 1412, Info, "requests of this content were let go by an operator", "Nothing.";
+    QuarantineNotKept = 1413, Warn, "what is known of held requests cannot be read from or written to the store", "Serving goes on by what other nodes say; look after the store.";
 }
 
 /// The text of `docs/EVENTS-PLATFORM.md`.
--- a/crates/workshold-gateway/src/metrics.rs
+++ b/crates/workshold-gateway/src/metrics.rs
@@ -45,6 +45,7 @@
     Requests = "requests", "counter", "requests that were allowed";
     Answered = "answered", "counter", "requests whose whole answer went to the caller";
     NotRun = "not_run", "counter", "requests refused: they have not run";
+    RequestsHeld = "requests_held", "counter", "requests refused because whoever begins to run such a one ends; they count as not_run too";
     Unknown = "unknown", "counter", "requests of which nobody knows whether they ran";
     AttemptsFailed = "attempts_failed", "counter", "attempts at an instance that failed";
     AttemptsNotNeeded = "attempts_not_needed", "counter", "attempts that another one made needless by speaking first";
@@ -69,6 +70,7 @@
     Targets = "targets", "gauge", "groups and plain instances that take requests";
     InDoubt = "in_doubt", "gauge", "instances that somebody cannot reach";
     Peers = "peers", "gauge", "other nodes that are heard";
+    Held = "held", "gauge", "contents of requests that are kept from all instances";
     Sharers = "sharers", "gauge", "nodes among which the slack of repeats is divided, this one included";
 }
 
@@ -117,6 +119,7 @@
         self.gauge(Metric::Targets, node.table().len() as u64);
         self.gauge(Metric::InDoubt, node.suspicions.lock().iter().count() as u64);
         self.gauge(Metric::Peers, node.peers.lock().heard(now).count() as u64);
+        self.gauge(Metric::Held, node.quarantine.lock().held_count(now) as u64);
         self.gauge(Metric::Sharers, node.peers.lock().may_be_there() as u64);
         self.exposition.text().unwrap_or_else(|err| format!("# {err}\n").into_bytes())
     }
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -22,7 +22,13 @@
 use workshold_core::hosted::catalog::Kind;
 use workshold_core::hosted::currency::Currency;
 use workshold_core::hosted::demand::Demand;
+use workshold_core::hosted::fingerprint::Fingerprint;
 use workshold_core::hosted::identity::Identity;
+use workshold_core::hosted::quarantine;
+use workshold_core::hosted::quarantine::Known;
+use workshold_core::hosted::quarantine::Quarantine;
+use workshold_core::hosted::quarantine::Standing;
+use workshold_core::hosted::quarantine::Subject;
 use workshold_core::hosted::roster::Instance;
 use workshold_core::hosted::roster::ListTrust;
 use workshold_core::hosted::roster::Roster;
@@ -42,6 +48,7 @@
 use workshold_protocol::ids::ModelName;
 use workshold_protocol::ids::ServiceName;
 
+use crate::callers::requests::Job;
 use crate::events::Event;
 use crate::events::emit;
 use crate::loads::Loads;
@@ -112,6 +119,8 @@
     StaleConfig,
     /// it has not read the list of instances
     NoList,
+    /// it does not know yet which requests are kept from instances
+    NoQuarantine,
     /// nothing can take requests
     NoTargets,
     /// it is stopping
@@ -139,6 +148,11 @@
     pub suspicion_changed: watch::Sender<u64>,
     /// The usual gaps between events.
     pub gaps: Mutex<Gaps<Identity>>,
+    /// Which requests end whoever begins to run them.
+    pub quarantine: Mutex<Quarantine>,
+    is_quarantine_read: AtomicBool,
+    /// Wakes the one who keeps what outlives this node.
+    pub keep_wanted: Notify,
     /// Instances that fail more than others.
     pub outliers: Mutex<Outliers<Identity>>,
     /// Requests at instances.
@@ -273,6 +287,8 @@
         let store = Store::new(&settings.store.address);
         let config_store = Store::new(&settings.store.address);
         Self {
+            // At the very first start of all nothing is kept.
+            is_quarantine_read: AtomicBool::new(settings.node.is_first_start),
             settings: RwLock::new(Arc::new(settings)),
             began: clock.now(),
             clock,
@@ -286,6 +302,8 @@
             suspicions: Mutex::default(),
             suspicion_changed: watch::Sender::new(0),
             gaps: Mutex::default(),
+            quarantine: Mutex::default(),
+            keep_wanted: Notify::new(),
             outliers: Mutex::new(Outliers::new(OUTLIERS)),
             loads: Loads::default(),
             metrics: Metrics::default(),
@@ -322,6 +340,11 @@
         self.clock.now()
     }
 
+    /// The time of day, as this machine believes it.
+    pub fn wall(&self) -> Millis {
+        self.clock.wall()
+    }
+
     /// The settings in force.
     pub fn settings(&self) -> Arc<Settings> {
         Arc::clone(&self.settings.read())
@@ -456,6 +479,95 @@
         self.budget(service, Budget::give_back);
     }
 
+    /// Until when a request is kept from all instances, if it is.
+    pub fn held_until(&self, fingerprint: Fingerprint) -> Option<Millis> {
+        match self.quarantine.lock().standing(fingerprint, self.now()) {
+            Standing::Held(until) => Some(until),
+            Standing::Free | Standing::Suspect => None,
+        }
+    }
+
+    /// Whether one more end would keep a request from instances.
+    pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
+        self.quarantine.lock().is_near(fingerprint, self.now())
+    }
+
+    /// The connection to a target broke while a request began there. Returns whether the
+    /// target's end would keep that request from others. One that leaves with a plan ends
+    /// for its own reasons.
+    pub fn note_break(&self, job: &Job, target: &Target) -> bool {
+        let now = self.now();
+        let (domain, is_leaving) = {
+            let list = self.list.lock();
+            let instance = list.roster.life(&target.id).map(|entry| &entry.instance);
+            let domain = instance.and_then(|instance| instance.domain.clone());
+            (domain, instance.is_some_and(|instance| instance.is_leaving))
+        };
+        if is_leaving {
+            return false;
+        }
+        let domain = domain.as_ref().map(|domain| domain.as_str());
+        let place = quarantine::place(domain, target.data_centre.as_str());
+        let life = quarantine::life(&target.id);
+        self.change_quarantine(|known| known.on_break(job.subject(), life, place, now));
+        self.is_suspect(job.fingerprint)
+    }
+
+    /// A life of an instance has ended.
+    fn note_ended(&self, id: &Identity) {
+        let now = self.now();
+        self.change_quarantine(|known| known.on_ended(quarantine::life(id), now));
+    }
+
+    /// A request ran to its end.
+    pub fn note_finished(&self, job: &Job) {
+        let now = self.now();
+        self.change_quarantine(|known| known.on_finished(job.fingerprint, now));
+    }
+
+    /// An operator lets a request go; whether it was known.
+    pub fn release(&self, fingerprint: Fingerprint) -> bool {
+        let now = self.now();
+        self.change_quarantine(|known| known.clear(fingerprint, now))
+    }
+
+    /// Another node, or the store, says this of requests.
+    pub fn hear_of_requests(&self, told: &[Known]) -> bool {
+        self.change_quarantine(|quarantine| {
+            let news = told.iter().filter(|known| quarantine.take(known));
+            news.count() > 0
+        })
+    }
+
+    /// Changes what is known of requests. What is news goes to the others at once, and
+    /// whatever waits unread at an instance is looked at again.
+    fn change_quarantine(&self, change: impl FnOnce(&mut Quarantine) -> bool) -> bool {
+        let now = self.now();
+        let mut quarantine = self.quarantine.lock();
+        if !change(&mut quarantine) {
+            return false;
+        }
+        let held = quarantine.newly_held(now);
+        drop(quarantine);
+        if !held.is_empty() {
+            log_held(&held, now);
+            self.suspicion_changed.send_modify(|version| *version += 1);
+        }
+        self.keep_wanted.notify_one();
+        self.pulse_wanted.notify_one();
+        true
+    }
+
+    /// Whether what the store keeps of requests was read, or is not waited for.
+    pub fn is_quarantine_read(&self) -> bool {
+        self.is_quarantine_read.load(Ordering::Relaxed)
+    }
+
+    /// What the store keeps of requests has been read, or is not waited for any more.
+    pub fn quarantine_read(&self) {
+        self.is_quarantine_read.store(true, Ordering::Relaxed);
+    }
+
     /// Counts a request towards the budget of a service.
     pub fn count_request(&self, service: &ServiceName) {
         let now = self.now();
@@ -523,6 +635,9 @@
         if was == is {
             return false;
         }
+        if reach == Reach::Refused {
+            self.note_ended(id);
+        }
         let event = if is { Event::InstanceInDoubt } else { Event::InstanceBack };
         emit(event, &[("instance", id.as_str()), ("reach", &format!("{reach:?}"))]);
         self.suspicions_changed();
@@ -532,6 +647,7 @@
     /// Another life has begun at an instance's id: whoever waits for this one waits in vain.
     pub fn note_superseded(&self, life: &Identity) {
         self.suspicions.lock().on_superseded(life, self.now());
+        self.note_ended(life);
         let began = life.incarnation.to_string();
         emit(Event::InstanceBeganAnew, &[("instance", life.as_str()), ("ended", &began)]);
         self.suspicions_changed();
@@ -736,6 +852,9 @@
         if self.table().is_empty() {
             return Err(NotReady::NoTargets);
         }
+        if !self.is_quarantine_read() {
+            return Err(NotReady::NoQuarantine);
+        }
         Ok(())
     }
 
@@ -813,6 +932,21 @@
     peers.heard(now).count() < FEW_NODES
 }
 
+fn log_held(held: &[(Known, Millis)], now: Millis) {
+    for (known, until) in held {
+        let Subject { fingerprint, caller } = known.subject;
+        emit(
+            Event::RequestHeld,
+            &[
+                ("fingerprint", &fingerprint.to_string()),
+                ("caller", &format!("{caller:08x}")),
+                ("ended", &known.ends.len().to_string()),
+                ("for_s", &(until.since(now).0 / 1_000).to_string()),
+            ],
+        );
+    }
+}
+
 fn log_refusal(service: &ServiceName, usage: Usage, nodes: usize) {
     emit(
         Event::RepeatRefused,
--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -39,6 +39,7 @@
 pub use self::messages::Scope;
 pub use self::messages::ToldLoad;
 pub use self::messages::ToldNode;
+pub use self::messages::ToldRequest;
 pub use self::messages::ToldWork;
 pub use self::messages::VERSION;
 pub use self::messages::WireReach;
--- a/crates/workshold-gateway/src/peers/exchange.rs
+++ b/crates/workshold-gateway/src/peers/exchange.rs
@@ -521,6 +521,7 @@
             work: Vec::new(),
             seen_percent: 0,
             loads: Vec::new(),
+            requests: Vec::new(),
         },
         heard,
         direct: None,
--- a/crates/workshold-gateway/src/peers/messages.rs
+++ b/crates/workshold-gateway/src/peers/messages.rs
@@ -6,7 +6,11 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 use workshold_core::hosted::capacity::Work;
+use workshold_core::hosted::fingerprint::Fingerprint;
 use workshold_core::hosted::identity::Identity;
+use workshold_core::hosted::quarantine::End;
+use workshold_core::hosted::quarantine::Known;
+use workshold_core::hosted::quarantine::Subject;
 use workshold_core::hosted::suspicion::Reach;
 use workshold_protocol::Millis;
 
@@ -15,7 +19,7 @@
 use crate::loads::short_name;
 
 /// The form of these messages; another one is passed over.
-pub const VERSION: u8 = 5;
+pub const VERSION: u8 = 6;
 
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -295,6 +299,51 @@
     pub seen_percent: u8,
     /// What it has at instances.
     pub loads: Vec<ToldLoad>,
+    /// Some of the requests that ended whoever ran them: those of which something is new.
+    pub requests: Vec<ToldRequest>,
+}
+
+/// A request that ended whoever ran it, as one node tells another of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldRequest {
+    /// What it asks.
+    pub fingerprint: u128,
+    /// The mark of who asks.
+    pub caller: u32,
+    /// How long ago it was cleared, in ms.
+    pub cleared_ms: Option<u64>,
+    /// Lives that ended under it: which, the mark of where, and how long ago, in ms.
+    pub ends: Vec<(u64, u32, u64)>,
+}
+
+impl ToldRequest {
+    /// Puts what is known at `now` into a datagram.
+    pub fn new(known: &Known, now: Millis) -> Self {
+        let Subject { fingerprint, caller } = known.subject;
+        let ends = known.ends.iter().map(|end| (end.life, end.place, now.since(end.at).0));
+        Self {
+            fingerprint: fingerprint.0,
+            caller,
+            cleared_ms: known.cleared.map(|at| now.since(at).0),
+            ends: ends.collect(),
+        }
+    }
+
+    /// What was put in, as it is known at `now`.
+    pub fn known(&self, now: Millis) -> Known {
+        let ends = self.ends.iter();
+        let ends = ends.map(|(life, place, age)| End {
+            life: *life,
+            place: *place,
+            at: now - Millis(*age),
+        });
+        let fingerprint = Fingerprint(self.fingerprint);
+        Known {
+            subject: Subject { fingerprint, caller: self.caller },
+            ends: ends.collect(),
+            cleared: self.cleared_ms.map(|age| now - Millis(age)),
+        }
+    }
 }
 
 /// Trouble with the list that is older is told no more.
--- a/crates/workshold-gateway/src/relay.rs
+++ b/crates/workshold-gateway/src/relay.rs
@@ -35,8 +35,10 @@
 use crate::events::emit;
 use crate::metrics::Metric;
 use crate::node::Node;
+use crate::node::ProbeTask;
 use crate::node::RequestGuard;
 use crate::relay::attempt::Failure;
+use crate::relay::attempt::HELD;
 use crate::relay::attempt::Opened;
 use crate::relay::attempts::Attempt;
 use crate::relay::attempts::AttemptEvent;
@@ -45,6 +47,7 @@
 use crate::relay::watching::LOOK_AGAIN;
 use crate::relay::watching::Patience;
 use crate::table::Target;
+use crate::tasks::probing;
 
 /// With less time than this left nothing is sent any more.
 pub const LEAST_TIME: Millis = Millis(25);
@@ -56,6 +59,8 @@
 const WAIT_STEP: Millis = Millis(15);
 /// When to come back if nothing serves a model.
 const COME_BACK_NONE: Millis = Millis(500);
+/// The same for what is kept from instances: callers do not wait that long.
+const COME_BACK_HELD: Millis = Millis::from_secs(60);
 /// When to come back after a refusal by an upstream that is full.
 const COME_BACK_FULL: Millis = Millis(150);
 
@@ -104,6 +109,7 @@
             move_after: may_begin.then_some(after.1),
             held_until: self.held_until,
             ends: self.job.ends,
+            waiting: None,
         }
     }
 
@@ -137,6 +143,7 @@
         let doubted = attempts.newest().map(|newest| Arc::clone(&newest.target));
         let place = pick(node, self);
         let lacks = match &place {
+            _ if node.is_suspect(self.job.fingerprint) => "proof that it ends nobody",
             None => "place",
             Some(_) if !node.take_repeat(&self.job.service) => "budget",
             Some(_) => "nothing",
@@ -169,7 +176,7 @@
                 }
             }
             Ending::Refused => self.used.sent += 1,
-            Ending::Unknown | Ending::Failed => {
+            Ending::Unknown | Ending::Broken | Ending::Failed => {
                 self.used.sent += 1;
                 self.used.may_have_run = true;
             }
@@ -188,6 +195,20 @@
         self.log_failure(node, target, ending, "Beside", "nothing");
     }
 
+    /// Whether the instance of a broken attempt has ended is looked into: at once and before
+    /// anything else if that may keep the request from others.
+    pub async fn look_into(&self, node: &Node, target: &Target, ending: Ending) {
+        if ending != Ending::Broken {
+            return;
+        }
+        if node.note_break(&self.job, target) {
+            probing::look(node, &target.id, &target.address).await;
+        } else if !node.was_looked_at(&target.id) {
+            node.note_look(&target.id);
+            node.probe(&target.id, &target.address, ProbeTask::Look);
+        }
+    }
+
     /// Gives back what [`Self::after`] took: there is no place for another attempt.
     pub fn give_up_repeat(&self, node: &Node) {
         if self.used.sent > 0 {
@@ -223,12 +244,15 @@
     ) -> Next {
         self.note(node, ending, why, 0);
         let has_time = self.left(node) > LEAST_TIME;
+        let is_held = node.held_until(self.job.fingerprint).is_some();
         let has_attempts = self.used.sent < self.job.route.attempts.max(1);
+        let may_go_on = has_time && !is_held;
         let next =
-            |has_budget| tries::next(&self.job.route, ending, self.used, has_budget, has_time);
+            |has_budget| tries::next(&self.job.route, ending, self.used, has_budget, may_go_on);
         let is_repeat = self.used.sent > 0 && next(true) == Next::Again;
         let has_budget = !is_repeat || node.take_repeat(&self.job.service);
         let lacks = match (has_time, has_attempts, has_budget) {
+            _ if is_held => HELD,
             (false, ..) => "time",
             (_, false, _) => "attempts",
             (.., false) => "budget",
@@ -242,6 +266,11 @@
 
 /// Carries one request; the answer is final.
 pub async fn run(node: &Arc<Node>, job: Job, guard: RequestGuard) -> Response<AnswerBody> {
+    // What ends whoever runs it comes back under new ids, at any node: before it is counted
+    // or sent it is asked for by what it asks.
+    if let Some(until) = node.held_until(job.fingerprint) {
+        return refuse_held(node, &job, until);
+    }
     node.count_request(&job.service);
     node.metrics.count(Metric::Requests);
     note_demand(node, &job);
@@ -255,6 +284,13 @@
                 let next = if course.used.may_have_run { Next::Unknown } else { Next::NotRun };
                 return give_up(node, &course, next);
             };
+            if let Some(until) = node.held_until(course.job.fingerprint) {
+                course.give_up_repeat(node);
+                if course.used.may_have_run {
+                    return give_up(node, &course, Next::Unknown);
+                }
+                return refuse_held(node, &course.job, until);
+            }
             if course.is_new() {
                 course.load = node.loads.of(&target.id).requests;
             }
@@ -287,6 +323,7 @@
             AttemptEvent::Events(_) => continue,
         };
         node.outliers.lock().on_failure(&target.id, node.now());
+        course.look_into(node, &target, ending).await;
         if !attempts.is_empty() {
             course.ended_beside(node, &target, (ending, why), attempts.len());
             continue;
@@ -307,7 +344,8 @@
     let under_way = attempts.len();
     let newest = attempts.newest().expect("one was begun");
     let usual = node.gaps.lock().usual(&newest.target.id).unwrap_or(newest.target.quiet_gap_ms);
-    course.patience(newest.since, first_patience(course, usual), under_way)
+    let patience = course.patience(newest.since, first_patience(course, usual), under_way);
+    Patience { waiting: Some(course.job.fingerprint), ..patience }
 }
 
 /// What is asked counts, whether it can be served or not.
@@ -327,6 +365,9 @@
 
 fn log_end(node: &Node, course: &Course, target: &Target, status: StatusCode) {
     let took = node.now().since(course.job.began);
+    if status.is_success() {
+        node.note_finished(&course.job);
+    }
     node.metrics.count(Metric::Answered);
     node.metrics.time(Metric::FirstEvent, took);
     emit(
@@ -340,6 +381,18 @@
     );
 }
 
+/// Refuses what would end whoever runs it. Nobody is invited back in a moment: until an
+/// operator lets it go it fares no better.
+fn refuse_held(node: &Node, job: &Job, until: Millis) -> Response<AnswerBody> {
+    let after = until.since(node.now()).min(COME_BACK_HELD);
+    let fingerprint = job.fingerprint.to_string();
+    let fields = [("request", &*job.id), ("fingerprint", &*fingerprint), ("why", HELD)];
+    emit(Event::RequestNotRun, &fields);
+    node.metrics.count(Metric::NotRun);
+    node.metrics.count(Metric::RequestsHeld);
+    answers::not_run("it has not run; it ends whoever begins to run it", spread(after))
+}
+
 /// The final answer of a request that is given up, at once.
 fn give_up(node: &Node, course: &Course, next: Next) -> Response<AnswerBody> {
     let is_time_up = course.left(node) <= LEAST_TIME;
--- a/crates/workshold-gateway/src/relay/attempt.rs
+++ b/crates/workshold-gateway/src/relay/attempt.rs
@@ -69,6 +69,9 @@
 /// Why an attempt ended whose request's time was up.
 pub const TIME_UP: &str = "its time was up";
 
+/// Why a request is not sent that is kept from instances.
+pub const HELD: &str = "whoever begins to run it ends";
+
 /// How an attempt failed, and why.
 pub type Failure = (Ending, &'static str);
 
@@ -109,7 +112,7 @@
     let (res, driver) = match sending.await {
         Ok(got) => got,
         Err(CallError::TimedOut { .. }) => return Err((Ending::Unknown, TIME_UP)),
-        Err(_) => return Err((Ending::Unknown, "the connection broke")),
+        Err(_) => return Err((Ending::Broken, "the connection broke")),
     };
     check_head(&job, &res)?;
     let is_stream = job.route.kind == Kind::Stream && res.status().is_success();
@@ -196,7 +199,7 @@
 async fn read_whole(res: Response<Incoming>) -> Result<Response<AnswerBody>, Failure> {
     let (mut parts, body) = res.into_parts();
     let collected = Limited::new(body, MOST_HELD).collect().await;
-    let bytes = collected.map_err(|_| (Ending::Unknown, "the answer broke off"))?.to_bytes();
+    let bytes = collected.map_err(|_| (Ending::Broken, "the answer broke off"))?.to_bytes();
     answers::strip(&mut parts.headers);
     Ok(Response::from_parts(parts, answers::whole(bytes)))
 }
@@ -216,10 +219,10 @@
                 self.ready = ready.ok_or((Ending::Unknown, "bytes that are no events"))?;
                 Ok(())
             }
-            Some(Err(_)) => Err((Ending::Unknown, "the stream broke off")),
+            Some(Err(_)) => Err((Ending::Broken, "the stream broke off")),
             // However its end is told, a stream that is whole ends with an event.
             None if self.framer.has_rest() => {
-                Err((Ending::Unknown, "the stream ended within an event"))
+                Err((Ending::Broken, "the stream ended within an event"))
             }
             None => {
                 self.is_over = true;
--- a/crates/workshold-gateway/src/relay/attempts.rs
+++ b/crates/workshold-gateway/src/relay/attempts.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::Ordering;
 
 use futures_util::future::select_all;
+use workshold_core::hosted::quarantine::BEGINS_WITHIN;
 use workshold_core::hosted::tries::Ending;
 use workshold_protocol::Millis;
 
@@ -24,6 +25,7 @@
 use crate::relay::attempt::Current;
 use crate::relay::attempt::Dispatch;
 use crate::relay::attempt::Failure;
+use crate::relay::attempt::HELD;
 use crate::relay::attempt::Opened;
 use crate::relay::attempt::TIME_UP;
 use crate::relay::watching;
@@ -44,6 +46,8 @@
     pub target: Arc<Target>,
     /// When it last said something, or began.
     pub since: Millis,
+    /// When its stream began.
+    spoke: Option<Millis>,
     is_sent: Arc<AtomicBool>,
     stage: Stage,
 }
@@ -59,14 +63,14 @@
             is_sent: Arc::clone(&is_sent),
         };
         let opening = Box::pin(attempt::open(Arc::clone(node), dispatch));
-        Self { target, since: node.now(), is_sent, stage: Stage::Opening(opening) }
+        Self { target, since: node.now(), spoke: None, is_sent, stage: Stage::Opening(opening) }
     }
 
     /// One whose answer streams.
     pub fn streaming(current: Current, now: Millis) -> Self {
         let target = Arc::clone(&current.target);
         let is_sent = Arc::new(AtomicBool::new(true));
-        Self { target, since: now, is_sent, stage: Stage::Streaming(current) }
+        Self { target, since: now, spoke: Some(now), is_sent, stage: Stage::Streaming(current) }
     }
 
     /// The stream, if its answer streams.
@@ -94,6 +98,13 @@
         Ok(None)
     }
 
+    /// How it has failed: one that has long been running did not end its instance by
+    /// beginning to run.
+    fn failed(&self, (ending, why): Failure, now: Millis) -> Failure {
+        let is_through = self.spoke.is_some_and(|spoke| now.since(spoke) > BEGINS_WITHIN);
+        if ending == Ending::Broken && is_through { (Ending::Unknown, why) } else { (ending, why) }
+    }
+
     /// How it ended if it is given up now.
     fn given_up(&self) -> Ending {
         if self.is_sent.load(Ordering::Relaxed) { Ending::Unknown } else { Ending::NotSent }
@@ -157,7 +168,7 @@
         };
         let (word, place) = match first {
             Ok(first) => first,
-            Err(doubt) => return self.on_doubt(doubt),
+            Err(doubt) => return self.on_doubt(doubt, node.now()),
         };
         match word {
             Ok(None) => {
@@ -171,21 +182,26 @@
                 self.older = place;
                 AttemptEvent::Opened(self.live.remove(place).target, opened)
             }
-            Err(failure) => AttemptEvent::Failed(self.live.remove(place).target, failure),
-        }
-    }
-
-    fn on_doubt(&mut self, doubt: WaitOver) -> AttemptEvent {
-        match doubt {
-            WaitOver::Suspect(why) => AttemptEvent::Suspect(why),
-            WaitOver::TimeUp => self.give_up_newest(TIME_UP),
-            WaitOver::Ended => self.give_up_newest("its instance has begun anew"),
+            Err(failure) => {
+                let failed = self.live.remove(place);
+                let failure = failed.failed(failure, node.now());
+                AttemptEvent::Failed(failed.target, failure)
+            }
         }
     }
 
-    fn give_up_newest(&mut self, why: &'static str) -> AttemptEvent {
+    fn on_doubt(&mut self, doubt: WaitOver, now: Millis) -> AttemptEvent {
+        let (why, is_broken) = match doubt {
+            WaitOver::Suspect(why) => return AttemptEvent::Suspect(why),
+            WaitOver::TimeUp => (TIME_UP, false),
+            WaitOver::Held => (HELD, false),
+            WaitOver::Ended => ("its instance has begun anew", true),
+        };
         let newest = self.live.pop().expect("somebody was waited for");
-        let ending = newest.given_up();
+        let ending = match newest.given_up() {
+            Ending::Unknown if is_broken => newest.failed((Ending::Broken, why), now).0,
+            ending => ending,
+        };
         AttemptEvent::Failed(newest.target, (ending, why))
     }
 
--- a/crates/workshold-gateway/src/relay/stream.rs
+++ b/crates/workshold-gateway/src/relay/stream.rs
@@ -126,9 +126,12 @@
             }
             AttemptEvent::Opened(_, Opened::Stream(begun)) => self.move_to(begun.1),
             AttemptEvent::Opened(target, Opened::Whole(_)) => {
-                return self.on_failure(&target, (Ending::Failed, "an answer that is no stream"));
+                let failure = (Ending::Failed, "an answer that is no stream");
+                return self.on_failure(&target, failure).await;
+            }
+            AttemptEvent::Failed(target, failure) => {
+                return self.on_failure(&target, failure).await;
             }
-            AttemptEvent::Failed(target, failure) => return self.on_failure(&target, failure),
             AttemptEvent::Suspect(why) => {
                 self.course.begin_beside(&self.node, &mut self.attempts, self.last, why);
             }
@@ -148,7 +151,8 @@
         } else {
             (rules.look_after(usual, goal), rules.move_after(usual, goal))
         };
-        self.course.patience(since, after, under_way)
+        let waiting = newest.is_opening().then_some(self.course.job.fingerprint);
+        Patience { waiting, ..self.course.patience(since, after, under_way) }
     }
 
     /// Takes what the only attempt has brought; how long its first events took says
@@ -196,8 +200,9 @@
     }
 
     /// Others may still speak; if there are none, it goes on elsewhere, or is cut.
-    fn on_failure(&mut self, target: &Target, (ending, why): Failure) -> Result<(), Cut> {
+    async fn on_failure(&mut self, target: &Target, (ending, why): Failure) -> Result<(), Cut> {
         self.node.outliers.lock().on_failure(&target.id, self.node.now());
+        self.course.look_into(&self.node, target, ending).await;
         if !self.attempts.is_empty() {
             let others = self.attempts.len();
             self.course.ended_beside(&self.node, target, (ending, why), others);
@@ -250,6 +255,9 @@
         let job = &self.course.job;
         let now = self.node.now();
         self.note_length(now);
+        if self.events > 0 {
+            self.node.note_finished(job);
+        }
         emit(
             Event::RequestEnded,
             &[
--- a/crates/workshold-gateway/src/relay/watching.rs
+++ b/crates/workshold-gateway/src/relay/watching.rs
@@ -1,6 +1,7 @@
 //! An eye on whether an upstream is still there, while its answer is waited for.
 
 use futures_util::future::join_all;
+use workshold_core::hosted::fingerprint::Fingerprint;
 use workshold_protocol::Millis;
 
 use crate::node::Node;
@@ -12,6 +13,8 @@
 pub enum WaitOver {
     /// The request's time is up.
     TimeUp,
+    /// It must not run: it is kept from instances from now on.
+    Held,
     /// It will not: another life of the instance has begun.
     Ended,
     /// It may not come: the instance, or one that it depends on, is out of reach, or has
@@ -34,6 +37,8 @@
     pub held_until: Millis,
     /// When the request's time is up.
     pub ends: Millis,
+    /// What it asks, as long as it may not have begun to run.
+    pub waiting: Option<Fingerprint>,
 }
 
 /// How often an instance that answers but says nothing is looked into again, and how
@@ -64,6 +69,10 @@
         if now >= ends {
             return WaitOver::TimeUp;
         }
+        // Unread in an instance's queue it can still be called back.
+        if patience.waiting.is_some_and(|fingerprint| node.held_until(fingerprint).is_some()) {
+            return WaitOver::Held;
+        }
         let ended_at = node.is_superseded(target).then_some(patience.since + LAST_WORDS);
         if ended_at.is_some_and(|at| now >= at) {
             return WaitOver::Ended;
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -12,6 +12,7 @@
 use rand::Rng;
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
+use workshold_core::hosted::quarantine::Known;
 use workshold_core::hosted::suspicion::Reach;
 use workshold_http::client;
 use workshold_platform::config;
@@ -30,6 +31,7 @@
 use crate::peers::Pulse;
 use crate::peers::Scope;
 use crate::peers::ToldLoad;
+use crate::peers::ToldRequest;
 use crate::peers::ToldWork;
 use crate::peers::VERSION;
 use crate::tasks::following;
@@ -51,6 +53,9 @@
 const FETCH_EVERY: Duration = Duration::from_millis(200);
 /// Others' loads are summed up anew so many times between two pulses, however many come.
 const LOADS_SUMMED: u64 = 5;
+/// Requests that ended whoever ran them, in one pulse: those that were beside the one that
+/// ended an instance are told of once and cleared, so that what matters most goes first.
+const MOST_REQUESTS: usize = 16;
 /// The largest datagram that is read.
 const MOST_BYTES: usize = 8 * 1024;
 /// How often a node looks whether a peer knows more.
@@ -165,9 +170,16 @@
         work: work.iter().map(|(model, work)| ToldWork::new(model, *work)).collect(),
         seen_percent: (seen_part * 100.0) as u8,
         loads: told_loads(node),
+        requests: told_requests(node),
     }
 }
 
+fn told_requests(node: &Node) -> Vec<ToldRequest> {
+    let now = node.now();
+    let told = node.quarantine.lock().to_tell(MOST_REQUESTS, now);
+    told.iter().map(|known| ToldRequest::new(known, now)).collect()
+}
+
 /// Nothing else is locked beside the gaps: whoever takes pulses locks the list first.
 fn told_loads(node: &Node) -> Vec<ToldLoad> {
     let loads = node.loads.all_own();
@@ -257,6 +269,10 @@
     if let Some((next, age)) = said.list {
         confirm_list(node, next, now - Millis(age) - ON_THE_WAY);
     }
+    if !said.requests.is_empty() {
+        let told: Vec<Known> = said.requests.iter().map(|told| told.known(now)).collect();
+        node.hear_of_requests(&told);
+    }
 }
 
 /// A relay passes on at once what others wait for.
--- /dev/null
+++ b/crates/workshold-gateway/src/tasks/quarantining.rs
@@ -0,0 +1,124 @@
+//! Keeping in the store which requests end whoever begins to run them: nodes have no disk,
+//! and all of them may be killed together.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use workshold_core::hosted::fingerprint::Fingerprint;
+use workshold_core::hosted::quarantine::End;
+use workshold_core::hosted::quarantine::Known;
+use workshold_core::hosted::quarantine::Subject;
+use workshold_platform::names;
+use workshold_platform::store::Record;
+use workshold_platform::store::StoreError;
+use workshold_protocol::Millis;
+
+use crate::events::Event;
+use crate::events::emit;
+use crate::node::Node;
+
+/// Time for the store's answer.
+const ANSWER_TIME: Millis = Millis(700);
+/// After a call that failed.
+const RETRY: Duration = Duration::from_millis(300);
+/// The same for a node that serves meanwhile.
+const READ_LATER: Duration = Duration::from_millis(1_500);
+/// A node that starts serves without the store's word after this, if the store is away: its
+/// peers tell it what they know within as much.
+const STARTS_WITHIN: Millis = Millis(2_500);
+
+/// What the store keeps of a request; times are those of the day.
+#[derive(Debug, Serialize, Deserialize)]
+struct Kept {
+    caller: u32,
+    cleared_at: Option<u64>,
+    ends: Vec<(u64, u32, u64)>,
+}
+
+/// Reads what is kept before the node serves, and keeps what it learns, until it ends.
+pub async fn run(node: Arc<Node>) {
+    let mut has_read = node.is_quarantine_read();
+    while !has_read && node.age() < STARTS_WITHIN {
+        has_read = read(&node).await;
+    }
+    node.quarantine_read();
+    loop {
+        tokio::select! {
+            () = node.keep_wanted.notified() => keep(&node).await,
+            () = tokio::time::sleep(READ_LATER), if !has_read => has_read = read(&node).await,
+        }
+    }
+}
+
+/// Reads what is kept; whether the store answered.
+async fn read(node: &Node) -> bool {
+    let read = try_read(node).await;
+    if let Err(err) = &read {
+        log_failure(err);
+        tokio::time::sleep(RETRY).await;
+    }
+    read.is_ok()
+}
+
+async fn keep(node: &Node) {
+    let known = node.quarantine.lock().to_keep();
+    if known.is_empty() {
+        return;
+    }
+    let records: Vec<(String, Vec<u8>)> = known.iter().map(|known| encode(node, known)).collect();
+    let topic = names::QUARANTINE_TOPIC;
+    if let Err(err) = node.store.append(topic, &records, ANSWER_TIME).await {
+        log_failure(&err);
+        node.quarantine.lock().keep_again(&known);
+        tokio::time::sleep(RETRY).await;
+        node.keep_wanted.notify_one();
+    }
+}
+
+async fn try_read(node: &Node) -> Result<(), StoreError> {
+    let sent = node.now();
+    let kept = node.store.newest(names::QUARANTINE_TOPIC, ANSWER_TIME).await?;
+    node.store_answered(sent);
+    let known: Vec<Known> = kept.records.iter().filter_map(|record| decode(node, record)).collect();
+    node.hear_of_requests(&known);
+    Ok(())
+}
+
+fn log_failure(err: &StoreError) {
+    emit(Event::QuarantineNotKept, &[("why", &err.to_string())]);
+}
+
+/// Its key and value; what is cleared needs none.
+fn encode(node: &Node, known: &Known) -> (String, Vec<u8>) {
+    let key = known.subject.fingerprint.to_string();
+    let is_cleared = known.ends.iter().all(|end| known.cleared.is_some_and(|at| at >= end.at));
+    if is_cleared {
+        return (key, Vec::new());
+    }
+    let (now, today) = (node.now(), node.wall());
+    let of_day = |at: Millis| (today - now.since(at)).0;
+    let kept = Kept {
+        caller: known.subject.caller,
+        cleared_at: known.cleared.map(of_day),
+        ends: known.ends.iter().map(|end| (end.life, end.place, of_day(end.at))).collect(),
+    };
+    (key, serde_json::to_vec(&kept).expect("it has only plain fields"))
+}
+
+/// What cannot be read is passed over: it says nothing.
+fn decode(node: &Node, record: &Record) -> Option<Known> {
+    let fingerprint = Fingerprint::parse(&record.key).ok()?;
+    let kept: Kept = serde_json::from_slice(&record.value).ok()?;
+    let (now, today) = (node.now(), node.wall());
+    let at = |of_day: u64| now - today.since(Millis(of_day));
+    let ends = kept.ends.iter();
+    let ends =
+        ends.map(|(life, place, of_day)| End { life: *life, place: *place, at: at(*of_day) });
+    Some(Known {
+        subject: Subject { fingerprint, caller: kept.caller },
+        ends: ends.collect(),
+        cleared: kept.cleared_at.map(at),
+    })
+}
--- a/crates/workshold-gateway/tests/common/mod.rs
+++ b/crates/workshold-gateway/tests/common/mod.rs
@@ -88,5 +88,6 @@
         work: Vec::new(),
         seen_percent: 100,
         loads: Vec::new(),
+        requests: Vec::new(),
     }
 }
--- a/crates/workshold-gateway/tests/exchange.rs
+++ b/crates/workshold-gateway/tests/exchange.rs
@@ -117,6 +117,7 @@
             work: Vec::new(),
             seen_percent: 100,
             loads,
+            requests: Vec::new(),
         }
     }
 
--- a/crates/workshold-gateway/tests/peers.rs
+++ b/crates/workshold-gateway/tests/peers.rs
@@ -38,6 +38,7 @@
         work: vec![ToldWork::new("m0", WORK)],
         seen_percent: 100,
         loads,
+        requests: Vec::new(),
     }
 }
 
--- a/crates/workshold-gateway/tests/relay.rs
+++ b/crates/workshold-gateway/tests/relay.rs
@@ -213,6 +213,7 @@
             headers: HeaderMap::new(),
             body: Bytes::new(),
             fingerprint: Fingerprint::of(Some("t-1"), "/chat/x", b""),
+            caller: 0,
             model: Some(SmolStr::new("m1")),
             prompt_tokens: 100.0,
             last_event: None,
