--- a/crates/workshold-core/tests/hosted.rs
+++ b/crates/workshold-core/tests/hosted.rs
@@ -6,6 +6,8 @@
 mod planned_anew;
 #[path = "hosted/planning.rs"]
 mod planning;
+#[path = "hosted/quarantine.rs"]
+mod quarantine;
 #[path = "hosted/requests.rs"]
 mod requests;
 #[path = "hosted/sharing.rs"]
