Ages count from when nothing waited, and the clock counts a machine's sleep

Cause: the steady clock stands still while a machine is suspended, and datagrams that waited in the socket were reckoned from the moment of reading: after five seconds keys, leases and lists looked five seconds younger than they are. The process clock now goes by time since boot (through rustix), whoever receives notes when no datagram waited and counts ages from there, a fetched list counts from when it was asked for, and waits ask the clock again each second. Ruled out: the kernel's time stamps of datagrams (the time of day, which jumps). Left: timers of the runtime themselves do not count sleep; what they wake asks the clock.

--- a/crates/workshold-gateway/src/relay/watching.rs
+++ b/crates/workshold-gateway/src/relay/watching.rs
@@ -44,6 +44,8 @@
 /// How often an instance that answers but says nothing is looked into again, and how
 /// soon doubt is told again from which nothing followed.
 pub const LOOK_AGAIN: Millis = Millis(250);
+/// The clock is asked again this soon: timers do not count what the machine sleeps.
+const LOOKS_UP: Millis = Millis(1_000);
 /// A final answer leaves this early, so that it arrives in time.
 const ANSWER_LEAD: Millis = Millis(15);
 /// What an instance said before it began anew has come by now.
@@ -93,7 +95,7 @@
         tokio::select! {
             biased;
             _ = changed.changed() => {}
-            () = tokio::time::sleep(wake_at.since(now).to_duration()) => {}
+            () = tokio::time::sleep(wake_at.since(now).min(LOOKS_UP).to_duration()) => {}
         }
     }
 }
--- a/crates/workshold-gateway/src/tasks/following.rs
+++ b/crates/workshold-gateway/src/tasks/following.rs
@@ -296,13 +296,14 @@
 /// Waiting reads answer at least this often.
 const STORE_LOST_AFTER: Millis = Millis(3_000);
 
-/// Takes records that a peer has read; whether they follow on what this node has.
-pub fn take_news(node: &Node, from_peer: &ListNews) -> bool {
+/// Takes records that a peer has read, told after `since`; whether they follow on what this
+/// node has.
+pub fn take_news(node: &Node, from_peer: &ListNews, since: Millis) -> bool {
     let next = node.list.lock().next;
     if next.unwrap_or_default() < from_peer.from {
         return false;
     }
-    let sent = node.now() - Millis(from_peer.age_ms);
+    let sent = since - Millis(from_peer.age_ms);
     let records: Vec<Record> = from_peer
         .records
         .iter()
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -58,6 +58,9 @@
 const MOST_REQUESTS: usize = 16;
 /// The largest datagram that is read.
 const MOST_BYTES: usize = 8 * 1024;
+/// How often a node sees that no datagram waits, if none comes: what comes then looks older
+/// than it is by up to this, a fraction of what keys are believed for.
+const LOOK_FOR_WAITING: Duration = Duration::from_millis(100);
 /// How often a node looks whether a peer knows more.
 const CATCH_UP_EVERY: Duration = Duration::from_millis(300);
 /// A list older than this is fetched from a peer: longer than a waiting read.
@@ -194,29 +197,42 @@
 }
 
 /// Takes datagrams until the node ends.
+///
+/// When one came is not known, only when nothing waited: a node that stood still, or whose
+/// machine slept, reads afterwards what came meanwhile, and the ages in it have grown by
+/// up to that. Without this a key that was taken away is believed for as much longer.
 pub async fn receive(node: Arc<Node>, socket: Arc<UdpSocket>) {
     let mut buf = vec![0; MOST_BYTES];
+    let mut none_waited = node.now();
     loop {
-        let Ok((len, from)) = socket.recv_from(&mut buf).await else {
+        let looked = node.now();
+        match socket.try_recv_from(&mut buf) {
+            Ok((len, from)) => {
+                let Ok(datagram) = postcard::from_bytes::<Datagram>(&buf[..len]) else { continue };
+                if datagram.version == VERSION
+                    && let Some(answer) = take(&node, from, datagram, none_waited)
+                {
+                    send(&node, &socket, &[from], answer).await;
+                }
+            }
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => {
+                none_waited = looked;
+                // Whoever is not woken by a datagram looks again all the same.
+                let _ = tokio::time::timeout(LOOK_FOR_WAITING, socket.readable()).await;
+            }
             // The machine reports a refused datagram of ours here.
-            continue;
-        };
-        let Ok(datagram) = postcard::from_bytes::<Datagram>(&buf[..len]) else { continue };
-        if datagram.version == VERSION
-            && let Some(answer) = take(&node, from, datagram)
-        {
-            send(&node, &socket, &[from], answer).await;
+            Err(_) => tokio::task::yield_now().await,
         }
     }
 }
 
-/// Takes a datagram; says what is answered, if anything is.
-fn take(node: &Node, from: SocketAddr, datagram: Datagram) -> Option<Message> {
+/// Takes a datagram that came after `since`; says what is answered, if anything is.
+fn take(node: &Node, from: SocketAddr, datagram: Datagram, since: Millis) -> Option<Message> {
     match datagram.message {
-        Message::Pulse(pulse) => return take_pulse(node, from, datagram.from, pulse),
-        Message::Digest(digest) => take_digest(node, from, datagram.from, *digest),
+        Message::Pulse(pulse) => return take_pulse(node, from, datagram.from, pulse, since),
+        Message::Digest(digest) => take_digest(node, from, datagram.from, *digest, since),
         Message::News(news) => {
-            if !following::take_news(node, &news) {
+            if !following::take_news(node, &news, since) {
                 node.catch_up_wanted.notify_one();
             }
         }
@@ -227,9 +243,15 @@
     None
 }
 
-fn take_pulse(node: &Node, from: SocketAddr, name: SmolStr, said: Pulse) -> Option<Message> {
+fn take_pulse(
+    node: &Node,
+    from: SocketAddr,
+    name: SmolStr,
+    said: Pulse,
+    since: Millis,
+) -> Option<Message> {
     let now = node.now();
-    take_statement(node, &said);
+    take_statement(node, &said, since);
     hear_of_lease(node, said.acts_by);
     take_gaps(node, &said.loads);
     let seeks = said.seeks.then(|| said.data_centre.clone());
@@ -245,8 +267,8 @@
     Some(peers.answer(&own, &own_pulse, &data_centre, now))
 }
 
-fn take_digest(node: &Node, from: SocketAddr, name: SmolStr, digest: Digest) {
-    take_statement(node, &digest.own);
+fn take_digest(node: &Node, from: SocketAddr, name: SmolStr, digest: Digest, since: Millis) {
+    take_statement(node, &digest.own, since);
     take_gaps(node, &digest.loads);
     let settings = node.settings();
     let own = settings.own();
@@ -258,16 +280,17 @@
     sum_loads(node, is_of_some);
 }
 
-/// What a node says of the configuration and the list that it holds.
-fn take_statement(node: &Node, said: &Pulse) {
+/// What a node says, in a datagram that came after `since`, of the configuration and the
+/// list that it holds.
+fn take_statement(node: &Node, said: &Pulse, since: Millis) {
     let now = node.now();
     if let Some((version, age)) = said.config
-        && node.confirm_config(version, now - Millis(age) - ON_THE_WAY)
+        && node.confirm_config(version, since - Millis(age) - ON_THE_WAY)
     {
         node.catch_up_wanted.notify_one();
     }
     if let Some((next, age)) = said.list {
-        confirm_list(node, next, now - Millis(age) - ON_THE_WAY);
+        confirm_list(node, next, since - Millis(age) - ON_THE_WAY);
     }
     if !said.requests.is_empty() {
         let told: Vec<Known> = said.requests.iter().map(|told| told.known(now)).collect();
@@ -437,9 +460,10 @@
 async fn fetch_list(node: &Node, peer: SocketAddr) {
     let from = node.list.lock().next.unwrap_or_default();
     let path = format!("{LIST_PATH}?from={from}");
+    let sent = node.now();
     let Some(bytes) = fetch(peer, &path).await else { return };
     let Ok(news) = postcard::from_bytes::<ListNews>(&bytes) else { return };
-    following::take_news(node, &news);
+    following::take_news(node, &news, sent);
 }
 
 async fn fetch(peer: SocketAddr, path: &str) -> Option<Bytes> {
--- a/crates/workshold-gateway/tests/lives.rs
+++ b/crates/workshold-gateway/tests/lives.rs
@@ -46,7 +46,7 @@
             vec![ListRecord { offset: self.next, key: SmolStr::new(key), value: value.into() }];
         let news = ListNews { from: self.next, next: self.next + 1, age_ms: 0, records };
         self.next += 1;
-        assert!(following::take_news(&self.node, &news));
+        assert!(following::take_news(&self.node, &news, self.node.now()));
     }
 
     fn state(&mut self, key: &str, entry: &Value) {
@@ -190,6 +190,6 @@
     scene.write("i-1", b"?".to_vec());
     let mut other = Scene::new();
     other.state("i-1", &gate(FIRST, "10.0.0.1:80"));
-    following::take_news(&other.node, &following::news(&scene.node, 0));
+    following::take_news(&other.node, &following::news(&scene.node, 0), other.node.now());
     assert!(other.gates().is_empty());
 }
--- a/crates/workshold-gateway/tests/sleep.rs
+++ b/crates/workshold-gateway/tests/sleep.rs
@@ -39,7 +39,7 @@
     let catalog = config::decode(text.as_bytes()).unwrap();
     node.take_config(catalog, text.into(), node.now());
     let news = ListNews { from: 0, next: 4, age_ms: 0, records: Vec::new() };
-    workshold_gateway::tasks::following::take_news(&node, &news);
+    workshold_gateway::tasks::following::take_news(&node, &news, node.now());
     let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
     let address = socket.local_addr().unwrap();
     tokio::spawn(gossip::receive(Arc::clone(&node), socket));
--- a/crates/workshold-protocol/src/clock.rs
+++ b/crates/workshold-protocol/src/clock.rs
@@ -4,10 +4,11 @@
 use std::ops::Add;
 use std::ops::Sub;
 use std::time::Duration;
-use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -76,10 +77,11 @@
     fn wall(&self) -> Millis;
 }
 
-/// The machine's own clocks.
+/// The machine's own clocks. Time while the machine sleeps counts: a lease or a key that
+/// is good for seconds is not good for longer because nobody was awake.
 #[derive(Debug)]
 pub struct SystemClock {
-    start: Instant,
+    start: Duration,
 }
 
 /// Added to the process clock, so that `now - ttl` never meets zero.
@@ -87,13 +89,20 @@
 
 impl Default for SystemClock {
     fn default() -> Self {
-        Self { start: Instant::now() }
+        Self { start: since_boot() }
     }
 }
 
+/// Time since the machine began, its sleep included; it never goes back.
+pub fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(u64::try_from(time.tv_sec).unwrap_or_default(), nanos)
+}
+
 impl Clock for SystemClock {
     fn now(&self) -> Millis {
-        CLOCK_BASE + Millis(self.start.elapsed().as_millis() as u64)
+        CLOCK_BASE + Millis(since_boot().saturating_sub(self.start).as_millis() as u64)
     }
 
     fn wall(&self) -> Millis {
--- /dev/null
+++ b/crates/workshold-protocol/tests/clock.rs
@@ -0,0 +1,36 @@
+//! The clock that leases, keys and time limits go by.
+
+use std::fs;
+use std::time::Duration;
+
+use workshold_protocol::Clock;
+use workshold_protocol::Millis;
+use workshold_protocol::clock;
+use workshold_protocol::clock::SystemClock;
+
+/// The machine's own word, in hundredths of a second; its sleep is counted in it.
+fn uptime() -> Duration {
+    let text = fs::read_to_string("/proc/uptime").unwrap();
+    Duration::from_secs_f64(text.split(' ').next().unwrap().parse().unwrap())
+}
+
+#[test]
+fn the_clock_counts_what_the_machine_has_slept() {
+    let before = uptime();
+    let now = clock::since_boot();
+    let after = uptime();
+    // The word is cut to hundredths.
+    assert!(
+        before <= now && now <= after + Duration::from_millis(10),
+        "{before:?} {now:?} {after:?}"
+    );
+}
+
+#[test]
+fn the_clock_goes_on_and_never_back() {
+    let clock = SystemClock::default();
+    let first = clock.now();
+    std::thread::sleep(Duration::from_millis(20));
+    let passed = clock.now().since(first);
+    assert!(passed >= Millis(20), "{passed}");
+}
