A refusal proves no end: members of a head wait for its entry to lapse, or for its next life

Cause: when this node and one more were refused and nobody was answered, a head counted as ended although the list had it; where all nodes are behind the same refusing path, its members were given to other groups while it was open. Ruled out as faster proofs: that connections broke (paths reset too), the members' own word (they notice nothing), a leave ordered at a member and the time until its head breaks (six seconds, and it harms a head that lives).

--- a/crates/workshold-core/src/hosted/steward/situation.rs
+++ b/crates/workshold-core/src/hosted/steward/situation.rs
@@ -102,9 +102,10 @@
         self.is_lost(id) && self.doubted_for(id) >= ALL_ARE_ASKED
     }
 
-    /// Whether an instance is gone for sure: its process has ended, or neither the
-    /// platform nor any of several nodes hears of it. A head that is only out of our
-    /// reach may still serve, and its members are not free.
+    /// Whether an instance is gone for sure: another life has begun at its id, or neither
+    /// the platform nor any of several nodes hears of it. A head that is only out of our
+    /// reach, silent or refused, may still serve, and its members are not free: its entry
+    /// lapses only once it has missed its check-ins.
     pub(super) fn is_gone(&self, id: &Identity) -> bool {
         let loss = (self.loss)(id);
         if loss > Loss::None && self.doubted_for(id) < ALL_ARE_ASKED {
--- a/crates/workshold-core/src/hosted/suspicion.rs
+++ b/crates/workshold-core/src/hosted/suspicion.rs
@@ -1,8 +1,10 @@
 //! Which instances cannot be reached, by this node's and its peers' own tries.
 //!
 //! The list is seconds late. A try to connect is not: an instance that is well
-//! answers within a few milliseconds, one without power says nothing, and one
-//! whose process is gone refuses.
+//! answers within a few milliseconds, one without power says nothing, and where
+//! its process is gone its machine refuses. So may whatever stands on the path to
+//! it, for all nodes at once: requests go elsewhere at once by either sign, but what
+//! an instance holds is given to others only by a proof that it cannot serve.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -17,7 +19,7 @@
     Answers,
     /// It says nothing.
     Silent,
-    /// Nothing listens there any more: this life of it has ended.
+    /// Nothing listens there any more, or its path refuses.
     Refused,
 }
 
@@ -46,7 +48,6 @@
     /// Who was asked and reaches it: then only some paths to it are cut.
     answered: BTreeSet<SmolStr>,
     own: bool,
-    was_refused: bool,
     /// Another life has begun at its id.
     is_over: bool,
     /// This node is not one of those that try it, and goes by what they say.
@@ -79,7 +80,7 @@
     Doubted,
     /// This node and another, or all that are asked, cannot reach it.
     Confirmed,
-    /// The same, and its machine says that nothing listens there any more.
+    /// Another life has begun at its id.
     Ended,
 }
 
@@ -113,7 +114,6 @@
         }
         self.entry(id, now).take(now, |doubt| {
             doubt.own = true;
-            doubt.was_refused |= reach == Reach::Refused;
         });
     }
 
@@ -159,7 +159,8 @@
         if !doubt.own || !is_agreed || !doubt.answered.is_empty() {
             return Loss::Doubted;
         }
-        if doubt.was_refused { Loss::Ended } else { Loss::Confirmed }
+        // A refusal may be the path's, and all nodes may be behind it: it proves no end.
+        Loss::Confirmed
     }
 
     /// Since when nobody reaches it, or there is doubt whether anybody does.
@@ -216,7 +217,6 @@
             seen_by: BTreeSet::new(),
             answered: BTreeSet::new(),
             own: false,
-            was_refused: false,
             is_over: false,
             by_word: false,
         })
