--- a/crates/workshold-core/tests/hosted/sight.rs
+++ b/crates/workshold-core/tests/hosted/sight.rs
@@ -128,7 +128,8 @@
 /// reached the head, and half a second later its members joined others, while the list still
 /// had it. Cause: a refusal counted as the word of the instance's machine that its process is
 /// gone; whatever stands on the path can say that too, and to all nodes that are behind it.
-/// What proves it: the head went on to check in with the list, and served its fellows.
+/// What proves it: the same life of that head answered requests again once the paths were
+/// back.
 #[test]
 fn a_refused_connection_is_no_end_of_a_life_whoever_meets_it() {
     let mut suspicions = Suspicions::default();
