--- a/crates/workshold-model/src/lib.rs
+++ b/crates/workshold-model/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod bundles;
 pub mod checker;
+pub mod ending;
 pub mod groups;
 pub mod hosted;
 pub mod mutation;
