Soak: a request that ends whoever begins to run it, asked at all nodes beside all faults

A caller of its own asks every 0.3 s; engines that end refuse at once and come back as another life. New promise, judged by what instances ran: three seconds after the third end it is sent on three times at most.

--- a/crates/workshold-gateway/tests/soak.rs
+++ b/crates/workshold-gateway/tests/soak.rs
@@ -32,19 +32,35 @@
     play("planned", 302, Duration::ZERO, Duration::from_secs(8), false).await;
 }
 
+/// Nodes are killed, cut off and frozen beside it, and what they know with them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_ends_whoever_runs_it_is_soon_kept_from_all() {
+    let options = options("ending", Duration::from_secs(8), Duration::ZERO, false);
+    play_with(Options { ends_runners: true, ..options }, 11).await;
+}
+
 async fn play(name: &str, seed: u64, length: Duration, planned: Duration, new_lives: bool) {
+    play_with(options(name, length, planned, new_lives), seed).await;
+}
+
+fn options(name: &str, length: Duration, planned: Duration, new_lives: bool) -> Options {
     let folder = format!("workshold-soak-test-{name}-{}", std::process::id());
     let folder = std::env::temp_dir().join(folder);
-    let options = Options {
+    Options {
         binary: PathBuf::from(env!("CARGO_BIN_EXE_workshold-gateway")),
-        folder: folder.clone(),
+        folder,
         size: Size { nodes: 3, domains: 2, engines: 5, group: 2, gates: 3 },
         callers: 6,
         length,
         new_lives,
+        ends_runners: false,
         planned,
         recovers_within: RECOVERS_WITHIN,
-    };
+    }
+}
+
+async fn play_with(options: Options, seed: u64) {
+    let folder = options.folder.clone();
     let verdict = run::play(&options, seed).await.unwrap();
     let told: Vec<String> = verdict.breaches.iter().map(ToString::to_string).collect();
     assert_eq!(told, Vec::<String>::new(), "logs are in {}", folder.display());
--- a/crates/workshold-soak/src/callers.rs
+++ b/crates/workshold-soak/src/callers.rs
@@ -12,6 +12,7 @@
 use rand_chacha::ChaCha8Rng;
 use workshold_platform_standin::caller;
 use workshold_platform_standin::caller::Failure;
+use workshold_platform_standin::instance::ENDS_ITS_RUNNER;
 
 use crate::fleet::Fleet;
 
@@ -95,6 +96,12 @@
     is_over: Mutex<bool>,
 }
 
+/// Ids of requests that end whoever runs them begin with this.
+pub const ENDING_IDS: &str = "ends-";
+const ENDING_PATH: &str = "/chat/ending";
+/// How often such a request is asked, and the number that its caller draws by.
+const ENDING_EVERY: Duration = Duration::from_millis(300);
+const ENDING: u64 = 999;
 /// Pause of a caller between two requests, in milliseconds.
 const PAUSE_MS: (u64, u64) = (20, 120);
 /// How long addresses are used before they are asked for again.
@@ -162,6 +169,25 @@
         }
     }
 
+    /// Asks for what ends whoever runs it, at any node, until the end.
+    pub async fn ask_for_ends(self: Arc<Self>, seed: u64) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(ENDING));
+        for count in 0.. {
+            tokio::time::sleep(ENDING_EVERY).await;
+            if *self.is_over.lock() {
+                return;
+            }
+            let door = { self.doors.lock().choose(&mut rng).copied() };
+            let (Some(door), Some(key)) = (door, self.fleet.keys().pop()) else { continue };
+            let id = format!("{ENDING_IDS}{seed}-{count}");
+            let sent = Instant::now();
+            let req = caller::request_with(&id, ENDING_PATH, &key.text, ENDS_ITS_RUNNER);
+            // Whatever comes back: what counts is where it ran.
+            let _ = caller::send(door.callers, req).await;
+            self.note_probe(id, Asked::Chat, &key.text, sent);
+        }
+    }
+
     async fn resolve(&self, rng: &mut ChaCha8Rng) -> Vec<SocketAddr> {
         let door = { self.doors.lock().choose(rng).copied() };
         let Some(door) = door else { return Vec::new() };
--- a/crates/workshold-soak/src/fleet.rs
+++ b/crates/workshold-soak/src/fleet.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use parking_lot::Mutex;
+use tokio::task::JoinHandle;
 use workshold_platform_standin::deployment::config_with;
 use workshold_platform_standin::instance::Identity;
 use workshold_platform_standin::instance::Manner;
@@ -31,6 +32,9 @@
 const CLOCK_BACK_MS: u64 = 3_000;
 const LATE_WORDS: usize = 3;
 const LATE_BY: Duration = Duration::from_millis(300);
+/// How often it is looked whether engines have ended, and when they come back.
+const ENDED_LOOK: Duration = Duration::from_millis(10);
+const ENDED_FOR: Duration = Duration::from_millis(4_000);
 /// How often an instance looks whether its entry says what it does.
 const CHECKS_IN: Duration = Duration::from_millis(1_200);
 
@@ -198,6 +202,26 @@
         crashes.join_all().await;
     }
 
+    /// Engines that a request has ended refuse connections at once, as any process that is
+    /// gone, and come back as another life; until this is given up.
+    pub async fn replace_ended(self: Arc<Self>) {
+        let mut coming_back = BTreeMap::new();
+        loop {
+            tokio::time::sleep(ENDED_LOOK).await;
+            coming_back.retain(|_, task: &mut JoinHandle<()>| !task.is_finished());
+            for i in (0..self.engines).filter(|i| !coming_back.contains_key(i)).collect::<Vec<_>>()
+            {
+                let seat = self.engine(i);
+                let has_ended = seat.try_lock().is_ok_and(|seat| seat.instance.has_ended());
+                if has_ended {
+                    let fleet = Arc::clone(&self);
+                    let task = tokio::spawn(async move { fleet.crash(seat, ENDED_FOR).await });
+                    coming_back.insert(i, task);
+                }
+            }
+        }
+    }
+
     async fn crash(&self, seat: Arc<tokio::sync::Mutex<Seat>>, lasts: Duration) {
         let mut seat = seat.lock().await;
         seat.instance.crash();
--- a/crates/workshold-soak/src/judge.rs
+++ b/crates/workshold-soak/src/judge.rs
@@ -12,6 +12,7 @@
 use workshold_platform_standin::witness::Run;
 
 use crate::callers::Asked;
+use crate::callers::ENDING_IDS;
 use crate::callers::Outcome;
 use crate::callers::Seen;
 use crate::fleet::Key;
@@ -48,6 +49,8 @@
     WithinMemory,
     /// work whose caller is gone ends
     EndsAbandoned,
+    /// what ends whoever begins to run it is soon kept from all
+    EndsFew,
 }
 
 /// A promise that was broken, and how.
@@ -91,6 +94,11 @@
 /// Who is leaving gets nothing new after this: the bound and a second for the way of
 /// a request that was sent just before.
 const LEAVING_GETS_NOTHING_AFTER: Duration = Duration::from_millis(3_000);
+/// Instances that end under a request until it is known, how soon all nodes have heard, and
+/// how often it may be sent on all the same.
+const ENDS_UNTIL_KNOWN: usize = 3;
+const KNOWN_WITHIN: Duration = Duration::from_millis(3_000);
+const SENT_ON_AT_MOST: usize = 3;
 /// Statuses that say that a request has not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -115,9 +123,22 @@
     breaches.extend(asked(record));
     breaches.extend(forward(record));
     breaches.extend(left_alone(record));
+    breaches.extend(ended(record));
     breaches
 }
 
+/// Once three instances have ended under one request, and all had the time to hear of it,
+/// it is sent on a few times at most.
+fn ended(record: &Record) -> Option<Breach> {
+    let mut runs: Vec<&Run> =
+        record.runs.iter().filter(|run| run.request.starts_with(ENDING_IDS)).collect();
+    runs.sort_by_key(|run| run.at);
+    let third = runs.get(ENDS_UNTIL_KNOWN - 1)?.at;
+    let late = runs.iter().filter(|run| run.at > third + KNOWN_WITHIN).count();
+    let what = || format!("{} ended, {late} of them {KNOWN_WITHIN:?} after the third", runs.len());
+    (late > SENT_ON_AT_MOST).then(|| Breach { promise: Promise::EndsFew, what: what() })
+}
+
 fn breach(promise: Promise, what: String) -> Option<Breach> {
     Some(Breach { promise, what })
 }
--- a/crates/workshold-soak/src/run.rs
+++ b/crates/workshold-soak/src/run.rs
@@ -51,6 +51,8 @@
     pub length: Duration,
     /// Whether engines start again under their ids, beside all other faults.
     pub new_lives: bool,
+    /// Whether a request that ends whoever begins to run it is asked at all nodes.
+    pub ends_runners: bool,
     /// How long planned work comes, once faults are over.
     pub planned: Duration,
     /// All has to be served again this long after the last fault.
@@ -127,6 +129,11 @@
     let looking = tokio::spawn(look_after(Arc::clone(&stage)));
     tokio::time::sleep(CALM).await;
     let began = Instant::now();
+    let mut ending = JoinSet::new();
+    if options.ends_runners {
+        load.spawn(Arc::clone(&stage.callers).ask_for_ends(seed));
+        ending.spawn(Arc::clone(&stage.fleet).replace_ended());
+    }
     let draw = if options.new_lives { plan::draw_with_new_lives } else { plan::draw };
     befall(&stage, draw(seed, options.length)).await;
     let last = Instant::now();
--- a/crates/workshold-soak/tests/judge.rs
+++ b/crates/workshold-soak/tests/judge.rs
@@ -184,3 +184,36 @@
     case.record.outcomes[0].ended = case.at(12);
     assert_eq!(case.broken(), []);
 }
+
+/// Once three have ended, and all had the time to hear, three more are too many by one.
+#[rstest]
+#[case::nobody_sends_it_on(0, 0)]
+#[case::whoever_had_not_heard(9, 1)]
+#[case::a_few_later(3, 20)]
+fn what_ends_its_runner_may_be_sent_on_for_a_moment_and_a_few_times(
+    #[case] more: u64,
+    #[case] after_secs: u64,
+) {
+    assert_eq!(ends_few(more, after_secs), Vec::<Promise>::new());
+}
+
+#[test]
+fn what_ends_its_runner_and_is_sent_on_is_seen() {
+    assert_eq!(ends_few(4, 20), [Promise::EndsFew]);
+}
+
+/// Three have ended, and so many more later; what is broken of this promise.
+fn ends_few(more: u64, after_secs: u64) -> Vec<Promise> {
+    let start = Instant::now();
+    let run = |n: u64, secs: u64| Run {
+        request: format!("ends-1-{n}"),
+        instance: format!("i-{n}"),
+        team: Some("night-desk".to_owned()),
+        at: start + Duration::from_secs(secs),
+    };
+    let first = (0..3).map(|n| run(n, 1));
+    let runs = first.chain((0..more).map(|n| run(3 + n, 1 + after_secs))).collect();
+    let record = Record { runs, ..Record::default() };
+    let broken = judge(&record).into_iter().map(|breach| breach.promise);
+    broken.filter(|promise| *promise == Promise::EndsFew).collect()
+}
