Who has heard of a request that ends its runners passes it on as a relay only

Cause: every node that heard of an end told its relays in turn, three pulses each: for hundreds of nodes some thousand datagrams for each end, all of what the relays had said themselves. Whoever saw an end, cleared one, or knows better tells; relays pass on. Test in virtual time with one datagram in a hundred lost: all of 9, 100 and 300 nodes hold it a second after the third end, for at most as much again as is said anyway in that time.

--- a/crates/workshold-core/src/hosted/quarantine.rs
+++ b/crates/workshold-core/src/hosted/quarantine.rs
@@ -241,7 +241,7 @@
         if has_finished && !is_known {
             return false;
         }
-        let is_news = self.join(&Known { subject, ends: vec![end], cleared });
+        let is_news = self.join(&Known { subject, ends: vec![end], cleared }, true);
         if let Some(entry) = self.entries.get_mut(&subject.fingerprint) {
             // Whoever saw an end keeps the verdict: others may be lost with what they know.
             entry.is_to_keep |= is_news && entry.count() >= ENDS;
@@ -269,17 +269,20 @@
         is_news
     }
 
-    /// Takes what another node, or the store, knows. Returns whether it is news.
-    pub fn take(&mut self, known: &Known) -> bool {
+    /// Takes what another node, or the store, knows. Returns whether it is news. Whoever
+    /// `passes_on` tells it in turn; the others heard it from those who do, and would only
+    /// repeat it, hundreds of them for each end.
+    pub fn take(&mut self, known: &Known, passes_on: bool) -> bool {
         let fingerprint = known.subject.fingerprint;
         let has_finished = self.finished.iter().any(|set| set.contains(&fingerprint));
         let last = known.ends.iter().map(|end| end.at).max();
         let own = last.filter(|_| has_finished && !known.ends.is_empty());
         let cleared = known.cleared.max(own);
-        self.join(&Known { cleared, ..known.clone() })
+        let knows_better = cleared > known.cleared;
+        self.join(&Known { cleared, ..known.clone() }, passes_on || knows_better)
     }
 
-    fn join(&mut self, known: &Known) -> bool {
+    fn join(&mut self, known: &Known, tells: bool) -> bool {
         let Subject { fingerprint, caller } = known.subject;
         if !self.entries.contains_key(&fingerprint) && !self.make_room(caller) {
             return false;
@@ -300,7 +303,7 @@
         let before = entry.count();
         entry.cleared = entry.cleared.max(known.cleared);
         is_news |= entry.count() < before;
-        if is_news {
+        if is_news && tells {
             entry.tells = TOLD;
         }
         if entry.cleared > known.cleared && !known.ends.is_empty() {
@@ -339,6 +342,11 @@
         self.standing(fingerprint, now) != Standing::Free
     }
 
+    /// Whether anything has changed that is still to be told.
+    pub fn has_news(&self) -> bool {
+        self.entries.values().any(|entry| entry.tells > 0)
+    }
+
     /// What is to be told now, at most so many: what has changed first, those under which
     /// most have ended before others; then those that are held, in turn.
     pub fn to_tell(&mut self, most: usize, now: Millis) -> Vec<Known> {
--- a/crates/workshold-core/tests/hosted/quarantine.rs
+++ b/crates/workshold-core/tests/hosted/quarantine.rs
@@ -113,12 +113,12 @@
     let mut quarantine = Quarantine::default();
     quarantine.on_finished(subject("a").fingerprint, START);
     for known in after(4).to_tell(9, START) {
-        quarantine.take(&known);
+        quarantine.take(&known, true);
     }
     assert!(!is_held(&quarantine, subject("a"), START + Millis(2_000)));
     let mut others = after(4);
     for known in quarantine.to_tell(9, START) {
-        others.take(&known);
+        others.take(&known, true);
     }
     assert!(!is_held(&others, subject("a"), START + Millis(2_000)), "and they hear of it");
 }
@@ -132,10 +132,10 @@
     knows.on_finished(subject("a").fingerprint, now);
     while !knows.to_tell(9, now).is_empty() {}
     for told in missed.to_tell(9, now) {
-        knows.take(&told);
+        knows.take(&told, true);
     }
     for told in knows.to_tell(9, now) {
-        missed.take(&told);
+        missed.take(&told, true);
     }
     assert!(!is_held(&missed, subject("a"), now));
 }
@@ -235,12 +235,12 @@
         order in any::<u64>(),
     ) {
         let mut one = Quarantine::default();
-        news.iter().for_each(|known| { one.take(known); });
+        news.iter().for_each(|known| { one.take(known, true); });
         let mut shuffled = news.clone();
         shuffled.rotate_left(order as usize % news.len());
         shuffled.extend(news.iter().cloned().rev());
         let mut other = Quarantine::default();
-        shuffled.iter().for_each(|known| { other.take(known); });
+        shuffled.iter().for_each(|known| { other.take(known, true); });
         let now = START + Millis(5_000);
         let fingerprint = subject("a").fingerprint;
         prop_assert_eq!(one.standing(fingerprint, now), other.standing(fingerprint, now));
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -533,8 +533,10 @@
 
     /// Another node, or the store, says this of requests.
     pub fn hear_of_requests(&self, told: &[Known]) -> bool {
+        let settings = self.settings();
+        let is_relay = self.peers.lock().is_relay(&settings.own(), self.now());
         self.change_quarantine(|quarantine| {
-            let news = told.iter().filter(|known| quarantine.take(known));
+            let news = told.iter().filter(|known| quarantine.take(known, is_relay));
             news.count() > 0
         })
     }
@@ -548,13 +550,16 @@
             return false;
         }
         let held = quarantine.newly_held(now);
+        let is_telling = quarantine.has_news();
         drop(quarantine);
         if !held.is_empty() {
             log_held(&held, now);
             self.suspicion_changed.send_modify(|version| *version += 1);
         }
         self.keep_wanted.notify_one();
-        self.pulse_wanted.notify_one();
+        if is_telling {
+            self.pulse_wanted.notify_one();
+        }
         true
     }
 
--- a/crates/workshold-gateway/tests/exchange.rs
+++ b/crates/workshold-gateway/tests/exchange.rs
@@ -13,12 +13,17 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use smol_str::SmolStr;
+use workshold_core::hosted::fingerprint::Fingerprint;
+use workshold_core::hosted::quarantine::Quarantine;
+use workshold_core::hosted::quarantine::Standing;
+use workshold_core::hosted::quarantine::Subject;
 use workshold_gateway::loads::Load;
 use workshold_gateway::peers::Datagram;
 use workshold_gateway::peers::Message;
 use workshold_gateway::peers::Peers;
 use workshold_gateway::peers::Pulse;
 use workshold_gateway::peers::ToldLoad;
+use workshold_gateway::peers::ToldRequest;
 use workshold_gateway::peers::VERSION;
 use workshold_gateway::peers::exchange::Outgoing;
 use workshold_gateway::peers::exchange::Own;
@@ -34,6 +39,8 @@
 const GAP: Millis = Millis(100);
 const TICK: Millis = Millis(5);
 const NOW: Millis = Millis(100_000);
+/// Requests that ended whoever ran them, in one pulse.
+const MOST_REQUESTS: usize = 16;
 /// All nodes hear of each other by then, from a start with one known address.
 const SETTLES: Millis = Millis(8_000);
 /// One datagram in so many is lost.
@@ -48,6 +55,7 @@
     is_up: bool,
     /// Requests at head 0, the one that is looked at.
     at_head: u32,
+    quarantine: Quarantine,
     sent: u64,
     taken: u64,
     taken_bytes: u64,
@@ -87,6 +95,7 @@
                 spoke: Millis::ZERO,
                 is_up: true,
                 at_head: 0,
+                quarantine: Quarantine::default(),
                 sent: 0,
                 taken: 0,
                 taken_bytes: 0,
@@ -140,7 +149,9 @@
     }
 
     fn speak(&mut self, i: usize) {
-        let pulse = self.pulse(i);
+        let mut pulse = self.pulse(i);
+        let told = self.nodes[i].quarantine.to_tell(MOST_REQUESTS, self.now);
+        pulse.requests = told.iter().map(|known| ToldRequest::new(known, self.now)).collect();
         let draw = self.rng.random();
         let now = self.now;
         let node = &mut self.nodes[i];
@@ -180,6 +191,16 @@
         let name = datagram.from;
         let own = Own { address: address(to), name: &node.name, data_centre: &node.data_centre };
         let mut answer = None;
+        let told = match &datagram.message {
+            Message::Pulse(pulse) => &pulse.requests[..],
+            Message::Digest(digest) => &digest.own.requests,
+            _ => &[],
+        };
+        let passes_on = node.peers.is_relay(&own, now);
+        told.iter().for_each(|told| {
+            node.quarantine.take(&told.known(now), passes_on);
+        });
+        let is_telling = node.quarantine.has_news();
         let is_news = match datagram.message {
             Message::Pulse(pulse) => {
                 let seeks = pulse.seeks.then(|| pulse.data_centre.clone());
@@ -190,7 +211,7 @@
             Message::Digest(digest) => node.peers.on_digest(&own, from, name, *digest, now),
             _ => false,
         };
-        if is_news && node.peers.is_relay(&own, now) {
+        if is_telling || (is_news && node.peers.is_relay(&own, now)) {
             node.next = node.next.min(node.spoke + GAP).max(now);
         }
         if let Some(message) = answer {
@@ -365,3 +386,38 @@
     let still = fleet.nodes.iter().filter(|node| sees(node)).count();
     assert_eq!(still, 0, "half a second later");
 }
+
+/// Three instances end under one request, each seen by another node, of hundreds.
+#[rstest]
+#[case(9)]
+#[case(100)]
+#[case(300)]
+fn all_nodes_hear_within_a_second_which_request_ends_whoever_runs_it(#[case] nodes: usize) {
+    let mut fleet = Fleet::start(nodes);
+    fleet.run(SETTLES);
+    let fingerprint = Fingerprint::of(Some("a"), "/x", b"body");
+    let before: u64 = fleet.nodes.iter().map(|node| node.sent).sum();
+    for (life, at) in [(1, nodes / 3), (2, nodes / 2), (3, nodes - 1)] {
+        let now = fleet.now;
+        let knows = &mut fleet.nodes[at].quarantine;
+        knows.on_break(Subject { fingerprint, caller: 7 }, life, life as u32, now);
+        knows.on_ended(life, now);
+        fleet.nodes[at].next = now;
+        fleet.run(Millis(200));
+    }
+    let held = |fleet: &Fleet| {
+        let is_held = |node: &&Sim| {
+            matches!(node.quarantine.standing(fingerprint, fleet.now), Standing::Held(_))
+        };
+        fleet.nodes.iter().filter(is_held).count()
+    };
+    fleet.run(Millis(800));
+    assert_eq!(held(&fleet), nodes, "a second after the third end");
+    // What is said for it beside what is said anyway: by those who saw it, and relays.
+    let sent: u64 = fleet.nodes.iter().map(|node| node.sent).sum::<u64>() - before;
+    fleet.nodes.iter_mut().for_each(|node| node.quarantine = Quarantine::default());
+    let before: u64 = fleet.nodes.iter().map(|node| node.sent).sum();
+    fleet.run(Millis(1_400));
+    let quiet: u64 = fleet.nodes.iter().map(|node| node.sent).sum::<u64>() - before;
+    assert!(sent <= quiet * 2, "{sent} datagrams, {quiet} in as long without it");
+}
--- a/crates/workshold-model/src/ending.rs
+++ b/crates/workshold-model/src/ending.rs
@@ -235,7 +235,7 @@
         for node in (0..NODES).filter(|node| all || one == Some(*node)) {
             let mut knows = Quarantine::default();
             self.kept.iter().for_each(|known| {
-                knows.take(known);
+                knows.take(known, true);
             });
             self.nodes[node] = Node { knows, since: self.now };
             self.sent.retain(|sent| sent.node != node);
@@ -265,7 +265,7 @@
             std::mem::take(&mut self.news).into_iter().partition(|(at, ..)| *at <= now);
         self.news = left;
         for (_, to, known) in come {
-            self.nodes[to].knows.take(&known);
+            self.nodes[to].knows.take(&known, true);
         }
     }
 
