--- a/crates/workshold-cli/src/commands.rs
+++ b/crates/workshold-cli/src/commands.rs
@@ -5,6 +5,7 @@
 pub mod dump;
 pub mod events;
 pub mod explain;
+pub mod held;
 pub mod keygen;
 pub mod rollout;
 pub mod status;
@@ -31,6 +32,8 @@
     Status(status::Args),
     /// See [`explain`].
     Explain(explain::Args),
+    /// See [`held`].
+    Held(held::Args),
     /// See [`dump`].
     Dump(dump::Args),
     /// See [`check_config`].
@@ -59,6 +62,7 @@
     let stop = stop::parser();
     let status = status::parser();
     let explain = explain::parser();
+    let held = held::parser();
     let dump = dump::parser();
     let check_config = check_config::parser();
     let events = events::parser();
@@ -70,6 +74,7 @@
         stop,
         status,
         explain,
+        held,
         dump,
         check_config,
         events,
@@ -95,6 +100,7 @@
         Command::Stop(args) => stop::run(&args, out).await,
         Command::Status(args) => status::run(&args, out).await,
         Command::Explain(args) => explain::run(&args, out).await,
+        Command::Held(args) => held::run(&args, out).await,
         Command::Dump(args) => dump::run(&args).await,
         Command::CheckConfig(args) => check_config::run(&args, out),
         Command::Trace(args) => trace::run(&args, out),
--- a/crates/workshold-cli/src/remote.rs
+++ b/crates/workshold-cli/src/remote.rs
@@ -50,6 +50,16 @@
     client::get(node, path, WITHIN).await.map_err(CliError::Node)
 }
 
+/// Tells a node to drop what stands at `path`.
+///
+/// # Errors
+///
+/// [`CliError::Node`] if it does not answer, or refuses.
+pub async fn delete(node: &str, path: &str) -> Result<(), CliError> {
+    client::call_plain(node, Method::DELETE, path, WITHIN).await.map_err(CliError::Node)?;
+    Ok(())
+}
+
 /// Appends `fact`, sealed with the operator's key. If the reply is lost, the same
 /// record is appended again; it counts once.
 ///
--- a/crates/workshold-gateway/tests/platform/ending.rs
+++ b/crates/workshold-gateway/tests/platform/ending.rs
@@ -12,6 +12,8 @@
 use std::time::Duration;
 
 use crate::support::TestNode;
+use hyper::Method;
+use workshold_http::client;
 use workshold_platform_standin::caller;
 use workshold_platform_standin::deployment::Deployment;
 use workshold_platform_standin::instance::ENDS_ITS_RUNNER;
@@ -126,3 +128,36 @@
     assert!(ended(&deployment.gates) <= UNTIL_KNOWN + 1, "{}", ended(&deployment.gates));
     is_refused_for_good(&nodes, "/plate/x", &deployment.gates).await;
 }
+
+/// Whom an operator lets go is sent again, by all nodes, and counts anew.
+#[tokio::test]
+async fn what_an_operator_lets_go_runs_again_and_is_held_again() {
+    let deployment = Deployment::start(2, 12).await;
+    let nodes = ["n-1", "n-2"].map(|name| TestNode::start(name, &deployment.store, MANY_REPEATS));
+    for node in &nodes {
+        node.ready().await;
+    }
+    ask_until_known(&nodes, "/plate/x", &deployment.gates, AS_SEEN).await;
+    let (_, state) = caller::get(nodes[1].control, "/state").await.unwrap();
+    let state: serde_json::Value = serde_json::from_slice(&state).unwrap();
+    let fingerprint = state["held"][0]["fingerprint"].as_str().unwrap().to_owned();
+    assert!(!release(&nodes[1], "zz").await, "it is no number");
+    assert!(!release(&nodes[1], "77").await, "nothing is known of it");
+    assert!(release(&nodes[1], &fingerprint).await);
+    tokio::time::sleep(HEARD).await;
+    let before = ended(&deployment.gates);
+    ask(&nodes[0], "again", "/plate/x").await;
+    assert!(ended(&deployment.gates) > before, "the other node has heard of it");
+    for turn in 0..6 {
+        ask(&nodes[turn % 2], &format!("t-{turn}"), "/plate/x").await;
+        tokio::time::sleep(AS_SEEN).await;
+    }
+    assert_eq!(ended(&deployment.gates), 2 * UNTIL_KNOWN);
+}
+
+/// Tells a node to let a request go; whether it did.
+async fn release(node: &TestNode, fingerprint: &str) -> bool {
+    let path = format!("/quarantine/{fingerprint}");
+    let address = node.control.to_string();
+    client::call_plain(&address, Method::DELETE, &path, HEARD).await.is_ok()
+}
--- a/crates/workshold-http/src/client.rs
+++ b/crates/workshold-http/src/client.rs
@@ -173,6 +173,22 @@
         .map_err(|err| CallError::Unreadable { address: address.to_owned(), why: err.to_string() })
 }
 
+/// Calls without a body; the answer is text for people.
+///
+/// # Errors
+///
+/// As [`call`], but for [`CallError::Unreadable`].
+pub async fn call_plain(
+    address: &str,
+    method: Method,
+    path: &str,
+    within: Duration,
+) -> Result<Bytes, CallError> {
+    let timed_out = || CallError::TimedOut { address: address.to_owned(), after: within };
+    let bytes = timeout(within, call_bytes::<()>(address, method, path, None, within));
+    bytes.await.map_err(|_| timed_out())?
+}
+
 /// Calls without a body and reads a JSON answer.
 ///
 /// # Errors
