A node that hears few of the others reads which requests end their runners

By reading: what a node that is cut off from its peers, but not from the store, sends on is bounded only by the ends that it sees itself. It now reads what the others keep each second, as long as it hears fewer than half of those that may be there. Ruled out: reading always (a call a second at every node is a large price for what is told anyway).

--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -893,6 +893,14 @@
         !self.has_followers() || self.is_among_first(READERS)
     }
 
+    /// Whether this node hears fewer than half of the others that may be there: then news
+    /// that they tell each other may not come to it.
+    pub fn hears_few(&self) -> bool {
+        let peers = self.peers.lock();
+        let others = peers.may_be_there() - 1;
+        peers.heard(self.now()).count() * 2 < others
+    }
+
     /// How long ago a reading of the list failed, in ms, if this node reads it: told to
     /// those who go by it.
     pub fn list_trouble(&self) -> Option<u32> {
--- a/crates/workshold-gateway/src/tasks/quarantining.rs
+++ b/crates/workshold-gateway/src/tasks/quarantining.rs
@@ -25,6 +25,8 @@
 const RETRY: Duration = Duration::from_millis(300);
 /// The same for a node that serves meanwhile.
 const READ_LATER: Duration = Duration::from_millis(1_500);
+/// A node that hears few of the others reads as often: what they find they keep.
+const READ_ALONE: Duration = Duration::from_millis(1_000);
 /// A node that starts serves without the store's word after this, if the store is away: its
 /// peers tell it what they know within as much.
 const STARTS_WITHIN: Millis = Millis(2_500);
@@ -48,6 +50,11 @@
         tokio::select! {
             () = node.keep_wanted.notified() => keep(&node).await,
             () = tokio::time::sleep(READ_LATER), if !has_read => has_read = read(&node).await,
+            () = tokio::time::sleep(READ_ALONE) => {
+                if node.hears_few() {
+                    read(&node).await;
+                }
+            }
         }
     }
 }
