Two words of one end come to the same, whichever is heard first

Found by drawn news in a whole run of the tests (beside busy processes): a life told with two places, as by a node that lacks its entry, kept the place that came first, so that two nodes with the same news could count 1 and 2 ends. The earliest word stands now, by time and place.

--- a/crates/workshold-core/src/hosted/quarantine.rs
+++ b/crates/workshold-core/src/hosted/quarantine.rs
@@ -298,7 +298,11 @@
                 is_news = true;
                 *end
             });
-            own.at = own.at.min(end.at);
+            // The earliest word of an end stands, whoever's came first: nodes that do not know
+            // where a life was say otherwise than those that do.
+            if (end.at, end.place) < (own.at, own.place) {
+                *own = *end;
+            }
         }
         let before = entry.count();
         entry.cleared = entry.cleared.max(known.cleared);
--- a/crates/workshold-core/tests/hosted/quarantine.rs
+++ b/crates/workshold-core/tests/hosted/quarantine.rs
@@ -4,6 +4,7 @@
 //! runner asked every half second at any of nine nodes, and innocent ones beside it.
 
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -228,6 +229,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), ..ProptestConfig::with_cases(2_000) })]
+
     /// Order, repetition and detours of news change nothing.
     #[test]
     fn whoever_has_heard_the_same_thinks_the_same(
@@ -247,6 +250,22 @@
     }
 }
 
+/// A node that does not know where a life was says that its place was another one.
+#[test]
+fn two_words_of_one_end_come_to_the_same_in_any_order() {
+    let end = |life, place, ms| End { life, place, at: START + Millis(ms) };
+    let known = |end| Known { subject: subject("a"), ends: vec![end], cleared: None };
+    let news = [known(end(1, 1, 820)), known(end(2, 1, 800)), known(end(1, 2, 780))];
+    let standing = |news: &mut dyn Iterator<Item = &Known>| {
+        let mut quarantine = Quarantine::default();
+        news.for_each(|known| {
+            quarantine.take(known, true);
+        });
+        quarantine.standing(subject("a").fingerprint, START + Millis(5_000))
+    };
+    assert_eq!(standing(&mut news.iter()), standing(&mut news.iter().rev()));
+}
+
 /// How many of the innocent are held wrongly, and how many instances end, when a verdict
 /// takes `ends` of them.
 #[derive(Debug, Clone, Copy, PartialEq)]
