What could not be read at a start is read later

Found in the reread: of two timers in one loop the shorter one (1.0 s, for nodes that hear few) always came first and started the longer one (1.5 s, for nodes whose first reading failed) anew, so that a node that started while the store was away never read which requests are held; only its peers could tell it. One timer serves both. The test failed before, passes now.

--- a/crates/workshold-gateway/src/tasks/quarantining.rs
+++ b/crates/workshold-gateway/src/tasks/quarantining.rs
@@ -23,10 +23,9 @@
 const ANSWER_TIME: Millis = Millis(700);
 /// After a call that failed.
 const RETRY: Duration = Duration::from_millis(300);
-/// The same for a node that serves meanwhile.
-const READ_LATER: Duration = Duration::from_millis(1_500);
-/// A node that hears few of the others reads as often: what they find they keep.
-const READ_ALONE: Duration = Duration::from_millis(1_000);
+/// How often a node reads again that could not at its start, or hears few of the others:
+/// what they find they keep.
+const READ_AGAIN: Duration = Duration::from_millis(1_000);
 /// A node that starts serves without the store's word after this, if the store is away: its
 /// peers tell it what they know within as much.
 const STARTS_WITHIN: Millis = Millis(2_500);
@@ -49,10 +48,10 @@
     loop {
         tokio::select! {
             () = node.keep_wanted.notified() => keep(&node).await,
-            () = tokio::time::sleep(READ_LATER), if !has_read => has_read = read(&node).await,
-            () = tokio::time::sleep(READ_ALONE) => {
-                if node.hears_few() {
-                    read(&node).await;
+            // One timer for both: of two, whichever is shorter would start the other anew.
+            () = tokio::time::sleep(READ_AGAIN) => {
+                if !has_read || node.hears_few() {
+                    has_read |= read(&node).await;
                 }
             }
         }
--- a/crates/workshold-gateway/tests/deaf.rs
+++ b/crates/workshold-gateway/tests/deaf.rs
@@ -12,6 +12,31 @@
 use workshold_platform_standin::store::StandInStore;
 use workshold_protocol::Millis;
 
+/// A node that starts where the system ran before serves after a while although the store
+/// is away, and reads what it keeps later, whomever it hears.
+#[tokio::test]
+async fn what_could_not_be_read_at_the_start_is_read_later() {
+    let store = StandInStore::start().await;
+    let text = common::SETTINGS.replace("127.0.0.1:7005", &store.address.to_string());
+    let (node, clock, _) = common::node_with(&text);
+    // Its time to wait for the store is over.
+    clock.go_on(Millis(3_000));
+    let node = Arc::new(node);
+    tokio::spawn(quarantining::run(Arc::clone(&node)));
+    let fingerprint = keep(&store, node.wall());
+    tokio::time::sleep(READS).await;
+    assert!(node.held_until(fingerprint).is_some());
+}
+
+/// Keeps in the store that three instances have ended under a request just now.
+fn keep(store: &StandInStore, today: Millis) -> Fingerprint {
+    let fingerprint = Fingerprint::of(Some("night-desk"), "/x", b"body");
+    let ends = [(1, 1, today.0), (2, 2, today.0), (3, 3, today.0)];
+    let kept = json!({ "caller": 7, "cleared_at": null, "ends": ends });
+    store.put("keyed.quarantine", &fingerprint.to_string(), &kept.to_string());
+    fingerprint
+}
+
 /// Longer than between two readings.
 const READS: Duration = Duration::from_millis(1_600);
 
@@ -44,11 +69,7 @@
     let node = Arc::new(node);
     tokio::spawn(quarantining::run(Arc::clone(&node)));
     tokio::task::yield_now().await;
-    let fingerprint = Fingerprint::of(Some("night-desk"), "/x", b"body");
-    let today = node.wall().0;
-    let ends = [(1, 1, today), (2, 2, today), (3, 3, today)];
-    let kept = json!({ "caller": 7, "cleared_at": null, "ends": ends });
-    store.put("keyed.quarantine", &fingerprint.to_string(), &kept.to_string());
+    let fingerprint = keep(&store, node.wall());
     store.put("keyed.quarantine", "no fingerprint", "{}");
     store.put("keyed.quarantine", &Fingerprint(5).to_string(), "no record");
     tokio::time::sleep(READS).await;
