Reread: an instance is called that everywhere; a count and a copy less

Names and comments of this change said runner for what the project calls an instance; how many requests are held is told from the list of them; a place is marked without a copy. No behaviour, check or literal expectation changes.

--- a/crates/workshold-core/src/hosted/quarantine.rs
+++ b/crates/workshold-core/src/hosted/quarantine.rs
@@ -15,7 +15,6 @@
 use std::collections::HashSet;
 use std::collections::VecDeque;
 
-use smol_str::SmolStr;
 use workshold_protocol::Millis;
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -405,12 +404,6 @@
         }
     }
 
-    /// How many are held.
-    pub fn held_count(&self, now: Millis) -> usize {
-        let entries = self.entries.values();
-        entries.filter(|entry| matches!(entry.standing(now), Standing::Held(_))).count()
-    }
-
     /// Those that are held and were not when this was last asked, and until when.
     pub fn newly_held(&mut self, now: Millis) -> Vec<(Known, Millis)> {
         let news = self.entries.iter_mut().filter_map(|(fingerprint, entry)| {
@@ -443,6 +436,5 @@
 
 /// Where a life is lost together with others: its domain, or its data centre.
 pub fn place(domain: Option<&str>, data_centre: &str) -> u32 {
-    let name = domain.map_or_else(|| SmolStr::new(data_centre), SmolStr::new);
-    mark(&name)
+    mark(domain.unwrap_or(data_centre))
 }
--- a/crates/workshold-core/tests/hosted/quarantine.rs
+++ b/crates/workshold-core/tests/hosted/quarantine.rs
@@ -1,7 +1,7 @@
 //! Requests that end whoever begins to run them, and those that were only beside one.
 //!
 //! The load of the pattern tests: ten heads of seventeen places, one request that ends its
-//! runner asked every half second at any of nine nodes, and innocent ones beside it.
+//! instance asked every half second at any of nine nodes, and innocent ones beside it.
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
--- a/crates/workshold-gateway/tests/soak.rs
+++ b/crates/workshold-gateway/tests/soak.rs
@@ -36,7 +36,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn what_ends_whoever_runs_it_is_soon_kept_from_all() {
     let options = options("ending", Duration::from_secs(8), Duration::ZERO, false);
-    play_with(Options { ends_runners: true, ..options }, 11).await;
+    play_with(Options { ends_instances: true, ..options }, 11).await;
 }
 
 async fn play(name: &str, seed: u64, length: Duration, planned: Duration, new_lives: bool) {
@@ -53,7 +53,7 @@
         callers: 6,
         length,
         new_lives,
-        ends_runners: false,
+        ends_instances: false,
         planned,
         recovers_within: RECOVERS_WITHIN,
     }
--- a/crates/workshold-model/src/ending.rs
+++ b/crates/workshold-model/src/ending.rs
@@ -76,7 +76,7 @@
     since: Millis,
 }
 
-/// One send of the request that ends its runner.
+/// One send of the request that ends its instance.
 struct Sent {
     node: usize,
     subject: Subject,
--- a/crates/workshold-model/tests/ending.rs
+++ b/crates/workshold-model/tests/ending.rs
@@ -7,7 +7,7 @@
 const SEEDS_OF_BROKEN: u64 = 40;
 
 #[test]
-fn what_ends_its_runners_is_soon_sent_no_more_and_nobody_else_is_held() {
+fn what_ends_its_instances_is_soon_sent_no_more_and_nobody_else_is_held() {
     let mut most = 0;
     for seed in 0..SEEDS {
         let (breach, ended) = EndingWorld::new(seed, None).run();
--- a/crates/workshold-soak/src/main.rs
+++ b/crates/workshold-soak/src/main.rs
@@ -53,7 +53,7 @@
         .help("Without engines that start again under their ids, as seeds were played before")
         .switch()
         .map(|is_earlier| !is_earlier);
-    let ends_runners = bpaf::long("ending")
+    let ends_instances = bpaf::long("ending")
         .help("With a request that ends whoever begins to run it, asked again and again")
         .switch();
     let options = bpaf::construct!(Options {
@@ -63,7 +63,7 @@
         callers,
         length,
         new_lives,
-        ends_runners,
+        ends_instances,
         planned,
         recovers_within
     });
--- a/crates/workshold-soak/src/run.rs
+++ b/crates/workshold-soak/src/run.rs
@@ -52,7 +52,7 @@
     /// Whether engines start again under their ids, beside all other faults.
     pub new_lives: bool,
     /// Whether a request that ends whoever begins to run it is asked at all nodes.
-    pub ends_runners: bool,
+    pub ends_instances: bool,
     /// How long planned work comes, once faults are over.
     pub planned: Duration,
     /// All has to be served again this long after the last fault.
@@ -130,7 +130,7 @@
     tokio::time::sleep(CALM).await;
     let began = Instant::now();
     let mut ending = JoinSet::new();
-    if options.ends_runners {
+    if options.ends_instances {
         load.spawn(Arc::clone(&stage.callers).ask_for_ends(seed));
         ending.spawn(Arc::clone(&stage.fleet).replace_ended());
     }
--- a/crates/workshold-soak/tests/judge.rs
+++ b/crates/workshold-soak/tests/judge.rs
@@ -190,7 +190,7 @@
 #[case::nobody_sends_it_on(0, 0)]
 #[case::whoever_had_not_heard(9, 1)]
 #[case::a_few_later(3, 20)]
-fn what_ends_its_runner_may_be_sent_on_for_a_moment_and_a_few_times(
+fn what_ends_its_instance_may_be_sent_on_for_a_moment_and_a_few_times(
     #[case] more: u64,
     #[case] after_secs: u64,
 ) {
@@ -198,7 +198,7 @@
 }
 
 #[test]
-fn what_ends_its_runner_and_is_sent_on_is_seen() {
+fn what_ends_its_instance_and_is_sent_on_is_seen() {
     assert_eq!(ends_few(4, 20), [Promise::EndsFew]);
 }
 
