News of the list goes down a tree, and who is behind asks whoever is not

Cause: what comes to the list reached nodes that do not read it through one datagram of one node to each, unacknowledged, at most 6 KB; the node's link (20 Mbit/s for some) was full of it and of whole lists, for which all who lacked something asked the same peer; a reader asked nobody for four seconds, and readers that one change woke read again together 0.9 s later. Now the nodes of a data centre stand in a tree of four roots, who read, and four children each; news of any length goes in pieces; pulses and digests say where the list ends, and who is behind that for 120 ms asks one of those who are not, drawn anew; configuration and list are fetched apart; readers read at drawn times and tell each other. Ruled out: telling more often (the link is what is short); an acknowledgement of each datagram (where the list ends is told anyway).

--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -59,6 +59,8 @@
 use crate::peers::Ask;
 use crate::peers::LIST_TROUBLE_MOST;
 use crate::peers::Peers;
+use crate::peers::news;
+use crate::peers::news::Gap;
 use crate::peers::rank;
 use crate::settings::Settings;
 use crate::table::Table;
@@ -79,6 +81,10 @@
     pub raw: BTreeMap<SmolStr, (u64, Bytes)>,
     /// Instances by the short names that datagrams use.
     pub by_short_id: HashMap<u32, Identity>,
+    /// What others have of it and this node lacks.
+    pub gap: Gap,
+    /// Whether this node itself has read something new that it has not passed on.
+    pub has_own_news: bool,
 }
 
 /// From what the table was last made, and when.
@@ -174,6 +180,8 @@
     pub catch_up_wanted: Notify,
     /// Wakes the one who passes news of the list on.
     pub news_wanted: Notify,
+    /// Wakes the one who asks for what this node lacks of the list.
+    pub list_gap_seen: Notify,
     /// Wakes the one who reads the list.
     pub list_wanted: Notify,
     /// Ends a reading that waits: one that began later is needed.
@@ -251,9 +259,6 @@
 
 /// Up to so many nodes, each reads the store for itself.
 const ALL_READ: usize = 12;
-/// Beyond that, so many of each data centre read for all of it: so many that a third of
-/// them may be turned away.
-const READERS: usize = 4;
 /// Tables are made anew no more often than this for changes of the list.
 pub const TABLE_GAP: Millis = Millis(60);
 /// A table is made anew after this whatever has changed.
@@ -315,6 +320,7 @@
             pulse_wanted: Notify::new(),
             catch_up_wanted: Notify::new(),
             news_wanted: Notify::new(),
+            list_gap_seen: Notify::new(),
             list_wanted: Notify::new(),
             list_wanted_anew: Notify::new(),
             table_wanted: Notify::new(),
@@ -890,7 +896,7 @@
     /// Whether this node reads the store itself, or goes by what others read: with
     /// many nodes a few of them are enough.
     pub fn is_reader(&self) -> bool {
-        !self.has_followers() || self.is_among_first(READERS)
+        !self.has_followers() || self.is_among_first(news::ROOTS)
     }
 
     /// Whether this node hears fewer than half of the others that may be there: then news
@@ -912,11 +918,6 @@
         Some(age.unwrap_or(LIST_TROUBLE_MOST).min(LIST_TROUBLE_MOST))
     }
 
-    /// Whether this node tells its data centre what has come to the list.
-    pub fn is_announcer(&self) -> bool {
-        self.has_followers() && self.is_among_first(1)
-    }
-
     fn is_among_first(&self, most: usize) -> bool {
         let settings = self.settings();
         let data_centre = settings.node.data_centre.as_str();
--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -10,9 +10,11 @@
 //!
 //! - [`messages`]: what is said.
 //! - [`exchange`]: who says what to whom.
+//! - [`news`]: how what has come to the list of instances is passed on.
 
 pub mod exchange;
 pub mod messages;
+pub mod news;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -210,15 +212,6 @@
         self.addresses.keys().copied().collect()
     }
 
-    /// Those of a data centre, and those of whom it is not known where they are.
-    pub fn near_addresses(&self, data_centre: &str) -> Vec<SocketAddr> {
-        let is_far = |address: &SocketAddr| {
-            let peer = self.by_address.get(address);
-            peer.is_some_and(|peer| peer.pulse.data_centre != data_centre)
-        };
-        self.addresses.keys().filter(|address| !is_far(address)).copied().collect()
-    }
-
     /// Those that are heard, by this node or by relays.
     pub fn heard(&self, now: Millis) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
         self.by_address.iter().filter(move |(_, peer)| peer.is_heard(now))
--- a/crates/workshold-gateway/src/peers/exchange.rs
+++ b/crates/workshold-gateway/src/peers/exchange.rs
@@ -340,7 +340,7 @@
     }
 
     /// The other data centres, as far as any node of them is heard.
-    fn far(&self, own: &Own<'_>, now: Millis) -> BTreeSet<SmolStr> {
+    pub(super) fn far(&self, own: &Own<'_>, now: Millis) -> BTreeSet<SmolStr> {
         let places = self.heard(now).map(|(_, peer)| &peer.pulse.data_centre);
         places.filter(|place| *place != own.data_centre).cloned().collect()
     }
--- /dev/null
+++ b/crates/workshold-gateway/src/peers/news.rs
@@ -0,0 +1,156 @@
+//! Passing on what has come to the list of instances: who tells whom, in how many
+//! datagrams, and when a node that has missed something asks for it.
+//!
+//! The nodes of a data centre stand in a tree, in the order that all see alike. The first of
+//! them, who read the store, are its roots; each node tells [`CHILDREN`] others, once it has
+//! heard something new itself. So what a node sends does not grow with the number of nodes,
+//! and the last of 340 hears of a change after three steps. Datagrams are lost and nodes
+//! die, so nobody relies on the tree alone: pulses and digests say where the list ends, and
+//! whoever is behind that for [`PATIENCE`] asks one that is not.
+
+use std::net::SocketAddr;
+
+use workshold_protocol::Millis;
+
+use crate::peers::ListNews;
+use crate::peers::ListRecord;
+use crate::peers::Peers;
+use crate::peers::exchange::Own;
+
+/// Nodes of a data centre that read the store for all of it: so many that a third of them
+/// may be turned away.
+pub const ROOTS: usize = 4;
+/// Nodes that each one tells.
+pub const CHILDREN: usize = 4;
+/// The most bytes of entries in one datagram: with what stands beside them it has to fit
+/// into what a node takes.
+const MOST_BYTES: usize = 6 * 1024;
+/// The most datagrams for one change: more is a whole list, for which nodes ask.
+const MOST_PIECES: usize = 12;
+/// What is behind for this long has been missed: the tree takes three steps of some
+/// milliseconds, and those who tell wait up to 60 ms for more.
+pub const PATIENCE: Millis = Millis(120);
+
+impl Peers {
+    /// Whom a node tells what is new to it. `is_first` says that it read it itself.
+    pub fn told_of_news(&self, own: &Own<'_>, is_first: bool, now: Millis) -> Vec<SocketAddr> {
+        let near = self.in_order(own.data_centre, now);
+        let own_rank = super::rank(own.name);
+        let place = near.partition_point(|(rank, _)| *rank < own_rank);
+        // With this node at its place, all others stand one farther.
+        let at = |i: usize| near.get(if i > place { i - 1 } else { i });
+        let first_child = ROOTS + place * CHILDREN;
+        let children = first_child..first_child + CHILDREN;
+        let roots = (0..ROOTS).filter(|i| place < ROOTS && *i != place);
+        let mut told: Vec<SocketAddr> =
+            roots.chain(children).filter_map(at).map(|(_, address)| *address).collect();
+        if is_first {
+            told.extend(self.first_of_others(own, now));
+        }
+        told
+    }
+
+    /// The nodes of a data centre that are heard, this one not among them, in the order that
+    /// all see alike.
+    fn in_order(&self, data_centre: &str, now: Millis) -> Vec<(u32, SocketAddr)> {
+        let near = self.heard(now).filter(|(_, peer)| peer.pulse.data_centre == data_centre);
+        let mut near: Vec<_> = near.map(|(address, peer)| (peer.rank, *address)).collect();
+        near.sort_unstable();
+        near
+    }
+
+    /// The first root of each other data centre.
+    fn first_of_others(&self, own: &Own<'_>, now: Millis) -> Vec<SocketAddr> {
+        let places = self.far(own, now);
+        let first = |place: &_| self.in_order(place, now).first().map(|(_, address)| *address);
+        places.iter().filter_map(|place| first(place)).collect()
+    }
+
+    /// Who is asked by a node whose list ends at `next`: one whose list is known to go on, a
+    /// near one if there is any. `draw` is any number: all who missed the same would
+    /// otherwise ask the same node.
+    pub fn whom_to_ask(
+        &self,
+        own: &Own<'_>,
+        next: Option<u64>,
+        draw: usize,
+        now: Millis,
+    ) -> Option<SocketAddr> {
+        let ends = |peer: &super::Peer| peer.pulse.list.map(|(next, _)| next);
+        let ahead = self.heard(now).filter(|(_, peer)| ends(peer) > next);
+        let (near, far): (Vec<_>, Vec<_>) =
+            ahead.partition(|(_, peer)| peer.pulse.data_centre == own.data_centre);
+        let among = if near.is_empty() { far } else { near };
+        let drawn = draw.checked_rem(among.len())?;
+        among.get(drawn).map(|(address, _)| **address)
+    }
+}
+
+/// What is missing between what a node has and what others say that there is.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Gap {
+    end: u64,
+    since: Option<Millis>,
+}
+
+impl Gap {
+    /// Somebody's list ends at `end`, this node's at `own`. Returns whether that is the
+    /// first word of something missing.
+    pub fn on_end(&mut self, own: Option<u64>, end: u64, now: Millis) -> bool {
+        if own >= Some(end) {
+            return false;
+        }
+        let is_first = self.since.is_none();
+        self.end = self.end.max(end);
+        self.since = self.since.or(Some(now));
+        is_first
+    }
+
+    /// This node's list ends at `own` now.
+    pub fn on_own(&mut self, own: u64) {
+        if own >= self.end {
+            self.since = None;
+        }
+    }
+
+    /// How long from `now` until a peer is asked, if anything is missing.
+    pub fn asks_after(&self, now: Millis) -> Option<Millis> {
+        self.since.map(|since| (since + PATIENCE).since(now))
+    }
+}
+
+impl ListNews {
+    /// The same in as many pieces as fit into one datagram each, every one going on where
+    /// the last one ended; none if that were too many.
+    pub fn pieces(self) -> Vec<Self> {
+        let (last, age_ms) = (self.next, self.age_ms);
+        let mut records = self.records;
+        records.sort_by_key(|record| record.offset);
+        let mut pieces = Vec::new();
+        let mut piece = Self { from: self.from, next: last, age_ms, records: Vec::new() };
+        let mut len = 0;
+        for record in records {
+            let record_len = record_len(&record);
+            if len + record_len > MOST_BYTES && !piece.records.is_empty() {
+                piece.next = record.offset;
+                let next = Self { from: record.offset, next: last, age_ms, records: Vec::new() };
+                pieces.push(std::mem::replace(&mut piece, next));
+                len = 0;
+            }
+            len += record_len;
+            piece.records.push(record);
+        }
+        pieces.push(piece);
+        let is_told = pieces.len() <= MOST_PIECES
+            && pieces
+                .iter()
+                .all(|piece| piece.records.iter().map(record_len).sum::<usize>() <= MOST_BYTES);
+        if is_told { pieces } else { Vec::new() }
+    }
+}
+
+/// Bytes of a record in a datagram: its entry, its key, and the lengths of both and its place.
+fn record_len(record: &ListRecord) -> usize {
+    const BESIDE: usize = 16;
+    record.value.len() + record.key.len() + BESIDE
+}
--- a/crates/workshold-gateway/src/tasks/following.rs
+++ b/crates/workshold-gateway/src/tasks/following.rs
@@ -28,7 +28,9 @@
 const LIST_WAIT: Millis = Millis(2_500);
 /// Time for the answer itself, beyond the wait.
 const ANSWER_TIME: Millis = Millis(1_200);
-/// The least time between two reads of the list: each call has its price.
+/// The least time between two reads of the list: each call has its price. It is drawn anew
+/// each time from between two thirds and four thirds of it, or all readers, woken by the same
+/// change, would read together and all miss the next one for as long.
 const LIST_EVERY: Millis = Millis(900);
 /// The same before there is traffic.
 const LIST_EVERY_EARLY: Millis = Millis(400);
@@ -179,6 +181,7 @@
         return;
     }
     let every = if node.has_traffic() { LIST_EVERY } else { LIST_EVERY_EARLY };
+    let every = Millis(rand::random_range(every.0 * 2 / 3..=every.0 * 4 / 3));
     let left = every.since(node.now().since(sent));
     tokio::select! {
         () = tokio::time::sleep(left.to_duration()) => {}
@@ -199,8 +202,12 @@
     apply(node, &records, is_whole, sent);
     {
         let mut list = node.list.lock();
+        // Others may have told of more meanwhile.
+        let end = end.max(list.next.unwrap_or_default());
         list.next = Some(end);
-        list.read_at = sent;
+        list.read_at = list.read_at.max(sent);
+        list.gap.on_own(end);
+        list.has_own_news |= !records.records.is_empty();
     }
     if !records.records.is_empty() {
         node.news_wanted.notify_one();
@@ -299,10 +306,16 @@
 /// Takes records that a peer has read, told after `since`; whether they follow on what this
 /// node has.
 pub fn take_news(node: &Node, from_peer: &ListNews, since: Millis) -> bool {
-    let next = node.list.lock().next;
-    if next.unwrap_or_default() < from_peer.from {
-        return false;
-    }
+    let now = node.now();
+    let next = {
+        let mut list = node.list.lock();
+        let next = list.next;
+        if next.unwrap_or_default() < from_peer.from {
+            list.gap.on_end(next, from_peer.next, now);
+            return false;
+        }
+        next
+    };
     let sent = since - Millis(from_peer.age_ms);
     let records: Vec<Record> = from_peer
         .records
@@ -315,8 +328,14 @@
         .collect();
     apply(node, &Records { end: from_peer.next, records }, false, sent);
     let mut list = node.list.lock();
-    list.next = Some(list.next.unwrap_or_default().max(from_peer.next));
+    let end = list.next.unwrap_or_default().max(from_peer.next);
+    list.next = Some(end);
     list.read_at = list.read_at.max(sent);
+    list.gap.on_own(end);
+    drop(list);
+    if next.is_some_and(|next| next < end) {
+        node.news_wanted.notify_one();
+    }
     true
 }
 
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -27,7 +27,6 @@
 use crate::peers::Digest;
 use crate::peers::ListNews;
 use crate::peers::Message;
-use crate::peers::Peer;
 use crate::peers::Pulse;
 use crate::peers::Scope;
 use crate::peers::ToldLoad;
@@ -46,11 +45,11 @@
 /// However much is new, it says so no more often than this.
 const PULSE_GAP: Millis = Millis(100);
 /// News of the list is passed on no more often than this, several changes at once.
-const NEWS_EVERY: Duration = Duration::from_millis(60);
-/// The longest news: what does not fit into a datagram is fetched.
-const MOST_NEWS: usize = 6 * 1024;
+const NEWS_EVERY: Duration = Duration::from_millis(40);
 /// A peer is asked for its list no more often than this.
 const FETCH_EVERY: Duration = Duration::from_millis(200);
+/// Nodes that miss the same ask up to this much apart.
+const FETCH_SPREAD: Millis = Millis(60);
 /// Others' loads are summed up anew so many times between two pulses, however many come.
 const LOADS_SUMMED: u64 = 5;
 /// Requests that ended whoever ran them, in one pulse: those that were beside the one that
@@ -63,8 +62,6 @@
 const LOOK_FOR_WAITING: Duration = Duration::from_millis(100);
 /// How often a node looks whether a peer knows more.
 const CATCH_UP_EVERY: Duration = Duration::from_millis(300);
-/// A list older than this is fetched from a peer: longer than a waiting read.
-const LIST_STALE: Millis = Millis(4_000);
 /// A newer configuration is asked of a peer if the store has not given it by then.
 const STORE_FIRST: Millis = Millis(500);
 /// While the store is giving it, a peer is asked only after this: a reading that is not
@@ -108,25 +105,20 @@
     Millis(PULSE_FOR_EACH.0 * nodes as u64).clamp(PULSE_LEAST, PULSE_MOST)
 }
 
-fn near_addresses(node: &Node) -> Vec<SocketAddr> {
-    let settings = node.settings();
-    node.peers.lock().near_addresses(settings.node.data_centre.as_str())
-}
-
-/// Passes news of the list on to this data centre, if that is this node's turn, until
-/// the node ends.
+/// Passes on what is new of the list until the node ends, if there are nodes that go by what
+/// others read.
 pub async fn send_news(node: Arc<Node>, socket: Arc<UdpSocket>) {
     let mut from = None;
     loop {
         node.news_wanted.notified().await;
-        let next = node.list.lock().next;
-        if let Some(from) = from.filter(|_| node.is_announcer()) {
-            let news = following::news(&node, from);
-            let len: usize = news.records.iter().map(|record| record.value.len()).sum();
-            if len <= MOST_NEWS {
-                send(&node, &socket, &near_addresses(&node), Message::News(news)).await;
-            } else {
-                node.pulse_wanted.notify_one();
+        let (next, is_first) = {
+            let mut list = node.list.lock();
+            (list.next, std::mem::take(&mut list.has_own_news))
+        };
+        if let Some(from) = from.filter(|_| node.has_followers()) {
+            let to = whom_to_tell(&node, is_first);
+            for piece in following::news(&node, from).pieces() {
+                send(&node, &socket, &to, Message::News(piece)).await;
             }
         }
         from = next;
@@ -134,6 +126,11 @@
     }
 }
 
+fn whom_to_tell(node: &Node, is_first: bool) -> Vec<SocketAddr> {
+    let settings = node.settings();
+    node.peers.lock().told_of_news(&settings.own(), is_first, node.now())
+}
+
 /// Sends a message to all nodes that may be there.
 pub async fn broadcast(node: &Node, socket: &UdpSocket, message: Message) {
     let addresses = node.peers.lock().addresses();
@@ -233,7 +230,7 @@
         Message::Digest(digest) => take_digest(node, from, datagram.from, *digest, since),
         Message::News(news) => {
             if !following::take_news(node, &news, since) {
-                node.catch_up_wanted.notify_one();
+                node.list_gap_seen.notify_one();
             }
         }
         Message::Verdict { instance, reach, ask } => {
@@ -374,8 +371,12 @@
     node.suspicions_changed();
 }
 
-/// Fetches from a peer what the store does not give, until the node ends.
+/// Fetches from peers what the store does not give, or not in time, until the node ends.
 pub async fn catch_up(node: Arc<Node>) {
+    tokio::join!(catch_up_config(Arc::clone(&node)), catch_up_list(node));
+}
+
+async fn catch_up_config(node: Arc<Node>) {
     let mut newer_since = None;
     let mut received = 0;
     let mut received_at = Millis::ZERO;
@@ -399,13 +400,48 @@
         if let Some(peer) = newer.filter(|_| has_waited) {
             fetch_config(&node, peer).await;
         }
-        if let Some(peer) = newer_list(&node) {
+    }
+}
+
+/// Asks for what this node has missed of the list.
+async fn catch_up_list(node: Arc<Node>) {
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(CATCH_UP_EVERY) => {}
+            () = node.list_gap_seen.notified() => {}
+        }
+        look_for_gap(&node);
+        let Some(left) = node.list.lock().gap.asks_after(node.now()) else { continue };
+        let spread = Millis(rand::random_range(0..=FETCH_SPREAD.0));
+        tokio::time::sleep((left + spread).to_duration()).await;
+        let is_missing = node.list.lock().gap.asks_after(node.now()).is_some();
+        if let Some(peer) = whom_to_ask(&node).filter(|_| is_missing) {
             fetch_list(&node, peer).await;
             tokio::time::sleep(FETCH_EVERY).await;
         }
     }
 }
 
+/// What all who are heard say of where the list ends, in case none of them said it just now.
+fn look_for_gap(node: &Node) {
+    let now = node.now();
+    let peers = node.peers.lock();
+    let ends = peers.heard(now).filter_map(|(_, peer)| peer.pulse.list);
+    let end = ends.map(|(next, _)| next).max();
+    drop(peers);
+    let mut list = node.list.lock();
+    if let Some(end) = end {
+        let own = list.next;
+        list.gap.on_end(own, end, now);
+    }
+}
+
+fn whom_to_ask(node: &Node) -> Option<SocketAddr> {
+    let next = node.list.lock().next;
+    let settings = node.settings();
+    node.peers.lock().whom_to_ask(&settings.own(), next, rand::random::<u32>() as usize, node.now())
+}
+
 /// A peer that holds a newer configuration than this node.
 pub fn peer_with_newer_config(node: &Node) -> Option<SocketAddr> {
     let own = node.config_age().map(|(version, _)| version);
@@ -415,31 +451,17 @@
     newer.map(|(address, _)| *address).next()
 }
 
-/// A peer whose list goes on where this node's ends; a near one, for lists are long.
-fn newer_list(node: &Node) -> Option<SocketAddr> {
-    let (next, read_at) = {
-        let list = node.list.lock();
-        (list.next, list.read_at)
-    };
-    let now = node.now();
-    if node.is_reader() && now.since(read_at) < LIST_STALE {
-        return None;
-    }
-    let near = node.settings().node.data_centre.clone();
-    let is_far = |peer: &Peer| peer.pulse.data_centre.as_str() != near.as_str();
-    let peers = node.peers.lock();
-    let has_more = |peer: &Peer| peer.pulse.list.map(|(next, _)| next) > next;
-    let newer = peers.heard(now).filter(|(_, peer)| has_more(peer));
-    newer.min_by_key(|(_, peer)| is_far(peer)).map(|(address, _)| *address)
-}
-
 /// A peer saw that the list ends where this node's does, or farther on.
 fn confirm_list(node: &Node, next: u64, at: Millis) {
+    let now = node.now();
     let mut list = node.list.lock();
     if list.next == Some(next) {
         list.read_at = list.read_at.max(at);
-    } else if list.next < Some(next) {
-        node.catch_up_wanted.notify_one();
+        return;
+    }
+    let own = list.next;
+    if list.gap.on_end(own, next, now) {
+        node.list_gap_seen.notify_one();
     }
 }
 
