Tests, failing: a store that comes back from a copy; the stand-in plays it

The stand-in can come back from a copy of any age: records, places, the lease's members and numbers fall back, the header that counts returns rises, others write again after a while unless they have written anew.

--- a/crates/workshold-gateway/tests/platform.rs
+++ b/crates/workshold-gateway/tests/platform.rs
@@ -1,5 +1,7 @@
 //! Nodes on a stand-in of the users' platform, over sockets.
 
+#[path = "platform/copies.rs"]
+mod copies;
 #[path = "platform/ending.rs"]
 mod ending;
 #[path = "platform/path.rs"]
