--- a/crates/workshold-core/src/hosted.rs
+++ b/crates/workshold-core/src/hosted.rs
@@ -7,7 +7,7 @@
 //!
 //! - What is to be served: [`catalog`], and how fresh it is: [`currency`].
 //! - What there is: [`roster`] with [`groups`]; which life of an instance: [`identity`]; who
-//!   cannot be reached: [`suspicion`].
+//!   cannot be reached: [`suspicion`]; which past of the store says so: [`history`].
 //! - What is asked: [`demand`]; what groups make of it: [`capacity`]; which groups there
 //!   should be: [`planner`].
 //! - Who forms them: [`steward`], and when it may order: [`tenure`].
@@ -21,6 +21,7 @@
 pub mod demand;
 pub mod fingerprint;
 pub mod groups;
+pub mod history;
 pub mod identity;
 pub mod placement;
 pub mod planner;
--- a/crates/workshold-core/src/hosted/quarantine.rs
+++ b/crates/workshold-core/src/hosted/quarantine.rs
@@ -395,6 +395,14 @@
         keep.collect()
     }
 
+    /// Where it is kept something may have been lost that was kept: what others held, and
+    /// that it was cleared.
+    pub fn keep_all(&mut self) {
+        for entry in self.entries.values_mut() {
+            entry.is_to_keep |= entry.count() >= ENDS || entry.cleared.is_some();
+        }
+    }
+
     /// It could not be kept: it is still to be.
     pub fn keep_again(&mut self, known: &[Known]) {
         for known in known {
--- a/crates/workshold-core/src/hosted/roster.rs
+++ b/crates/workshold-core/src/hosted/roster.rs
@@ -13,6 +13,9 @@
 use workshold_protocol::ids::ModelName;
 use workshold_protocol::ids::ServiceName;
 
+use super::history::COPY_STANDS;
+use super::history::Era;
+use super::history::Place;
 use super::identity::Identity;
 
 /// How far a member says its group is.
@@ -74,7 +77,7 @@
     /// The instance's own words.
     pub instance: Arc<Instance>,
     /// The record that they stand in.
-    pub offset: u64,
+    pub place: Place,
     /// Since when the list lacks it, if it does.
     pub unlisted_since: Option<Millis>,
     /// Since when its newest record cannot be read, if that is so: its words are those
@@ -88,8 +91,9 @@
 #[derive(Debug, Clone)]
 struct Earlier {
     instance: Arc<Instance>,
-    offset: u64,
-    since: Millis,
+    place: Place,
+    /// When it is believed if nobody has spoken against it.
+    stands_at: Millis,
 }
 
 /// How long an unlisted instance is remembered, for what it leaves behind.
@@ -112,6 +116,8 @@
     broken: BTreeMap<(u64, GroupId), Millis>,
     last_new: Millis,
     version: u64,
+    /// The past that the list has changed to, and from when on what it lacks has gone.
+    era: Option<(Era, Millis)>,
 }
 
 impl Roster {
@@ -119,32 +125,33 @@
     /// life that has ended with it, if another one begins.
     pub fn apply(
         &mut self,
-        offset: u64,
+        place: impl Into<Place>,
         id: &InstanceId,
         word: Option<Instance>,
         now: Millis,
     ) -> Option<Identity> {
+        let place = place.into();
         self.version += 1;
         if let Some(word) = &word {
             self.note_head(word, now);
         }
         let Some(known) = self.entries.get_mut(id) else {
             let instance = Arc::new(word?);
-            self.entries.insert(id.clone(), Entry::new(instance, offset));
+            self.entries.insert(id.clone(), Entry::new(instance, place));
             self.last_new = now;
             return None;
         };
-        if known.offset > offset {
+        if known.place > place {
             return None;
         }
-        known.offset = offset;
+        known.place = place;
         let Some(word) = word else {
             known.earlier = None;
             known.unlisted_since = known.unlisted_since.or(Some(now));
             return None;
         };
         if known.is_later_than(&word) {
-            known.on_earlier(Arc::new(word), offset, now);
+            known.on_earlier(Arc::new(word), place, now + EARLIER_STANDS);
             return None;
         }
         if known.contradicts(&word) {
@@ -157,15 +164,56 @@
 
     /// Takes one record that cannot be read: it names nobody to use, but what the instance
     /// was part of may still stand.
-    pub fn apply_unreadable(&mut self, offset: u64, id: &InstanceId, now: Millis) {
+    pub fn apply_unreadable(&mut self, place: impl Into<Place>, id: &InstanceId, now: Millis) {
+        let place = place.into();
         self.version += 1;
-        if let Some(known) = self.entries.get_mut(id).filter(|known| known.offset <= offset) {
-            known.offset = offset;
+        if let Some(known) = self.entries.get_mut(id).filter(|known| known.place <= place) {
+            known.place = place;
             known.earlier = None;
             known.unreadable_since = known.unreadable_since.or(Some(now));
         }
     }
 
+    /// Takes one record of the copy that the store came back from. What it says was so in
+    /// the past. If this node knows another word, that one stands until the instance has had
+    /// the time to write again: nobody is taken and no head ends by a copy alone.
+    pub fn apply_copied(&mut self, place: Place, id: &InstanceId, word: Instance, now: Millis) {
+        self.version += 1;
+        self.note_head(&word, now);
+        let Some(known) = self.entries.get_mut(id) else {
+            self.entries.insert(id.clone(), Entry::new(Arc::new(word), place));
+            self.last_new = now;
+            return;
+        };
+        if known.place >= place {
+            return;
+        }
+        known.place = place;
+        if word.is_leaving && word.identity == known.instance.identity {
+            // Nobody takes that back.
+            Arc::make_mut(&mut known.instance).is_leaving = true;
+        }
+        if !known.says(&word) {
+            known.on_earlier(Arc::new(word), place, now + COPY_STANDS);
+        }
+    }
+
+    /// The list is that of another past from here on. What it lacks has gone only if it is
+    /// still missing at `true_from`.
+    pub fn begin_era(&mut self, era: Era, true_from: Millis) {
+        self.version += 1;
+        self.era = Some((era, true_from));
+    }
+
+    /// Drops what nobody has written again in the newest past.
+    fn drop_unwritten(&mut self, now: Millis) {
+        let Some((era, _)) = self.era.filter(|(_, true_from)| now >= *true_from) else { return };
+        let unwritten = self.entries.values_mut().filter(|entry| entry.place.era < era);
+        unwritten.for_each(|entry| entry.unlisted_since = entry.unlisted_since.or(Some(now)));
+        self.era = None;
+        self.version += 1;
+    }
+
     fn note_head(&mut self, word: &Instance, now: Millis) {
         if let Some(own) = word.membership.as_ref().filter(|own| own.rank == 0) {
             let key = (own.epoch, own.group.clone());
@@ -186,9 +234,8 @@
     /// Believes records of earlier lives that nobody has spoken against; returns the lives
     /// that have ended with them.
     fn settle(&mut self, now: Millis) -> Vec<Identity> {
-        let stands = |entry: &&mut Entry| {
-            entry.earlier.as_ref().is_some_and(|word| now.since(word.since) >= EARLIER_STANDS)
-        };
+        let stands =
+            |entry: &&mut Entry| entry.earlier.as_ref().is_some_and(|word| now >= word.stands_at);
         let settled = self.entries.values_mut().filter(stands);
         let ended: Vec<_> = settled.map(Entry::take_earlier).collect();
         ended.into_iter().filter_map(|ended| self.note_end(ended, now)).collect()
@@ -202,10 +249,14 @@
 
     /// After a reading of the whole list up to `end`: what is not among `seen`
     /// has gone, unless a record after `end` speaks of it.
-    pub fn keep_only(&mut self, seen: &BTreeSet<InstanceId>, end: u64, now: Millis) {
+    pub fn keep_only(&mut self, seen: &BTreeSet<InstanceId>, end: impl Into<Place>, now: Millis) {
+        let end = end.into();
         self.version += 1;
+        // Who has not written again since the store came back from a copy may yet do so.
+        let waits = self.era.is_some_and(|(_, true_from)| now < true_from);
         for (id, entry) in &mut self.entries {
-            if !seen.contains(id) && entry.offset < end {
+            let may_come = waits && entry.place.era < end.era;
+            if !seen.contains(id) && entry.place < end && !may_come {
                 entry.unlisted_since = entry.unlisted_since.or(Some(now));
             }
         }
@@ -218,6 +269,7 @@
 
     /// Forgets what has long been gone, and returns the lives that are found to have ended.
     pub fn forget(&mut self, now: Millis) -> Vec<Identity> {
+        self.drop_unwritten(now);
         let ended = self.settle(now);
         let stated = |entry: &Entry| {
             entry.instance.membership.as_ref().map(|own| (own.epoch, own.group.clone()))
@@ -296,8 +348,15 @@
 
 impl Entry {
     /// The entry of an instance that was not known before.
-    pub fn new(instance: Arc<Instance>, offset: u64) -> Self {
-        Self { instance, offset, unlisted_since: None, unreadable_since: None, earlier: None }
+    pub fn new(instance: Arc<Instance>, place: impl Into<Place>) -> Self {
+        let place = place.into();
+        Self { instance, place, unlisted_since: None, unreadable_since: None, earlier: None }
+    }
+
+    /// Whether the instance says this anyway.
+    fn says(&self, word: &Instance) -> bool {
+        let is_current = self.unlisted_since.is_none() && self.unreadable_since.is_none();
+        is_current && *self.instance == *word
     }
 
     /// Takes the instance's word; returns that of the life before if this is another one.
@@ -311,9 +370,9 @@
     }
 
     /// Keeps a word of an earlier life, as long as nobody speaks against it.
-    fn on_earlier(&mut self, instance: Arc<Instance>, offset: u64, now: Millis) {
-        if self.earlier.as_ref().is_none_or(|known| known.offset < offset) {
-            self.earlier = Some(Earlier { instance, offset, since: now });
+    fn on_earlier(&mut self, instance: Arc<Instance>, place: Place, stands_at: Millis) {
+        if self.earlier.as_ref().is_none_or(|known| known.place < place) {
+            self.earlier = Some(Earlier { instance, place, stands_at });
         }
     }
 
--- a/crates/workshold-core/src/hosted/tenure.rs
+++ b/crates/workshold-core/src/hosted/tenure.rs
@@ -6,6 +6,8 @@
 
 use workshold_protocol::Millis;
 
+use super::history::Fence;
+
 /// The times that a new holder keeps to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TenureRules {
@@ -19,27 +21,41 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Tenure {
     /// The lease's number when the part came.
-    generation: u64,
+    fence: Fence,
     since: Millis,
+    /// Nothing is ordered before, whoever has noticed.
+    not_before: Millis,
     /// Since when nobody else orders.
     settled_at: Option<Millis>,
 }
 
 impl Tenure {
-    /// The part came at `now`, under `generation`.
-    pub fn new(generation: u64, now: Millis) -> Self {
-        Self { generation, since: now, settled_at: None }
+    /// The part came at `now`, under `fence`.
+    pub fn new(fence: impl Into<Fence>, now: Millis) -> Self {
+        Self { fence: fence.into(), since: now, not_before: Millis::ZERO, settled_at: None }
+    }
+
+    /// Nothing is ordered before `true_from`: the store came back from a copy a moment ago,
+    /// and what it says of instances, and of who held the part, is of the past. The lease's
+    /// time has run out by then for all who held a part before, heard or not.
+    pub fn waits_until(self, true_from: Millis) -> Self {
+        Self { not_before: true_from, ..self }
     }
 
     /// Looks who else may order: `others` are the numbers by which all those act who
     /// are heard. One that acts by this number or a later one has noticed.
-    pub fn look(&mut self, others: impl Iterator<Item = u64>, rules: TenureRules, now: Millis) {
-        if self.settled_at.is_some() {
+    pub fn look(
+        &mut self,
+        others: impl Iterator<Item = impl Into<Fence>>,
+        rules: TenureRules,
+        now: Millis,
+    ) {
+        if self.settled_at.is_some() || now < self.not_before {
             return;
         }
         let held = now.since(self.since);
         let mut others = others;
-        let have_noticed = others.all(|generation| generation >= self.generation);
+        let have_noticed = others.all(|other| other.into() >= self.fence);
         let is_settled = have_noticed && held >= rules.orders_arrive;
         if is_settled || held >= rules.lease_ttl + rules.orders_arrive {
             self.settled_at = Some(now);
--- a/crates/workshold-gateway/src/callers/control.rs
+++ b/crates/workshold-gateway/src/callers/control.rs
@@ -8,6 +8,8 @@
 use hyper::body::Incoming;
 use serde_json::json;
 use workshold_core::hosted::fingerprint::Fingerprint;
+use workshold_core::hosted::history::Era;
+use workshold_core::hosted::history::Place;
 
 use crate::callers::answers;
 use crate::callers::answers::AnswerBody;
@@ -57,12 +59,18 @@
 }
 
 fn list(node: &Node, query: &str) -> Response<AnswerBody> {
-    let from = query.strip_prefix("from=").and_then(|from| from.parse().ok()).unwrap_or(0);
+    let from = query.strip_prefix("from=").and_then(place).unwrap_or_default();
     let records = following::news(node, from);
     let bytes = postcard::to_stdvec(&records).expect("records have only plain fields");
     Response::new(answers::whole(Bytes::from(bytes)))
 }
 
+/// A place as another node writes it: its era, a point, its offset.
+fn place(text: &str) -> Option<Place> {
+    let (era, offset) = text.split_once('.')?;
+    Some(Place { era: Era(era.parse().ok()?), offset: offset.parse().ok()? })
+}
+
 /// The node's state as JSON.
 pub fn state(node: &Node) -> String {
     let now = node.now();
@@ -117,7 +125,8 @@
         "refuses_stale_keys": node.settings().bounds.refuse_stale_keys,
         "list_age_ms": list_age,
         "store_age_ms": node.store_age().0,
-        "lease": { "generation": lease.generation, "parts": lease.parts.keys().collect::<Vec<_>>() },
+        "store_era": node.pasts.era(),
+"lease": { "era": lease.fence.era, "generation": lease.fence.generation, "parts": lease.parts.keys().collect::<Vec<_>>() },
         "requests": node.in_flight(),
         "held": held,
         "peers": peers,
--- a/crates/workshold-gateway/src/events.rs
+++ b/crates/workshold-gateway/src/events.rs
@@ -18,6 +18,7 @@
     ConfigUnreadable = 1104, Error, "a configuration cannot be read and is passed over", "The old one stays in force; mend the new one.";
     EntryUnreadable = 1105, Warn, "an instance's entry cannot be read and is passed over", "Look at the instance's version.";
     ConfigFromPeer = 1106, Info, "a configuration came from another node", "Nothing; this node cannot reach the store.";
+    StoreReturned = 1107, Warn, "the store has come back from a copy: what it acknowledged last is gone", "Write what you wrote in the last seconds again; groups are mended from a few seconds later on.";
     LeaseTaken = 1201, Info, "this node stewards other parts than before", "Nothing.";
     LeaseLost = 1202, Warn, "this node's right to give orders has ended", "Nothing; another node has it.";
     Ordered = 1203, Info, "an instance was given an order", "Nothing.";
--- a/crates/workshold-gateway/src/lib.rs
+++ b/crates/workshold-gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`settings`] are read and checked before anything starts, and read again when
 //!   they change.
 //! - [`node::Node`] is what all parts share, in pieces, each under its own lock.
+//! - [`pasts`]: what if the store's answer is older than what this node holds?
 //! - [`tasks`] run beside the callers: following the store, holding the lease,
 //!   stewarding, talking to peers, looking after instances in doubt.
 //! - [`callers`] answers requests; [`relay`] carries them to upstreams.
@@ -14,6 +15,7 @@
 pub mod loads;
 pub mod metrics;
 pub mod node;
+pub mod pasts;
 pub mod peers;
 pub mod relay;
 pub mod settings;
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -23,6 +23,10 @@
 use workshold_core::hosted::currency::Currency;
 use workshold_core::hosted::demand::Demand;
 use workshold_core::hosted::fingerprint::Fingerprint;
+use workshold_core::hosted::history::Era;
+use workshold_core::hosted::history::Fence;
+use workshold_core::hosted::history::Heard;
+use workshold_core::hosted::history::Place;
 use workshold_core::hosted::identity::Identity;
 use workshold_core::hosted::quarantine;
 use workshold_core::hosted::quarantine::Known;
@@ -42,7 +46,9 @@
 use workshold_core::hosted::tries::Usage;
 use workshold_core::outlier::OutlierRules;
 use workshold_core::outlier::Outliers;
+use workshold_platform::store::Answer;
 use workshold_platform::store::Store;
+use workshold_platform::store::StoreError;
 use workshold_protocol::Clock;
 use workshold_protocol::Millis;
 use workshold_protocol::ids::ModelName;
@@ -56,6 +62,7 @@
 use crate::loads::short_name;
 use crate::metrics::Metric;
 use crate::metrics::Metrics;
+use crate::pasts::Pasts;
 use crate::peers::Ask;
 use crate::peers::LIST_TROUBLE_MOST;
 use crate::peers::Peers;
@@ -74,11 +81,15 @@
     /// Whether they can be taken at their word.
     pub trust: ListTrust,
     /// The next record to read; `None` before the first reading.
-    pub next: Option<u64>,
+    pub next: Option<Place>,
+    /// The past of the store that the entries are of, once there are any.
+    pub past: Option<Era>,
+    /// Records of its past before this one are of the copy that the store came back from.
+    pub copy_end: Place,
     /// When the last reading that was answered was sent.
     pub read_at: Millis,
     /// The newest record of each instance as it was read, for peers.
-    pub raw: BTreeMap<SmolStr, (u64, Bytes)>,
+    pub raw: BTreeMap<SmolStr, (Place, Bytes)>,
     /// Instances by the short names that datagrams use.
     pub by_short_id: HashMap<u32, Identity>,
     /// What others have of it and this node lacks.
@@ -97,22 +108,22 @@
 /// This node's right to give orders.
 #[derive(Debug, Clone, Default)]
 pub struct Lease {
-    /// The group's number, which serves as the fence.
-    pub generation: u64,
+    /// The right that its orders go by.
+    pub fence: Fence,
     /// The parts that are this node's.
     pub parts: BTreeMap<u64, Tenure>,
     /// When the last renewal that was answered was sent.
     pub renewed_at: Millis,
-    /// An instance has refused this number: another node has a higher one.
-    pub outranked: Option<u64>,
-    /// The highest number by which any other node acts.
-    pub heard: u64,
+    /// An instance has refused this one: another node has a higher one.
+    pub outranked: Option<Fence>,
+    /// The highest by which any other node acts.
+    pub heard: Fence,
 }
 
 impl Lease {
-    /// The number by which this node gives orders, if it may hold any part.
-    pub fn acts_by(&self) -> Option<u64> {
-        (!self.parts.is_empty()).then_some(self.generation)
+    /// The right by which this node gives orders, if it may hold any part.
+    pub fn acts_by(&self) -> Option<Fence> {
+        (!self.parts.is_empty()).then_some(self.fence)
     }
 }
 
@@ -186,6 +197,8 @@
     pub list_wanted: Notify,
     /// Ends a reading that waits: one that began later is needed.
     pub list_wanted_anew: Notify,
+    /// The same for the configuration.
+    pub config_wanted_anew: Notify,
     /// Wakes the one who makes the table anew.
     pub table_wanted: Notify,
     /// Wakes the one who renews the lease.
@@ -196,8 +209,8 @@
     pub is_steward_busy: AtomicBool,
     /// Instances to try to reach, with what to do about others.
     pub probes: tokio::sync::mpsc::UnboundedSender<Probe>,
-    /// When the store last answered.
-    pub store_answered: Mutex<Millis>,
+    /// What is known of the store's pasts.
+    pub pasts: Pasts,
     has_traffic: AtomicBool,
     is_leaving: AtomicBool,
     is_closing: AtomicBool,
@@ -259,6 +272,10 @@
 
 /// Up to so many nodes, each reads the store for itself.
 const ALL_READ: usize = 12;
+/// So many of each data centre write again what the store has lost.
+const KEEPERS: usize = 2;
+/// A node that starts has heard the others by then, or there is nobody whom it hears.
+const HEARS_WITHIN: Millis = Millis(2_500);
 /// Tables are made anew no more often than this for changes of the list.
 pub const TABLE_GAP: Millis = Millis(60);
 /// A table is made anew after this whatever has changed.
@@ -289,11 +306,12 @@
         clock: Box<dyn Clock>,
         probes: tokio::sync::mpsc::UnboundedSender<Probe>,
     ) -> Self {
+        let is_first_start = settings.node.is_first_start;
         let store = Store::new(&settings.store.address);
         let config_store = Store::new(&settings.store.address);
         Self {
             // At the very first start of all nothing is kept.
-            is_quarantine_read: AtomicBool::new(settings.node.is_first_start),
+            is_quarantine_read: AtomicBool::new(is_first_start),
             settings: RwLock::new(Arc::new(settings)),
             began: clock.now(),
             clock,
@@ -323,12 +341,13 @@
             list_gap_seen: Notify::new(),
             list_wanted: Notify::new(),
             list_wanted_anew: Notify::new(),
+            config_wanted_anew: Notify::new(),
             table_wanted: Notify::new(),
             lease_wanted: Notify::new(),
             epochs_issued: Arc::default(),
             is_steward_busy: AtomicBool::new(false),
             probes,
-            store_answered: Mutex::default(),
+            pasts: Pasts::new(is_first_start),
             has_traffic: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
             is_closing: AtomicBool::new(false),
@@ -929,15 +948,66 @@
         self.peers.lock().heard(self.now()).count() >= ALL_READ
     }
 
-    /// The store answered a question that was sent at `sent`.
-    pub fn store_answered(&self, sent: Millis) {
-        let mut last = self.store_answered.lock();
-        *last = (*last).max(sent);
+    /// The store answered a question that was sent at `sent`; what it says.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Earlier`]: nothing, for it is of a past that is over.
+    pub fn take_answer<T>(&self, answer: Answer<T>, sent: Millis) -> Result<T, StoreError> {
+        let (said, has_returned) = self.pasts.take(answer, sent, self.now())?;
+        if has_returned {
+            self.store_returned();
+        }
+        Ok(said)
+    }
+
+    /// Another node has known this past of the store since `since`.
+    pub fn hear_of_past(&self, era: Era, since: Millis) {
+        if self.pasts.hear(era, since) == Heard::Risen {
+            self.store_returned();
+        }
+    }
+
+    /// The store has come back from a copy. What this node holds of it stands, but is read
+    /// anew, and what was kept there and may be lost is kept again.
+    fn store_returned(&self) {
+        emit(Event::StoreReturned, &[("era", &self.pasts.era().to_string())]);
+        if self.keeps_anew() {
+            self.quarantine.lock().keep_all();
+            self.keep_wanted.notify_one();
+        }
+        self.pulse_wanted.notify_one();
+        self.lease_wanted.notify_one();
+        self.list_wanted.notify_one();
+        self.list_wanted_anew.notify_one();
+        self.config_wanted_anew.notify_one();
+    }
+
+    /// Whether this node writes again what the store has lost: two of each data centre do,
+    /// so that one of them may be gone, and hundreds do not write the same.
+    pub fn keeps_anew(&self) -> bool {
+        self.is_among_first(KEEPERS)
+    }
+
+    /// Whether a configuration that the store gave may be one of its past: after a return
+    /// from a copy others may hold a newer one, whom a node that starts has not heard yet.
+    pub fn is_surpassed(&self, version: u64) -> bool {
+        if self.pasts.era() == Era::default() {
+            return false;
+        }
+        let is_new = !self.settings().node.is_first_start && self.age() < HEARS_WITHIN;
+        let now = self.now();
+        let (newest, is_alone) = {
+            let peers = self.peers.lock();
+            (peers.newest_config(now), peers.heard(now).next().is_none())
+        };
+        let is_held = self.config_age().is_some_and(|(held, _)| held >= version);
+        !is_held && (newest > Some(version) || (is_new && (is_alone || !self.is_settled())))
     }
 
     /// How long ago a question was sent that the store answered.
     pub fn store_age(&self) -> Millis {
-        self.now().since(*self.store_answered.lock())
+        self.now().since(self.pasts.answered())
     }
 }
 
--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -263,6 +263,12 @@
         counts.map(|(_, at)| *at).min().flatten()
     }
 
+    /// The newest configuration that any of those who are heard holds.
+    pub fn newest_config(&self, now: Millis) -> Option<u64> {
+        let held = self.heard(now).filter_map(|(_, peer)| peer.pulse.config);
+        held.map(|(version, _)| version).max()
+    }
+
     /// Drops addresses that have long been silent.
     pub fn forget(&mut self, now: Millis) {
         self.addresses.retain(|_, since| now.since(*since) < FORGET_AFTER);
@@ -280,10 +286,12 @@
 }
 
 /// Whether others wait for what is new in a pulse: that a node stops serving, who gives
-/// orders, and a newer configuration.
+/// orders, that the store came back from a copy, and a newer configuration.
 fn is_news(last: &Pulse, next: &Pulse) -> bool {
     let version = |pulse: &Pulse| pulse.config.map(|(version, _)| version);
+    let past = |pulse: &Pulse| pulse.past.map(|(era, _)| era);
     (last.is_ready && !next.is_ready)
         || last.acts_by != next.acts_by
+        || past(last) < past(next)
         || version(last) < version(next)
 }
--- a/crates/workshold-gateway/src/peers/exchange.rs
+++ b/crates/workshold-gateway/src/peers/exchange.rs
@@ -7,6 +7,7 @@
 
 use smol_str::SmolStr;
 use workshold_core::hosted::capacity::Work;
+use workshold_core::hosted::history::Fence;
 use workshold_protocol::Millis;
 
 use crate::loads::Load;
@@ -68,7 +69,7 @@
 pub struct Sums {
     by_model: BTreeMap<u32, Work>,
     by_instance: BTreeMap<u32, (Load, u8)>,
-    acts_by: BTreeMap<SocketAddr, u64>,
+    acts_by: BTreeMap<SocketAddr, Fence>,
     /// The part of what is asked that is seen, in 100.
     pub seen_percent: u8,
     /// Whether any of them has seen requests.
@@ -83,9 +84,9 @@
         &self.by_model
     }
 
-    /// The numbers by which nodes give orders, with where they are heard.
-    pub fn acts_by(&self) -> impl Iterator<Item = (&SocketAddr, u64)> {
-        self.acts_by.iter().map(|(address, number)| (address, *number))
+    /// By what right nodes give orders, with where they are heard.
+    pub fn acts_by(&self) -> impl Iterator<Item = (&SocketAddr, Fence)> {
+        self.acts_by.iter().map(|(address, fence)| (address, *fence))
     }
 
     pub(super) fn loads(&self) -> HashMap<u32, Load> {
@@ -114,7 +115,7 @@
     fn add_pulse(&mut self, address: SocketAddr, pulse: &Pulse, heard: Millis) {
         self.add_work(&pulse.work);
         self.add_loads(&pulse.loads);
-        self.acts_by.extend(pulse.acts_by.map(|number| (address, number)));
+        self.acts_by.extend(pulse.acts_by.map(|fence| (address, fence)));
         self.seen_percent = self.seen_percent.max(pulse.seen_percent);
         self.has_traffic |= pulse.has_traffic;
         self.add_answer(heard - Millis(pulse.store_age_ms));
@@ -514,6 +515,7 @@
             config: None,
             list: None,
             acts_by: None,
+            past: None,
             store_age_ms: 0,
             list_trouble_ms: None,
             hears: Vec::new(),
--- a/crates/workshold-gateway/src/peers/messages.rs
+++ b/crates/workshold-gateway/src/peers/messages.rs
@@ -7,6 +7,9 @@
 use smol_str::SmolStr;
 use workshold_core::hosted::capacity::Work;
 use workshold_core::hosted::fingerprint::Fingerprint;
+use workshold_core::hosted::history::Era;
+use workshold_core::hosted::history::Fence;
+use workshold_core::hosted::history::Place;
 use workshold_core::hosted::identity::Identity;
 use workshold_core::hosted::quarantine::End;
 use workshold_core::hosted::quarantine::Known;
@@ -19,7 +22,7 @@
 use crate::loads::short_name;
 
 /// The form of these messages; another one is passed over.
-pub const VERSION: u8 = 6;
+pub const VERSION: u8 = 7;
 
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -98,9 +101,12 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListNews {
     /// The first record that may be among them; all that are newer are.
-    pub from: u64,
+    pub from: Place,
     /// The next record that it would read.
-    pub next: u64,
+    pub next: Place,
+    /// Records before this one, of the same past, are of the copy that the store came back
+    /// from, or none are.
+    pub copy_end: Place,
     /// How long ago it asked for what it has, in ms.
     pub age_ms: u64,
     /// The newest record of each instance, from `from` on.
@@ -111,7 +117,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListRecord {
     /// Its place.
-    pub offset: u64,
+    pub place: Place,
     /// The instance.
     pub key: SmolStr,
     /// Its entry as it stands in the store; empty if it is gone.
@@ -230,7 +236,7 @@
     /// How many nodes it hears of, itself included.
     pub heard: u16,
     /// By what numbers nodes give orders.
-    pub acts_by: Vec<(SocketAddr, u64)>,
+    pub acts_by: Vec<(SocketAddr, Fence)>,
     /// How long ago the store last answered any node, in ms.
     pub store_age_ms: u64,
     /// Whether any node has seen requests.
@@ -281,9 +287,11 @@
     /// The configuration that it holds, and how long ago that was the newest, in ms.
     pub config: Option<(u64, u64)>,
     /// Where its list of instances ends, and how long ago that was the end, in ms.
-    pub list: Option<(u64, u64)>,
-    /// The lease's number by which it gives orders, if it does.
-    pub acts_by: Option<u64>,
+    pub list: Option<(Place, u64)>,
+    /// By what right it gives orders, if it does.
+    pub acts_by: Option<Fence>,
+    /// The store's newest past that it has heard of, and for how long, in ms.
+    pub past: Option<(Era, u64)>,
     /// How long ago the store last answered it, in ms.
     pub store_age_ms: u64,
     /// How long ago a reading of the list last failed, in ms and at most
--- a/crates/workshold-gateway/src/peers/news.rs
+++ b/crates/workshold-gateway/src/peers/news.rs
@@ -10,6 +10,7 @@
 
 use std::net::SocketAddr;
 
+use workshold_core::hosted::history::Place;
 use workshold_protocol::Millis;
 
 use crate::peers::ListNews;
@@ -72,7 +73,7 @@
     pub fn whom_to_ask(
         &self,
         own: &Own<'_>,
-        next: Option<u64>,
+        next: Option<Place>,
         draw: usize,
         now: Millis,
     ) -> Option<SocketAddr> {
@@ -89,14 +90,14 @@
 /// What is missing between what a node has and what others say that there is.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Gap {
-    end: u64,
+    end: Place,
     since: Option<Millis>,
 }
 
 impl Gap {
     /// Somebody's list ends at `end`, this node's at `own`. Returns whether that is the
     /// first word of something missing.
-    pub fn on_end(&mut self, own: Option<u64>, end: u64, now: Millis) -> bool {
+    pub fn on_end(&mut self, own: Option<Place>, end: Place, now: Millis) -> bool {
         if own >= Some(end) {
             return false;
         }
@@ -107,7 +108,7 @@
     }
 
     /// This node's list ends at `own` now.
-    pub fn on_own(&mut self, own: u64) {
+    pub fn on_own(&mut self, own: Place) {
         if own >= self.end {
             self.since = None;
         }
@@ -123,17 +124,17 @@
     /// The same in as many pieces as fit into one datagram each, every one going on where
     /// the last one ended; none if that were too many.
     pub fn pieces(self) -> Vec<Self> {
-        let (last, age_ms) = (self.next, self.age_ms);
+        let last = self.next;
+        let mut piece = Self { records: Vec::new(), ..self };
         let mut records = self.records;
-        records.sort_by_key(|record| record.offset);
+        records.sort_by_key(|record| record.place);
         let mut pieces = Vec::new();
-        let mut piece = Self { from: self.from, next: last, age_ms, records: Vec::new() };
         let mut len = 0;
         for record in records {
             let record_len = record_len(&record);
             if len + record_len > MOST_BYTES && !piece.records.is_empty() {
-                piece.next = record.offset;
-                let next = Self { from: record.offset, next: last, age_ms, records: Vec::new() };
+                piece.next = record.place;
+                let next = Self { from: record.place, next: last, records: Vec::new(), ..piece };
                 pieces.push(std::mem::replace(&mut piece, next));
                 len = 0;
             }
--- a/crates/workshold-gateway/src/tasks/following.rs
+++ b/crates/workshold-gateway/src/tasks/following.rs
@@ -5,9 +5,11 @@
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
+use workshold_core::hosted::history::Place;
 use workshold_platform::config;
 use workshold_platform::entries;
 use workshold_platform::names;
+use workshold_platform::store::Answer;
 use workshold_platform::store::Record;
 use workshold_platform::store::Records;
 use workshold_platform::store::StoreError;
@@ -54,18 +56,20 @@
 
 /// Follows the configuration until the node ends.
 pub async fn config(node: Arc<Node>) {
-    let mut next = None;
+    let mut followed = Followed::default();
     let mut pause = RETRY;
     loop {
         wait_while_others_read(&node, || is_config_current(&node)).await;
         let sent = node.now();
-        match read_config(&node, next, sent).await {
-            Ok(end) => {
-                next = Some(end);
-                pause = RETRY;
-                note_answer(&node, sent);
-            }
-            Err(StoreError::Gone { .. }) => next = None,
+        let read = tokio::select! {
+            read = read_config(&node, &mut followed, sent) => read,
+            // What waits is asked by a place of the last past: keys would look older than
+            // they are until it runs out.
+            () = node.config_wanted_anew.notified() => continue,
+        };
+        match read {
+            Ok(()) => pause = RETRY,
+            Err(StoreError::Gone { .. }) => followed = Followed::default(),
             Err(err) => {
                 note_failure(&node, &err);
                 tokio::time::sleep(pause.to_duration()).await;
@@ -75,6 +79,16 @@
     }
 }
 
+/// How far the operator's topic was read.
+#[derive(Debug, Default)]
+struct Followed {
+    /// Where to read on; `None` before a whole reading.
+    next: Option<Place>,
+    /// The version that is the newest there. After a return from a copy it may be older than
+    /// the one in force, and then says nothing about how fresh that is.
+    newest: Option<u64>,
+}
+
 /// Waits at its start until a node has the list from others, or is one of those who read
 /// it, or has waited for too long.
 async fn wait_to_start(node: &Node) {
@@ -105,40 +119,79 @@
     !is_busy && list.next.is_some() && node.now().since(list.read_at) < LIST_CURRENT
 }
 
-async fn read_config(node: &Node, next: Option<u64>, sent: Millis) -> Result<u64, StoreError> {
+async fn read_config(node: &Node, followed: &mut Followed, sent: Millis) -> Result<(), StoreError> {
     let topic = names::OPERATOR_TOPIC;
     node.metrics.count(Metric::ConfigReads);
-    let records = match next {
+    let era = node.pasts.era();
+    if followed.next.is_some_and(|next| next.era != era) {
+        *followed = Followed::default();
+    }
+    let next = followed.next;
+    let answer = match next {
         Some(next) => {
             let wait = node.settings().config_wait();
-            node.config_store.read(topic, next, wait, ANSWER_TIME).await?
+            node.config_store.read(topic, next.offset, wait, ANSWER_TIME).await?
         }
         None => node.config_store.newest(topic, ANSWER_TIME).await?,
     };
+    let records = take(node, answer, sent)?;
+    if next.is_some_and(|next| next.era < records.end.era) {
+        // It was asked by a place of the last past.
+        *followed = Followed::default();
+        return Ok(());
+    }
     let last = records.records.iter().rfind(|record| record.key == names::CONFIG_KEY);
     match last {
-        Some(record) => take_config(node, record, sent),
+        Some(record) if is_surpassed(node, record) => {
+            followed.newest = None;
+            if node.catalog().is_none() {
+                // It is looked at again, in case nobody has a newer one.
+                tokio::time::sleep(READER_LOOK.to_duration()).await;
+                return Ok(());
+            }
+        }
+        Some(record) => take_config(node, record, sent, followed),
+        // A whole reading that lacks it shows nothing.
+        None if next.is_none() => followed.newest = None,
         None => {
             // Nothing newer than what this node read before: it is current.
-            if let Some((version, _)) = node.config_age() {
+            if let Some(version) = followed.newest {
                 node.confirm_config(version, sent);
             }
         }
     }
-    Ok(after(&records, next))
+    followed.next = Some(after(&records, next));
+    Ok(())
 }
 
-/// Where to read on: what a waiting read brought may end before the topic does.
-fn after(records: &Records, next: Option<u64>) -> u64 {
-    match next {
-        Some(next) => records.records.last().map_or(next, |record| record.offset + 1),
-        None => records.end,
+/// What the store says, if it is not of a past that is over.
+fn take<T>(node: &Node, answer: Answer<T>, sent: Millis) -> Result<T, StoreError> {
+    let was_lost = node.store_age() > STORE_LOST_AFTER && node.config_age().is_some();
+    let said = node.take_answer(answer, sent)?;
+    if was_lost {
+        emit(Event::StoreBack, &[]);
     }
+    Ok(said)
+}
+
+/// Where to read on: what a waiting read brought may end before the topic does.
+fn after(records: &Records, next: Option<Place>) -> Place {
+    let Some(next) = next else { return records.end };
+    let last = records.records.last().map(|record| record.place);
+    last.map_or(next, |last| Place { offset: last.offset + 1, ..last })
+}
+
+/// Whether others may hold a newer configuration than the one that the store gives.
+fn is_surpassed(node: &Node, record: &Record) -> bool {
+    config::decode(&record.value).is_ok_and(|catalog| node.is_surpassed(catalog.version))
 }
 
-fn take_config(node: &Node, record: &Record, sent: Millis) {
+fn take_config(node: &Node, record: &Record, sent: Millis, followed: &mut Followed) {
     match config::decode(&record.value) {
-        Ok(catalog) => node.take_config(catalog, record.value.clone(), sent),
+        Ok(catalog) => {
+            followed.newest = Some(catalog.version);
+            node.take_config(catalog, record.value.clone(), sent);
+        }
         Err(err) => emit(Event::ConfigUnreadable, &[("why", &err.to_string())]),
     }
 }
@@ -158,7 +211,6 @@
         match read {
             Ok(()) => {
                 pause = RETRY;
-                note_answer(&node, sent);
                 rest(&node, sent).await;
             }
             Err(StoreError::Gone { .. }) => node.list.lock().next = None,
@@ -190,15 +242,23 @@
 }
 
 async fn read_list(node: &Node, sent: Millis, wait: Millis) -> Result<(), StoreError> {
-    let next = node.list.lock().next;
+    let era = node.pasts.era();
+    // Places of a past that is over mean nothing to the store.
+    let next = node.list.lock().next.filter(|next| next.era == era);
     let topic = names::INSTANCES_TOPIC;
     node.metrics.count(Metric::ListReads);
-    let records = match next {
-        Some(next) => node.store.read(topic, next, wait, ANSWER_TIME).await?,
+    let answer = match next {
+        Some(next) => node.store.read(topic, next.offset, wait, ANSWER_TIME).await?,
         None => node.store.newest(topic, ANSWER_TIME).await?,
     };
+    let records = take(node, answer, sent)?;
+    if next.is_some_and(|next| next.era < records.end.era) {
+        // It was asked by a place of the last past.
+        return Ok(());
+    }
     let is_whole = next.is_none();
     let end = after(&records, next);
+    begin_past(node, end, is_whole.then_some(sent));
     apply(node, &records, is_whole, sent);
     {
         let mut list = node.list.lock();
@@ -215,6 +275,21 @@
     Ok(())
 }
 
+/// The list goes on to a place of this past. The first whole reading of it, begun at
+/// `read_whole`, is a copy as long as instances may not have written again.
+fn begin_past(node: &Node, end: Place, read_whole: Option<Millis>) {
+    let true_from = node.pasts.is_true_from();
+    let mut list = node.list.lock();
+    let last = list.past.replace(end.era);
+    if last.is_none_or(|last| last == end.era) {
+        return;
+    }
+    list.roster.begin_era(end.era, true_from);
+    if read_whole.is_some_and(|sent| sent < true_from) {
+        list.copy_end = end;
+    }
+}
+
 fn apply(node: &Node, records: &Records, is_whole: bool, sent: Millis) {
     let now = node.now();
     if !is_whole && records.records.is_empty() {
@@ -246,18 +321,25 @@
         log_unreadable(node, record, &err.to_string());
     }
     let mut list = node.list.lock();
-    let is_newer = list.raw.get(&record.key).is_none_or(|(offset, _)| *offset <= record.offset);
+    let is_newer = list.raw.get(&record.key).is_none_or(|(place, _)| *place <= record.place);
     if !is_newer {
         return;
     }
-    let is_news = list.roster.get(id).is_some_and(|entry| entry.offset < record.offset);
+    let is_copied = record.place < list.copy_end && record.place.era == list.copy_end.era;
+    let is_news = list.roster.get(id).is_some_and(|entry| entry.place < record.place);
     keep_raw(&mut list, record, decoded.is_ok());
     let Ok(word) = decoded else {
-        list.roster.apply_unreadable(record.offset, id, now);
+        list.roster.apply_unreadable(record.place, id, now);
         return;
     };
     let identity = word.as_ref().map(|word| word.identity.clone());
-    let ended = list.roster.apply(record.offset, id, word, now);
+    let ended = match word {
+        Some(word) if is_copied => {
+            list.roster.apply_copied(record.place, id, word, now);
+            None
+        }
+        word => list.roster.apply(record.place, id, word, now),
+    };
     if let Some(identity) = &identity {
         list.by_short_id.insert(short_id(identity), identity.clone());
     }
@@ -265,7 +347,7 @@
     if let Some(life) = ended {
         node.note_superseded(&life);
     }
-    if let Some(identity) = identity.filter(|_| is_news) {
+    if let Some(identity) = identity.filter(|_| is_news && !is_copied) {
         node.suspicions.lock().clear(&identity);
     }
 }
@@ -274,26 +356,19 @@
 fn keep_raw(list: &mut List, record: &Record, is_readable: bool) {
     let unreadable = Bytes::from_static(entries::UNREADABLE);
     let value = if is_readable { record.value.clone() } else { unreadable };
-    list.raw.insert(record.key.clone(), (record.offset, value));
+    list.raw.insert(record.key.clone(), (record.place, value));
 }
 
 /// Says that a record cannot be read, once for each.
 fn log_unreadable(node: &Node, record: &Record, why: &str) {
     let list = node.list.lock();
-    let is_known = list.raw.get(&record.key).is_some_and(|(offset, _)| *offset >= record.offset);
+    let is_known = list.raw.get(&record.key).is_some_and(|(place, _)| *place >= record.place);
     drop(list);
     if !is_known {
         emit(Event::EntryUnreadable, &[("key", &record.key), ("why", why)]);
     }
 }
 
-fn note_answer(node: &Node, sent: Millis) {
-    if node.store_age() > STORE_LOST_AFTER && node.config_age().is_some() {
-        emit(Event::StoreBack, &[]);
-    }
-    node.store_answered(sent);
-}
-
 fn note_failure(node: &Node, err: &StoreError) {
     let age = node.store_age();
     let fields = [("why", &*err.to_string()), ("silent_for", &*age.to_string())];
@@ -314,14 +389,25 @@
             list.gap.on_end(next, from_peer.next, now);
             return false;
         }
+        if next.is_some_and(|next| next.era > from_peer.next.era) {
+            return true;
+        }
         next
     };
+    if from_peer.next.era > node.pasts.era() {
+        node.hear_of_past(from_peer.next.era, now);
+    }
+    begin_past(node, from_peer.next, None);
+    {
+        let mut list = node.list.lock();
+        list.copy_end = list.copy_end.max(from_peer.copy_end);
+    }
     let sent = since - Millis(from_peer.age_ms);
     let records: Vec<Record> = from_peer
         .records
         .iter()
         .map(|record| Record {
-            offset: record.offset,
+            place: record.place,
             key: record.key.clone(),
             value: Bytes::copy_from_slice(&record.value),
         })
@@ -340,17 +426,19 @@
 }
 
 /// The records from `from` on, for a peer.
-pub fn news(node: &Node, from: u64) -> ListNews {
+pub fn news(node: &Node, from: impl Into<Place>) -> ListNews {
+    let from = from.into();
     let list = node.list.lock();
-    let newer = list.raw.iter().filter(|(_, (offset, _))| *offset >= from);
-    let records = newer.map(|(key, (offset, value))| ListRecord {
-        offset: *offset,
+    let newer = list.raw.iter().filter(|(_, (place, _))| *place >= from);
+    let records = newer.map(|(key, (place, value))| ListRecord {
+        place: *place,
         key: key.clone(),
         value: value.to_vec(),
     });
     ListNews {
         from,
         next: list.next.unwrap_or_default(),
+        copy_end: list.copy_end,
         age_ms: node.now().since(list.read_at).0,
         records: records.collect(),
     }
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -12,6 +12,8 @@
 use rand::Rng;
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
+use workshold_core::hosted::history::Fence;
+use workshold_core::hosted::history::Place;
 use workshold_core::hosted::quarantine::Known;
 use workshold_core::hosted::suspicion::Reach;
 use workshold_http::client;
@@ -165,6 +167,7 @@
         hears: Vec::new(),
         seeks: false,
         acts_by,
+        past: node.pasts.told(node.now()),
         store_age_ms: node.store_age().0,
         list_trouble_ms: node.list_trouble(),
         work: work.iter().map(|(model, work)| ToldWork::new(model, *work)).collect(),
@@ -188,7 +191,7 @@
     told.map(|(id, load)| ToldLoad::new(id, *load, gaps.usual(id).unwrap_or_default())).collect()
 }
 
-fn list_end(node: &Node) -> Option<(u64, u64)> {
+fn list_end(node: &Node) -> Option<(Place, u64)> {
     let list = node.list.lock();
     list.next.map(|next| (next, node.now().since(list.read_at).0))
 }
@@ -270,7 +273,7 @@
     let settings = node.settings();
     let own = settings.own();
     let of_others = digest.acts_by.iter().filter(|(address, _)| *address != own.address);
-    hear_of_lease(node, of_others.map(|(_, number)| *number).max());
+    hear_of_lease(node, of_others.map(|(_, fence)| *fence).max());
     let is_of_some = digest.scope == Scope::DataCentre;
     let is_news = node.peers.lock().on_digest(&own, from, name, digest, node.now());
     pass_on(node, is_news);
@@ -281,6 +284,9 @@
 /// list that it holds.
 fn take_statement(node: &Node, said: &Pulse, since: Millis) {
     let now = node.now();
+    if let Some((era, age)) = said.past {
+        node.hear_of_past(era, now - Millis(age));
+    }
     if let Some((version, age)) = said.config
         && node.confirm_config(version, since - Millis(age) - ON_THE_WAY)
     {
@@ -316,10 +322,10 @@
 }
 
 /// A peer acts by a later number than this node: the parts have been dealt anew.
-fn hear_of_lease(node: &Node, acts_by: Option<u64>) {
+fn hear_of_lease(node: &Node, acts_by: Option<Fence>) {
     let mut lease = node.lease.lock();
     lease.heard = lease.heard.max(acts_by.unwrap_or_default());
-    if lease.heard > lease.generation && lease.acts_by().is_some() {
+    if lease.heard > lease.fence && lease.acts_by().is_some() {
         node.lease_wanted.notify_one();
     }
 }
@@ -452,7 +458,7 @@
 }
 
 /// A peer saw that the list ends where this node's does, or farther on.
-fn confirm_list(node: &Node, next: u64, at: Millis) {
+fn confirm_list(node: &Node, next: Place, at: Millis) {
     let now = node.now();
     let mut list = node.list.lock();
     if list.next == Some(next) {
@@ -481,7 +487,7 @@
 
 async fn fetch_list(node: &Node, peer: SocketAddr) {
     let from = node.list.lock().next.unwrap_or_default();
-    let path = format!("{LIST_PATH}?from={from}");
+    let path = format!("{LIST_PATH}?from={}.{}", from.era, from.offset);
     let sent = node.now();
     let Some(bytes) = fetch(peer, &path).await else { return };
     let Ok(news) = postcard::from_bytes::<ListNews>(&bytes) else { return };
--- a/crates/workshold-gateway/src/tasks/leasing.rs
+++ b/crates/workshold-gateway/src/tasks/leasing.rs
@@ -5,7 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use workshold_core::hosted::history::Fence;
 use workshold_core::hosted::tenure::Tenure;
+use workshold_platform::store::Joined;
+use workshold_platform::store::StoreError;
 use workshold_protocol::Millis;
 
 use crate::events::Event;
@@ -46,12 +49,9 @@
     let ttl = node.settings().lease_ttl();
     settle(&node).await;
     while !node.is_leaving() {
-        let generation = node.lease.lock().generation;
         let sent = node.now();
-        node.metrics.count(Metric::LeaseCalls);
-        if let Ok(joined) = node.store.join(GROUP, &member, ttl, generation, ANSWER_TIME).await {
-            node.store_answered(sent);
-            take(&node, joined.generation, &joined.parts, sent);
+        if let Ok((joined, fence)) = join(&node, &member, ttl, sent).await {
+            take(&node, fence, &joined.parts, sent);
         }
         rest(&node).await;
     }
@@ -60,6 +60,23 @@
     let _ = node.store.leave(GROUP, &member, ANSWER_TIME).await;
 }
 
+/// Joins or stays; by a past that is over nothing was heard of the group.
+async fn join(
+    node: &Node,
+    member: &str,
+    ttl: Millis,
+    sent: Millis,
+) -> Result<(Joined, Fence), StoreError> {
+    let heard = node.lease.lock().fence;
+    let generation = if heard.era == node.pasts.era() { heard.generation } else { 0 };
+    node.metrics.count(Metric::LeaseCalls);
+    let answer = node.store.join(GROUP, member, ttl, generation, ANSWER_TIME).await?;
+    let era = answer.era;
+    let joined = node.take_answer(answer, sent)?;
+    let fence = Fence { era, generation: joined.generation };
+    Ok((joined, fence))
+}
+
 /// Waits at its start until a node knows the others: hundreds that begin at once would each
 /// move all parts.
 async fn settle(node: &Node) {
@@ -79,18 +96,22 @@
     }
 }
 
-fn take(node: &Node, generation: u64, parts: &[u64], sent: Millis) {
+fn take(node: &Node, fence: Fence, parts: &[u64], sent: Millis) {
     let now = node.now();
+    let true_from = node.pasts.is_true_from();
     let mut lease = node.lease.lock();
     let held = std::mem::take(&mut lease.parts);
-    let tenure = |part: &u64| held.get(part).copied().unwrap_or(Tenure::new(generation, now));
+    // By another past the part may have been somebody else's meanwhile.
+    let is_same_past = lease.fence.era == fence.era;
+    let anew = Tenure::new(fence, now).waits_until(true_from);
+    let tenure = |part: &u64| held.get(part).copied().filter(|_| is_same_past).unwrap_or(anew);
     let parts: BTreeMap<u64, Tenure> = parts.iter().map(|part| (*part, tenure(part))).collect();
     let is_news = parts.keys().ne(held.keys());
-    let is_later = lease.generation != generation;
+    let is_later = lease.fence != fence;
     lease.parts = parts;
-    lease.generation = generation;
+    lease.fence = fence;
     lease.renewed_at = sent;
-    if lease.outranked.is_some_and(|outranked| generation > outranked) {
+    if lease.outranked.is_some_and(|outranked| fence > outranked) {
         lease.outranked = None;
     }
     let list: Vec<String> = lease.parts.keys().map(u64::to_string).collect();
@@ -100,7 +121,8 @@
         node.pulse_wanted.notify_one();
     }
     if is_news {
-        let fields = [("generation", &*generation.to_string()), ("parts", &*list.join(","))];
+        let (era, generation) = (fence.era.to_string(), fence.generation.to_string());
+        let fields = [("era", &*era), ("generation", &*generation), ("parts", &*list.join(","))];
         emit(Event::LeaseTaken, &fields);
         node.steward_wanted.notify_one();
     }
@@ -112,8 +134,8 @@
     loop {
         let sent = node.now();
         node.metrics.count(Metric::LeaseCalls);
-        if let Ok(owners) = node.store.owners(GROUP, ANSWER_TIME).await {
-            node.store_answered(sent);
+        let answer = node.store.owners(GROUP, ANSWER_TIME).await;
+        if let Ok(owners) = answer.and_then(|answer| node.take_answer(answer, sent)) {
             let addresses = owners.iter().filter_map(|owner| address_of(&owner.member));
             let others: Vec<SocketAddr> = addresses.filter(|address| *address != own).collect();
             node.peers.lock().on_named(&others, sent);
--- a/crates/workshold-gateway/src/tasks/quarantining.rs
+++ b/crates/workshold-gateway/src/tasks/quarantining.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use workshold_core::hosted::fingerprint::Fingerprint;
+use workshold_core::hosted::history::Era;
 use workshold_core::hosted::quarantine::End;
 use workshold_core::hosted::quarantine::Known;
 use workshold_core::hosted::quarantine::Subject;
@@ -30,6 +31,20 @@
 /// peers tell it what they know within as much.
 const STARTS_WITHIN: Millis = Millis(2_500);
 
+/// Where the store keeps since when it has not come back from a copy.
+const ERA_KEY: &str = "era";
+/// An era that began this long ago by the time of day is old: longer than a copy takes to
+/// become true, and than clocks of nodes are apart.
+const ERA_IS_OLD: Millis = Millis::from_secs(30);
+
+/// When nodes first heard of an era: whoever starts with no memory need not wait then until
+/// what the store lists is true.
+#[derive(Debug, Serialize, Deserialize)]
+struct KeptEra {
+    era: Era,
+    seen_at: u64,
+}
+
 /// What the store keeps of a request; times are those of the day.
 #[derive(Debug, Serialize, Deserialize)]
 struct Kept {
@@ -41,17 +56,18 @@
 /// Reads what is kept before the node serves, and keeps what it learns, until it ends.
 pub async fn run(node: Arc<Node>) {
     let mut has_read = node.is_quarantine_read();
+    let mut kept_era = Era::default();
     while !has_read && node.age() < STARTS_WITHIN {
-        has_read = read(&node).await;
+        has_read = read(&node, &mut kept_era).await;
     }
     node.quarantine_read();
     loop {
         tokio::select! {
-            () = node.keep_wanted.notified() => keep(&node).await,
+            () = node.keep_wanted.notified() => keep(&node, &mut kept_era).await,
             // One timer for both: of two, whichever is shorter would start the other anew.
             () = tokio::time::sleep(READ_AGAIN) => {
                 if !has_read || node.hears_few() {
-                    has_read |= read(&node).await;
+                    has_read |= read(&node, &mut kept_era).await;
                 }
             }
         }
@@ -59,8 +75,8 @@
 }
 
 /// Reads what is kept; whether the store answered.
-async fn read(node: &Node) -> bool {
-    let read = try_read(node).await;
+async fn read(node: &Node, kept_era: &mut Era) -> bool {
+    let read = try_read(node, kept_era).await;
     if let Err(err) = &read {
         log_failure(err);
         tokio::time::sleep(RETRY).await;
@@ -68,25 +84,65 @@
     read.is_ok()
 }
 
-async fn keep(node: &Node) {
+async fn keep(node: &Node, kept_era: &mut Era) {
     let known = node.quarantine.lock().to_keep();
-    if known.is_empty() {
+    let mut records: Vec<(String, Vec<u8>)> =
+        known.iter().map(|known| encode(node, known)).collect();
+    let era = node.pasts.era();
+    if *kept_era < era && node.keeps_anew() {
+        records.push(encode_era(node, era));
+    }
+    if records.is_empty() {
         return;
     }
-    let records: Vec<(String, Vec<u8>)> = known.iter().map(|known| encode(node, known)).collect();
-    let topic = names::QUARANTINE_TOPIC;
-    if let Err(err) = node.store.append(topic, &records, ANSWER_TIME).await {
-        log_failure(&err);
-        node.quarantine.lock().keep_again(&known);
-        tokio::time::sleep(RETRY).await;
-        node.keep_wanted.notify_one();
+    match append(node, &records).await {
+        // What was kept in a past that has ended meanwhile is kept again.
+        Ok(()) if node.pasts.era() == era => *kept_era = era,
+        Ok(()) => {}
+        Err(err) => {
+            log_failure(&err);
+            node.quarantine.lock().keep_again(&known);
+            tokio::time::sleep(RETRY).await;
+            node.keep_wanted.notify_one();
+        }
+    }
+}
+
+async fn append(node: &Node, records: &[(String, Vec<u8>)]) -> Result<(), StoreError> {
+    let sent = node.now();
+    let answer = node.store.append(names::QUARANTINE_TOPIC, records, ANSWER_TIME).await?;
+    node.take_answer(answer, sent)
+}
+
+fn encode_era(node: &Node, era: Era) -> (String, Vec<u8>) {
+    let (now, today) = (node.now(), node.wall());
+    let age = node.pasts.told(now).map_or(0, |(_, age)| age);
+    let kept = KeptEra { era, seen_at: (today - Millis(age)).0 };
+    (ERA_KEY.to_owned(), serde_json::to_vec(&kept).expect("it has only plain fields"))
+}
+
+/// What is kept of the era that the store is in.
+fn take_era(node: &Node, records: &[Record], kept_era: &mut Era) {
+    let record = records.iter().find(|record| record.key == ERA_KEY);
+    let kept = record.and_then(|record| serde_json::from_slice::<KeptEra>(&record.value).ok());
+    let era = node.pasts.era();
+    match kept.filter(|kept| kept.era == era) {
+        Some(kept) => {
+            *kept_era = era;
+            if node.wall().since(Millis(kept.seen_at)) >= ERA_IS_OLD {
+                node.pasts.note_old(era);
+            }
+        }
+        None if era > Era::default() => node.keep_wanted.notify_one(),
+        None => {}
     }
 }
 
-async fn try_read(node: &Node) -> Result<(), StoreError> {
+async fn try_read(node: &Node, kept_era: &mut Era) -> Result<(), StoreError> {
     let sent = node.now();
     let kept = node.store.newest(names::QUARANTINE_TOPIC, ANSWER_TIME).await?;
-    node.store_answered(sent);
+    let kept = node.take_answer(kept, sent)?;
+    take_era(node, &kept.records, kept_era);
     let known: Vec<Known> = kept.records.iter().filter_map(|record| decode(node, record)).collect();
     node.hear_of_requests(&known);
     Ok(())
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -9,6 +9,7 @@
 
 use parking_lot::Mutex;
 use smol_str::SmolStr;
+use workshold_core::hosted::history::Fence;
 use workshold_core::hosted::identity::Identity;
 use workshold_core::hosted::roster::Entry;
 use workshold_core::hosted::steward::Command;
@@ -60,9 +61,11 @@
 /// The fence of the lease, if it still gives the right to order.
 fn fence(node: &Node, lease: &Lease) -> Option<u64> {
     let ttl = node.settings().lease_ttl();
-    let is_outranked = lease.outranked == Some(lease.generation) || lease.heard > lease.generation;
+    let is_past = lease.fence.era < node.pasts.era();
+    let is_outranked = is_past || lease.outranked == Some(lease.fence) || lease.heard > lease.fence;
     let is_held = node.now().since(lease.renewed_at) < ttl || is_store_away_for_all(node, lease);
-    (is_held && !is_outranked && !lease.parts.is_empty()).then_some(lease.generation)
+    let holds = is_held && !is_outranked && !lease.parts.is_empty();
+    lease.fence.number().filter(|_| holds)
 }
 
 /// Whether the store has answered nobody since this lease was renewed: then nobody
@@ -86,8 +89,8 @@
         TenureRules { orders_arrive: ORDERS_ARRIVE, lease_ttl: node.settings().lease_ttl() };
     let own = node.settings().control();
     let sums = node.peers.lock().sums(now);
-    let acting: Vec<u64> =
-        sums.acts_by().filter(|(at, _)| **at != own).map(|(_, number)| number).collect();
+    let acting: Vec<Fence> =
+        sums.acts_by().filter(|(at, _)| **at != own).map(|(_, fence)| fence).collect();
     let lease = {
         let mut lease = node.lease.lock();
         let parts = lease.parts.values_mut();
@@ -114,7 +117,7 @@
     node.hear_of_list_trouble();
     let now = node.now();
     let list = node.list.lock();
-    if list.next.is_none() {
+    if list.next.is_none_or(|next| next.era < node.pasts.era()) {
         return Vec::new();
     }
     let list_read_at = list.read_at;
@@ -205,8 +208,8 @@
 /// orders under this one.
 fn on_outranked(node: &Node, fence: u64) {
     let mut lease = node.lease.lock();
-    if lease.generation == fence && lease.outranked.is_none() {
-        lease.outranked = Some(fence);
+    if lease.fence.number() == Some(fence) && lease.outranked.is_none() {
+        lease.outranked = Some(lease.fence);
         drop(lease);
         emit(Event::LeaseLost, &[("fence", &fence.to_string())]);
     }
--- a/crates/workshold-gateway/tests/common/mod.rs
+++ b/crates/workshold-gateway/tests/common/mod.rs
@@ -83,6 +83,7 @@
         config: None,
         list: None,
         acts_by: None,
+        past: None,
         store_age_ms: 100,
         list_trouble_ms: None,
         work: Vec::new(),
--- a/crates/workshold-gateway/tests/fleet/mod.rs
+++ b/crates/workshold-gateway/tests/fleet/mod.rs
@@ -147,8 +147,9 @@
             is_ready: true,
             has_traffic: true,
             config: Some((7, 100)),
-            list: Some((self.nodes[i].list, 100)),
+            list: Some((self.nodes[i].list.into(), 100)),
             acts_by: None,
+            past: None,
             store_age_ms: 100,
             list_trouble_ms: None,
             hears: Vec::new(),
@@ -206,13 +207,13 @@
         if reads && node.list < self.end && node.reads <= now {
             node.list = self.end;
             node.has_read = true;
-            node.gap.on_own(node.list);
+            node.gap.on_own(node.list.into());
             node.reads = now + Millis(self.rng.random_range(READ_LEAST..READ_MOST));
         }
         let own = Own { address: own_address, name: &node.name, data_centre: &node.data_centre };
         if node.gap.asks_after(now) == Some(Millis::ZERO) && node.asks <= now {
             let draw = self.rng.random::<u32>() as usize;
-            let asked = node.peers.whom_to_ask(&own, Some(node.list), draw, now);
+            let asked = node.peers.whom_to_ask(&own, Some(node.list.into()), draw, now);
             node.asks = now + ASK_EVERY;
             if let Some(other) = asked.map(index).filter(|other| self.nodes[*other].is_up) {
                 let list = self.nodes[other].list;
@@ -237,7 +238,7 @@
     fn take_list(&mut self, i: usize, list: u64) {
         let node = &mut self.nodes[i];
         node.list = node.list.max(list);
-        node.gap.on_own(node.list);
+        node.gap.on_own(node.list.into());
     }
 
     /// How many of those that are up lack the newest of the list.
@@ -273,21 +274,21 @@
         let name = datagram.from;
         let own = Own { address: address(to), name: &node.name, data_centre: &node.data_centre };
         match &datagram.message {
-            Message::News(news) if node.list >= news.from => {
-                let list = news.next;
+            Message::News(news) if node.list >= news.from.offset => {
+                let list = news.next.offset;
                 self.take_list(to, list);
                 return;
             }
             Message::News(news) => {
-                node.gap.on_end(Some(node.list), news.next, now);
+                node.gap.on_end(Some(node.list.into()), news.next, now);
                 return;
             }
             Message::Pulse(Pulse { list: Some((end, _)), .. }) => {
-                node.gap.on_end(Some(node.list), *end, now);
+                node.gap.on_end(Some(node.list.into()), *end, now);
             }
             Message::Digest(digest) => {
-                let end = digest.own.list.map_or(0, |(end, _)| end);
-                node.gap.on_end(Some(node.list), end, now);
+                let end = digest.own.list.map_or(0.into(), |(end, _)| end);
+                node.gap.on_end(Some(node.list.into()), end, now);
             }
             _ => {}
         }
@@ -374,9 +375,15 @@
 /// An entry for each place of the list.
 fn news(from: u64, next: u64) -> ListNews {
     let record = |offset: u64| ListRecord {
-        offset,
+        place: offset.into(),
         key: SmolStr::new(format!("i-{offset}")),
         value: vec![b'x'; ENTRY],
     };
-    ListNews { from, next, age_ms: 0, records: (from..next).map(record).collect() }
+    ListNews {
+        from: from.into(),
+        next: next.into(),
+        copy_end: 0.into(),
+        age_ms: 0,
+        records: (from..next).map(record).collect(),
+    }
 }
--- a/crates/workshold-gateway/tests/list_news.rs
+++ b/crates/workshold-gateway/tests/list_news.rs
@@ -63,17 +63,19 @@
         "service": "gate", "address": "127.0.0.1:9000", "zone": "a", "slots": 6,
         "state": "ready", "version": "x".repeat(200),
     });
-    ListRecord { offset, key: SmolStr::new(name), value: entry.to_string().into() }
+    ListRecord { place: offset.into(), key: SmolStr::new(name), value: entry.to_string().into() }
 }
 
 /// Instances from `from` to `next` come to the node's list.
 fn bring(node: &Node, from: u64, next: u64) {
     let records = (from..next).map(|i| record(i, &format!("i-{i}"))).collect();
-    let news = ListNews { from, next, age_ms: 0, records };
+    let news =
+        ListNews { from: from.into(), next: next.into(), copy_end: 0.into(), age_ms: 0, records };
     assert!(following::take_news(node, &news, node.now()));
 }
 
 fn hear(node: &Node, address: SocketAddr, name: &str, list: Option<(u64, u64)>) {
+    let list = list.map(|(end, age)| (end.into(), age));
     let said = Pulse { next_ms: 20_000, list, ..common::pulse(address) };
     let own = node.settings().control();
     node.peers.lock().on_pulse(own, address, SmolStr::new(name), said, node.now());
--- a/crates/workshold-gateway/tests/lives.rs
+++ b/crates/workshold-gateway/tests/lives.rs
@@ -42,9 +42,18 @@
 
     /// The newest record of `key` says this.
     fn write(&mut self, key: &str, value: impl Into<Vec<u8>>) {
-        let records =
-            vec![ListRecord { offset: self.next, key: SmolStr::new(key), value: value.into() }];
-        let news = ListNews { from: self.next, next: self.next + 1, age_ms: 0, records };
+        let records = vec![ListRecord {
+            place: self.next.into(),
+            key: SmolStr::new(key),
+            value: value.into(),
+        }];
+        let news = ListNews {
+            from: self.next.into(),
+            next: (self.next + 1).into(),
+            copy_end: 0.into(),
+            age_ms: 0,
+            records,
+        };
         self.next += 1;
         assert!(following::take_news(&self.node, &news, self.node.now()));
     }
--- a/crates/workshold-gateway/tests/peers.rs
+++ b/crates/workshold-gateway/tests/peers.rs
@@ -1,5 +1,6 @@
 //! Who is heard, what they say together, and who reads the store for all.
 
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -14,6 +15,8 @@
 use workshold_gateway::peers::Pulse;
 use workshold_gateway::peers::ToldLoad;
 use workshold_gateway::peers::ToldWork;
+use workshold_gateway::peers::exchange::Own;
+use workshold_gateway::peers::rank;
 use workshold_protocol::Millis;
 use workshold_protocol::ids::InstanceId;
 
@@ -31,8 +34,9 @@
         is_ready: true,
         has_traffic: false,
         config: Some((7, 100)),
-        list: Some((12, 100)),
+        list: Some((12.into(), 100)),
         acts_by: None,
+        past: None,
         store_age_ms: 100,
         list_trouble_ms: None,
         work: vec![ToldWork::new("m0", WORK)],
@@ -131,11 +135,20 @@
 }
 
 #[test]
-fn near_are_those_of_a_data_centre_and_those_of_whom_nobody_knows_where_they_are() {
+fn news_goes_to_near_nodes_that_are_heard_and_of_what_was_read_to_one_of_each_other_place() {
     let mut peers = spread(0, 7, 3);
     peers.add(address(99), NOW);
-    let near = peers.near_addresses("dc-0");
-    assert_eq!(near, [address(3), address(6), address(99)]);
+    let own_name = name(0);
+    let own = Own { address: address(0), name: &own_name, data_centre: "dc-0" };
+    let told = |is_first| {
+        let told: BTreeSet<SocketAddr> =
+            peers.told_of_news(&own, is_first, NOW).into_iter().collect();
+        told
+    };
+    assert_eq!(told(false), BTreeSet::from([address(3), address(6)]));
+    let first = |of: [usize; 2]| of.into_iter().min_by_key(|i| rank(&name(*i))).map(address);
+    let far: BTreeSet<SocketAddr> = [first([1, 4]), first([2, 5])].into_iter().flatten().collect();
+    assert_eq!(&told(true) - &told(false), far);
 }
 
 /// At a start the store names whoever was first; it names no node without a part at all.
--- a/crates/workshold-gateway/tests/sleep.rs
+++ b/crates/workshold-gateway/tests/sleep.rs
@@ -38,7 +38,13 @@
     let text = deployment::config(1, "k1");
     let catalog = config::decode(text.as_bytes()).unwrap();
     node.take_config(catalog, text.into(), node.now());
-    let news = ListNews { from: 0, next: 4, age_ms: 0, records: Vec::new() };
+    let news = ListNews {
+        from: 0.into(),
+        next: 4.into(),
+        copy_end: 0.into(),
+        age_ms: 0,
+        records: Vec::new(),
+    };
     workshold_gateway::tasks::following::take_news(&node, &news, node.now());
     let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
     let address = socket.local_addr().unwrap();
@@ -55,13 +61,13 @@
 fn fresh() -> Message {
     let callers = "127.0.0.1:9000".parse().unwrap();
     let pulse = common::pulse(callers);
-    Message::Pulse(Pulse { config: Some((1, 100)), list: Some((4, 100)), ..pulse })
+    Message::Pulse(Pulse { config: Some((1, 100)), list: Some((4.into(), 100)), ..pulse })
 }
 
 /// It is sent, then the machine sleeps, and only then anything is read.
 #[rstest]
 #[case::a_pulse(fresh())]
-#[case::news_of_the_list(Message::News(ListNews { from: 4, next: 5, age_ms: 100, records: Vec::new() }))]
+#[case::news_of_the_list(Message::News(ListNews { from: 4.into(), next: 5.into(), copy_end: 0.into(), age_ms: 100, records: Vec::new() }))]
 #[tokio::test]
 async fn what_waited_while_a_node_slept_is_as_old_as_the_sleep(#[case] message: Message) {
     let (node, clock, address) = receiving().await;
