--- a/crates/workshold-model/src/hosted.rs
+++ b/crates/workshold-model/src/hosted.rs
@@ -4,6 +4,7 @@
 //! Time matters too much here for a search of all states. So worlds are drawn from
 //! seeds; the steward is the shipped one.
 
+mod copies;
 mod engine;
 mod office;
 
@@ -17,6 +18,9 @@
 use workshold_core::hosted::capacity::Worth;
 use workshold_core::hosted::catalog::Engine;
 use workshold_core::hosted::catalog::ModelShape;
+use workshold_core::hosted::history::COPY_STANDS;
+use workshold_core::hosted::history::Fence;
+use workshold_core::hosted::history::Place;
 use workshold_core::hosted::planner;
 use workshold_core::hosted::roster::Instance;
 use workshold_core::hosted::roster::ListTrust;
@@ -30,6 +34,7 @@
 
 use crate::checker::Promise;
 
+use self::copies::Store;
 pub use self::engine::Simulated;
 use self::office::Office;
 
@@ -52,6 +57,12 @@
     EarlierLivesForgotten,
     /// Words of an earlier life that come late are believed.
     LateWordsDropped,
+    /// A number that is given out again after a return from a copy is the same right.
+    ErasCount,
+    /// What a copy says is taken for what is there now.
+    CopiesStandBack,
+    /// Who gets the lease after a return from a copy orders as after any other change.
+    HoldersWaitAfterReturns,
 }
 
 impl Broken {
@@ -65,6 +76,9 @@
         (Self::LastHolderNotices, Promise::OneGroupEach),
         (Self::EarlierLivesForgotten, Promise::OneGroupEach),
         (Self::LateWordsDropped, Promise::OneGroupEach),
+        (Self::ErasCount, Promise::OneGroupEach),
+        (Self::CopiesStandBack, Promise::OneGroupEach),
+        (Self::HoldersWaitAfterReturns, Promise::OneGroupEach),
     ];
 }
 
@@ -97,6 +111,8 @@
 const LATE_FROM: u64 = 2_000;
 const LATE_TO: u64 = 12_000;
 const INSTANCES: usize = 9;
+/// Part of the nodes that hold the lease after a return from a copy and have just started.
+const NEW_HOLDERS: f64 = 0.5;
 
 /// An order on its way.
 #[derive(Debug, Clone)]
@@ -189,6 +205,8 @@
     models: [Vec<planner::Model>; 3],
     mode: Mode,
     has_new_lives: bool,
+    /// Whether its store comes back from copies.
+    has_copies: bool,
     instances: BTreeMap<InstanceId, Simulated>,
     roster: Roster,
     trust: ListTrust,
@@ -199,11 +217,12 @@
     overwritten: BTreeMap<InstanceId, Millis>,
     /// Who was ever ready, by formation, and in which of its lives.
     was_ready: BTreeMap<(InstanceId, u64), u64>,
-    next_offset: u64,
+    store: Store,
+    /// When the store last came back from a copy.
+    returned_at: Millis,
     orders: Vec<OnItsWay>,
     offices: Vec<Office>,
     holder: usize,
-    generation: u64,
     outcome: Outcome,
 }
 
@@ -218,6 +237,7 @@
             engine: engine(),
             mode: Mode::of(seed),
             has_new_lives: false,
+            has_copies: false,
             instances: BTreeMap::new(),
             roster: Roster::default(),
             trust: ListTrust::default(),
@@ -225,18 +245,24 @@
             late_words: Vec::new(),
             overwritten: BTreeMap::new(),
             was_ready: BTreeMap::new(),
-            next_offset: 0,
+            store: Store::default(),
+            returned_at: Millis::ZERO,
             orders: Vec::new(),
             offices: (0..2).map(|_| Office::new(broken)).collect(),
             holder: 0,
-            generation: 1,
             outcome: Outcome { breach: None, opened: 0 },
         };
         (0..INSTANCES).for_each(|i| world.add_instance(&format!("i-{i}")));
-        world.offices[0].take(1, BEGIN);
+        let fence = world.store.hand_over(0);
+        world.offices[0].take(fence, BEGIN);
         world
     }
 
+    /// The same with a store that comes back from copies.
+    pub fn with_copies(seed: u64, broken: Option<Broken>) -> Self {
+        Self { has_copies: true, ..Self::new(seed, broken) }
+    }
+
     /// The same with instances that start again under their ids.
     pub fn with_new_lives(seed: u64, broken: Option<Broken>) -> Self {
         Self { has_new_lives: true, ..Self::new(seed, broken) }
@@ -250,6 +276,7 @@
             self.deliver_orders();
             self.advance_instances();
             self.publish();
+            self.store.copy(self.now);
             self.steward();
         }
         self.outcome
@@ -265,8 +292,8 @@
 
     /// An instance states how it is.
     fn state(&mut self, id: &InstanceId) {
-        self.next_offset += 1;
-        self.statements.push((self.now + LIST_LAG, self.next_offset, id.clone()));
+        let place = self.store.next_place();
+        self.statements.push((self.now + LIST_LAG, place.offset, id.clone()));
     }
 
     fn trouble(&mut self) {
@@ -298,6 +325,56 @@
             self.offices[reader].reads_from(until);
         } else if chance < 0.030 && self.has_new_lives {
             self.begin_anew(&id);
+        } else if (0.030..0.034).contains(&chance) && self.has_copies {
+            self.return_from_copy();
+        }
+    }
+
+    /// The store comes back from a copy. Instances that live write again what it lost, at
+    /// their next check-in; whoever holds the lease by the copy, or gets it then, may be
+    /// another node than the last one, which notices within its time.
+    fn return_from_copy(&mut self) {
+        let now = self.now;
+        let age = Millis(self.rng.random_range(300..6_000));
+        self.store.return_from_copy(age, now);
+        self.returned_at = now;
+        self.statements.clear();
+        self.late_words.clear();
+        self.overwritten.clear();
+        self.show_copy();
+        let ids: Vec<InstanceId> = self.instances.keys().cloned().collect();
+        for id in ids {
+            let Some(instance) = self.instances.get_mut(&id) else { continue };
+            let copied = self.store.kept.records.get(&id).map(|(_, word)| word);
+            instance.has_lapsed = copied.is_none();
+            let is_written = copied == Some(&instance.word());
+            if instance.is_alive && !is_written {
+                let wait = Millis(self.rng.random_range(0..CHECK_IN.0));
+                let place = self.store.next_place();
+                self.statements.push((now + wait + LIST_LAG, place.offset, id));
+            }
+        }
+        self.holder = self.store.kept.holder;
+        let next = self.rng.random_range(0..self.offices.len());
+        self.hand_over_to(next);
+        if self.rng.random_bool(NEW_HOLDERS) {
+            self.offices[next].starts_anew(now + COPY_STANDS);
+        }
+    }
+
+    /// The list as it is read after a return.
+    fn show_copy(&mut self) {
+        let now = self.now;
+        let era = self.store.era;
+        let is_believed = self.broken == Some(Broken::CopiesStandBack);
+        self.roster.begin_era(era, now + COPY_STANDS);
+        for (id, (offset, word)) in &self.store.kept.records {
+            let place = Place { era, offset: *offset };
+            if is_believed {
+                self.roster.apply(place, id, Some(word.clone()), now);
+            } else {
+                self.roster.apply_copied(place, id, word.clone(), now);
+            }
         }
     }
 
@@ -339,14 +416,20 @@
 
     /// The lease passes on; the last holder may not have noticed.
     fn hand_over(&mut self) {
-        self.generation += 1;
-        let last = self.holder;
-        self.holder = 1 - self.holder;
-        let holder = self.holder;
-        let generation = self.generation;
-        self.offices[holder].take(generation, self.now);
+        self.hand_over_to(1 - self.holder);
+    }
+
+    fn hand_over_to(&mut self, holder: usize) {
+        self.holder = holder;
+        let fence = self.store.hand_over(holder);
+        let true_from = self.returned_at + COPY_STANDS;
+        let is_young = self.has_copies && self.now < true_from;
+        let waits_until = if is_young { true_from } else { Millis::ZERO };
+        self.offices[holder].take_later(fence, waits_until, self.now);
         let notices = self.now + Millis(self.rng.random_range(0..LEASE_TTL.0));
-        self.offices[last].loses_at = Some(notices);
+        for last in (0..self.offices.len()).filter(|last| *last != holder) {
+            self.offices[last].loses_by(notices);
+        }
     }
 
     fn deliver_orders(&mut self) {
@@ -450,7 +533,7 @@
         for (_, offset, id) in due {
             let word = self.instances.get(&id).filter(|i| i.is_alive).map(Simulated::word);
             if let Some(word) = word {
-                self.roster.apply(offset, &id, Some(word), now);
+                self.write(offset, &id, Some(word));
             }
         }
         self.publish_late_words();
@@ -458,12 +541,13 @@
         let lapsed: Vec<InstanceId> = self
             .instances
             .values()
-            .filter(|i| !i.is_alive && !i.has_lapsed && now.since(i.died_at) >= LAPSE)
+            .filter(|i| !i.is_alive && !i.has_lapsed)
+            .filter(|i| now.since(i.died_at.max(self.returned_at)) >= LAPSE)
             .map(|i| i.id.clone())
             .collect();
         for id in lapsed {
-            self.next_offset += 1;
-            self.roster.apply(self.next_offset, &id, None, now);
+            let place = self.store.next_place();
+            self.write(place.offset, &id, None);
             if let Some(instance) = self.instances.get_mut(&id) {
                 instance.has_lapsed = true;
             }
@@ -471,12 +555,19 @@
         self.roster.forget(now);
     }
 
+    /// A record stands in the list.
+    fn write(&mut self, offset: u64, id: &InstanceId, word: Option<Instance>) {
+        self.store.write(offset, id, word.as_ref());
+        let place = Place { era: self.store.era, offset };
+        self.roster.apply(place, id, word, self.now);
+    }
+
     /// What earlier lives wrote takes the place of the newest record.
     fn publish_late_words(&mut self) {
         let now = self.now;
         let due: Vec<_> = self.late_words.extract_if(.., |row| row.0 <= now).collect();
         for (_, mut word) in due {
-            self.next_offset += 1;
+            let place = self.store.next_place();
             self.overwritten.insert(word.identity.id.clone(), now);
             if self.broken == Some(Broken::LateWordsDropped) {
                 // As if nobody could tell which life it speaks of.
@@ -485,7 +576,7 @@
                     known.map_or(word.identity, |known| known.instance.identity.clone());
             }
             let id = word.identity.id.clone();
-            self.roster.apply(self.next_offset, &id, Some(word), now);
+            self.write(place.offset, &id, Some(word));
         }
     }
 
@@ -504,10 +595,10 @@
 
     /// Each node hears by what number the others act.
     fn gossip(&mut self) {
-        let acts_by: Vec<Option<u64>> = self.offices.iter().map(Office::acts_by).collect();
+        let acts_by: Vec<Option<Fence>> = self.offices.iter().map(Office::acts_by).collect();
         for (i, office) in self.offices.iter_mut().enumerate() {
             let others = acts_by.iter().enumerate().filter(|(j, _)| *j != i);
-            let others: Vec<u64> = others.filter_map(|(_, acts_by)| *acts_by).collect();
+            let others: Vec<Fence> = others.filter_map(|(_, acts_by)| *acts_by).collect();
             office.hear_others(&others, self.now);
         }
     }
@@ -524,6 +615,7 @@
             engine: &self.engine,
             roster: &self.roster,
             trust: &self.trust,
+            listed: &self.store.kept.records,
             instances: &self.instances,
             models: &self.models[self.asked()],
             mode: self.mode,
--- a/crates/workshold-model/src/hosted/office.rs
+++ b/crates/workshold-model/src/hosted/office.rs
@@ -8,9 +8,11 @@
 use workshold_core::hosted::catalog::Engine;
 use workshold_core::hosted::groups;
 use workshold_core::hosted::groups::Group;
+use workshold_core::hosted::history::Fence;
 use workshold_core::hosted::identity::Identity;
 use workshold_core::hosted::planner;
 use workshold_core::hosted::roster::Entry;
+use workshold_core::hosted::roster::Instance;
 use workshold_core::hosted::roster::ListTrust;
 use workshold_core::hosted::roster::MemberState;
 use workshold_core::hosted::roster::Roster;
@@ -40,6 +42,8 @@
     pub roster: &'a Roster,
     /// Whether it can be trusted.
     pub trust: &'a ListTrust,
+    /// The newest records, as a node reads them that remembers nothing.
+    pub listed: &'a BTreeMap<InstanceId, (u64, Instance)>,
     /// The instances, for tries to reach them.
     pub instances: &'a BTreeMap<InstanceId, Simulated>,
     /// The models with what groups of them are worth now; nobody has counted those yet.
@@ -56,17 +60,19 @@
 pub struct Office {
     broken: Option<Broken>,
     steward: Option<Steward>,
-    fence: u64,
+    fence: Fence,
     issued: Arc<AtomicU64>,
     /// It stands still until then, and wakes believing what it did.
     pub frozen_until: Millis,
     /// When it notices that its lease has gone.
-    pub loses_at: Option<Millis>,
+    loses_at: Option<Millis>,
     tenure: Tenure,
     /// The list as it has it, when that was read, and until when nothing new comes.
     roster: Roster,
     read_at: Millis,
     silent_until: Millis,
+    /// Until then it knows only what the store says: it has just started.
+    is_new_until: Millis,
     told_to_leave: BTreeMap<Identity, u64>,
 }
 
@@ -83,7 +89,7 @@
         Self {
             broken,
             steward: None,
-            fence: 0,
+            fence: Fence::default(),
             issued: Arc::default(),
             frozen_until: Millis::ZERO,
             loses_at: None,
@@ -91,40 +97,73 @@
             roster: Roster::default(),
             read_at: Millis::ZERO,
             silent_until: Millis::ZERO,
+            is_new_until: Millis::ZERO,
             told_to_leave: BTreeMap::new(),
         }
     }
 
     /// The lease is this node's, under `fence`.
-    pub fn take(&mut self, fence: u64, now: Millis) {
-        self.fence = fence;
+    pub fn take(&mut self, fence: Fence, now: Millis) {
+        self.take_later(fence, Millis::ZERO, now);
+    }
+
+    /// The same, where what the store says is true only from `true_from` on. Who holds on to
+    /// the lease within one past of the store goes on with what it knows.
+    pub fn take_later(&mut self, fence: Fence, true_from: Millis, now: Millis) {
+        let waits = self.broken != Some(Broken::HoldersWaitAfterReturns);
+        self.fence = match self.broken {
+            Some(Broken::ErasCount) => fence.generation.into(),
+            _ => fence,
+        };
         self.loses_at = None;
-        self.tenure = Tenure::new(fence, now);
+        self.tenure = Tenure::new(self.fence, now);
+        if waits {
+            self.tenure = self.tenure.waits_until(true_from);
+        }
         self.steward = Some(self.new_steward());
     }
 
+    /// It notices by then that its lease has gone.
+    pub fn loses_by(&mut self, at: Millis) {
+        if self.steward.is_some() {
+            self.loses_at = self.loses_at.or(Some(at));
+        }
+    }
+
     /// Nothing of the list comes before `until`.
     pub fn reads_from(&mut self, until: Millis) {
         self.silent_until = until;
     }
 
+    /// Its process has just started, where the system ran before.
+    pub fn starts_anew(&mut self, until: Millis) {
+        self.is_new_until = until;
+        self.issued = Arc::default();
+        self.restart();
+    }
+
     /// The number by which it gives orders.
-    pub fn acts_by(&self) -> Option<u64> {
+    pub fn acts_by(&self) -> Option<Fence> {
         self.steward.as_ref().map(|_| self.fence)
     }
 
     /// By what numbers the others act.
-    pub fn hear_others(&mut self, others: &[u64], now: Millis) {
+    pub fn hear_others(&mut self, others: &[Fence], now: Millis) {
         let notices = self.broken == Some(Broken::LastHolderNotices);
         let heard = if notices { &[] } else { others };
         self.tenure.look(heard.iter().copied(), TENURES, now);
     }
 
     fn read(&mut self, view: &View<'_>) {
-        if view.now >= self.silent_until {
-            self.roster = view.roster.clone();
-            self.read_at = view.now;
+        if view.now < self.silent_until {
+            return;
         }
+        self.roster = if view.now < self.is_new_until {
+            as_listed(view.listed, view.now)
+        } else {
+            view.roster.clone()
+        };
+        self.read_at = view.now;
     }
 
     fn may_order(&self, now: Millis) -> bool {
@@ -143,7 +182,8 @@
         if self.broken == Some(Broken::EpochsOnce) {
             self.issued = Arc::default();
         }
-        Steward::new(StewardRules::default(), 1, self.fence, Arc::clone(&self.issued))
+        let number = self.fence.number().expect("worlds end before it grows too long");
+        Steward::new(StewardRules::default(), 1, number, Arc::clone(&self.issued))
     }
 
     /// An answer came.
@@ -222,6 +262,15 @@
         .collect()
 }
 
+/// The list as the store has it, to a node that remembers nothing.
+fn as_listed(listed: &BTreeMap<InstanceId, (u64, Instance)>, now: Millis) -> Roster {
+    let mut roster = Roster::default();
+    for (id, (offset, word)) in listed {
+        roster.apply(*offset, id, Some(word.clone()), now);
+    }
+    roster
+}
+
 /// The entry, but without the group that the instance was told to leave.
 fn as_seen(entry: &Entry, told: &BTreeMap<Identity, u64>) -> Entry {
     let mut entry = entry.clone();
