--- a/crates/workshold-gateway/tests/soak.rs
+++ b/crates/workshold-gateway/tests/soak.rs
@@ -25,6 +25,13 @@
     play("lives", 3, Duration::from_secs(8), Duration::ZERO, true).await;
 }
 
+/// What the store acknowledged last is gone, again and again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_promise_breaks_while_the_store_comes_back_from_copies() {
+    let options = options("copies", Duration::from_secs(8), Duration::ZERO, true);
+    play_with(Options { copies: true, ..options }, 21).await;
+}
+
 /// Members leave while the heads of their groups finish, and others refuse: a stream
 /// whose attempts are used up stays where it is written.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -53,6 +60,7 @@
         callers: 6,
         length,
         new_lives,
+        copies: false,
         ends_instances: false,
         planned,
         recovers_within: RECOVERS_WITHIN,
--- a/crates/workshold-soak/src/main.rs
+++ b/crates/workshold-soak/src/main.rs
@@ -53,6 +53,10 @@
         .help("Without engines that start again under their ids, as seeds were played before")
         .switch()
         .map(|is_earlier| !is_earlier);
+    let copies = bpaf::long("no-copies")
+        .help("Without a store that comes back from copies")
+        .switch()
+        .map(|is_without| !is_without);
     let ends_instances = bpaf::long("ending")
         .help("With a request that ends whoever begins to run it, asked again and again")
         .switch();
@@ -63,6 +67,7 @@
         callers,
         length,
         new_lives,
+        copies,
         ends_instances,
         planned,
         recovers_within
--- a/crates/workshold-soak/src/plan.rs
+++ b/crates/workshold-soak/src/plan.rs
@@ -40,6 +40,8 @@
     StoreForgets,
     /// The store deals the lease anew.
     DealAnew,
+    /// The store comes back from a copy as old as the fault lasts, three seconds at most.
+    StoreReturns,
     /// An engine crashes; a new life of it comes at the end.
     CrashEngine,
     /// An engine crashes, and starts again under its id within moments.
@@ -131,6 +133,8 @@
 const LASTS_MS: (u64, u64) = (400, 5_000);
 /// One fault in so many is an engine that starts again under its id.
 const NEW_LIVES: u64 = 4;
+/// One fault in so many is a store that comes back from a copy.
+const COPIES: u64 = 6;
 /// One fault in so many comes at once with the next one.
 const TOGETHER: u64 = 5;
 
@@ -151,6 +155,18 @@
     faults
 }
 
+/// The same with a store that comes back from copies, one fault in so many.
+pub fn draw_with_copies(seed: u64, length: Duration) -> Vec<Fault> {
+    let mut faults = draw_with_new_lives(seed, length);
+    let mut rng = ChaCha8Rng::seed_from_u64(!seed);
+    for fault in &mut faults {
+        if rng.random_range(0..COPIES) == 0 {
+            fault.kind = Kind::StoreReturns;
+        }
+    }
+    faults
+}
+
 /// The planned work of `seed` over `length`.
 pub fn draw_planned(seed: u64, length: Duration) -> Vec<Fault> {
     draw_of(PLANNED, seed, length)
--- a/crates/workshold-soak/src/run.rs
+++ b/crates/workshold-soak/src/run.rs
@@ -51,6 +51,8 @@
     pub length: Duration,
     /// Whether engines start again under their ids, beside all other faults.
     pub new_lives: bool,
+    /// Whether the store comes back from copies, beside that.
+    pub copies: bool,
     /// Whether a request that ends whoever begins to run it is asked at all nodes.
     pub ends_instances: bool,
     /// How long planned work comes, once faults are over.
@@ -98,6 +100,10 @@
     hidden: Mutex<Vec<(Instant, Instant)>>,
 }
 
+/// The oldest copy that the store comes back from, and when others have written again what it
+/// lost: at their next check-in.
+const OLDEST_COPY: Duration = Duration::from_millis(3_000);
+const WRITTEN_AGAIN: Duration = Duration::from_millis(900);
 /// Nodes start within this, before any load.
 const STARTS_WITHIN: Duration = Duration::from_secs(30);
 /// Before and after faults, load runs in calm for this long.
@@ -134,7 +140,11 @@
         load.spawn(Arc::clone(&stage.callers).ask_for_ends(seed));
         ending.spawn(Arc::clone(&stage.fleet).replace_ended());
     }
-    let draw = if options.new_lives { plan::draw_with_new_lives } else { plan::draw };
+    let draw = match options {
+        Options { copies: true, .. } => plan::draw_with_copies,
+        Options { new_lives: true, .. } => plan::draw_with_new_lives,
+        _ => plan::draw,
+    };
     befall(&stage, draw(seed, options.length)).await;
     let last = Instant::now();
     let is_well = stage.all_serve(options.recovers_within).await;
@@ -324,6 +334,10 @@
             Kind::StoreSlow => self.store(Mood::Slow(SLOW_STORE), lasts).await,
             Kind::StoreForgets => self.fleet.store.forget_history(),
             Kind::DealAnew => self.fleet.store.deal_anew(),
+            Kind::StoreReturns => {
+                let age = lasts.min(OLDEST_COPY);
+                self.fleet.store.return_from_copy(age, WRITTEN_AGAIN);
+            }
             Kind::CrashEngine => self.fleet.crash_engine(whom, lasts).await,
             Kind::BeginAnew => self.fleet.begin_anew(whom, lasts).await,
             Kind::CrashDomain => self.fleet.crash_domain(whom, lasts).await,
--- a/crates/workshold-soak/tests/plan.rs
+++ b/crates/workshold-soak/tests/plan.rs
@@ -6,6 +6,7 @@
 use workshold_soak::plan::Kind;
 use workshold_soak::plan::draw;
 use workshold_soak::plan::draw_planned;
+use workshold_soak::plan::draw_with_copies;
 use workshold_soak::plan::draw_with_new_lives;
 
 const LENGTH: Duration = Duration::from_secs(12);
@@ -41,6 +42,15 @@
     assert_eq!(kinds.len(), 25, "{kinds:?}");
 }
 
+#[test]
+fn the_store_comes_back_from_copies_beside_all_other_faults() {
+    let with: Vec<_> = (0..50).flat_map(|seed| draw_with_copies(seed, LENGTH)).collect();
+    let returns = with.iter().filter(|fault| fault.kind == Kind::StoreReturns).count();
+    assert!(returns * 9 > with.len() && returns * 4 < with.len(), "{returns} of {}", with.len());
+    let kinds: BTreeSet<_> = with.iter().map(|fault| format!("{:?}", fault.kind)).collect();
+    assert_eq!(kinds.len(), 26, "{kinds:?}");
+}
+
 #[test]
 fn planned_work_is_planned_and_covers_all_kinds() {
     let work: Vec<_> = (0..50).flat_map(|seed| draw_planned(seed, LENGTH)).collect();
