A part of the lease that comes again after the lease's time is taken anew

Found by reading, for section after section of what a return from a copy may do: a node that stood still for longer than its lease lasts kept its standing at a part if the answer that told it of the loss did not come, and ordered by its list of before. leases.rs failed in the two cases after the lease's time (true instead of false) and passes now; renewals in time, also under a later number, hold on as before.

--- a/crates/workshold-gateway/src/tasks/leasing.rs
+++ b/crates/workshold-gateway/src/tasks/leasing.rs
@@ -96,15 +96,18 @@
     }
 }
 
-fn take(node: &Node, fence: Fence, parts: &[u64], sent: Millis) {
+/// Takes an answer to a renewal that was sent at `sent`: the right, and the parts held.
+pub fn take(node: &Node, fence: Fence, parts: &[u64], sent: Millis) {
     let now = node.now();
     let true_from = node.pasts.is_true_from();
     let mut lease = node.lease.lock();
     let held = std::mem::take(&mut lease.parts);
-    // By another past the part may have been somebody else's meanwhile.
-    let is_same_past = lease.fence.era == fence.era;
+    // By another past, or after the lease's time, the part may have been somebody else's
+    // meanwhile, also if the answer that said so was lost.
+    let lasted = sent.since(lease.renewed_at) < node.settings().lease_ttl();
+    let is_held_on = lease.fence.era == fence.era && lasted;
     let anew = Tenure::new(fence, now).waits_until(true_from);
-    let tenure = |part: &u64| held.get(part).copied().filter(|_| is_same_past).unwrap_or(anew);
+    let tenure = |part: &u64| held.get(part).copied().filter(|_| is_held_on).unwrap_or(anew);
     let parts: BTreeMap<u64, Tenure> = parts.iter().map(|part| (*part, tenure(part))).collect();
     let is_news = parts.keys().ne(held.keys());
     let is_later = lease.fence != fence;
