Who is missing from a whole reading is not handed on as if it were there

By reading: what a whole reading lacked had no record that said so, and its last one went on to peers who fetched the list, for as long as the node lived. The test failed before (both instances were taken over); entries without an instance are forgotten with it.

--- a/crates/workshold-gateway/src/tasks/following.rs
+++ b/crates/workshold-gateway/src/tasks/following.rs
@@ -430,10 +430,15 @@
     let from = from.into();
     let list = node.list.lock();
     let newer = list.raw.iter().filter(|(_, (place, _))| *place >= from);
+    // What a whole reading lacked is gone, whatever its last record says.
+    let is_gone = |key: &str| {
+        let entry = InstanceId::new(key).ok().and_then(|id| list.roster.get(&id));
+        entry.is_some_and(|entry| entry.unlisted_since.is_some())
+    };
     let records = newer.map(|(key, (place, value))| ListRecord {
         place: *place,
         key: key.clone(),
-        value: value.to_vec(),
+        value: if is_gone(key) { Vec::new() } else { value.to_vec() },
     });
     ListNews {
         from,
--- a/crates/workshold-gateway/src/tasks/upkeep.rs
+++ b/crates/workshold-gateway/src/tasks/upkeep.rs
@@ -54,7 +54,7 @@
     let known: BTreeSet<Identity> =
         list.roster.iter().map(|entry| entry.instance.identity.clone()).collect();
     let names: HashSet<&str> = known.iter().map(Identity::as_str).collect();
-    list.raw.retain(|key, (_, value)| !value.is_empty() || names.contains(key.as_str()));
+    list.raw.retain(|key, _| names.contains(key.as_str()));
     list.by_short_id.retain(|_, id| known.contains(id));
     drop(list);
     ended.iter().for_each(|life| node.note_superseded(life));
--- a/crates/workshold-gateway/tests/lives.rs
+++ b/crates/workshold-gateway/tests/lives.rs
@@ -6,6 +6,7 @@
 
 mod common;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use rstest::rstest;
@@ -21,6 +22,7 @@
 use workshold_platform::config;
 use workshold_platform_standin::deployment;
 use workshold_protocol::Millis;
+use workshold_protocol::ids::InstanceId;
 use workshold_protocol::ids::ServiceName;
 
 use crate::common::HandClock;
@@ -202,3 +204,18 @@
     following::take_news(&other.node, &following::news(&scene.node, 0), other.node.now());
     assert!(other.gates().is_empty());
 }
+
+/// A whole reading, as after the store has forgotten its history, lacks who is gone, and says
+/// nothing more of it.
+#[test]
+fn who_is_missing_from_the_whole_list_is_not_handed_on_as_if_it_were_there() {
+    let mut scene = Scene::new();
+    scene.state("i-1", &gate(FIRST, "10.0.0.1:80"));
+    scene.state("i-2", &gate(FIRST, "10.0.0.2:80"));
+    let left = BTreeSet::from([InstanceId::new("i-2").unwrap()]);
+    let now = scene.node.now();
+    scene.node.list.lock().roster.keep_only(&left, 2, now);
+    let other = Scene::new();
+    following::take_news(&other.node, &following::news(&scene.node, 0), other.node.now());
+    assert_eq!(other.gate_names(), ["i-2"]);
+}
