The node in five files: who reads the store, who is in doubt, what is held, what may be repeated

The fields stay in one struct; aggregates with locks of their own are still to be made of them, and the circle of files around requests and relay stands.

--- /dev/null
+++ b/crates/workshold-gateway/src/node/repeats.rs
@@ -0,0 +1,66 @@
+//! What this node may repeat of each upstream's requests.
+
+use workshold_core::hosted::tries::Budget;
+use workshold_core::hosted::tries::Usage;
+use workshold_protocol::ids::ServiceName;
+
+use crate::events::Event;
+use crate::events::emit;
+use crate::metrics::Metric;
+use crate::node::Node;
+impl Node {
+    /// Takes one repeat out of the budget of a service.
+    pub fn take_repeat(&self, service: &ServiceName) -> bool {
+        let now = self.now();
+        let nodes = self.peers.lock().may_be_there();
+        let take = |budget: &mut Budget| (budget.take(now, nodes), budget.usage(now, nodes));
+        let (is_taken, usage) = self.budget(service, take);
+        if is_taken {
+            self.metrics.count(Metric::Repeats);
+        } else {
+            self.metrics.count(Metric::RepeatsRefused);
+            log_refusal(service, usage, nodes);
+        }
+        is_taken
+    }
+
+    /// Gives a repeat back to the budget of a service: it never left.
+    pub fn give_back_repeat(&self, service: &ServiceName) {
+        self.budget(service, Budget::give_back);
+    }
+
+    /// Counts a request towards the budget of a service.
+    pub fn count_request(&self, service: &ServiceName) {
+        let now = self.now();
+        self.budget(service, |budget| budget.on_request(now));
+    }
+
+    pub(super) fn budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut budgets = self.budgets.lock();
+        if !budgets.contains_key(service) {
+            budgets.insert(service.clone(), self.new_budget());
+        }
+        act(budgets.get_mut(service).expect("it was just put in"))
+    }
+
+    pub(super) fn new_budget(&self) -> Budget {
+        let settings = self.settings();
+        if settings.node.is_first_start {
+            return Budget::new(settings.budget());
+        }
+        Budget::of_later_start(settings.budget(), self.began)
+    }
+}
+
+fn log_refusal(service: &ServiceName, usage: Usage, nodes: usize) {
+    emit(
+        Event::RepeatRefused,
+        &[
+            ("service", service.as_str()),
+            ("requests", &usage.requests.to_string()),
+            ("repeats", &usage.repeats.to_string()),
+            ("allowed", &format!("{:.1}", usage.allowed)),
+            ("nodes", &nodes.to_string()),
+        ],
+    );
+}
