--- a/crates/workshold-telemetry/src/lines.rs
+++ b/crates/workshold-telemetry/src/lines.rs
@@ -20,7 +20,13 @@
     line
 }
 
-/// A line for programs.
+/// The longest line for programs, in bytes: collectors with buffers of 512 bytes cut what is
+/// longer, and then no program can read it.
+const MOST_LEN: usize = 511;
+/// What stands at the end of a value that was shortened.
+const CUT: &str = "...";
+
+/// A line for programs; the longest values are shortened until it fits.
 pub fn json(at: u64, node: &str, record: &Record<'_>) -> String {
     let mut line = Map::new();
     line.insert("at_ms".to_owned(), at.into());
@@ -29,7 +35,30 @@
     line.insert("node".to_owned(), node.into());
     line.insert("text".to_owned(), record.args().to_string().into());
     line.extend(fields(record).into_iter().map(|(key, value)| (key, value.into())));
-    serde_json::Value::Object(line).to_string()
+    let mut text = to_text(&line);
+    while text.len() > MOST_LEN && shorten_longest(&mut line, text.len() - MOST_LEN) {
+        text = to_text(&line);
+    }
+    text
+}
+
+fn to_text(line: &Map<String, serde_json::Value>) -> String {
+    serde_json::to_string(line).expect("lines have only text keys")
+}
+
+/// Takes about `over` bytes off the longest value; whether there was anything to take.
+fn shorten_longest(line: &mut Map<String, serde_json::Value>, over: usize) -> bool {
+    let texts = line.values_mut().filter_map(|value| match value {
+        serde_json::Value::String(text) => Some(text),
+        _ => None,
+    });
+    let Some(longest) = texts.max_by_key(|text| text.len()) else { return false };
+    let kept = longest.strip_suffix(CUT).unwrap_or(longest).len();
+    let wanted = kept.saturating_sub(over.div_ceil(2).max(CUT.len()));
+    let end = (0..=wanted).rev().find(|end| longest.is_char_boundary(*end)).unwrap_or_default();
+    longest.truncate(end);
+    longest.push_str(CUT);
+    end > 0
 }
 
 fn one_line(text: &str) -> String {
