--- a/crates/workshold-core/tests/hosted.rs
+++ b/crates/workshold-core/tests/hosted.rs
@@ -2,6 +2,8 @@
 
 #[path = "hosted/capacity.rs"]
 mod capacity;
+#[path = "hosted/histories.rs"]
+mod histories;
 #[path = "hosted/planned_anew.rs"]
 mod planned_anew;
 #[path = "hosted/planning.rs"]
--- a/crates/workshold-core/tests/hosted/sight.rs
+++ b/crates/workshold-core/tests/hosted/sight.rs
@@ -4,6 +4,9 @@
 
 use smol_str::SmolStr;
 use workshold_core::hosted::currency::Currency;
+use workshold_core::hosted::history::COPY_STANDS;
+use workshold_core::hosted::history::Era;
+use workshold_core::hosted::history::Place;
 use workshold_core::hosted::roster::Instance;
 use workshold_core::hosted::roster::ListTrust;
 use workshold_core::hosted::roster::Roster;
@@ -81,6 +84,44 @@
     assert!(roster.get(&id("i-2")).unwrap().is_there(&trust, Millis(200)));
 }
 
+/// The store came back from a copy of a moment at which the instance had not said that it is
+/// in a group, or that it leaves, or was not there at all.
+#[test]
+fn a_copy_takes_nobody_away_before_whoever_is_there_has_written_again() {
+    let trust = ListTrust::default();
+    let mut roster = Roster::default();
+    let now = Millis(100_000);
+    let true_from = now + COPY_STANDS;
+    roster.apply(8, &id("i-1"), Some(word("i-1", true)), now);
+    roster.apply(9, &id("i-2"), Some(word("i-2", false)), now);
+    let place = |offset| Place { era: Era(1), offset };
+    roster.begin_era(Era(1), true_from);
+    roster.apply_copied(place(3), &id("i-1"), word("i-1", false), now);
+    roster.forget(now + Millis(5_000));
+    assert!(roster.get(&id("i-1")).unwrap().instance.is_leaving, "nobody takes that back");
+    assert!(roster.get(&id("i-2")).unwrap().is_there(&trust, now + Millis(5_000)));
+    // One that is there has written again, at a place far below its last one.
+    roster.apply(place(4), &id("i-1"), Some(word("i-1", true)), now + Millis(5_100));
+    roster.forget(true_from + Millis(100));
+    assert!(roster.get(&id("i-1")).unwrap().instance.is_leaving);
+    assert!(roster.get(&id("i-1")).unwrap().is_there(&trust, true_from + Millis(100)));
+    assert!(!roster.get(&id("i-2")).unwrap().is_there(&trust, true_from + Millis(100)));
+}
+
+#[test]
+fn a_copied_word_that_nobody_replaces_is_believed_in_the_end() {
+    let mut roster = Roster::default();
+    let now = Millis(100_000);
+    roster.apply(8, &id("i-1"), Some(word("i-1", true)), now);
+    roster.begin_era(Era(1), now + COPY_STANDS);
+    let place = Place { era: Era(1), offset: 3 };
+    roster.apply_copied(place, &id("i-1"), word("i-1", false), now);
+    roster.forget(now + COPY_STANDS - Millis(1));
+    assert!(roster.get(&id("i-1")).unwrap().instance.is_leaving);
+    roster.forget(now + COPY_STANDS);
+    assert!(!roster.get(&id("i-1")).unwrap().instance.is_leaving);
+}
+
 #[test]
 fn what_lapsed_while_the_store_was_away_is_missing_only_later() {
     let mut roster = Roster::default();
--- a/crates/workshold-gateway/tests/decoders.rs
+++ b/crates/workshold-gateway/tests/decoders.rs
@@ -7,6 +7,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::header::HeaderValue;
 use proptest::prelude::*;
 use rand::Rng;
 use rand::SeedableRng;
@@ -131,6 +133,35 @@
         decode_all(&bytes);
     }
 
+    /// How often the store has come back: a number, or nothing that counts.
+    #[test]
+    fn no_header_of_the_store_is_taken_for_another_past(
+        said in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 0..24), 0..3),
+    ) {
+        let mut headers = HeaderMap::new();
+        let values = said.iter().filter_map(|value| HeaderValue::from_bytes(value).ok());
+        values.for_each(|value| {
+            headers.append("store-era", value);
+        });
+        let numbers: Vec<Option<u64>> = headers
+            .get_all("store-era")
+            .iter()
+            .map(|value| value.to_str().ok().and_then(|text| text.trim().parse().ok()))
+            .collect();
+        match store::era(&headers) {
+            Ok(era) if numbers.is_empty() => prop_assert_eq!(era.0, 0),
+            Ok(era) => prop_assert!(numbers.iter().all(|number| *number == Some(era.0))),
+            Err(_) => prop_assert!(numbers.iter().any(|n| n.is_none() || *n != numbers[0])),
+        }
+    }
+
+    #[test]
+    fn a_header_that_is_a_number_is_that_past(era in any::<u64>()) {
+        let mut headers = HeaderMap::new();
+        headers.append("store-era", era.into());
+        prop_assert_eq!(store::era(&headers).unwrap().0, era);
+    }
+
     /// Lengths that a datagram claims are no reason to make room for them.
     #[test]
     fn a_datagram_that_claims_much_brings_no_more_than_came(
