Reread: a surpassed configuration is read again at any node; narrower visibility; blank lines

By reading: a node with an older configuration that saw a surpassed one in the store waited for a newer record, although whoever held a newer one might not hand it on; it reads again now, as one without a configuration did.

--- a/crates/workshold-gateway/src/node/doubts.rs
+++ b/crates/workshold-gateway/src/node/doubts.rs
@@ -17,6 +17,7 @@
 use crate::peers::Ask;
 use crate::peers::Peers;
 use crate::table::Target;
+
 /// A look at a group's members serves all its streams for this long.
 const LOOK_GOOD_FOR: Millis = Millis(250);
 /// With fewer nodes than this all of them try a silent instance when one asks.
--- a/crates/workshold-gateway/src/node/held.rs
+++ b/crates/workshold-gateway/src/node/held.rs
@@ -16,6 +16,7 @@
 use crate::events::emit;
 use crate::node::Node;
 use crate::table::Target;
+
 impl Node {
     /// Until when a request is kept from all instances, if it is.
     pub fn held_until(&self, fingerprint: Fingerprint) -> Option<Millis> {
@@ -81,7 +82,7 @@
 
     /// Changes what is known of requests. What is news goes to the others at once, and
     /// whatever waits unread at an instance is looked at again.
-    pub(super) fn change_quarantine(&self, change: impl FnOnce(&mut Quarantine) -> bool) -> bool {
+    fn change_quarantine(&self, change: impl FnOnce(&mut Quarantine) -> bool) -> bool {
         let now = self.now();
         let mut quarantine = self.quarantine.lock();
         if !change(&mut quarantine) {
--- a/crates/workshold-gateway/src/node/reading.rs
+++ b/crates/workshold-gateway/src/node/reading.rs
@@ -12,6 +12,7 @@
 use crate::peers::LIST_TROUBLE_MOST;
 use crate::peers::news;
 use crate::peers::rank;
+
 /// Up to so many nodes, each reads the store for itself.
 const ALL_READ: usize = 12;
 /// So many of each data centre write again what the store has lost.
@@ -68,7 +69,7 @@
         Some(age.unwrap_or(LIST_TROUBLE_MOST).min(LIST_TROUBLE_MOST))
     }
 
-    pub(super) fn is_among_first(&self, most: usize) -> bool {
+    fn is_among_first(&self, most: usize) -> bool {
         let settings = self.settings();
         let data_centre = settings.node.data_centre.as_str();
         self.peers.lock().is_among(&settings.node.name, data_centre, most, self.now())
@@ -101,7 +102,7 @@
 
     /// The store has come back from a copy. What this node holds of it stands, but is read
     /// anew, and what was kept there and may be lost is kept again.
-    pub(super) fn store_returned(&self) {
+    fn store_returned(&self) {
         emit(Event::StoreReturned, &[("era", &self.pasts.era().to_string())]);
         if self.keeps_anew() {
             self.quarantine.lock().keep_all();
--- a/crates/workshold-gateway/src/node/repeats.rs
+++ b/crates/workshold-gateway/src/node/repeats.rs
@@ -8,6 +8,7 @@
 use crate::events::emit;
 use crate::metrics::Metric;
 use crate::node::Node;
+
 impl Node {
     /// Takes one repeat out of the budget of a service.
     pub fn take_repeat(&self, service: &ServiceName) -> bool {
@@ -35,7 +36,7 @@
         self.budget(service, |budget| budget.on_request(now));
     }
 
-    pub(super) fn budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut Budget) -> T) -> T {
+    fn budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = self.budgets.lock();
         if !budgets.contains_key(service) {
             budgets.insert(service.clone(), self.new_budget());
@@ -43,7 +44,7 @@
         act(budgets.get_mut(service).expect("it was just put in"))
     }
 
-    pub(super) fn new_budget(&self) -> Budget {
+    fn new_budget(&self) -> Budget {
         let settings = self.settings();
         if settings.node.is_first_start {
             return Budget::new(settings.budget());
--- a/crates/workshold-gateway/src/tasks/following.rs
+++ b/crates/workshold-gateway/src/tasks/following.rs
@@ -143,12 +143,10 @@
     let last = records.records.iter().rfind(|record| record.key == names::CONFIG_KEY);
     match last {
         Some(record) if is_surpassed(node, record) => {
-            followed.newest = None;
-            if node.catalog().is_none() {
-                // It is looked at again, in case nobody has a newer one.
-                tokio::time::sleep(READER_LOOK.to_duration()).await;
-                return Ok(());
-            }
+            // It is looked at again, in case whoever has a newer one does not hand it on.
+            *followed = Followed::default();
+            tokio::time::sleep(READER_LOOK.to_duration()).await;
+            return Ok(());
         }
         Some(record) => take_config(node, record, sent, followed),
         // A whole reading that lacks it shows nothing.
