--- a/crates/workshold-gateway/tests/catching_up.rs
+++ b/crates/workshold-gateway/tests/catching_up.rs
@@ -10,7 +10,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -50,21 +49,6 @@
     address
 }
 
-/// Counts who comes.
-async fn peer() -> (SocketAddr, Arc<AtomicUsize>) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let count = Arc::new(AtomicUsize::new(0));
-    let counted = Arc::clone(&count);
-    tokio::spawn(async move {
-        loop {
-            let _ = listener.accept().await.unwrap();
-            counted.fetch_add(1, Ordering::Relaxed);
-        }
-    });
-    (address, count)
-}
-
 /// A store that turns this node away, with a few words.
 async fn refusing_store() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -97,7 +81,7 @@
     let settings = settings::parse(&text).unwrap();
     let own = settings.control();
     let node = Arc::new(Node::new(settings, Box::new(SystemClock::default()), doubts));
-    let (address, count) = peer().await;
+    let (address, count) = common::peer().await;
     let said = Pulse { next_ms: 20_000, config: Some((7, 0)), ..common::pulse(address) };
     node.peers.lock().on_pulse(own, address, SmolStr::new("n-2"), said, node.now());
     let following = tokio::spawn(following::config(Arc::clone(&node)));
--- a/crates/workshold-gateway/tests/common/mod.rs
+++ b/crates/workshold-gateway/tests/common/mod.rs
@@ -4,9 +4,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 use parking_lot::Mutex;
 use smol_str::SmolStr;
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
 use workshold_gateway::node::Node;
@@ -92,3 +95,18 @@
         requests: Vec::new(),
     }
 }
+
+/// Counts who comes to a peer.
+pub async fn peer() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let count = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&count);
+    tokio::spawn(async move {
+        loop {
+            let _ = listener.accept().await.unwrap();
+            counted.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    (address, count)
+}
--- a/crates/workshold-gateway/tests/list_news.rs
+++ b/crates/workshold-gateway/tests/list_news.rs
@@ -12,7 +12,6 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -23,7 +22,6 @@
 use rstest::rstest;
 use serde_json::json;
 use smol_str::SmolStr;
-use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use workshold_gateway::node::Node;
@@ -47,21 +45,6 @@
     Arc::new(Node::new(settings, Box::new(SystemClock::default()), probes))
 }
 
-/// Counts who comes to a peer.
-async fn peer() -> (SocketAddr, Arc<AtomicUsize>) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let count = Arc::new(AtomicUsize::new(0));
-    let counted = Arc::clone(&count);
-    tokio::spawn(async move {
-        loop {
-            let _ = listener.accept().await.unwrap();
-            counted.fetch_add(1, Ordering::Relaxed);
-        }
-    });
-    (address, count)
-}
-
 /// Two hundred signs that cannot be packed.
 fn noise(seed: u64) -> String {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -103,7 +86,7 @@
 ) {
     let node = node();
     bring(&node, 0, 5);
-    let (address, count) = peer().await;
+    let (address, count) = common::peer().await;
     hear(&node, address, "n-2", list);
     assert!(node.is_reader());
     let catching_up = tokio::spawn(gossip::catch_up(Arc::clone(&node)));
