--- a/crates/workshold-gateway/tests/decoders.rs
+++ b/crates/workshold-gateway/tests/decoders.rs
@@ -141,10 +141,10 @@
         let mut headers = HeaderMap::new();
         let values = said.iter().filter_map(|value| HeaderValue::from_bytes(value).ok());
         values.for_each(|value| {
-            headers.append("store-era", value);
+            headers.append(store::ERA_HEADER, value);
         });
         let numbers: Vec<Option<u64>> = headers
-            .get_all("store-era")
+            .get_all(store::ERA_HEADER)
             .iter()
             .map(|value| value.to_str().ok().and_then(|text| text.trim().parse().ok()))
             .collect();
@@ -158,7 +158,7 @@
     #[test]
     fn a_header_that_is_a_number_is_that_past(era in any::<u64>()) {
         let mut headers = HeaderMap::new();
-        headers.append("store-era", era.into());
+        headers.append(store::ERA_HEADER, era.into());
         prop_assert_eq!(store::era(&headers).unwrap().0, era);
     }
 
