--- a/crates/workshold-gateway/src/events.rs
+++ b/crates/workshold-gateway/src/events.rs
@@ -12,7 +12,7 @@
     Stopped = 1005, Info, "the node has stopped", "Nothing.";
     SettingsTaken = 1006, Info, "changed settings are in force", "Nothing.";
     SettingsRefused = 1007, Error, "changed settings are not valid; the old ones stay in force", "Mend the file; the fault is in the event.";
-    StoreLost = 1101, Warn, "the store does not answer", "Serving goes on; look after the store.";
+    StoreLost = 1101, Warn, "the store does not answer", "Serving goes on; look after the store, unless later_questions were answered: then this one was lost.";
     StoreBack = 1102, Info, "the store answers again", "Nothing.";
     ConfigTaken = 1103, Info, "a configuration is in force", "Nothing.";
     ConfigUnreadable = 1104, Error, "a configuration cannot be read and is passed over", "The old one stays in force; mend the new one.";
--- a/crates/workshold-gateway/src/tasks/following.rs
+++ b/crates/workshold-gateway/src/tasks/following.rs
@@ -71,7 +71,7 @@
             Ok(()) => pause = RETRY,
             Err(StoreError::Gone { .. }) => followed = Followed::default(),
             Err(err) => {
-                note_failure(&node, &err);
+                note_failure(&node, CONFIGURATION, sent, &err);
                 tokio::time::sleep(pause.to_duration()).await;
                 pause = (pause + pause).min(RETRY_MOST);
             }
@@ -213,7 +213,7 @@
             }
             Err(StoreError::Gone { .. }) => node.list.lock().next = None,
             Err(err) => {
-                note_failure(&node, &err);
+                note_failure(&node, LIST, sent, &err);
                 let now = node.now();
                 node.list.lock().trust.on_trouble(now);
                 tokio::time::sleep(pause.to_duration()).await;
@@ -367,9 +367,24 @@
     }
 }
 
-fn note_failure(node: &Node, err: &StoreError) {
+/// What is read, in logs.
+const CONFIGURATION: &str = "configuration";
+const LIST: &str = "list";
+
+/// A reading of `what` that was asked for at `sent` has failed. Whether the store has answered
+/// another question that was asked later tells a question that was lost from a store that is
+/// away.
+fn note_failure(node: &Node, what: &str, sent: Millis, err: &StoreError) {
     let age = node.store_age();
-    let fields = [("why", &*err.to_string()), ("silent_for", &*age.to_string())];
+    let asked = node.now().since(sent);
+    let others = if age < asked { "answered" } else { "not answered" };
+    let fields = [
+        ("why", &*err.to_string()),
+        ("reading", what),
+        ("asked", &*asked.to_string()),
+        ("later_questions", others),
+        ("silent_for", &*age.to_string()),
+    ];
     emit(Event::StoreLost, &fields);
 }
 
