Tests, failing: what is written right after a silence of the store is in force in time

The store is silent until the last of one to three readings of a topic was asked, then a configuration is written, or an instance says that it leaves.

--- a/crates/workshold-gateway/tests/platform.rs
+++ b/crates/workshold-gateway/tests/platform.rs
@@ -6,6 +6,8 @@
 mod ending;
 #[path = "platform/path.rs"]
 mod path;
+#[path = "platform/silence.rs"]
+mod silence;
 #[path = "platform/stopping.rs"]
 mod stopping;
 #[path = "platform/store.rs"]
