A node whose readers are cut off from the store reads for itself

Now a node goes by its readers' own word of when the store last answered them: 1.8 s, a look of 0.3 s and an answer. It asks as rarely as the bound allows, so that a silence for all does not make hundreds ask each second, and after refusals pauses of up to half of that.

--- a/crates/workshold-core/src/hosted/asking.rs
+++ b/crates/workshold-core/src/hosted/asking.rs
@@ -29,9 +29,8 @@
     }
 }
 
-/// The pause after the first refusal in a row, and the longest.
+/// The pause after the first refusal in a row; it doubles up to half of [`AskRules::every`].
 const PAUSE_LEAST: Millis = Millis(150);
-const PAUSE_MOST: Millis = Millis(600);
 
 /// Questions for one thing, until one of them is answered.
 #[derive(Debug, Clone)]
@@ -87,7 +86,8 @@
     pub fn on_refusal(&mut self, now: Millis) {
         self.failed += 1;
         self.next = now + self.pause;
-        self.pause = (self.pause + self.pause).min(PAUSE_MOST);
+        let most = Millis(self.rules.every.0 / 2).max(PAUSE_LEAST);
+        self.pause = (self.pause + self.pause).min(most);
     }
 
     /// Whether the store may have been away until the question was asked, the `number`th from
--- a/crates/workshold-gateway/src/node/reading.rs
+++ b/crates/workshold-gateway/src/node/reading.rs
@@ -19,6 +19,10 @@
 const KEEPERS: usize = 2;
 /// A node that starts has heard the others by then, or there is nobody whom it hears.
 const HEARS_WITHIN: Millis = Millis(2_500);
+/// The store has not answered a reader for longer than this if it is cut off: more than it
+/// takes to renew a lease without parts, with an answer and a pulse that are late. With the
+/// look at it and an answer that is 2.5 s; 3 s are allowed to nodes that are not cut off.
+const READERS_SILENT: Millis = Millis(1_800);
 /// Over how long nodes begin to read and to hold the lease at the first start of all: some
 /// seconds before the first callers, and long enough that the first of hundreds have what
 /// the others need.
@@ -52,6 +56,15 @@
         !self.has_followers() || self.is_among_first(news::ROOTS)
     }
 
+    /// Whether the store has not answered any of those who read it for this node for so long
+    /// that they may be cut off from it, and this node may not be.
+    pub fn are_readers_cut_off(&self) -> bool {
+        let settings = self.settings();
+        let now = self.now();
+        let answered = self.peers.lock().readers_answered(settings.node.data_centre.as_str(), now);
+        answered.is_some_and(|at| now.since(at) > READERS_SILENT)
+    }
+
     /// Whether this node hears fewer than half of the others that may be there: then news
     /// that they tell each other may not come to it.
     pub fn hears_few(&self) -> bool {
--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -263,16 +263,27 @@
     /// When the list was last in trouble for all who read it, those of a data centre if
     /// there are any: what one of them reads without trouble is as it should be.
     pub fn list_trouble_at(&self, data_centre: &str, now: Millis) -> Option<Millis> {
-        let told = |peer: &Peer| {
-            let age = peer.pulse.list_trouble_ms?;
-            let is_near = peer.pulse.data_centre == data_centre;
-            let at = (age < LIST_TROUBLE_MOST).then(|| peer.heard - Millis(age.into()));
-            Some((is_near, at))
+        let at = |(peer, age): (&Peer, u32)| {
+            (age < LIST_TROUBLE_MOST).then(|| peer.heard - Millis(age.into()))
         };
-        let told: Vec<_> = self.heard(now).filter_map(|(_, peer)| told(peer)).collect();
-        let has_near = told.iter().any(|(is_near, _)| *is_near);
-        let counts = told.iter().filter(|(is_near, _)| *is_near || !has_near);
-        counts.map(|(_, at)| *at).min().flatten()
+        self.readers(data_centre, now).into_iter().map(at).min().flatten()
+    }
+
+    /// When the store last answered any of those who read it, as above; `None` if none of
+    /// them is heard.
+    pub fn readers_answered(&self, data_centre: &str, now: Millis) -> Option<Millis> {
+        let readers = self.readers(data_centre, now).into_iter();
+        readers.map(|(peer, _)| peer.heard - Millis(peer.pulse.store_age_ms)).max()
+    }
+
+    /// Those who read the store, of a data centre if there are any, with how long ago a reading
+    /// of the list failed.
+    fn readers(&self, data_centre: &str, now: Millis) -> Vec<(&Peer, u32)> {
+        let heard = self.heard(now).map(|(_, peer)| peer);
+        let all = heard.filter_map(|peer| Some((peer, peer.pulse.list_trouble_ms?)));
+        let (near, far): (Vec<_>, Vec<_>) =
+            all.partition(|(peer, _)| peer.pulse.data_centre == data_centre);
+        if near.is_empty() { far } else { near }
     }
 
     /// The newest configuration that any of those who are heard holds.
--- a/crates/workshold-gateway/src/settings.rs
+++ b/crates/workshold-gateway/src/settings.rs
@@ -208,23 +208,23 @@
 
     /// How the store is asked for a newer configuration. Just before the next answer, what
     /// is held is as old as two waits: keys must still be believed then.
-    pub fn config_asking(&self) -> AskRules {
+    pub fn config_asking(&self, is_reader: bool) -> AskRules {
         let kept = CONFIG_ON_THE_WAY + CONFIG_ON_THE_WAY;
         let half = Millis(self.keys_believed().since(kept).0 / 2);
-        asking(half.min(CONFIG_WAIT_MOST), self.bounds.config_in_force_ms)
+        asking(half.min(CONFIG_WAIT_MOST), self.bounds.config_in_force_ms, is_reader)
     }
 
     /// How the store is asked for changes of the list. What waits brings them at once, unless
     /// it was lost in a disturbance.
-    pub fn list_asking(&self) -> AskRules {
-        asking(LIST_WAIT_MOST, self.bounds.undisturbed_after_ms)
+    pub fn list_asking(&self, is_reader: bool) -> AskRules {
+        asking(LIST_WAIT_MOST, self.bounds.undisturbed_after_ms, is_reader)
     }
 
     /// What others have read of the configuration is current if it is not older: as old
     /// as it becomes where it is read, and the way. Keys are still believed then, for
     /// long enough to read it oneself.
     pub fn config_current(&self) -> Millis {
-        let wait = self.config_asking().wait;
+        let wait = self.config_asking(true).wait;
         wait + wait + CONFIG_ON_THE_WAY
     }
 
@@ -249,13 +249,16 @@
 }
 
 /// How the store is asked for what has to be in force within `bound`, in milliseconds: a
-/// question that is lost must not make it late, whatever the moment.
-fn asking(wait_most: Millis, bound: u64) -> AskRules {
+/// question that is lost must not make it late, whatever the moment. Whoever is no reader asks
+/// as rarely as that allows: it is readers who tell it of the store's return, and hundreds
+/// that ask into a silence would be a burden to it afterwards.
+fn asking(wait_most: Millis, bound: u64, is_reader: bool) -> AskRules {
     let asked_within = Millis(bound).since(ANSWER_ROOM);
+    let every = if is_reader { asked_within.min(ASK_EVERY) } else { asked_within };
     AskRules {
         wait: asked_within.since(ANSWER_LATE).min(wait_most).max(WAIT_LEAST),
         late: ANSWER_LATE,
-        every: asked_within.min(ASK_EVERY).max(WAIT_LEAST),
+        every: every.max(WAIT_LEAST),
     }
 }
 
--- a/crates/workshold-gateway/src/tasks/following.rs
+++ b/crates/workshold-gateway/src/tasks/following.rs
@@ -52,7 +52,7 @@
 pub async fn config(node: Arc<Node>) {
     let mut followed = Followed::default();
     loop {
-        wait_while_others_read(&node, || is_config_current(&node)).await;
+        wait_while_others_read(&node, is_config_current).await;
         tokio::select! {
             () = read_config(&node, &mut followed) => {}
             // What waits is asked by a place of the last past: keys would look older than
@@ -82,12 +82,16 @@
 }
 
 /// Waits as long as others read for this node and what it has is current.
-async fn wait_while_others_read(node: &Node, is_current: impl Fn() -> bool) {
-    while !node.is_reader() && is_current() {
+async fn wait_while_others_read(node: &Node, is_current: impl Fn(&Node) -> bool) {
+    while do_others_read(node, &is_current) {
         tokio::time::sleep(READER_LOOK.to_duration()).await;
     }
 }
 
+fn do_others_read(node: &Node, is_current: impl Fn(&Node) -> bool) -> bool {
+    !node.is_reader() && !node.are_readers_cut_off() && is_current(node)
+}
+
 /// A newer one is read from the store: it may be long, and a peer's link is small.
 fn is_config_current(node: &Node) -> bool {
     let current = node.settings().config_current();
@@ -105,8 +109,8 @@
 async fn read_config(node: &Node, followed: &mut Followed) {
     let next = followed.next;
     let from = || next.filter(|next| next.era == node.pasts.era());
-    let is_needed = || node.is_reader() || !is_config_current(node);
-    let rules = node.settings().config_asking();
+    let is_needed = || !do_others_read(node, is_config_current);
+    let rules = node.settings().config_asking(node.is_reader());
     let asked = asking::read(node, Topic::Config, rules, from, is_needed).await;
     let Reading { records, from, sent } = match asked {
         Asked::Read(reading) => reading,
@@ -169,8 +173,8 @@
 pub async fn list(node: Arc<Node>) {
     loop {
         wait_to_start(&node).await;
-        wait_while_others_read(&node, || is_list_current(&node)).await;
-        let asking = node.settings().list_asking();
+        wait_while_others_read(&node, is_list_current).await;
+        let asking = node.settings().list_asking(node.is_reader());
         let wait = if node.wants_list_anew() { Millis::ZERO } else { asking.wait };
         let sent = node.now();
         tokio::select! {
@@ -204,7 +208,7 @@
 async fn read_list(node: &Node, rules: AskRules) -> bool {
     // Places of a past that is over mean nothing to the store.
     let from = || node.list.lock().next.filter(|next| next.era == node.pasts.era());
-    let is_needed = || node.is_reader() || !is_list_current(node);
+    let is_needed = || !do_others_read(node, is_list_current);
     let asked = asking::read(node, Topic::List, rules, from, is_needed).await;
     let Reading { records, from, sent } = match asked {
         Asked::Read(reading) => reading,
