A whole reading of the store waits for nothing; refusals are not called late

The first question of a whole reading was given the time of one that is held, so that a lost one was asked again after 1.7 s.

--- a/crates/workshold-core/src/hosted/asking.rs
+++ b/crates/workshold-core/src/hosted/asking.rs
@@ -11,7 +11,8 @@
 /// The times that whoever asks keeps to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AskRules {
-    /// For how long the store holds a question for which there is no news.
+    /// For how long the store holds the first question if there is no news; none is held while
+    /// the store is in doubt.
     pub wait: Millis,
     /// An answer that is later than its wait by this is late.
     pub late: Millis,
@@ -53,15 +54,15 @@
         self.next
     }
 
-    /// Whether a question is asked beside others that are late.
-    pub fn is_late(&self) -> bool {
-        self.asked > 0
+    /// Whether the one question asked so far is late, no refusal being the reason for the next.
+    pub fn is_first_late(&self) -> bool {
+        self.asked == 1 && self.failed == 0
     }
 
     /// A question is asked; returns for how long the store is to hold it. `draw` is any number.
     pub fn on_asked(&mut self, now: Millis, draw: u32) -> Millis {
         self.asked += 1;
-        if self.asked == 1 {
+        if self.asked == 1 && self.rules.wait > Millis::ZERO {
             self.next = now + self.rules.wait + self.rules.late;
             return self.rules.wait;
         }
--- a/crates/workshold-gateway/src/tasks/asking.rs
+++ b/crates/workshold-gateway/src/tasks/asking.rs
@@ -112,7 +112,9 @@
     is_needed: impl Fn() -> bool,
 ) -> Asked {
     let store = topic.store(node);
-    let mut round = Round::new(rules, node.now());
+    // The whole is there at once.
+    let wait = if from().is_some() { rules.wait } else { Millis::ZERO };
+    let mut round = Round::new(AskRules { wait, ..rules }, node.now());
     let mut open = FuturesUnordered::new();
     let mut received = store.received();
     loop {
@@ -124,37 +126,22 @@
                 round.on_part(now);
                 continue;
             }
-            if round.is_late() && !is_needed() {
+            if round.asked() > 0 && !is_needed() {
                 return Asked::NotNeeded;
             }
-            note_late(topic, &round);
-            let from = from();
+            if round.is_first_late() {
+                emit(Event::ReadingLate, &[("reading", topic.text())]);
+            }
             let wait = round.on_asked(now, rand::random());
-            let question = Question { number: round.asked(), from, sent: now };
+            let question = Question { number: round.asked(), from: from(), sent: now };
             node.metrics.count(topic.metric());
             open.push(ask(store, topic, question, wait));
         }
         let left = round.asks_at().since(node.now());
         tokio::select! {
             Some((question, answer)) = open.next() => {
-                let Question { number, from, sent } = question;
-                match answer.and_then(|answer| take(node, answer, sent)) {
-                    Ok(records) => {
-                        if round.was_in_doubt(number) {
-                            topic.note_trouble(node, sent);
-                        }
-                        return Asked::Read(Reading { records, from, sent });
-                    }
-                    Err(StoreError::Gone { .. }) => return Asked::Gone,
-                    Err(err) => {
-                        let now = node.now();
-                        note_failure(node, topic, sent, &err);
-                        topic.note_trouble(node, now);
-                        match err {
-                            StoreError::Call(CallError::TimedOut { .. }) => round.on_silence(),
-                            _ => round.on_refusal(now),
-                        }
-                    }
+                if let Some(asked) = take_answer(node, topic, &mut round, question, answer) {
+                    return asked;
                 }
             }
             () = tokio::time::sleep(left.to_duration()) => {}
@@ -162,6 +149,36 @@
     }
 }
 
+/// What an answer, or the want of one, comes to; `None` if another question is needed.
+fn take_answer(
+    node: &Node,
+    topic: Topic,
+    round: &mut Round,
+    question: Question,
+    answer: Result<Answer<Records>, StoreError>,
+) -> Option<Asked> {
+    let Question { number, from, sent } = question;
+    match answer.and_then(|answer| take(node, answer, sent)) {
+        Ok(records) => {
+            if round.was_in_doubt(number) {
+                topic.note_trouble(node, sent);
+            }
+            Some(Asked::Read(Reading { records, from, sent }))
+        }
+        Err(StoreError::Gone { .. }) => Some(Asked::Gone),
+        Err(err) => {
+            let now = node.now();
+            note_failure(node, topic, sent, &err);
+            topic.note_trouble(node, now);
+            match err {
+                StoreError::Call(CallError::TimedOut { .. }) => round.on_silence(),
+                _ => round.on_refusal(now),
+            }
+            None
+        }
+    }
+}
+
 async fn ask(
     store: &Store,
     topic: Topic,
@@ -185,13 +202,6 @@
     Ok(said)
 }
 
-/// Says that a question is late, once in a round.
-fn note_late(topic: Topic, round: &Round) {
-    if round.asked() == 1 {
-        emit(Event::ReadingLate, &[("reading", topic.text())]);
-    }
-}
-
 /// A question that was sent at `sent` has failed. Whether the store has answered another one
 /// that was asked later tells a question that was lost from a store that is away.
 fn note_failure(node: &Node, topic: Topic, sent: Millis, err: &StoreError) {
