Soak: silences of the store alone, each with a new configuration after its return

A new key has to be known at all nodes within 3 s (`InForceInTime`). Lengths are drawn so that a silence ends at any moment of what nodes do about it.

--- a/crates/workshold-gateway/tests/soak.rs
+++ b/crates/workshold-gateway/tests/soak.rs
@@ -46,6 +46,13 @@
     play_with(Options { ends_instances: true, ..options }, 11).await;
 }
 
+/// Three processes ask the store in step, so that none can tell the others sooner.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_is_written_after_a_silence_is_in_force_in_time() {
+    let options = options("silences", Duration::ZERO, Duration::ZERO, false);
+    play_with(Options { silences: 2, ..options }, 1).await;
+}
+
 async fn play(name: &str, seed: u64, length: Duration, planned: Duration, new_lives: bool) {
     play_with(options(name, length, planned, new_lives), seed).await;
 }
@@ -63,6 +70,7 @@
         copies: false,
         ends_instances: false,
         planned,
+        silences: 0,
         recovers_within: RECOVERS_WITHIN,
     }
 }
--- a/crates/workshold-soak/src/fleet.rs
+++ b/crates/workshold-soak/src/fleet.rs
@@ -60,6 +60,8 @@
     pub text: String,
     /// The version that brought it.
     pub since_version: u64,
+    /// When that was acknowledged.
+    pub since: Instant,
     /// The version that took it away, and when that was acknowledged.
     pub taken: Option<(u64, Instant)>,
 }
@@ -97,7 +99,12 @@
     /// Starts store and instances.
     pub async fn start(size: Size) -> Arc<Self> {
         let store = Arc::new(StandInStore::start().await);
-        let first = Key { text: "key-1".to_owned(), since_version: FIRST_VERSION, taken: None };
+        let first = Key {
+            text: "key-1".to_owned(),
+            since_version: FIRST_VERSION,
+            since: Instant::now(),
+            taken: None,
+        };
         store.configure(&config_with(FIRST_VERSION, &["key-1"], size.group));
         let fleet = Arc::new(Self {
             store,
@@ -328,7 +335,7 @@
         let mut keys = self.keys.lock();
         let version = keys.last().map_or(FIRST_VERSION, |key| key.since_version) + VERSION_STEP;
         let text = format!("key-{version}");
-        keys.push(Key { text, since_version: version, taken: None });
+        keys.push(Key { text, since_version: version, since: Instant::now(), taken: None });
         let from = keys.len().saturating_sub(KEYS);
         let in_force: Vec<&str> = keys[from..].iter().map(|key| key.text.as_str()).collect();
         self.store.configure(&config_with(version, &in_force, self.size.group));
--- a/crates/workshold-soak/src/judge.rs
+++ b/crates/workshold-soak/src/judge.rs
@@ -33,6 +33,8 @@
     KeysInTime,
     /// a configuration in force never reverts
     OnlyForward,
+    /// after a silence of the store alone a new configuration is in force in time
+    InForceInTime,
     /// who is leaving gets no new work
     LeavingGetsNothing,
     /// a planned stop cuts nothing
@@ -83,6 +85,9 @@
     pub faults: Option<(Instant, Instant)>,
     /// When planned work began, and the last of it was over.
     pub planned: Option<(Instant, Instant)>,
+    /// When silences of the store alone began, and the last configuration after them had had
+    /// its time.
+    pub silences: Option<(Instant, Instant)>,
     /// When faults began that may hide a leaving instance from nodes.
     pub hidden: Vec<(Instant, Instant)>,
 }
@@ -94,6 +99,8 @@
 /// Who is leaving gets nothing new after this: the bound and a second for the way of
 /// a request that was sent just before.
 const LEAVING_GETS_NOTHING_AFTER: Duration = Duration::from_millis(3_000);
+/// A configuration that is written after the store's return is in force everywhere by then.
+pub const IN_FORCE_WITHIN: Duration = Duration::from_millis(3_000);
 /// Instances that end under a request until it is known, how soon all nodes have heard, and
 /// how often it may be sent on all the same.
 const ENDS_UNTIL_KNOWN: usize = 3;
@@ -116,6 +123,7 @@
             times(outcome, runs),
             not_run(outcome, runs),
             in_time(outcome, runs, &record.keys),
+            in_force(outcome, record),
             uncut(outcome, record),
         ];
         breaches.extend(own.into_iter().flatten());
@@ -200,6 +208,21 @@
 }
 
 /// Outside faults no request that was read is cut.
+/// Beside silences of the store alone: a key that is new is known in time.
+fn in_force(outcome: &Outcome, record: &Record) -> Option<Breach> {
+    let (from, to) = record.silences?;
+    let key = record.keys.iter().find(|key| key.text == outcome.key)?;
+    let is_beside = key.since >= from && outcome.sent <= to;
+    let since = outcome.sent.saturating_duration_since(key.since);
+    let is_valid = key.taken.is_none_or(|(_, at)| at > outcome.ended);
+    let is_denied = matches!(&outcome.seen, Seen::Answer { status: 401, .. });
+    if !(is_beside && is_valid && is_denied && since > IN_FORCE_WITHIN) {
+        return None;
+    }
+    let what = format!("{} with {} at node {:?}, {since:?} on", outcome.id, key.text, outcome.node);
+    breach(Promise::InForceInTime, what)
+}
+
 fn uncut(outcome: &Outcome, record: &Record) -> Option<Breach> {
     let (began, over) = record.faults?;
     let is_calm = outcome.ended < began || outcome.sent > over;
--- a/crates/workshold-soak/src/main.rs
+++ b/crates/workshold-soak/src/main.rs
@@ -47,6 +47,9 @@
     let secs = |n: u64| Duration::from_secs(n);
     let length = number("secs", "Seconds in which faults come", 12).map(secs);
     let planned = number("planned", "Seconds in which planned work comes", 8).map(secs);
+    let silences =
+        number("silences", "Silences of the store after that, each with a new configuration", 2)
+            .map(|n| n as usize);
     let recovers_within =
         number("recovers-within", "Seconds until all is served again", 12).map(secs);
     let new_lives = bpaf::long("earlier-faults")
@@ -70,6 +73,7 @@
         copies,
         ends_instances,
         planned,
+        silences,
         recovers_within
     });
     let first = number("first", "The first seed", 1);
--- a/crates/workshold-soak/src/plan.rs
+++ b/crates/workshold-soak/src/plan.rs
@@ -172,6 +172,30 @@
     draw_of(PLANNED, seed, length)
 }
 
+/// The store says nothing for a while, and a new configuration comes after its return.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Silence {
+    /// How long it lasts.
+    pub lasts: Duration,
+    /// From its end to the new configuration.
+    pub then: Duration,
+}
+
+/// How long a silence lasts, and from its end to a new configuration, in milliseconds: so that it
+/// ends at any moment of what nodes do about it.
+const SILENT_MS: (u64, u64) = (300, 9_000);
+const THEN_MS: (u64, u64) = (0, 400);
+
+/// The silences of `seed`, so many.
+pub fn draw_silences(seed: u64, count: usize) -> Vec<Silence> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut silence = || Silence {
+        lasts: Duration::from_millis(rng.random_range(SILENT_MS.0..SILENT_MS.1)),
+        then: Duration::from_millis(rng.random_range(THEN_MS.0..THEN_MS.1)),
+    };
+    (0..count).map(|_| silence()).collect()
+}
+
 fn draw_of(kinds: &[Kind], seed: u64, length: Duration) -> Vec<Fault> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut faults = Vec::new();
--- a/crates/workshold-soak/src/run.rs
+++ b/crates/workshold-soak/src/run.rs
@@ -28,6 +28,7 @@
 use crate::fleet::Size;
 use crate::judge;
 use crate::judge::Breach;
+use crate::judge::IN_FORCE_WITHIN;
 use crate::judge::Promise;
 use crate::judge::Record;
 use crate::nodes::MOST_MEMORY_KB;
@@ -35,6 +36,7 @@
 use crate::plan;
 use crate::plan::Fault;
 use crate::plan::Kind;
+use crate::plan::Silence;
 
 /// How a seed is played.
 #[derive(Debug, Clone)]
@@ -57,6 +59,8 @@
     pub ends_instances: bool,
     /// How long planned work comes, once faults are over.
     pub planned: Duration,
+    /// How many silences of the store come after that, each with a new configuration.
+    pub silences: usize,
     /// All has to be served again this long after the last fault.
     pub recovers_within: Duration,
 }
@@ -151,12 +155,17 @@
     let recovered_after = is_well.then(|| last.elapsed());
     tokio::time::sleep(AFTERMATH).await;
     let over = Instant::now();
-    let mut planned = None;
+    let (mut planned, mut silences) = (None, None);
     if is_well {
         if !options.planned.is_zero() {
             work_as_planned(&stage, plan::draw_planned(seed, options.planned)).await;
             planned = Some((over, Instant::now()));
         }
+        if options.silences > 0 {
+            let from = Instant::now();
+            be_silent(&stage, plan::draw_silences(seed, options.silences)).await;
+            silences = Some((from, Instant::now()));
+        }
         stop_each(&stage).await;
     }
     let memory_kb = stage.memory_kb().await;
@@ -186,6 +195,7 @@
         leaving: stage.fleet.leaving(),
         faults: Some((began, over)),
         planned,
+        silences,
         hidden: stage.hidden.lock().clone(),
     };
     breaches.extend(judge::judge(&record));
@@ -267,6 +277,16 @@
     tokio::time::sleep(AFTERMATH).await;
 }
 
+/// Lets the store be silent again and again, and writes a configuration after each return.
+async fn be_silent(stage: &Arc<Stage>, silences: Vec<Silence>) {
+    for Silence { lasts, then } in silences {
+        stage.store(Mood::Silent, lasts).await;
+        tokio::time::sleep(then).await;
+        stage.fleet.new_config();
+        tokio::time::sleep(IN_FORCE_WITHIN + CALM).await;
+    }
+}
+
 /// Stops one node after the other with a plan, and starts it again.
 async fn stop_each(stage: &Arc<Stage>) {
     for (i, node) in stage.nodes.iter().enumerate() {
--- a/crates/workshold-soak/tests/judge.rs
+++ b/crates/workshold-soak/tests/judge.rs
@@ -51,7 +51,7 @@
             team: Some("night-desk".to_owned()),
             at: at(2),
         };
-        let key = Key { text: "key-1".to_owned(), since_version: 1, taken: None };
+        let key = Key { text: "key-1".to_owned(), since_version: 1, since: start, taken: None };
         let record = Record {
             outcomes: vec![outcome],
             runs: vec![run],
@@ -146,7 +146,8 @@
 #[test]
 fn a_configuration_that_goes_back_is_seen() {
     let mut case = Case::new(Asked::Print);
-    let newer = Key { text: "key-4".to_owned(), since_version: 4, taken: None };
+    let since = case.at(1);
+    let newer = Key { text: "key-4".to_owned(), since_version: 4, since, taken: None };
     case.record.keys.push(newer);
     let mut denied = case.record.outcomes[0].clone();
     denied.id = "r-2".to_owned();
@@ -162,6 +163,21 @@
     assert_eq!(case.broken(), [], "another life of the node begins anew");
 }
 
+#[test]
+fn a_new_key_that_is_denied_for_too_long_after_a_silence_is_seen() {
+    let mut case = Case::new(Asked::Print).seen(answer(401, None, String::new()));
+    case.record.runs.clear();
+    case.record.silences = Some((case.at(0), case.at(8)));
+    case.record.outcomes[0].sent = case.at(3);
+    assert_eq!(case.broken(), [], "it may not have come yet");
+    case.record.outcomes[0].sent = case.at(4);
+    assert_eq!(case.broken(), [Promise::InForceInTime]);
+    case.record.silences = Some((case.at(1), case.at(8)));
+    assert_eq!(case.broken(), [], "it was written among other faults");
+    case.record.silences = None;
+    assert_eq!(case.broken(), [], "faults may have hidden it");
+}
+
 #[test]
 fn new_work_for_who_is_leaving_is_seen() {
     let mut case = Case::new(Asked::Print);
