Sight: a node says when an instance names a limit, another one, or none

An instance that is in need says in its answers how many requests a second it takes. No line told that it had, so that an operator could not see why less was sent to it, nor that nothing changed although it had asked.

What was ruled out: a line for each such answer, hundreds a second while a limit lasts. Only a change is told. A value that is no number changes nothing and is told as none either.

--- a/crates/workshold-gateway/src/events.rs
+++ b/crates/workshold-gateway/src/events.rs
@@ -27,6 +27,7 @@
     InstanceInDoubt = 1301, Warn, "an instance cannot be reached", "Nothing; its groups get no new work.";
     InstanceBack = 1302, Info, "an instance in doubt answers", "Nothing.";
     InstanceBeganAnew = 1303, Warn, "an instance has begun anew at its id", "Nothing; what was open at its earlier life goes on elsewhere. Find out why it ended.";
+    InstanceLimited = 1304, Info, "an instance says how many requests a second it takes", "Find out what it lacks; limit is empty once it names none.";
     RequestEnded = 1401, Info, "a request was answered", "Nothing.";
     RequestNotRun = 1402, Warn, "a request was refused and has not run", "Read the reason; the caller was told when to come back.";
     RequestUnknown = 1403, Warn, "a request ended and nobody knows whether it ran", "Read the reason and the attempts.";
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -7,6 +7,7 @@
 
 mod doubts;
 mod held;
+mod limits;
 mod reading;
 mod repeats;
 
@@ -167,6 +168,8 @@
     pub keep_wanted: Notify,
     /// Instances that fail more than others.
     pub outliers: Mutex<Outliers<Identity>>,
+    /// Requests a second that instances take, by their last answers.
+    limits: Mutex<HashMap<Identity, f64>>,
     /// Requests at instances.
     pub loads: Loads,
     /// What is counted.
@@ -273,6 +276,7 @@
             quarantine: Mutex::default(),
             keep_wanted: Notify::new(),
             outliers: Mutex::new(Outliers::new(OUTLIERS)),
+            limits: Mutex::default(),
             loads: Loads::default(),
             metrics: Metrics::default(),
             demand: Mutex::default(),
--- a/crates/workshold-gateway/src/relay/attempt.rs
+++ b/crates/workshold-gateway/src/relay/attempt.rs
@@ -23,6 +23,7 @@
 use workshold_http::client::CallError;
 use workshold_http::client::Driver;
 use workshold_platform::names;
+use workshold_platform::words;
 use workshold_protocol::Millis;
 
 use crate::callers::answers;
@@ -114,6 +115,9 @@
         Err(CallError::TimedOut { .. }) => return Err((Ending::Unknown, TIME_UP)),
         Err(_) => return Err((Ending::Broken, "the connection broke")),
     };
+    if is_of(&job, &res) {
+        node.hear_limit(&target.id, words::limit(res.headers()));
+    }
     check_head(&job, &res)?;
     let is_stream = job.route.kind == Kind::Stream && res.status().is_success();
     if !is_stream {
@@ -160,6 +164,11 @@
     req
 }
 
+/// Whether an answer comes from the instance that was asked, and belongs to this request.
+fn is_of(job: &Job, res: &Response<Incoming>) -> bool {
+    res.status() != StatusCode::MISDIRECTED_REQUEST && !is_foreign(job, res.headers())
+}
+
 /// Whether an answer is one to this request, and says that it has run.
 fn check_head(job: &Job, res: &Response<Incoming>) -> Result<(), Failure> {
     let (status, headers) = (res.status(), res.headers());
