Tests, failing: an instance that names a limit gets no more of all nodes together

The stand-in names a limit in the answers of an instance and counts what comes to it over any four seconds, from three seconds after it first did so.

--- a/crates/workshold-gateway/tests/platform.rs
+++ b/crates/workshold-gateway/tests/platform.rs
@@ -4,6 +4,8 @@
 mod copies;
 #[path = "platform/ending.rs"]
 mod ending;
+#[path = "platform/limits.rs"]
+mod limits;
 #[path = "platform/path.rs"]
 mod path;
 #[path = "platform/silence.rs"]
