An instance that names a limit gets no more than it from all nodes together

What callers saw: nothing; the instances did. Two that named 1.7 and 1.8 requests a second went on getting 4.4, as all others, 17 in four seconds where 15 are allowed.

Cause: an answer was asked only whether its request had run. What it says of its instance was read nowhere, so that nothing a node sent depended on it.

Ruled out: nodes that each keep to the limit but not together, and requests that were under way; the rate at both instances did not change at their word, at any node.

Now words on how much an instance takes are kept by life, told to the other nodes, and weighed by when they were said: what tightens counts at once, what loosens only if it was asked for after what it replaces had come. The first few nodes of an order that all see alike send to such an instance, each an equal part with one request saved up at the most; others go elsewhere. Their number follows from the limit, so that what they send in four seconds is less than what is allowed by half a second's and two requests, whatever the number of nodes. Requests leave by a permit alone, taken when the connection is up, so no way out can forget to ask. What nobody takes is refused at once with the time of the next part.

Tried: an equal part for every node. With one request saved up each, nine nodes send 15.8 where 15.2 are allowed at 1.7 a second, 300 nodes send 300.

--- /dev/null
+++ b/crates/workshold-core/src/hosted/intake.rs
@@ -0,0 +1,257 @@
+//! How many requests a second instances take, by their own word, and who sends them.
+//!
+//! The word comes in answers, which overtake each other, and from other nodes, whose word is
+//! older than it looks. What tightens a limit counts at once; what loosens it counts only if it
+//! was certainly said later: its request left after the word that it replaces had come.
+//!
+//! Nodes keep to a limit together without asking each other. The first few of them, in an order
+//! that all see alike, are its senders; each has an equal part of the limit and saves up one
+//! request at most, so that over any `T` seconds they send no more than the limit times `T` and
+//! one each. How many senders there are follows from the limit: with few requests a second one
+//! saved up at each of hundreds of nodes would be more than the limit itself. Whoever becomes a
+//! sender starts with nothing saved up, so that a change of senders adds nothing.
+
+use std::collections::BTreeMap;
+
+use workshold_protocol::Millis;
+
+/// A number of requests a second, in thousandths.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rate(pub u32);
+
+impl Rate {
+    /// Of a number that is not negative; what is beyond the thousandth is left out.
+    pub fn per_s(number: f64) -> Self {
+        Self((number * 1000.0).floor() as u32)
+    }
+
+    /// Requests a second.
+    pub fn as_per_s(self) -> f64 {
+        f64::from(self.0) / 1000.0
+    }
+}
+
+/// What an instance said of how much it takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Word {
+    /// Its limit, for all nodes together; `None` for none.
+    pub limit: Option<Rate>,
+    /// When the request left whose answer said so: it was said later.
+    pub asked: Millis,
+    /// When that answer came: it was said earlier.
+    pub heard: Millis,
+}
+
+/// How words are weighed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct IntakeRules {
+    /// Times of other nodes' words may be off by so much.
+    pub slack: Millis,
+    /// Requests that a node has saved up when it becomes a sender.
+    pub saved_at_first: f64,
+}
+
+impl Default for IntakeRules {
+    fn default() -> Self {
+        Self { slack: Millis(500), saved_at_first: 0.0 }
+    }
+}
+
+/// Whether a node is one of an instance's senders, and how many there are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part {
+    /// Whether it is one of them.
+    pub is_sender: bool,
+    /// How many there are.
+    pub senders: usize,
+}
+
+/// An instance takes nothing from this node for now, by its own word.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Withheld {
+    /// When it may take the next request, if nothing else is said.
+    pub until: Millis,
+}
+
+/// So many are sent a second however low the limit is, or nobody would hear of its end.
+const LEAST: Rate = Rate(250);
+/// Requests that all senders together may have saved up: so many, and this part of a second's.
+/// Over four seconds they then send less than one and a half times the limit and five more, by
+/// half a second's and two requests: for those that are late on the way, and for nodes that
+/// differ in who sends.
+const MOST_SAVED: f64 = 3.0;
+const MOST_SAVED_PART: f64 = 1.5;
+/// A word that nobody confirmed for this long is forgotten; whoever sends confirms it every few
+/// seconds.
+const FORGET_AFTER: Millis = Millis::from_secs(60);
+/// So often what is news is told.
+const TELLS: u8 = 3;
+/// Of a whole request; what is missing beyond it is rounding.
+const ROUNDING: f64 = 1e-6;
+
+/// How many of `nodes` send to an instance with this limit.
+pub fn senders(limit: Rate, nodes: usize) -> usize {
+    let most = MOST_SAVED + MOST_SAVED_PART * limit.as_per_s();
+    (most as usize).min(nodes.max(1))
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Taking {
+    word: Word,
+    /// Requests saved up at `at`, if this node was a sender then.
+    saved: f64,
+    at: Millis,
+    was_sender: bool,
+    tells: u8,
+}
+
+impl Taking {
+    /// Requests that may be sent a second by a sender; `None` for any number.
+    fn share(&self, part: Part) -> Option<f64> {
+        Some(self.word.limit?.max(LEAST).as_per_s() / part.senders.max(1) as f64)
+    }
+
+    /// Adds what has been saved up since it was last asked for.
+    fn refill(&mut self, rules: IntakeRules, share: f64, part: Part, now: Millis) {
+        self.saved = match (part.is_sender, self.was_sender) {
+            (false, _) => 0.0,
+            (true, false) => rules.saved_at_first,
+            (true, true) => (self.saved + share * now.since(self.at).as_secs_f64()).min(1.0),
+        };
+        self.at = now;
+        self.was_sender = part.is_sender;
+    }
+
+    /// When the next request may be sent, if not now.
+    fn look(&mut self, rules: IntakeRules, part: Part, now: Millis) -> Result<(), Withheld> {
+        let Some(share) = self.share(part) else { return Ok(()) };
+        self.refill(rules, share, part, now);
+        if self.saved >= 1.0 - ROUNDING {
+            return Ok(());
+        }
+        // Whoever does not send points to the next request of all senders.
+        let (missing, rate) = match part.is_sender {
+            true => (1.0 - self.saved, share),
+            false => (1.0, share * part.senders as f64),
+        };
+        Err(Withheld { until: now + Millis((missing / rate * 1000.0).ceil() as u64) })
+    }
+}
+
+/// What instances said of how much they take, and what this node may send them.
+#[derive(Debug, Clone)]
+pub struct Intake<K> {
+    rules: IntakeRules,
+    takings: BTreeMap<K, Taking>,
+    /// Who was told of last in turn.
+    turn: Option<K>,
+}
+
+impl<K: Ord + Clone> Default for Intake<K> {
+    fn default() -> Self {
+        Self::new(IntakeRules::default())
+    }
+}
+
+impl<K: Ord + Clone> Intake<K> {
+    /// Nothing was said yet.
+    pub fn new(rules: IntakeRules) -> Self {
+        Self { rules, takings: BTreeMap::new(), turn: None }
+    }
+
+    /// Whether no instance has said anything.
+    pub fn is_empty(&self) -> bool {
+        self.takings.is_empty()
+    }
+
+    /// The limit of an instance.
+    pub fn limit(&self, id: &K) -> Option<Rate> {
+        self.takings.get(id)?.word.limit
+    }
+
+    /// All limits.
+    pub fn limits(&self) -> impl Iterator<Item = (&K, Rate)> {
+        self.takings.iter().filter_map(|(id, taking)| Some((id, taking.word.limit?)))
+    }
+
+    /// An instance said something, to this node or by another one's word. Returns whether it is
+    /// another limit.
+    pub fn hear(&mut self, id: &K, word: Word) -> bool {
+        let Some(taking) = self.takings.get_mut(id) else {
+            if word.limit.is_none() {
+                return false;
+            }
+            let (saved, at) = (self.rules.saved_at_first, word.heard);
+            let taking = Taking { word, saved, at, was_sender: false, tells: TELLS };
+            self.takings.insert(id.clone(), taking);
+            return true;
+        };
+        let held = taking.word;
+        if word.limit == held.limit {
+            taking.word.asked = held.asked.max(word.asked);
+            taking.word.heard = held.heard.max(word.heard);
+            return false;
+        }
+        let tightens = match (word.limit, held.limit) {
+            (Some(limit), Some(was)) => limit < was,
+            (limit, _) => limit.is_some(),
+        };
+        let counts = if tightens {
+            word.heard + self.rules.slack > held.asked
+        } else {
+            word.asked >= held.heard + self.rules.slack
+        };
+        if counts {
+            taking.word = word;
+            taking.tells = TELLS;
+        }
+        counts
+    }
+
+    /// Whether a request may be sent to an instance now.
+    ///
+    /// # Errors
+    ///
+    /// [`Withheld`] if not.
+    pub fn look(&mut self, id: &K, part: Part, now: Millis) -> Result<(), Withheld> {
+        let rules = self.rules;
+        self.takings.get_mut(id).map_or(Ok(()), |taking| taking.look(rules, part, now))
+    }
+
+    /// Takes one request out of what may be sent to an instance.
+    ///
+    /// # Errors
+    ///
+    /// [`Withheld`] if it may not be sent now.
+    pub fn take(&mut self, id: &K, part: Part, now: Millis) -> Result<(), Withheld> {
+        self.look(id, part, now)?;
+        if let Some(taking) = self.takings.get_mut(id).filter(|taking| taking.word.limit.is_some())
+        {
+            taking.saved -= 1.0;
+        }
+        Ok(())
+    }
+
+    /// What is to be told to others now, at most so many: news first, then the rest in turn.
+    pub fn to_tell(&mut self, most: usize) -> Vec<(K, Word)> {
+        let news = self.takings.iter().filter(|(_, taking)| taking.tells > 0);
+        let mut told: Vec<K> = news.map(|(id, _)| id.clone()).take(most).collect();
+        let after = self.takings.keys().filter(|id| self.turn.as_ref().is_none_or(|t| *id > t));
+        let before = self.takings.keys().filter(|id| self.turn.as_ref().is_some_and(|t| *id <= t));
+        let in_turn = after.chain(before).filter(|id| self.takings[*id].tells == 0);
+        let in_turn: Vec<K> = in_turn.take(most - told.len()).cloned().collect();
+        self.turn = in_turn.last().cloned().or(self.turn.take());
+        told.extend(in_turn);
+        let tell = |id: K| {
+            let taking = self.takings.get_mut(&id)?;
+            taking.tells = taking.tells.saturating_sub(1);
+            Some((id, taking.word))
+        };
+        told.into_iter().filter_map(tell).collect()
+    }
+
+    /// Forgets what nobody has confirmed for long.
+    pub fn forget(&mut self, now: Millis) {
+        self.takings.retain(|_, taking| now.since(taking.word.heard) < FORGET_AFTER);
+    }
+}
--- a/crates/workshold-core/src/hosted/tries.rs
+++ b/crates/workshold-core/src/hosted/tries.rs
@@ -11,6 +11,8 @@
 pub enum Ending {
     /// No byte of it left this node.
     NotSent,
+    /// The same: its instance takes nothing from this node for now, by its own word.
+    Withheld,
     /// The upstream says that it has not run it and will not.
     Refused,
     /// It may have run: the connection broke, or nothing came.
@@ -54,7 +56,7 @@
 pub fn next(route: &Route, ending: Ending, used: Used, has_budget: bool, has_time: bool) -> Next {
     let may_send = used.sent < route.attempts.max(1) && has_time;
     let again = match ending {
-        Ending::NotSent => {
+        Ending::NotSent | Ending::Withheld => {
             let is_first = used.sent == 0;
             used.not_sent < MOST_NOT_SENT && may_send && (is_first || route.is_repeatable())
         }
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -7,7 +7,7 @@
 
 mod doubts;
 mod held;
-mod limits;
+mod intake;
 mod reading;
 mod repeats;
 
@@ -36,6 +36,7 @@
 use workshold_core::hosted::history::Fence;
 use workshold_core::hosted::history::Place;
 use workshold_core::hosted::identity::Identity;
+use workshold_core::hosted::intake::Intake;
 use workshold_core::hosted::quarantine::Quarantine;
 use workshold_core::hosted::roster::ListTrust;
 use workshold_core::hosted::roster::Roster;
@@ -168,8 +169,8 @@
     pub keep_wanted: Notify,
     /// Instances that fail more than others.
     pub outliers: Mutex<Outliers<Identity>>,
-    /// Requests a second that instances take, by their last answers.
-    limits: Mutex<HashMap<Identity, f64>>,
+    /// How much instances take.
+    pub intake: Mutex<Intake<Identity>>,
     /// Requests at instances.
     pub loads: Loads,
     /// What is counted.
@@ -276,7 +277,7 @@
             quarantine: Mutex::default(),
             keep_wanted: Notify::new(),
             outliers: Mutex::new(Outliers::new(OUTLIERS)),
-            limits: Mutex::default(),
+            intake: Mutex::default(),
             loads: Loads::default(),
             metrics: Metrics::default(),
             demand: Mutex::default(),
@@ -439,7 +440,8 @@
         let others = table.like(target);
         let mut others = others.filter(|other| other.id != target.id);
         others.any(|other| {
-            self.loads.of(&other.id).requests < other.slots && !self.is_in_doubt(other)
+            let has_place = self.loads.of(&other.id).requests < other.slots;
+            has_place && !self.is_in_doubt(other) && self.look_at_intake(&other.id).is_ok()
         })
     }
 
--- /dev/null
+++ b/crates/workshold-gateway/src/node/intake.rs
@@ -0,0 +1,133 @@
+//! How much instances take, by their own word, and what this node may send them.
+
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use workshold_core::hosted::identity::Identity;
+use workshold_core::hosted::intake;
+use workshold_core::hosted::intake::Part;
+use workshold_core::hosted::intake::Rate;
+use workshold_core::hosted::intake::Withheld;
+use workshold_core::hosted::intake::Word;
+use workshold_http::body::Body;
+use workshold_http::client::CallError;
+use workshold_http::client::Connected;
+use workshold_http::client::Driver;
+use workshold_platform::words::Limit;
+use workshold_protocol::Millis;
+
+use crate::events::Event;
+use crate::events::emit;
+use crate::loads::short_id;
+use crate::metrics::Metric;
+use crate::node::Node;
+use crate::peers::ToldLimit;
+
+/// Limits in one pulse: news first, then the others in turn.
+const MOST_TOLD: usize = 8;
+
+/// The right to send one request to an instance, taken out of what it takes. Requests are sent
+/// by this alone, so that no way to an instance can forget to ask.
+#[derive(Debug)]
+pub struct Permit(());
+
+impl Permit {
+    /// Sends a request.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`] as of the connection.
+    pub async fn send(
+        self,
+        connected: Connected,
+        req: Request<Body>,
+        within: Duration,
+    ) -> Result<(Response<Incoming>, Driver), CallError> {
+        connected.send(req, within).await
+    }
+}
+
+impl Node {
+    /// The answer to a request that left at `asked` names a limit, or none.
+    pub fn hear_limit(&self, id: &Identity, limit: Limit, asked: Millis) {
+        let limit = match limit {
+            Limit::PerSecond(limit) => Some(Rate::per_s(limit)),
+            Limit::None => None,
+            Limit::Unreadable => return,
+        };
+        self.hear_word(id, Word { limit, asked, heard: self.now() });
+    }
+
+    /// Other nodes tell of limits, in a datagram that came after `since`.
+    pub fn hear_of_limits(&self, told: &[ToldLimit], since: Millis) {
+        for told in told {
+            let id = self.list.lock().by_short_id.get(&told.instance).cloned();
+            if let Some(id) = id {
+                self.hear_word(&id, told.word(since));
+            }
+        }
+    }
+
+    fn hear_word(&self, id: &Identity, word: Word) {
+        let mut intake = self.intake.lock();
+        let was = intake.limit(id);
+        let is_news = intake.hear(id, word);
+        drop(intake);
+        if !is_news {
+            return;
+        }
+        self.pulse_wanted.notify_one();
+        let text = |rate: Option<Rate>| rate.map_or_else(String::new, |r| r.as_per_s().to_string());
+        let (limit, was) = (text(word.limit), text(was));
+        let fields = [("instance", id.as_str()), ("limit", &*limit), ("was", &*was)];
+        emit(Event::InstanceLimited, &fields);
+    }
+
+    /// What this node tells others of limits.
+    pub fn told_limits(&self) -> Vec<ToldLimit> {
+        let now = self.now();
+        let told = self.intake.lock().to_tell(MOST_TOLD);
+        told.iter().map(|(id, word)| ToldLimit::new(id, *word, now)).collect()
+    }
+
+    /// Whether an instance takes a request of this node now.
+    ///
+    /// # Errors
+    ///
+    /// [`Withheld`] if not.
+    pub fn look_at_intake(&self, id: &Identity) -> Result<(), Withheld> {
+        let Some(limit) = self.limit(id) else { return Ok(()) };
+        let part = self.part(id, limit);
+        self.intake.lock().look(id, part, self.now())
+    }
+
+    /// Takes the right to send one request to an instance, just before it is sent.
+    ///
+    /// # Errors
+    ///
+    /// [`Withheld`] if it takes none of this node now.
+    pub fn permit(&self, id: &Identity) -> Result<Permit, Withheld> {
+        if let Some(limit) = self.limit(id) {
+            let part = self.part(id, limit);
+            let taken = self.intake.lock().take(id, part, self.now());
+            taken.inspect_err(|_| self.metrics.count(Metric::Withheld))?;
+        }
+        Ok(Permit(()))
+    }
+
+    /// The limit that an instance names.
+    pub fn limit(&self, id: &Identity) -> Option<Rate> {
+        self.intake.lock().limit(id)
+    }
+
+    fn part(&self, id: &Identity, limit: Rate) -> Part {
+        let settings = self.settings();
+        let peers = self.peers.lock();
+        let senders = intake::senders(limit, peers.may_be_there());
+        let is_first =
+            || peers.is_among_senders(&settings.node.name, short_id(id), senders, self.now());
+        Part { is_sender: !self.is_leaving() && is_first(), senders }
+    }
+}
--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -40,6 +40,7 @@
 pub use self::messages::Message;
 pub use self::messages::Pulse;
 pub use self::messages::Scope;
+pub use self::messages::ToldLimit;
 pub use self::messages::ToldLoad;
 pub use self::messages::ToldNode;
 pub use self::messages::ToldRequest;
@@ -92,6 +93,12 @@
 
 const HASH_BITS: u32 = 30;
 
+/// The place of the node with this rank in an order of an instance's own: another one for each
+/// instance, so that no node does for all of them what only a few do.
+fn place(instance: u32, rank: u32) -> u64 {
+    xxh3_64_with_seed(&instance.to_le_bytes(), u64::from(rank))
+}
+
 /// A relay's digest as it came.
 #[derive(Debug, Clone)]
 struct Heard {
@@ -254,10 +261,17 @@
     /// nodes: others for each instance, so that none is buried in tries nor bears all of
     /// them.
     pub fn is_witness(&self, own: &Own<'_>, instance: u32, most: usize, now: Millis) -> bool {
-        let place = |rank: u32| xxh3_64_with_seed(&instance.to_le_bytes(), u64::from(rank));
-        let own_place = place(rank(own.name, self.class));
+        let own_place = place(instance, rank(own.name, self.class));
         let near = self.heard(now).filter(|(_, peer)| peer.pulse.data_centre == own.data_centre);
-        near.filter(|(_, peer)| place(peer.rank) < own_place).take(most).count() < most
+        near.filter(|(_, peer)| place(instance, peer.rank) < own_place).take(most).count() < most
+    }
+
+    /// Whether a node is among the first `senders` that serve, by an order of the instance's own.
+    pub fn is_among_senders(&self, name: &str, instance: u32, senders: usize, now: Millis) -> bool {
+        let own_place = place(instance, rank(name, self.class));
+        let others = self.heard(now).map(|(_, peer)| peer).filter(|peer| peer.pulse.is_ready);
+        let before = others.filter(|peer| place(instance, peer.rank) < own_place);
+        before.take(senders).count() < senders
     }
 
     /// When the list was last in trouble for all who read it, those of a data centre if
--- a/crates/workshold-gateway/src/peers/exchange.rs
+++ b/crates/workshold-gateway/src/peers/exchange.rs
@@ -167,8 +167,8 @@
             !self.lacks_nodes(now) && (is_relay || self.fresh_of_all(now).is_some());
         let seeks = Pulse { seeks: true, hears: self.sample(draw, now), ..pulse.clone() };
         let to = self.sought(hears_a_relay, is_relay, now, draw);
-        said.push(Outgoing { to, message: Message::Pulse(seeks) });
-        said.push(Outgoing { to: relays, message: Message::Pulse(pulse.clone()) });
+        said.push(Outgoing { to, message: Message::Pulse(Box::new(seeks)) });
+        said.push(Outgoing { to: relays, message: Message::Pulse(Box::new(pulse.clone())) });
         said.retain(|outgoing| !outgoing.to.is_empty());
         said
     }
@@ -525,6 +525,7 @@
             seen_percent: 0,
             loads: Vec::new(),
             requests: Vec::new(),
+            limits: Vec::new(),
         },
         heard,
         direct: None,
--- a/crates/workshold-gateway/src/peers/messages.rs
+++ b/crates/workshold-gateway/src/peers/messages.rs
@@ -11,6 +11,8 @@
 use workshold_core::hosted::history::Fence;
 use workshold_core::hosted::history::Place;
 use workshold_core::hosted::identity::Identity;
+use workshold_core::hosted::intake::Rate;
+use workshold_core::hosted::intake::Word;
 use workshold_core::hosted::quarantine::End;
 use workshold_core::hosted::quarantine::Known;
 use workshold_core::hosted::quarantine::Subject;
@@ -23,7 +25,7 @@
 use crate::peers::packing;
 
 /// The form of these messages; another one is passed over.
-pub const VERSION: u8 = 7;
+pub const VERSION: u8 = 8;
 
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -40,7 +42,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// How it is; said several times a second to the relays of its data centre.
-    Pulse(Pulse),
+    Pulse(Box<Pulse>),
     /// What a relay has put together of many pulses.
     Digest(Box<Digest>),
     /// What has come to the list of instances since another place in it.
@@ -313,6 +315,42 @@
     pub loads: Vec<ToldLoad>,
     /// Some of the requests that ended whoever ran them: those of which something is new.
     pub requests: Vec<ToldRequest>,
+    /// Some of the limits that instances name, or have ceased to name.
+    pub limits: Vec<ToldLimit>,
+}
+
+/// How much an instance takes, as one node tells another of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldLimit {
+    /// The instance's short id.
+    pub instance: u32,
+    /// Requests a second, in thousandths.
+    pub limit: Option<u32>,
+    /// How long ago the request left whose answer said so, in ms.
+    pub asked_ms: u64,
+    /// How long ago that answer came, in ms.
+    pub heard_ms: u64,
+}
+
+impl ToldLimit {
+    /// Puts what is known at `now` into a datagram.
+    pub fn new(id: &Identity, word: Word, now: Millis) -> Self {
+        Self {
+            instance: short_id(id),
+            limit: word.limit.map(|limit| limit.0),
+            asked_ms: now.since(word.asked).0,
+            heard_ms: now.since(word.heard).0,
+        }
+    }
+
+    /// What was put in, as it is known if it was said at `at`.
+    pub fn word(&self, at: Millis) -> Word {
+        Word {
+            limit: self.limit.map(Rate),
+            asked: at - Millis(self.asked_ms),
+            heard: at - Millis(self.heard_ms),
+        }
+    }
 }
 
 /// A request that ended whoever ran it, as one node tells another of it.
--- a/crates/workshold-gateway/src/relay.rs
+++ b/crates/workshold-gateway/src/relay.rs
@@ -20,6 +20,7 @@
 use workshold_core::hosted::catalog::Kind;
 use workshold_core::hosted::demand::Asked;
 use workshold_core::hosted::identity::Identity;
+use workshold_core::hosted::intake::Withheld;
 use workshold_core::hosted::placement;
 use workshold_core::hosted::placement::Candidate;
 use workshold_core::hosted::tries;
@@ -78,6 +79,8 @@
     pub load: u32,
     /// Nothing can follow from doubt before this.
     held_until: Millis,
+    /// When an instance takes it that took nothing for now, by the limit that it names.
+    free_at: Option<Millis>,
 }
 
 impl Course {
@@ -90,6 +93,7 @@
             why: "nothing that serves it has a place",
             load: 0,
             held_until: Millis::ZERO,
+            free_at: None,
         }
     }
 
@@ -144,9 +148,9 @@
         let place = pick(node, self);
         let lacks = match &place {
             _ if node.is_suspect(self.job.fingerprint) => "proof that it ends nobody",
-            None => "place",
-            Some(_) if !node.take_repeat(&self.job.service) => "budget",
-            Some(_) => "nothing",
+            Err(_) => "place",
+            Ok(_) if !node.take_repeat(&self.job.service) => "budget",
+            Ok(_) => "nothing",
         };
         let in_doubt = doubted.as_ref().and_then(|target| node.in_doubt(target));
         emit(
@@ -159,7 +163,7 @@
                 ("lacks", lacks),
             ],
         );
-        match place.filter(|_| lacks == "nothing") {
+        match place.ok().filter(|_| lacks == "nothing") {
             Some(target) => self.begin(node, attempts, target, last),
             None => self.held_until = now + LOOK_AGAIN,
         }
@@ -169,7 +173,7 @@
     fn note(&mut self, node: &Node, ending: Ending, why: &'static str, others: u32) {
         self.why = why;
         match ending {
-            Ending::NotSent => {
+            Ending::NotSent | Ending::Withheld => {
                 self.used.not_sent += 1;
                 if self.used.sent + others > 0 {
                     node.give_back_repeat(&self.job.service);
@@ -279,10 +283,14 @@
     let mut attempts = Attempts::default();
     loop {
         if attempts.is_empty() {
-            let Some(target) = wait_for_target(node, &course).await else {
-                course.give_up_repeat(node);
-                let next = if course.used.may_have_run { Next::Unknown } else { Next::NotRun };
-                return give_up(node, &course, next);
+            let target = match wait_for_target(node, &course).await {
+                Ok(target) => target,
+                Err(NoTarget { free_at }) => {
+                    course.free_at = free_at;
+                    course.give_up_repeat(node);
+                    let next = if course.used.may_have_run { Next::Unknown } else { Next::NotRun };
+                    return give_up(node, &course, next);
+                }
             };
             if let Some(until) = node.held_until(course.job.fingerprint) {
                 course.give_up_repeat(node);
@@ -322,7 +330,7 @@
             // Nobody streams yet.
             AttemptEvent::Events(_) => continue,
         };
-        node.outliers.lock().on_failure(&target.id, node.now());
+        note_failure(node, &target, ending);
         course.look_into(node, &target, ending).await;
         if !attempts.is_empty() {
             course.ended_beside(node, &target, (ending, why), attempts.len());
@@ -339,6 +347,14 @@
     }
 }
 
+/// Counts a failure against an instance, unless all it did is to say how much it takes.
+pub fn note_failure(node: &Node, target: &Target, ending: Ending) {
+    let is_limited = ending == Ending::Refused && node.limit(&target.id).is_some();
+    if ending != Ending::Withheld && !is_limited {
+        node.outliers.lock().on_failure(&target.id, node.now());
+    }
+}
+
 /// How long to wait for the newest attempt, none of which has spoken yet.
 fn opening_patience(node: &Node, course: &Course, attempts: &mut Attempts) -> Patience {
     let under_way = attempts.len();
@@ -412,7 +428,8 @@
         if let Some(model) = &course.job.model {
             node.demand.lock().on_refusal(model, asked(&course.job), node.now());
         }
-        let after = if course.tried.is_empty() { COME_BACK_NONE } else { COME_BACK_FULL };
+        let none = if course.tried.is_empty() { COME_BACK_NONE } else { COME_BACK_FULL };
+        let after = course.free_at.map_or(none, |at| at.since(node.now()).max(COME_BACK_FULL));
         return answers::not_run("it has not run; come back later", spread(after));
     }
     emit(Event::RequestUnknown, &fields);
@@ -426,32 +443,46 @@
     Millis(after.0 + rand::rng().random_range(0..=after.0))
 }
 
+/// Nothing can be sent now.
+#[derive(Debug)]
+pub struct NoTarget {
+    /// When one takes a request again, if all that fit take none for now by their own word.
+    pub free_at: Option<Millis>,
+}
+
 /// Waits a little for a target: a moment without any is often shorter than the
 /// way back to the caller.
-async fn wait_for_target(node: &Node, course: &Course) -> Option<Arc<Target>> {
+async fn wait_for_target(node: &Node, course: &Course) -> Result<Arc<Target>, NoTarget> {
     let patience = Millis(course.job.route.goal.0 / WAIT_PART);
     let until = node.now() + patience;
     loop {
-        if let Some(target) = pick(node, course) {
-            return Some(target);
-        }
-        if node.now() + WAIT_STEP > until || course.left(node) <= LEAST_TIME {
-            return None;
+        let none = match pick(node, course) {
+            Ok(target) => return Ok(target),
+            Err(none) => none,
+        };
+        let is_late = none.free_at.is_some_and(|at| at > until);
+        let is_over = node.now() + WAIT_STEP > until || course.left(node) <= LEAST_TIME;
+        if is_late || is_over {
+            return Err(none);
         }
         tokio::time::sleep(WAIT_STEP.to_duration()).await;
     }
 }
 
 /// The best target that was not tried yet.
-pub fn pick(node: &Node, course: &Course) -> Option<Arc<Target>> {
+///
+/// # Errors
+///
+/// [`NoTarget`] if there is none, or none with a place.
+pub fn pick(node: &Node, course: &Course) -> Result<Arc<Target>, NoTarget> {
     let table = node.table();
     let job = &course.job;
-    let fits: Vec<&Arc<Target>> = table
+    let fits = table
         .of(&job.service)
         .iter()
         .filter(|target| target.model.is_none() || target.model == job.model)
-        .filter(|target| !course.tried.contains(&target.id))
-        .collect();
+        .filter(|target| !course.tried.contains(&target.id));
+    let (fits, free_at) = taking(node, fits);
     let settings = node.settings();
     let now = node.now();
     let gaps = node.gaps.lock();
@@ -469,10 +500,29 @@
         })
         .collect();
     if course.is_new() && placement::are_full(&candidates, MAY_WAIT) {
-        return None;
+        return Err(NoTarget { free_at: None });
     }
-    let chosen = placement::choose(&candidates, rand::rng().random())?;
-    Some(Arc::clone(fits[chosen]))
+    let chosen = placement::choose(&candidates, rand::rng().random());
+    chosen.map(|chosen| Arc::clone(fits[chosen])).ok_or(NoTarget { free_at })
+}
+
+/// Those that take a request of this node now, and when the first of the others does.
+fn taking<'a>(
+    node: &Node,
+    fits: impl Iterator<Item = &'a Arc<Target>>,
+) -> (Vec<&'a Arc<Target>>, Option<Millis>) {
+    if node.intake.lock().is_empty() {
+        return (fits.collect(), None);
+    }
+    let mut free_at: Option<Millis> = None;
+    let taking = fits.filter(|target| match node.look_at_intake(&target.id) {
+        Ok(()) => true,
+        Err(Withheld { until }) => {
+            free_at = Some(free_at.map_or(until, |at| at.min(until)));
+            false
+        }
+    });
+    (taking.collect(), free_at)
 }
 
 /// How long a stream or answer may stay away before its instance is looked into,
--- a/crates/workshold-gateway/src/relay/attempt.rs
+++ b/crates/workshold-gateway/src/relay/attempt.rs
@@ -70,6 +70,9 @@
 /// Why an attempt ended whose request's time was up.
 pub const TIME_UP: &str = "its time was up";
 
+/// Why a request is not sent to an instance that takes no more for now.
+pub const WITHHELD: &str = "its instance takes no more by the limit that it names";
+
 /// Why a request is not sent that is kept from instances.
 pub const HELD: &str = "whoever begins to run it ends";
 
@@ -107,16 +110,18 @@
     if left <= LEAST_TIME {
         return Err((Ending::NotSent, "no time is left"));
     }
+    let permit = node.permit(&target.id).map_err(|_| (Ending::Withheld, WITHHELD))?;
     let sent = node.now();
     is_sent.store(true, Ordering::Relaxed);
-    let sending = connected.send(request(&job, &target, last, left), left.to_duration());
+    let req = request(&job, &target, last, left);
+    let sending = permit.send(connected, req, left.to_duration());
     let (res, driver) = match sending.await {
         Ok(got) => got,
         Err(CallError::TimedOut { .. }) => return Err((Ending::Unknown, TIME_UP)),
         Err(_) => return Err((Ending::Broken, "the connection broke")),
     };
     if is_of(&job, &res) {
-        node.hear_limit(&target.id, words::limit(res.headers()));
+        node.hear_limit(&target.id, words::limit(res.headers()), sent);
     }
     check_head(&job, &res)?;
     let is_stream = job.route.kind == Kind::Stream && res.status().is_success();
--- a/crates/workshold-gateway/src/relay/stream.rs
+++ b/crates/workshold-gateway/src/relay/stream.rs
@@ -201,7 +201,7 @@
 
     /// Others may still speak; if there are none, it goes on elsewhere, or is cut.
     async fn on_failure(&mut self, target: &Target, (ending, why): Failure) -> Result<(), Cut> {
-        self.node.outliers.lock().on_failure(&target.id, self.node.now());
+        relay::note_failure(&self.node, target, ending);
         self.course.look_into(&self.node, target, ending).await;
         if !self.attempts.is_empty() {
             let others = self.attempts.len();
@@ -211,7 +211,7 @@
         if self.course.after(&self.node, target, ending, why) != Next::Again {
             return Err(self.cut());
         }
-        let Some(next) = relay::pick(&self.node, &self.course) else {
+        let Ok(next) = relay::pick(&self.node, &self.course) else {
             self.course.give_up_repeat(&self.node);
             return Err(self.cut());
         };
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -181,6 +181,7 @@
         seen_percent: (seen_part * 100.0) as u8,
         loads: told_loads(node),
         requests: told_requests(node),
+        limits: node.told_limits(),
     }
 }
 
@@ -236,7 +237,7 @@
 /// Takes a datagram that came after `since`; says what is answered, if anything is.
 fn take(node: &Node, from: SocketAddr, datagram: Datagram, since: Millis) -> Option<Message> {
     match datagram.message {
-        Message::Pulse(pulse) => return take_pulse(node, from, datagram.from, pulse, since),
+        Message::Pulse(pulse) => return take_pulse(node, from, datagram.from, *pulse, since),
         Message::Digest(digest) => take_digest(node, from, datagram.from, *digest, since),
         Message::News(news) => {
             if !following::take_news(node, &news, since) {
@@ -302,6 +303,7 @@
     if let Some((next, age)) = said.list {
         confirm_list(node, next, since - Millis(age) - ON_THE_WAY);
     }
+    node.hear_of_limits(&said.limits, since - ON_THE_WAY);
     if !said.requests.is_empty() {
         let told: Vec<Known> = said.requests.iter().map(|told| told.known(now)).collect();
         node.hear_of_requests(&told);
--- a/crates/workshold-gateway/tests/common/mod.rs
+++ b/crates/workshold-gateway/tests/common/mod.rs
@@ -94,6 +94,7 @@
         seen_percent: 100,
         loads: Vec::new(),
         requests: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
--- a/crates/workshold-gateway/tests/fleet/mod.rs
+++ b/crates/workshold-gateway/tests/fleet/mod.rs
@@ -168,6 +168,7 @@
             seen_percent: 100,
             loads,
             requests: Vec::new(),
+            limits: Vec::new(),
         }
     }
 
@@ -293,8 +294,10 @@
                 node.gap.on_end(Some(node.list.into()), news.next, now);
                 return;
             }
-            Message::Pulse(Pulse { list: Some((end, _)), .. }) => {
-                node.gap.on_end(Some(node.list.into()), *end, now);
+            Message::Pulse(pulse) => {
+                if let Some((end, _)) = pulse.list {
+                    node.gap.on_end(Some(node.list.into()), end, now);
+                }
             }
             Message::Digest(digest) => {
                 let end = digest.own.list.map_or(0.into(), |(end, _)| end);
@@ -316,7 +319,7 @@
         let is_news = match datagram.message {
             Message::Pulse(pulse) => {
                 let seeks = pulse.seeks.then(|| pulse.data_centre.clone());
-                let is_news = node.peers.on_pulse(own.address, from, name, pulse, now);
+                let is_news = node.peers.on_pulse(own.address, from, name, *pulse, now);
                 answer = seeks.map(|place| node.peers.answer(&own, &own_pulse, &place, now));
                 is_news
             }
--- a/crates/workshold-gateway/tests/followers.rs
+++ b/crates/workshold-gateway/tests/followers.rs
@@ -87,7 +87,7 @@
         let said = said.get(i).copied().unwrap_or(silent);
         let said = pulse(other.local_addr().unwrap(), said);
         let from = SmolStr::new(format!("n-{i}"));
-        let datagram = Datagram { version: VERSION, from, message: Message::Pulse(said) };
+        let datagram = Datagram { version: VERSION, from, message: Message::Pulse(Box::new(said)) };
         other.send_to(&postcard::to_stdvec(&datagram).unwrap(), to).await.unwrap();
         others.push(other);
     }
--- a/crates/workshold-gateway/tests/locks.rs
+++ b/crates/workshold-gateway/tests/locks.rs
@@ -28,7 +28,7 @@
     let loads = (0..100).map(told).collect();
     let pulse = Pulse { loads, ..common::pulse("127.0.0.1:7011".parse().unwrap()) };
     let from = SmolStr::new("n-2");
-    let datagram = Datagram { version: VERSION, from, message: Message::Pulse(pulse) };
+    let datagram = Datagram { version: VERSION, from, message: Message::Pulse(Box::new(pulse)) };
     postcard::to_stdvec(&datagram).unwrap()
 }
 
--- a/crates/workshold-gateway/tests/peers.rs
+++ b/crates/workshold-gateway/tests/peers.rs
@@ -44,6 +44,7 @@
         seen_percent: 100,
         loads,
         requests: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
--- a/crates/workshold-gateway/tests/platform/limits.rs
+++ b/crates/workshold-gateway/tests/platform/limits.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use rstest::rstest;
 use tokio::task::JoinSet;
@@ -26,6 +27,8 @@
 const PAUSE: Duration = Duration::from_millis(50);
 /// Long enough for the span over which a limit holds, from when all nodes keep to it.
 const LASTS: Duration = Duration::from_millis(8_500);
+/// Nobody who is refused waits for longer than a part of the goal.
+const AT_ONCE: Duration = Duration::from_millis(100);
 
 async fn three_nodes(deployment: &Deployment) -> [TestNode; 3] {
     let nodes = ["n-1", "n-2", "n-3"]
@@ -147,3 +150,24 @@
         assert_eq!(res.status(), 200, "at turn {turn}");
     }
 }
+/// Fails where a request that no instance takes for now is held, or refused without a time.
+#[tokio::test]
+async fn what_all_instances_keep_out_by_their_limits_is_refused_at_once() {
+    let deployment = Deployment::start(2, 1).await;
+    let node = TestNode::start("n-1", &deployment.store, "");
+    node.serving().await;
+    deployment.gates[0].name_limit(Some("0.5"));
+    let mut refused = 0;
+    for turn in 0..10 {
+        let req = caller::request(&format!("r-{turn}"), "/print/x", "k1");
+        let began = Instant::now();
+        let (res, _) = caller::send(node.callers, req).await.unwrap();
+        if res.status() == 503 {
+            assert!(began.elapsed() < AT_ONCE, "refused after {:?}", began.elapsed());
+            let after = res.headers()["retry-after"].to_str().unwrap().parse::<f64>().unwrap();
+            assert!((0.1..=8.0).contains(&after), "back in {after} s");
+            refused += 1;
+        }
+    }
+    assert!(refused >= 8, "half a request a second was allowed, {refused} were refused");
+}
--- a/crates/workshold-gateway/tests/sleep.rs
+++ b/crates/workshold-gateway/tests/sleep.rs
@@ -61,7 +61,8 @@
 fn fresh() -> Message {
     let callers = "127.0.0.1:9000".parse().unwrap();
     let pulse = common::pulse(callers);
-    Message::Pulse(Pulse { config: Some((1, 100)), list: Some((4.into(), 100)), ..pulse })
+    let pulse = Pulse { config: Some((1, 100)), list: Some((4.into(), 100)), ..pulse };
+    Message::Pulse(Box::new(pulse))
 }
 
 /// It is sent, then the machine sleeps, and only then anything is read.
