--- a/crates/workshold-gateway/tests/soak.rs
+++ b/crates/workshold-gateway/tests/soak.rs
@@ -53,6 +53,13 @@
     play_with(Options { silences: 2, ..options }, 1).await;
 }
 
+/// Three processes share limits of engines and plain instances, several at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn instances_that_name_limits_get_no_more() {
+    let options = options("limits", Duration::ZERO, Duration::ZERO, false);
+    play_with(Options { limits: 8, callers: 24, ..options }, 42).await;
+}
+
 async fn play(name: &str, seed: u64, length: Duration, planned: Duration, new_lives: bool) {
     play_with(options(name, length, planned, new_lives), seed).await;
 }
@@ -71,6 +78,7 @@
         ends_instances: false,
         planned,
         silences: 0,
+        limits: 0,
         recovers_within: RECOVERS_WITHIN,
     }
 }
--- a/crates/workshold-soak/src/fleet.rs
+++ b/crates/workshold-soak/src/fleet.rs
@@ -273,6 +273,15 @@
         seat.instance.behave(Manner::Good);
     }
 
+    /// An instance names a limit of so many tenths of a request a second for a while.
+    pub async fn limit(&self, whom: usize, tenths: u32, lasts: Duration) {
+        let seat = self.anybody(whom);
+        let seat = seat.lock().await;
+        seat.instance.name_limit(Some(&format!("{}.{}", tenths / 10, tenths % 10)));
+        tokio::time::sleep(lasts).await;
+        seat.instance.name_limit(None);
+    }
+
     /// Connections to an instance break.
     pub async fn reset(&self, whom: usize) {
         self.anybody(whom).lock().await.way.reset();
--- a/crates/workshold-soak/src/judge.rs
+++ b/crates/workshold-soak/src/judge.rs
@@ -53,6 +53,8 @@
     EndsAbandoned,
     /// what ends whoever begins to run it is soon kept from all
     EndsFew,
+    /// all nodes together send an instance no more than the limit that it names
+    KeepsToLimits,
 }
 
 /// A promise that was broken, and how.
--- a/crates/workshold-soak/src/main.rs
+++ b/crates/workshold-soak/src/main.rs
@@ -50,6 +50,8 @@
     let silences =
         number("silences", "Silences of the store after that, each with a new configuration", 2)
             .map(|n| n as usize);
+    let limits = number("limits", "Limits that instances name after that, several at once", 4)
+        .map(|n| n as usize);
     let recovers_within =
         number("recovers-within", "Seconds until all is served again", 12).map(secs);
     let new_lives = bpaf::long("earlier-faults")
@@ -74,6 +76,7 @@
         ends_instances,
         planned,
         silences,
+        limits,
         recovers_within
     });
     let first = number("first", "The first seed", 1);
--- a/crates/workshold-soak/src/plan.rs
+++ b/crates/workshold-soak/src/plan.rs
@@ -196,6 +196,37 @@
     (0..count).map(|_| silence()).collect()
 }
 
+/// An instance names a limit for a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limiting {
+    /// From the beginning of the last one.
+    pub after: Duration,
+    /// How long it lasts.
+    pub lasts: Duration,
+    /// Tenths of a request a second.
+    pub tenths: u32,
+    /// Whom it befalls: taken modulo those that there are.
+    pub whom: usize,
+}
+
+/// Time between two limits and how long one lasts, in milliseconds, so that several overlap and
+/// each lasts for longer than it takes until all nodes keep to it; and the highest, in tenths.
+const LIMIT_AFTER_MS: (u64, u64) = (200, 1_500);
+const LIMITED_MS: (u64, u64) = (5_000, 9_000);
+const MOST_TENTHS: u32 = 30;
+
+/// The limits of `seed`, so many.
+pub fn draw_limits(seed: u64, count: usize) -> Vec<Limiting> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut limiting = || Limiting {
+        after: Duration::from_millis(rng.random_range(LIMIT_AFTER_MS.0..LIMIT_AFTER_MS.1)),
+        lasts: Duration::from_millis(rng.random_range(LIMITED_MS.0..LIMITED_MS.1)),
+        tenths: rng.random_range(0..MOST_TENTHS),
+        whom: rng.random_range(0..1_000),
+    };
+    (0..count).map(|_| limiting()).collect()
+}
+
 fn draw_of(kinds: &[Kind], seed: u64, length: Duration) -> Vec<Fault> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut faults = Vec::new();
--- a/crates/workshold-soak/src/run.rs
+++ b/crates/workshold-soak/src/run.rs
@@ -36,6 +36,7 @@
 use crate::plan;
 use crate::plan::Fault;
 use crate::plan::Kind;
+use crate::plan::Limiting;
 use crate::plan::Silence;
 
 /// How a seed is played.
@@ -61,6 +62,8 @@
     pub planned: Duration,
     /// How many silences of the store come after that, each with a new configuration.
     pub silences: usize,
+    /// How many limits instances name after that.
+    pub limits: usize,
     /// All has to be served again this long after the last fault.
     pub recovers_within: Duration,
 }
@@ -166,6 +169,7 @@
             be_silent(&stage, plan::draw_silences(seed, options.silences)).await;
             silences = Some((from, Instant::now()));
         }
+        be_limited(&stage, plan::draw_limits(seed, options.limits)).await;
         stop_each(&stage).await;
     }
     let memory_kb = stage.memory_kb().await;
@@ -188,6 +192,7 @@
     }
     let witness = &stage.fleet.store.witness;
     witness.breaches().into_iter().for_each(|what| add(Promise::WholeGroups, what));
+    witness.overloads().into_iter().for_each(|what| add(Promise::KeepsToLimits, what));
     let record = Record {
         outcomes: stage.callers.outcomes(),
         runs: witness.runs(),
@@ -287,6 +292,17 @@
     }
 }
 
+/// Lets instances name limits, several at once, and waits until all are lifted.
+async fn be_limited(stage: &Arc<Stage>, limits: Vec<Limiting>) {
+    let mut under_way = JoinSet::new();
+    for Limiting { after, lasts, tenths, whom } in limits {
+        tokio::time::sleep(after).await;
+        let fleet = Arc::clone(&stage.fleet);
+        under_way.spawn(async move { fleet.limit(whom, tenths, lasts).await });
+    }
+    under_way.join_all().await;
+}
+
 /// Stops one node after the other with a plan, and starts it again.
 async fn stop_each(stage: &Arc<Stage>) {
     for (i, node) in stage.nodes.iter().enumerate() {
--- a/crates/workshold-soak/tests/plan.rs
+++ b/crates/workshold-soak/tests/plan.rs
@@ -5,6 +5,7 @@
 
 use workshold_soak::plan::Kind;
 use workshold_soak::plan::draw;
+use workshold_soak::plan::draw_limits;
 use workshold_soak::plan::draw_planned;
 use workshold_soak::plan::draw_with_copies;
 use workshold_soak::plan::draw_with_new_lives;
@@ -58,3 +59,13 @@
     let kinds: BTreeSet<_> = work.iter().map(|piece| format!("{:?}", piece.kind)).collect();
     assert_eq!(kinds.len(), 3, "{kinds:?}");
 }
+
+/// Each is longer than it takes until all nodes keep to it, and some overlap.
+#[test]
+fn limits_last_overlap_and_go_down_to_nothing() {
+    let limits: Vec<_> = (0..50).flat_map(|seed| draw_limits(seed, 4)).collect();
+    assert_eq!(draw_limits(7, 4), draw_limits(7, 4));
+    assert!(limits.iter().all(|limit| limit.lasts > Duration::from_secs(4)));
+    assert!(limits.iter().all(|limit| limit.after < limit.lasts));
+    assert!(limits.iter().any(|limit| limit.tenths == 0));
+}
