Sight: a node says when an instance asks it for rest, and when one says that it leaves

A refusal may ask for rest, and an instance that leaves says so in all its answers. Neither was told, so that a refused attempt looked alike whether the node had been asked to stay away or not. Both are read and kept by life; nothing goes by them yet.

--- a/crates/workshold-core/src/hosted/intake.rs
+++ b/crates/workshold-core/src/hosted/intake.rs
@@ -84,6 +84,8 @@
 /// A word that nobody confirmed for this long is forgotten; whoever sends confirms it every few
 /// seconds.
 const FORGET_AFTER: Millis = Millis::from_secs(60);
+/// What a life said is kept for so long after it is known no more: its entry may come back.
+const LIFE_KEPT: Millis = Millis::from_secs(600);
 /// So often what is news is told.
 const TELLS: u8 = 3;
 /// Of a whole request; what is missing beyond it is rounding.
@@ -95,6 +97,13 @@
     (most as usize).min(nodes.max(1))
 }
 
+/// Until when an instance wants nothing, and when it said so.
+#[derive(Debug, Clone, Copy)]
+struct Resting {
+    until: Millis,
+    said: Millis,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Taking {
     word: Word,
@@ -143,6 +152,10 @@
 pub struct Intake<K> {
     rules: IntakeRules,
     takings: BTreeMap<K, Taking>,
+    /// Until when instances want nothing from this node, and when they last said so.
+    rests: BTreeMap<K, Resting>,
+    /// Lives that leave, and when that was first heard.
+    leaving: BTreeMap<K, Millis>,
     /// Who was told of last in turn.
     turn: Option<K>,
 }
@@ -156,7 +169,8 @@
 impl<K: Ord + Clone> Intake<K> {
     /// Nothing was said yet.
     pub fn new(rules: IntakeRules) -> Self {
-        Self { rules, takings: BTreeMap::new(), turn: None }
+        let (takings, rests, leaving) = Default::default();
+        Self { rules, takings, rests, leaving, turn: None }
     }
 
     /// Whether no instance has said anything.
@@ -208,6 +222,30 @@
         counts
     }
 
+    /// An instance that refuses wants nothing from this node for so long from `now` on; of
+    /// several times the one that ends last counts.
+    pub fn hear_rest(&mut self, id: &K, rest: Millis, now: Millis) {
+        let resting = self.rests.entry(id.clone()).or_insert(Resting { until: now, said: now });
+        *resting = Resting { until: resting.until.max(now + rest), said: now };
+    }
+
+    /// Until when an instance wants nothing from this node.
+    pub fn rests_until(&self, id: &K, now: Millis) -> Option<Millis> {
+        self.rests.get(id).map(|resting| resting.until).filter(|until| *until > now)
+    }
+
+    /// An instance leaves: this life of it takes nothing any more. Returns whether that is news.
+    pub fn hear_leaving(&mut self, id: &K, now: Millis) -> bool {
+        let is_news = !self.leaving.contains_key(id);
+        self.leaving.entry(id.clone()).or_insert(now);
+        is_news
+    }
+
+    /// Whether an instance has said that it leaves.
+    pub fn leaves(&self, id: &K) -> bool {
+        self.leaving.contains_key(id)
+    }
+
     /// Whether a request may be sent to an instance now.
     ///
     /// # Errors
@@ -250,8 +288,12 @@
         told.into_iter().filter_map(tell).collect()
     }
 
-    /// Forgets what nobody has confirmed for long.
-    pub fn forget(&mut self, now: Millis) {
+    /// Forgets limits that nobody has confirmed for long, rests that are over, and what was long
+    /// ago said by lives that are not among those known.
+    pub fn forget(&mut self, now: Millis, is_known: impl Fn(&K) -> bool) {
         self.takings.retain(|_, taking| now.since(taking.word.heard) < FORGET_AFTER);
+        let is_there = |id: &K, said: Millis| is_known(id) || now.since(said) < LIFE_KEPT;
+        self.rests.retain(|id, rest| rest.until > now && is_there(id, rest.said));
+        self.leaving.retain(|id, said| is_there(id, *said));
     }
 }
--- a/crates/workshold-core/tests/hosted/intake.rs
+++ b/crates/workshold-core/tests/hosted/intake.rs
@@ -260,7 +260,7 @@
     intake.hear(&0, word(Some(2.0), 9_000, 10_000));
     intake.hear(&1, word(Some(2.0), 9_000, 10_000));
     intake.hear(&1, word(Some(2.0), 40_000, 41_000));
-    intake.forget(Millis(75_000));
+    intake.forget(Millis(75_000), |_| true);
     assert_eq!(intake.limits().map(|(id, _)| *id).collect::<Vec<_>>(), [1]);
 }
 
--- a/crates/workshold-gateway/src/events.rs
+++ b/crates/workshold-gateway/src/events.rs
@@ -28,6 +28,8 @@
     InstanceBack = 1302, Info, "an instance in doubt answers", "Nothing.";
     InstanceBeganAnew = 1303, Warn, "an instance has begun anew at its id", "Nothing; what was open at its earlier life goes on elsewhere. Find out why it ended.";
     InstanceLimited = 1304, Info, "an instance says how many requests a second it takes", "Find out what it lacks; limit is empty once it names none.";
+    InstanceRests = 1305, Info, "an instance has refused a request and wants none of this node for a while", "Find out what it lacks; rest_ms is how long.";
+    InstanceLeaves = 1306, Info, "an instance says in its answers that it leaves", "Nothing; what it has is finished there, its place is taken by others.";
     RequestEnded = 1401, Info, "a request was answered", "Nothing.";
     RequestNotRun = 1402, Warn, "a request was refused and has not run", "Read the reason; the caller was told when to come back.";
     RequestUnknown = 1403, Warn, "a request ended and nobody knows whether it ran", "Read the reason and the attempts.";
--- a/crates/workshold-gateway/src/node/intake.rs
+++ b/crates/workshold-gateway/src/node/intake.rs
@@ -60,6 +60,21 @@
         self.hear_word(id, Word { limit, asked, heard: self.now() });
     }
 
+    /// A refusal asks this node for so much rest, or for none.
+    pub fn hear_rest(&self, id: &Identity, rest: Option<Millis>) {
+        let Some(rest) = rest else { return };
+        self.intake.lock().hear_rest(id, rest, self.now());
+        let rest_ms = rest.0.to_string();
+        emit(Event::InstanceRests, &[("instance", id.as_str()), ("rest_ms", &*rest_ms)]);
+    }
+
+    /// An answer says whether its instance leaves.
+    pub fn hear_leaving(&self, id: &Identity, leaves: bool) {
+        if leaves && self.intake.lock().hear_leaving(id, self.now()) {
+            emit(Event::InstanceLeaves, &[("instance", id.as_str())]);
+        }
+    }
+
     /// Other nodes tell of limits, in a datagram that came after `since`.
     pub fn hear_of_limits(&self, told: &[ToldLimit], since: Millis) {
         for told in told {
