Tests, failing: an instance that asks for rest or says that it leaves is left alone

The stand-in refuses all requests with a time to rest, or says in all its answers that it leaves, and keeps what came.

--- a/crates/workshold-gateway/tests/platform.rs
+++ b/crates/workshold-gateway/tests/platform.rs
@@ -8,6 +8,8 @@
 mod limits;
 #[path = "platform/path.rs"]
 mod path;
+#[path = "platform/resting.rs"]
+mod resting;
 #[path = "platform/silence.rs"]
 mod silence;
 #[path = "platform/stopping.rs"]
--- /dev/null
+++ b/crates/workshold-gateway/tests/platform/resting.rs
@@ -0,0 +1,170 @@
+//! Instances that ask for rest, or say that they leave.
+//!
+//! Seen: six of 23 heads refused all requests for nine seconds, each with 503 and three seconds of
+//! rest; they went on getting as many as before, three and more from one node within a rest. How:
+//! a quarter of all requests went to one of them first, and some from one to the next. Cause: a
+//! refusal was forgotten with its request; two in a row set an instance aside for half as long as
+//! it had asked for. Here: one of two instances refuses, and a node with twenty requests a second
+//! would have to choose it several times in each rest.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use rstest::rstest;
+use tokio::task::JoinSet;
+use workshold_platform_standin::caller;
+use workshold_platform_standin::deployment::Deployment;
+use workshold_platform_standin::instance::StandInInstance;
+use workshold_platform_standin::wait_for;
+use workshold_platform_standin::witness::Arrival;
+
+use crate::support::TestNode;
+
+const PAUSE: Duration = Duration::from_millis(50);
+/// What is on its way when an instance answers arrives within this.
+const ON_ITS_WAY: Duration = Duration::from_millis(500);
+/// So many more than that may come in a rest.
+const MOST_IN_A_REST: usize = 2;
+/// By then nodes have told each other.
+const HEARD: Duration = Duration::from_millis(1_000);
+const MANY_REPEATS: &str = "repeat_slack = 500.0";
+
+async fn one_node(deployment: &Deployment, name: &str) -> TestNode {
+    let node = TestNode::start(name, &deployment.store, MANY_REPEATS);
+    node.serving().await;
+    node
+}
+
+/// Asks a node for so long; how many were served.
+async fn ask_for(node: &TestNode, lasts: Duration, path: &'static str) -> usize {
+    let began = Instant::now();
+    let mut asking = JoinSet::new();
+    while began.elapsed() < lasts {
+        asking.spawn(ask_at(node.callers, path));
+        tokio::time::sleep(PAUSE).await;
+    }
+    asking.join_all().await.into_iter().filter(|(status, _)| *status == 200).count()
+}
+
+/// Asks a node once: the status and in how many seconds to come back.
+async fn ask(node: &TestNode, path: &str) -> (u16, f64) {
+    ask_at(node.callers, path).await
+}
+
+async fn ask_at(node: SocketAddr, path: &str) -> (u16, f64) {
+    static ASKED: AtomicUsize = AtomicUsize::new(0);
+    let id = format!("r-{}", ASKED.fetch_add(1, Ordering::Relaxed));
+    let Ok((res, _)) = caller::send(node, caller::request(&id, path, "k1")).await else {
+        return (0, 0.0);
+    };
+    let after =
+        res.headers().get("retry-after").and_then(|after| after.to_str().ok()?.parse().ok());
+    (res.status().as_u16(), after.unwrap_or_default())
+}
+
+/// What came to an instance, the first first.
+fn came_to(deployment: &Deployment, instance: &StandInInstance) -> Vec<Arrival> {
+    let all = deployment.store.witness.arrivals();
+    all.into_iter().filter(|arrival| arrival.instance == instance.name()).collect()
+}
+
+/// Fails where a node sends to an instance that has asked it for rest, as a plain instance or as
+/// the head of a group.
+#[rstest]
+#[case::plain("/plate/x")]
+#[case::streams("/chat/x")]
+#[tokio::test]
+async fn an_instance_that_asks_for_rest_is_left_alone(#[case] path: &'static str) {
+    let deployment = Deployment::start(6, 2).await;
+    let node = one_node(&deployment, "n-1").await;
+    ask_for(&node, Duration::from_secs(3), path).await;
+    let all = if path.starts_with("/plate") { &deployment.gates } else { &deployment.engines };
+    let asked = all.iter().filter(|instance| instance.asked() > 0);
+    let resting: Vec<_> = asked.skip(1).collect();
+    assert!(!resting.is_empty(), "two were asked at least");
+    resting.iter().for_each(|instance| instance.ask_rest(Some("3")));
+    let served = ask_for(&node, Duration::from_secs(7), path).await;
+    resting.iter().for_each(|instance| instance.ask_rest(None));
+    assert!(served > 0, "the one that is left serves");
+    for instance in resting {
+        let came = came_to(&deployment, instance);
+        let refused: Vec<_> = came.iter().filter_map(|a| Some((a.at, a.rest?))).collect();
+        assert!(!refused.is_empty(), "it was asked at all");
+        for (at, rest) in refused {
+            let in_rest = |a: &&Arrival| a.at > at + ON_ITS_WAY && a.at < at + rest;
+            let got = came.iter().filter(in_rest).count();
+            assert!(got <= MOST_IN_A_REST, "{got} came within a rest");
+        }
+        let before = instance.asked();
+        wait_for("work for who has rested", || async {
+            ask(&node, path).await;
+            instance.asked() > before
+        })
+        .await;
+    }
+}
+
+/// Fails where what is no time keeps an instance out.
+#[rstest]
+#[case("0")]
+#[case("-3")]
+#[case("NaN")]
+#[case("soon")]
+#[case("Sun, 06 Nov 1994 08:49:37 GMT")]
+#[tokio::test]
+async fn what_is_no_time_to_rest_keeps_nobody_out(#[case] rest: &str) {
+    let deployment = Deployment::start(2, 1).await;
+    let node = one_node(&deployment, "n-1").await;
+    deployment.gates[0].ask_rest(Some(rest));
+    ask(&node, "/plate/x").await;
+    deployment.gates[0].ask_rest(None);
+    assert_eq!(ask(&node, "/plate/x").await.0, 200);
+}
+
+/// Fails where an instance that has said that it leaves gets more, from the node that it told or
+/// from one that heard of it, while its entry looks well, is gone, and comes back.
+#[tokio::test]
+async fn an_instance_that_says_that_it_leaves_gets_nothing_more() {
+    let deployment = Deployment::start(2, 3).await;
+    let nodes = [one_node(&deployment, "n-1").await, one_node(&deployment, "n-2").await];
+    let leaving = &deployment.gates[0];
+    leaving.say_leaving();
+    wait_for("an answer that says so", || async {
+        ask(&nodes[0], "/plate/x").await;
+        came_to(&deployment, leaving).iter().any(|arrival| arrival.leaves)
+    })
+    .await;
+    tokio::time::sleep(HEARD).await;
+    let before = leaving.asked();
+    for turn in 0..3 {
+        for node in &nodes {
+            let served = ask_for(node, Duration::from_millis(700), "/plate/x").await;
+            assert!(served > 5, "the others serve, {served} at turn {turn}");
+        }
+        match turn {
+            0 => leaving.lapse(),
+            _ => leaving.reconnect(),
+        }
+    }
+    assert_eq!(leaving.asked(), before);
+}
+
+/// Fails where what one life said keeps the next one out.
+#[tokio::test]
+async fn a_new_life_is_free_of_what_the_last_one_said() {
+    let mut deployment = Deployment::start(2, 1).await;
+    let node = one_node(&deployment, "n-1").await;
+    deployment.gates[0].ask_rest(Some("600"));
+    deployment.gates[0].say_leaving();
+    deployment.gates[0].name_limit(Some("0"));
+    ask(&node, "/plate/x").await;
+    let last = deployment.gates[0].identity();
+    deployment.gates[0].crash();
+    let born = last.born.map(|born| born + 1);
+    let identity = workshold_platform_standin::instance::Identity { born, ..last };
+    deployment.gates[0] = StandInInstance::start(identity, &deployment.store).await;
+    wait_for("an answer of the new life", || async { ask(&node, "/plate/x").await.0 == 200 }).await;
+}
