An instance that asks for rest or says that it leaves is left alone

What callers saw: some 7 of 100 requests were late while six of 23 heads refused everything, one or two a second were refused although seventeen heads had places: both of their attempts had gone to heads that rest.

Cause: a refusal was forgotten with its request. It kept that one from coming back; the next one went there at once, for whoever refuses has the least to do. Two refusals in a row set an instance aside for 1.5 s, half of what it had asked for, and no more than four in ten.

Ruled out: repeats alone; 175 of the 230 refusals were first attempts.

What an instance says is kept by life in the one place that limits are, and every send asks it for a permit. A rest is between an instance and the node that it refused, from when the answer came, the one that ends last of several, in any form that it may have. That an instance leaves is for good, told to the other nodes, and its stewards treat it as one whose entry says so. What nobody takes is refused at once with the first end of a rest. Neither is a failure for those who set instances aside.

--- a/crates/workshold-core/src/hosted/intake.rs
+++ b/crates/workshold-core/src/hosted/intake.rs
@@ -1,6 +1,8 @@
-//! How many requests a second instances take, by their own word, and who sends them.
+//! What instances take, by their own word: so many requests a second, nothing of this node for a
+//! while, or nothing any more; and who sends how much.
 //!
-//! The word comes in answers, which overtake each other, and from other nodes, whose word is
+//! A rest is between an instance and the node that it refused; that it leaves and its limit are
+//! for all nodes. All three belong to one life of an instance. The word comes in answers, which overtake each other, and from other nodes, whose word is
 //! older than it looks. What tightens a limit counts at once; what loosens it counts only if it
 //! was certainly said later: its request left after the word that it replaces had come.
 //!
@@ -69,8 +71,32 @@
 /// An instance takes nothing from this node for now, by its own word.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Withheld {
-    /// When it may take the next request, if nothing else is said.
-    pub until: Millis,
+    /// When it may take the next request, if nothing else is said; `None` for never.
+    pub until: Option<Millis>,
+    /// What it said.
+    pub why: Why,
+}
+
+/// What an instance said that keeps requests from it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Why {
+    /// How many requests a second it takes.
+    Limit,
+    /// That it wants nothing from this node for a while.
+    Rest,
+    /// That it leaves.
+    Leaving,
+}
+
+impl Why {
+    /// The same for logs.
+    pub const fn text(self) -> &'static str {
+        match self {
+            Self::Limit => "its instance takes no more by the limit that it names",
+            Self::Rest => "its instance has asked this node for rest",
+            Self::Leaving => "its instance leaves",
+        }
+    }
 }
 
 /// So many are sent a second however low the limit is, or nobody would hear of its end.
@@ -143,7 +169,8 @@
             true => (1.0 - self.saved, share),
             false => (1.0, share * part.senders as f64),
         };
-        Err(Withheld { until: now + Millis((missing / rate * 1000.0).ceil() as u64) })
+        let until = now + Millis((missing / rate * 1000.0).ceil() as u64);
+        Err(Withheld { until: Some(until), why: Why::Limit })
     }
 }
 
@@ -175,7 +202,7 @@
 
     /// Whether no instance has said anything.
     pub fn is_empty(&self) -> bool {
-        self.takings.is_empty()
+        self.takings.is_empty() && self.rests.is_empty() && self.leaving.is_empty()
     }
 
     /// The limit of an instance.
@@ -229,9 +256,9 @@
         *resting = Resting { until: resting.until.max(now + rest), said: now };
     }
 
-    /// Until when an instance wants nothing from this node.
-    pub fn rests_until(&self, id: &K, now: Millis) -> Option<Millis> {
-        self.rests.get(id).map(|resting| resting.until).filter(|until| *until > now)
+    /// How many instances want nothing from this node.
+    pub fn resting(&self, now: Millis) -> usize {
+        self.rests.values().filter(|resting| resting.until > now).count()
     }
 
     /// An instance leaves: this life of it takes nothing any more. Returns whether that is news.
@@ -241,17 +268,32 @@
         is_news
     }
 
-    /// Whether an instance has said that it leaves.
-    pub fn leaves(&self, id: &K) -> bool {
-        self.leaving.contains_key(id)
+    /// Lives of which it was first heard within `age` that they leave, the last ones first.
+    pub fn newly_leaving(&self, age: Millis, now: Millis) -> Vec<K> {
+        let new = self.leaving.iter().filter(|(_, heard)| now.since(**heard) < age);
+        let mut new: Vec<(&K, Millis)> = new.map(|(id, heard)| (id, *heard)).collect();
+        new.sort_by_key(|(_, heard)| std::cmp::Reverse(*heard));
+        new.into_iter().map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Whether an instance has said what keeps requests from it, or bounds them.
+    pub fn has_spoken(&self, id: &K, now: Millis) -> bool {
+        let rests = self.rests.get(id).is_some_and(|resting| resting.until > now);
+        rests || self.limit(id).is_some() || self.leaving.contains_key(id)
     }
 
-    /// Whether a request may be sent to an instance now.
+    /// Whether a request may be sent to an instance now; `part` is this node's of its limit.
     ///
     /// # Errors
     ///
     /// [`Withheld`] if not.
     pub fn look(&mut self, id: &K, part: Part, now: Millis) -> Result<(), Withheld> {
+        if self.leaving.contains_key(id) {
+            return Err(Withheld { until: None, why: Why::Leaving });
+        }
+        if let Some(resting) = self.rests.get(id).filter(|resting| resting.until > now) {
+            return Err(Withheld { until: Some(resting.until), why: Why::Rest });
+        }
         let rules = self.rules;
         self.takings.get_mut(id).map_or(Ok(()), |taking| taking.look(rules, part, now))
     }
--- a/crates/workshold-core/src/hosted/roster.rs
+++ b/crates/workshold-core/src/hosted/roster.rs
@@ -85,6 +85,8 @@
     pub unreadable_since: Option<Millis>,
     /// The newest record, if it speaks of an earlier life.
     earlier: Option<Earlier>,
+    /// Whether this life has said in its answers that it will end; nobody takes that back.
+    says_it_leaves: bool,
 }
 
 /// A word that seems to come from an earlier life than the one that is known.
@@ -162,6 +164,15 @@
         self.note_end(ended, now)
     }
 
+    /// A life of an instance has said in its answers that it will end.
+    pub fn hear_leaving(&mut self, identity: &Identity) {
+        let entry = self.entries.get_mut(&identity.id);
+        if let Some(entry) = entry.filter(|entry| entry.instance.identity == *identity) {
+            entry.says_it_leaves = true;
+            self.version += 1;
+        }
+    }
+
     /// Takes one record that cannot be read: it names nobody to use, but what the instance
     /// was part of may still stand.
     pub fn apply_unreadable(&mut self, place: impl Into<Place>, id: &InstanceId, now: Millis) {
@@ -350,7 +361,14 @@
     /// The entry of an instance that was not known before.
     pub fn new(instance: Arc<Instance>, place: impl Into<Place>) -> Self {
         let place = place.into();
-        Self { instance, place, unlisted_since: None, unreadable_since: None, earlier: None }
+        Self {
+            instance,
+            place,
+            unlisted_since: None,
+            unreadable_since: None,
+            earlier: None,
+            says_it_leaves: false,
+        }
     }
 
     /// Whether the instance says this anyway.
@@ -362,6 +380,7 @@
     /// Takes the instance's word; returns that of the life before if this is another one.
     fn take(&mut self, word: Arc<Instance>) -> Option<Arc<Instance>> {
         let is_next = word.identity != self.instance.identity;
+        self.says_it_leaves &= !is_next;
         let before = std::mem::replace(&mut self.instance, word);
         self.unlisted_since = None;
         self.unreadable_since = None;
@@ -402,7 +421,12 @@
     /// Whether the instance takes new work as far as the list goes.
     pub fn is_in_service(&self, trust: &ListTrust, now: Millis) -> bool {
         let is_readable = self.unreadable_since.is_none();
-        is_readable && !self.instance.is_leaving && self.is_there(trust, now)
+        is_readable && !self.is_leaving() && self.is_there(trust, now)
+    }
+
+    /// Whether the instance has said that it will end, in the list or in its answers.
+    pub fn is_leaving(&self) -> bool {
+        self.instance.is_leaving || self.says_it_leaves
     }
 
     /// Whether the instance does not come back to replace a record that cannot be read.
--- a/crates/workshold-core/src/hosted/steward/situation.rs
+++ b/crates/workshold-core/src/hosted/steward/situation.rs
@@ -136,7 +136,7 @@
         let unlisted = entry.and_then(|entry| entry.unlisted_since);
         // What is missing after an outage may have gone at any time in it.
         let is_unsure = (self.loss)(id) > Loss::None && self.trust.may_lack(since);
-        entry.is_some_and(|entry| entry.instance.is_leaving)
+        entry.is_some_and(Entry::is_leaving)
             || unlisted.is_some_and(|unlisted| unlisted < since)
             || is_unsure
     }
@@ -178,7 +178,7 @@
                 let is_there = rank > 0 || entry.is_there(self.trust, self.now);
                 let is_out_of_reach = self.is_lost_to_all(&entry.instance.identity);
                 let is_unreadable = entry.is_unreadable_for_long(self.now);
-                entry.instance.is_leaving || !is_there || is_out_of_reach || is_unreadable
+                entry.is_leaving() || !is_there || is_out_of_reach || is_unreadable
             })
         })
     }
--- a/crates/workshold-core/tests/hosted/intake.rs
+++ b/crates/workshold-core/tests/hosted/intake.rs
@@ -11,13 +11,23 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
+use workshold_core::hosted::identity::Identity;
 use workshold_core::hosted::intake;
 use workshold_core::hosted::intake::Intake;
 use workshold_core::hosted::intake::IntakeRules;
 use workshold_core::hosted::intake::Part;
 use workshold_core::hosted::intake::Rate;
+use workshold_core::hosted::intake::Why;
+use workshold_core::hosted::intake::Withheld;
 use workshold_core::hosted::intake::Word;
+use workshold_core::hosted::roster::Instance;
+use workshold_core::hosted::roster::ListTrust;
+use workshold_core::hosted::roster::Roster;
 use workshold_protocol::Millis;
+use workshold_protocol::ids::DataCentre;
+use workshold_protocol::ids::Incarnation;
+use workshold_protocol::ids::InstanceId;
+use workshold_protocol::ids::ServiceName;
 
 const TICK: Millis = Millis(20);
 const SPAN: Millis = Millis(4_000);
@@ -329,3 +339,90 @@
         assert!(per_s - rate.as_per_s() < 0.001 || rate == Rate(u32::MAX), "{per_s}");
     }
 }
+
+const ANY: Part = Part { is_sender: true, senders: 1 };
+
+/// Fails where a later refusal that asks for less ends a rest.
+#[test]
+fn the_rest_that_ends_last_counts() {
+    let mut intake = Intake::default();
+    intake.hear_rest(&0, Millis(3_000), Millis(10_000));
+    intake.hear_rest(&0, Millis(500), Millis(11_000));
+    let withheld = Withheld { until: Some(Millis(13_000)), why: Why::Rest };
+    assert_eq!(intake.look(&0, ANY, Millis(12_999)), Err(withheld));
+    assert_eq!(intake.look(&0, ANY, Millis(13_000)), Ok(()));
+    assert_eq!(intake.look(&1, ANY, Millis(11_000)), Ok(()), "it is between two");
+}
+
+/// Fails where a time beyond all times wraps around.
+#[test]
+fn a_rest_beyond_all_times_ends_never() {
+    let mut intake = Intake::default();
+    intake.hear_rest(&0, Millis(u64::MAX), Millis(10_000));
+    assert!(intake.look(&0, ANY, Millis(1 << 50)).is_err());
+}
+
+#[test]
+fn who_leaves_takes_nothing_any_more_whatever_else_it_says() {
+    let mut intake = Intake::default();
+    assert!(intake.hear_leaving(&0, Millis(10_000)));
+    assert!(!intake.hear_leaving(&0, Millis(11_000)), "it is no news twice");
+    intake.hear(&0, word(Some(50.0), 11_000, 12_000));
+    intake.hear(&0, word(None, 13_000, 14_000));
+    let withheld = Withheld { until: None, why: Why::Leaving };
+    assert_eq!(intake.take(&0, ANY, Millis(1 << 50)), Err(withheld));
+    assert_eq!(intake.newly_leaving(Millis(5_000), Millis(14_000)), [0]);
+    assert!(intake.newly_leaving(Millis(5_000), Millis(15_000)).is_empty(), "it was told");
+}
+
+/// Fails where what a life said is lost while its entry is gone for a while, or kept for good.
+#[test]
+fn what_a_life_said_outlives_its_entry_for_a_while() {
+    let mut intake = Intake::default();
+    intake.hear_leaving(&0, Millis(10_000));
+    intake.hear_rest(&0, Millis(u64::MAX), Millis(10_000));
+    intake.forget(Millis(60_000), |_| false);
+    assert!(intake.look(&0, ANY, Millis(60_000)).is_err());
+    intake.forget(Millis(700_000), |_| true);
+    assert!(intake.look(&0, ANY, Millis(700_000)).is_err());
+    intake.forget(Millis(700_000), |_| false);
+    assert!(intake.is_empty());
+}
+
+/// Fails where an entry that says nothing of it takes back what an answer said, or a new life
+/// inherits it.
+#[test]
+fn an_entry_does_not_take_back_that_its_instance_leaves() {
+    let mut roster = Roster::default();
+    let id = InstanceId::new("i-1").unwrap();
+    let record = |roster: &mut Roster, offset: u64, life: u64| {
+        let identity = Identity { id: id.clone(), incarnation: Incarnation(life) };
+        roster.apply(offset, &id, Some(instance(identity)), Millis(10_000));
+    };
+    record(&mut roster, 1, 0);
+    let first = roster.get(&id).unwrap().instance.identity.clone();
+    roster.hear_leaving(&first);
+    record(&mut roster, 2, 0);
+    let trust = ListTrust::default();
+    assert!(roster.get(&id).unwrap().is_leaving());
+    assert!(!roster.get(&id).unwrap().is_in_service(&trust, Millis(10_000)));
+    record(&mut roster, 3, 7);
+    assert!(roster.get(&id).unwrap().is_in_service(&trust, Millis(10_000)));
+    roster.hear_leaving(&first);
+    assert!(!roster.get(&id).unwrap().is_leaving(), "it was another life's word");
+}
+
+fn instance(identity: Identity) -> Instance {
+    Instance {
+        identity,
+        service: ServiceName::new("llm").unwrap(),
+        address: "10.0.0.1:1".into(),
+        data_centre: DataCentre::new("a").unwrap(),
+        domain: None,
+        slots: 4,
+        is_leaving: false,
+        staged: Vec::new(),
+        loaded: Vec::new(),
+        membership: None,
+    }
+}
--- a/crates/workshold-gateway/src/callers/control.rs
+++ b/crates/workshold-gateway/src/callers/control.rs
@@ -83,7 +83,7 @@
             let own = entry.instance.membership.as_ref();
             json!({
                 "id": entry.instance.identity.as_str(),
-                "is_leaving": entry.instance.is_leaving,
+                "is_leaving": entry.is_leaving(),
                 "is_listed": entry.unlisted_since.is_none(),
                 "group": own.map(|own| own.group.as_str().to_owned()),
                 "state": own.map(|own| format!("{:?}", own.state)),
--- a/crates/workshold-gateway/src/metrics.rs
+++ b/crates/workshold-gateway/src/metrics.rs
@@ -48,7 +48,7 @@
     RequestsHeld = "requests_held", "counter", "requests refused because whoever begins to run such a one ends; they count as not_run too";
     Unknown = "unknown", "counter", "requests of which nobody knows whether they ran";
     AttemptsFailed = "attempts_failed", "counter", "attempts at an instance that failed";
-    Withheld = "withheld", "counter", "sends withheld from instances that took no more by the limit they name";
+    Withheld = "withheld", "counter", "sends withheld from instances that took none for now, by their own word";
     AttemptsNotNeeded = "attempts_not_needed", "counter", "attempts that another one made needless by speaking first";
     Repeats = "repeats", "counter", "repeats that the budget of their upstream allowed";
     RepeatsRefused = "repeats_refused", "counter", "repeats refused because the budget of their upstream was used up";
@@ -72,6 +72,7 @@
     InDoubt = "in_doubt", "gauge", "instances that somebody cannot reach";
     Peers = "peers", "gauge", "other nodes that are heard";
     Limited = "limited", "gauge", "instances that name a limit of requests a second";
+    Resting = "resting", "gauge", "instances that want nothing from this node for a while";
     Held = "held", "gauge", "contents of requests that are kept from all instances";
     Sharers = "sharers", "gauge", "nodes among which the slack of repeats is divided, this one included";
 }
@@ -122,6 +123,7 @@
         self.gauge(Metric::InDoubt, node.suspicions.lock().iter().count() as u64);
         self.gauge(Metric::Peers, node.peers.lock().heard(now).count() as u64);
         self.gauge(Metric::Limited, node.intake.lock().limits().count() as u64);
+        self.gauge(Metric::Resting, node.intake.lock().resting(now) as u64);
         self.gauge(Metric::Held, node.quarantine.lock().held(now).len() as u64);
         self.gauge(Metric::Sharers, node.peers.lock().may_be_there() as u64);
         self.exposition.text().unwrap_or_else(|err| format!("# {err}\n").into_bytes())
--- a/crates/workshold-gateway/src/node/held.rs
+++ b/crates/workshold-gateway/src/node/held.rs
@@ -9,6 +9,7 @@
 use workshold_core::hosted::quarantine::Quarantine;
 use workshold_core::hosted::quarantine::Standing;
 use workshold_core::hosted::quarantine::Subject;
+use workshold_core::hosted::roster::Entry;
 use workshold_protocol::Millis;
 
 use crate::callers::requests::Job;
@@ -38,9 +39,9 @@
         let now = self.now();
         let (domain, is_leaving) = {
             let list = self.list.lock();
-            let instance = list.roster.life(&target.id).map(|entry| &entry.instance);
-            let domain = instance.and_then(|instance| instance.domain.clone());
-            (domain, instance.is_some_and(|instance| instance.is_leaving))
+            let entry = list.roster.life(&target.id);
+            let domain = entry.and_then(|entry| entry.instance.domain.clone());
+            (domain, entry.is_some_and(Entry::is_leaving))
         };
         if is_leaving {
             return false;
--- a/crates/workshold-gateway/src/node/intake.rs
+++ b/crates/workshold-gateway/src/node/intake.rs
@@ -27,6 +27,9 @@
 
 /// Limits in one pulse: news first, then the others in turn.
 const MOST_TOLD: usize = 8;
+/// That an instance leaves is told for so long after it was first heard, and of so many.
+const LEAVING_TOLD: Millis = Millis(5_000);
+const MOST_LEAVING_TOLD: usize = 32;
 
 /// The right to send one request to an instance, taken out of what it takes. Requests are sent
 /// by this alone, so that no way to an instance can forget to ask.
@@ -70,11 +73,32 @@
 
     /// An answer says whether its instance leaves.
     pub fn hear_leaving(&self, id: &Identity, leaves: bool) {
-        if leaves && self.intake.lock().hear_leaving(id, self.now()) {
-            emit(Event::InstanceLeaves, &[("instance", id.as_str())]);
+        if !leaves || !self.intake.lock().hear_leaving(id, self.now()) {
+            return;
+        }
+        emit(Event::InstanceLeaves, &[("instance", id.as_str())]);
+        self.list.lock().roster.hear_leaving(id);
+        self.list_changed();
+        self.steward_wanted.notify_one();
+        self.pulse_wanted.notify_one();
+    }
+
+    /// Other nodes tell of lives that leave.
+    pub fn hear_of_leaving(&self, told: &[u32]) {
+        for instance in told {
+            let id = self.list.lock().by_short_id.get(instance).cloned();
+            if let Some(id) = id {
+                self.hear_leaving(&id, true);
+            }
         }
     }
 
+    /// What this node tells others of lives that leave.
+    pub fn told_leaving(&self) -> Vec<u32> {
+        let leaving = self.intake.lock().newly_leaving(LEAVING_TOLD, self.now());
+        leaving.iter().take(MOST_LEAVING_TOLD).map(short_id).collect()
+    }
+
     /// Other nodes tell of limits, in a datagram that came after `since`.
     pub fn hear_of_limits(&self, told: &[ToldLimit], since: Millis) {
         for told in told {
@@ -113,8 +137,7 @@
     ///
     /// [`Withheld`] if not.
     pub fn look_at_intake(&self, id: &Identity) -> Result<(), Withheld> {
-        let Some(limit) = self.limit(id) else { return Ok(()) };
-        let part = self.part(id, limit);
+        let part = self.part(id);
         self.intake.lock().look(id, part, self.now())
     }
 
@@ -124,20 +147,16 @@
     ///
     /// [`Withheld`] if it takes none of this node now.
     pub fn permit(&self, id: &Identity) -> Result<Permit, Withheld> {
-        if let Some(limit) = self.limit(id) {
-            let part = self.part(id, limit);
-            let taken = self.intake.lock().take(id, part, self.now());
-            taken.inspect_err(|_| self.metrics.count(Metric::Withheld))?;
-        }
+        let part = self.part(id);
+        let taken = self.intake.lock().take(id, part, self.now());
+        taken.inspect_err(|_| self.metrics.count(Metric::Withheld))?;
         Ok(Permit(()))
     }
 
-    /// The limit that an instance names.
-    pub fn limit(&self, id: &Identity) -> Option<Rate> {
-        self.intake.lock().limit(id)
-    }
-
-    fn part(&self, id: &Identity, limit: Rate) -> Part {
+    /// This node's part of an instance's limit, if it names one.
+    fn part(&self, id: &Identity) -> Part {
+        let limit = self.intake.lock().limit(id);
+        let Some(limit) = limit else { return Part { is_sender: true, senders: 1 } };
         let settings = self.settings();
         let peers = self.peers.lock();
         let senders = intake::senders(limit, peers.may_be_there());
--- a/crates/workshold-gateway/src/peers/exchange.rs
+++ b/crates/workshold-gateway/src/peers/exchange.rs
@@ -526,6 +526,7 @@
             loads: Vec::new(),
             requests: Vec::new(),
             limits: Vec::new(),
+            leaving: Vec::new(),
         },
         heard,
         direct: None,
--- a/crates/workshold-gateway/src/peers/messages.rs
+++ b/crates/workshold-gateway/src/peers/messages.rs
@@ -317,6 +317,8 @@
     pub requests: Vec<ToldRequest>,
     /// Some of the limits that instances name, or have ceased to name.
     pub limits: Vec<ToldLimit>,
+    /// Short ids of lives that have said in their answers that they leave, the last ones.
+    pub leaving: Vec<u32>,
 }
 
 /// How much an instance takes, as one node tells another of it.
--- a/crates/workshold-gateway/src/relay.rs
+++ b/crates/workshold-gateway/src/relay.rs
@@ -62,6 +62,8 @@
 const COME_BACK_NONE: Millis = Millis(500);
 /// The same for what is kept from instances: callers do not wait that long.
 const COME_BACK_HELD: Millis = Millis::from_secs(60);
+/// However long nobody takes anything; callers do not wait that long.
+const COME_BACK_LONGEST: Millis = Millis::from_secs(60);
 /// When to come back after a refusal by an upstream that is full.
 const COME_BACK_FULL: Millis = Millis(150);
 
@@ -79,7 +81,7 @@
     pub load: u32,
     /// Nothing can follow from doubt before this.
     held_until: Millis,
-    /// When an instance takes it that took nothing for now, by the limit that it names.
+    /// When an instance takes it that took nothing for now, by its own word.
     free_at: Option<Millis>,
 }
 
@@ -349,9 +351,10 @@
 
 /// Counts a failure against an instance, unless all it did is to say how much it takes.
 pub fn note_failure(node: &Node, target: &Target, ending: Ending) {
-    let is_limited = ending == Ending::Refused && node.limit(&target.id).is_some();
-    if ending != Ending::Withheld && !is_limited {
-        node.outliers.lock().on_failure(&target.id, node.now());
+    let now = node.now();
+    let has_said = ending == Ending::Refused && node.intake.lock().has_spoken(&target.id, now);
+    if ending != Ending::Withheld && !has_said {
+        node.outliers.lock().on_failure(&target.id, now);
     }
 }
 
@@ -429,7 +432,8 @@
             node.demand.lock().on_refusal(model, asked(&course.job), node.now());
         }
         let none = if course.tried.is_empty() { COME_BACK_NONE } else { COME_BACK_FULL };
-        let after = course.free_at.map_or(none, |at| at.since(node.now()).max(COME_BACK_FULL));
+        let free = course.free_at.map(|at| at.since(node.now()));
+        let after = free.map_or(none, |free| free.clamp(COME_BACK_FULL, COME_BACK_LONGEST));
         return answers::not_run("it has not run; come back later", spread(after));
     }
     emit(Event::RequestUnknown, &fields);
@@ -517,8 +521,8 @@
     let mut free_at: Option<Millis> = None;
     let taking = fits.filter(|target| match node.look_at_intake(&target.id) {
         Ok(()) => true,
-        Err(Withheld { until }) => {
-            free_at = Some(free_at.map_or(until, |at| at.min(until)));
+        Err(Withheld { until, .. }) => {
+            free_at = free_at.into_iter().chain(until).min();
             false
         }
     });
--- a/crates/workshold-gateway/src/relay/attempt.rs
+++ b/crates/workshold-gateway/src/relay/attempt.rs
@@ -70,9 +70,6 @@
 /// Why an attempt ended whose request's time was up.
 pub const TIME_UP: &str = "its time was up";
 
-/// Why a request is not sent to an instance that takes no more for now.
-pub const WITHHELD: &str = "its instance takes no more by the limit that it names";
-
 /// Why a request is not sent that is kept from instances.
 pub const HELD: &str = "whoever begins to run it ends";
 
@@ -110,7 +107,8 @@
     if left <= LEAST_TIME {
         return Err((Ending::NotSent, "no time is left"));
     }
-    let permit = node.permit(&target.id).map_err(|_| (Ending::Withheld, WITHHELD))?;
+    let permit =
+        node.permit(&target.id).map_err(|withheld| (Ending::Withheld, withheld.why.text()))?;
     let sent = node.now();
     is_sent.store(true, Ordering::Relaxed);
     let req = request(&job, &target, last, left);
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -182,6 +182,7 @@
         loads: told_loads(node),
         requests: told_requests(node),
         limits: node.told_limits(),
+        leaving: node.told_leaving(),
     }
 }
 
@@ -303,6 +304,7 @@
     if let Some((next, age)) = said.list {
         confirm_list(node, next, since - Millis(age) - ON_THE_WAY);
     }
+    node.hear_of_leaving(&said.leaving);
     node.hear_of_limits(&said.limits, since - ON_THE_WAY);
     if !said.requests.is_empty() {
         let told: Vec<Known> = said.requests.iter().map(|told| told.known(now)).collect();
--- a/crates/workshold-gateway/tests/common/mod.rs
+++ b/crates/workshold-gateway/tests/common/mod.rs
@@ -95,6 +95,7 @@
         loads: Vec::new(),
         requests: Vec::new(),
         limits: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
--- a/crates/workshold-gateway/tests/fleet/mod.rs
+++ b/crates/workshold-gateway/tests/fleet/mod.rs
@@ -169,6 +169,7 @@
             loads,
             requests: Vec::new(),
             limits: Vec::new(),
+            leaving: Vec::new(),
         }
     }
 
--- a/crates/workshold-gateway/tests/peers.rs
+++ b/crates/workshold-gateway/tests/peers.rs
@@ -45,6 +45,7 @@
         loads,
         requests: Vec::new(),
         limits: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
--- a/crates/workshold-gateway/tests/platform/resting.rs
+++ b/crates/workshold-gateway/tests/platform/resting.rs
@@ -28,6 +28,8 @@
 const ON_ITS_WAY: Duration = Duration::from_millis(500);
 /// So many more than that may come in a rest.
 const MOST_IN_A_REST: usize = 2;
+/// Nobody who is refused waits for longer than a part of the goal.
+const AT_ONCE: Duration = Duration::from_millis(100);
 /// By then nodes have told each other.
 const HEARD: Duration = Duration::from_millis(1_000);
 const MANY_REPEATS: &str = "repeat_slack = 500.0";
@@ -107,6 +109,22 @@
     }
 }
 
+/// Fails where the form of a time keeps a node from reading it.
+#[rstest]
+#[case::fractions("2.75")]
+#[case::a_date("Fri, 31 Dec 9999 23:59:59 GMT")]
+#[case::a_century("3155760000")]
+#[case::beyond_any_number("1e300")]
+#[tokio::test]
+async fn whatever_form_a_rest_has_it_is_kept(#[case] rest: &str) {
+    let deployment = Deployment::start(2, 2).await;
+    let node = one_node(&deployment, "n-1").await;
+    deployment.gates[0].ask_rest(Some(rest));
+    ask_for(&node, Duration::from_millis(2_500), "/plate/x").await;
+    let got = deployment.gates[0].asked();
+    assert!((1..=MOST_IN_A_REST + 1).contains(&got), "{got} came");
+}
+
 /// Fails where what is no time keeps an instance out.
 #[rstest]
 #[case("0")]
@@ -124,6 +142,25 @@
     assert_eq!(ask(&node, "/plate/x").await.0, 200);
 }
 
+/// Fails where a request that all instances want no part of is held, sent, or invited back too
+/// soon.
+#[tokio::test]
+async fn what_nobody_takes_for_rest_is_refused_at_once() {
+    let deployment = Deployment::start(2, 2).await;
+    let node = one_node(&deployment, "n-1").await;
+    deployment.gates.iter().for_each(|gate| gate.ask_rest(Some("2")));
+    ask(&node, "/plate/x").await;
+    let before = came_to(&deployment, &deployment.gates[0]).len();
+    for _ in 0..10 {
+        let began = Instant::now();
+        let (status, after) = ask(&node, "/print/x").await;
+        assert_eq!(status, 503);
+        assert!(began.elapsed() < AT_ONCE, "refused after {:?}", began.elapsed());
+        assert!((1.0..=4.0).contains(&after), "back in {after} s");
+    }
+    assert_eq!(came_to(&deployment, &deployment.gates[0]).len(), before, "none was sent");
+}
+
 /// Fails where an instance that has said that it leaves gets more, from the node that it told or
 /// from one that heard of it, while its entry looks well, is gone, and comes back.
 #[tokio::test]
