Soak: instances ask for rest or leave by their answers, beside others that name limits

Refusals of one to six seconds that ask for 0.8 to 4 s each, one in three an instance that says in its answers alone that it leaves. What came is judged by the node that each request went to.

--- a/crates/workshold-gateway/tests/soak.rs
+++ b/crates/workshold-gateway/tests/soak.rs
@@ -60,6 +60,13 @@
     play_with(Options { limits: 8, callers: 24, ..options }, 42).await;
 }
 
+/// Beside limits: what an instance says in one way does not hide another.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn instances_that_ask_for_rest_or_leave_are_left_alone() {
+    let options = options("rests", Duration::ZERO, Duration::ZERO, false);
+    play_with(Options { limits: 2, rests: 8, callers: 24, ..options }, 42).await;
+}
+
 async fn play(name: &str, seed: u64, length: Duration, planned: Duration, new_lives: bool) {
     play_with(options(name, length, planned, new_lives), seed).await;
 }
@@ -79,6 +86,7 @@
         planned,
         silences: 0,
         limits: 0,
+        rests: 0,
         recovers_within: RECOVERS_WITHIN,
     }
 }
--- a/crates/workshold-soak/src/fleet.rs
+++ b/crates/workshold-soak/src/fleet.rs
@@ -282,6 +282,35 @@
         seat.instance.name_limit(None);
     }
 
+    /// An instance refuses all requests for a while and asks for so many tenths of a second of
+    /// rest each time.
+    pub async fn rest(&self, whom: usize, tenths: u32, lasts: Duration) {
+        let seat = self.anybody(whom);
+        let seat = seat.lock().await;
+        seat.instance.ask_rest(Some(&format!("{}.{}", tenths / 10, tenths % 10)));
+        tokio::time::sleep(lasts).await;
+        seat.instance.ask_rest(None);
+    }
+
+    /// An instance says that it leaves in its answers alone; another life takes its place.
+    pub async fn leave(&self, whom: usize, lasts: Duration) {
+        let seat = self.anybody(whom);
+        let mut seat = seat.lock().await;
+        seat.instance.say_leaving();
+        tokio::time::sleep(DRAINS_FOR + lasts).await;
+        self.replace(&mut seat).await;
+    }
+
+    /// An instance that leaves ends once it has finished what it has; another life comes.
+    async fn replace(&self, seat: &mut Seat) {
+        seat.instance.lapse();
+        while seat.instance.streams() > 0 {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        seat.instance.crash();
+        *seat = self.seat(seat.service, seat.domain.clone()).await;
+    }
+
     /// Connections to an instance break.
     pub async fn reset(&self, whom: usize) {
         self.anybody(whom).lock().await.way.reset();
@@ -294,13 +323,7 @@
         seat.instance.drain();
         self.leaving.lock().insert(seat.instance.name().to_owned(), Instant::now());
         tokio::time::sleep(DRAINS_FOR + lasts).await;
-        seat.instance.lapse();
-        // It finishes what it has before it ends.
-        while seat.instance.streams() > 0 {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-        seat.instance.crash();
-        *seat = self.seat(seat.service, seat.domain.clone()).await;
+        self.replace(&mut seat).await;
     }
 
     /// All engines, and new lives of them, treat requests like this from here on.
--- a/crates/workshold-soak/src/judge.rs
+++ b/crates/workshold-soak/src/judge.rs
@@ -9,6 +9,7 @@
 use displaydoc::Display;
 use workshold_platform_standin::caller;
 use workshold_platform_standin::instance::EVENTS;
+use workshold_platform_standin::witness::Arrival;
 use workshold_platform_standin::witness::Run;
 
 use crate::callers::Asked;
@@ -55,6 +56,8 @@
     EndsFew,
     /// all nodes together send an instance no more than the limit that it names
     KeepsToLimits,
+    /// a node sends nothing to an instance that has asked it for rest
+    LetsRest,
 }
 
 /// A promise that was broken, and how.
@@ -79,6 +82,8 @@
     pub outcomes: Vec<Outcome>,
     /// What upstreams ran.
     pub runs: Vec<Run>,
+    /// What came to upstreams, what they refused among it.
+    pub arrivals: Vec<Arrival>,
     /// All keys that ever were.
     pub keys: Vec<Key>,
     /// When instances stated that they will end.
@@ -108,6 +113,10 @@
 const ENDS_UNTIL_KNOWN: usize = 3;
 const KNOWN_WITHIN: Duration = Duration::from_millis(3_000);
 const SENT_ON_AT_MOST: usize = 3;
+/// What is on its way when an instance answers arrives within this, and so many more may come
+/// in a rest.
+const ON_ITS_WAY: Duration = Duration::from_millis(500);
+const MOST_IN_A_REST: usize = 2;
 /// Statuses that say that a request has not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -134,6 +143,8 @@
     breaches.extend(forward(record));
     breaches.extend(left_alone(record));
     breaches.extend(ended(record));
+    breaches.extend(rested(record));
+    breaches.extend(left_by_answers(record));
     breaches
 }
 
@@ -149,6 +160,56 @@
     (late > SENT_ON_AT_MOST).then(|| Breach { promise: Promise::EndsFew, what: what() })
 }
 
+/// Two requests at most come to an instance from a node that it has asked for rest, once what was
+/// under way has arrived and until the rest is over.
+fn rested(record: &Record) -> Vec<Breach> {
+    let nodes = nodes_of(record);
+    let mut came: HashMap<_, Vec<&Arrival>> = HashMap::new();
+    for arrival in &record.arrivals {
+        if let Some((node, _)) = nodes.get(arrival.request.as_str()) {
+            came.entry((arrival.instance.as_str(), *node)).or_default().push(arrival);
+        }
+    }
+    let mut breaches = Vec::new();
+    for ((instance, node), came) in came {
+        for (at, rest) in came.iter().filter_map(|arrival| Some((arrival.at, arrival.rest?))) {
+            let in_rest = |a: &&&Arrival| a.at > at + ON_ITS_WAY && a.at < at + rest;
+            let got = came.iter().filter(in_rest).count();
+            if got > MOST_IN_A_REST {
+                let what = format!("{instance} got {got} from node {node:?} in {rest:?} of rest");
+                breaches.push(Breach { promise: Promise::LetsRest, what });
+            }
+        }
+    }
+    breaches
+}
+
+/// An instance that says in its answers that it leaves gets nothing that was sent later, from any
+/// node.
+fn left_by_answers(record: &Record) -> Vec<Breach> {
+    let nodes = nodes_of(record);
+    let mut said: HashMap<&str, Instant> = HashMap::new();
+    for arrival in record.arrivals.iter().filter(|arrival| arrival.leaves) {
+        let first = said.entry(arrival.instance.as_str()).or_insert(arrival.at);
+        *first = arrival.at.min(*first);
+    }
+    let late = record.arrivals.iter().filter_map(|arrival| {
+        let first = *said.get(arrival.instance.as_str())?;
+        let (node, sent) = nodes.get(arrival.request.as_str())?;
+        let late = sent.saturating_duration_since(first);
+        let tell =
+            || format!("{} at {} from {node:?}, {late:?} on", arrival.request, arrival.instance);
+        (late > LEAVING_GETS_NOTHING_AFTER).then(tell)
+    });
+    late.map(|what| Breach { promise: Promise::LeavingGetsNothing, what }).collect()
+}
+
+/// The node that each request went to, and when it was sent.
+fn nodes_of(record: &Record) -> HashMap<&str, ((usize, u32), Instant)> {
+    let of = |outcome: &Outcome| (outcome.node, outcome.sent);
+    record.outcomes.iter().map(|outcome| (outcome.id.as_str(), of(outcome))).collect()
+}
+
 fn breach(promise: Promise, what: String) -> Option<Breach> {
     Some(Breach { promise, what })
 }
--- a/crates/workshold-soak/src/main.rs
+++ b/crates/workshold-soak/src/main.rs
@@ -52,6 +52,8 @@
             .map(|n| n as usize);
     let limits = number("limits", "Limits that instances name after that, several at once", 4)
         .map(|n| n as usize);
+    let rests =
+        number("rests", "Instances that ask for rest or leave beside those", 4).map(|n| n as usize);
     let recovers_within =
         number("recovers-within", "Seconds until all is served again", 12).map(secs);
     let new_lives = bpaf::long("earlier-faults")
@@ -77,6 +79,7 @@
         planned,
         silences,
         limits,
+        rests,
         recovers_within
     });
     let first = number("first", "The first seed", 1);
--- a/crates/workshold-soak/src/plan.rs
+++ b/crates/workshold-soak/src/plan.rs
@@ -227,6 +227,39 @@
     (0..count).map(|_| limiting()).collect()
 }
 
+/// An instance refuses all requests for a while and asks for rest, or says that it leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Resting {
+    /// From the beginning of the last one.
+    pub after: Duration,
+    /// How long it lasts.
+    pub lasts: Duration,
+    /// How much rest each refusal asks for, in tenths of a second; none if it leaves.
+    pub tenths: Option<u32>,
+    /// Whom it befalls: taken modulo those that there are.
+    pub whom: usize,
+}
+
+/// Time between two rests and how long one lasts, in milliseconds; how much is asked for, in tenths
+/// of a second; and one in so many leaves.
+const REST_AFTER_MS: (u64, u64) = (200, 2_000);
+const RESTS_MS: (u64, u64) = (1_000, 6_000);
+const REST_TENTHS: (u32, u32) = (8, 40);
+const LEAVES: u32 = 3;
+
+/// The rests of `seed`, so many.
+pub fn draw_rests(seed: u64, count: usize) -> Vec<Resting> {
+    let mut rng = ChaCha8Rng::seed_from_u64(!seed);
+    let mut resting = || Resting {
+        after: Duration::from_millis(rng.random_range(REST_AFTER_MS.0..REST_AFTER_MS.1)),
+        lasts: Duration::from_millis(rng.random_range(RESTS_MS.0..RESTS_MS.1)),
+        tenths: (rng.random_range(0..LEAVES) > 0)
+            .then(|| rng.random_range(REST_TENTHS.0..REST_TENTHS.1)),
+        whom: rng.random_range(0..1_000),
+    };
+    (0..count).map(|_| resting()).collect()
+}
+
 fn draw_of(kinds: &[Kind], seed: u64, length: Duration) -> Vec<Fault> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut faults = Vec::new();
--- a/crates/workshold-soak/src/run.rs
+++ b/crates/workshold-soak/src/run.rs
@@ -37,6 +37,7 @@
 use crate::plan::Fault;
 use crate::plan::Kind;
 use crate::plan::Limiting;
+use crate::plan::Resting;
 use crate::plan::Silence;
 
 /// How a seed is played.
@@ -64,6 +65,8 @@
     pub silences: usize,
     /// How many limits instances name after that.
     pub limits: usize,
+    /// How many instances ask for rest or say that they leave, beside those.
+    pub rests: usize,
     /// All has to be served again this long after the last fault.
     pub recovers_within: Duration,
 }
@@ -169,7 +172,8 @@
             be_silent(&stage, plan::draw_silences(seed, options.silences)).await;
             silences = Some((from, Instant::now()));
         }
-        be_limited(&stage, plan::draw_limits(seed, options.limits)).await;
+        let limits = be_limited(&stage, plan::draw_limits(seed, options.limits));
+        tokio::join!(limits, be_resting(&stage, plan::draw_rests(seed, options.rests)));
         stop_each(&stage).await;
     }
     let memory_kb = stage.memory_kb().await;
@@ -196,6 +200,7 @@
     let record = Record {
         outcomes: stage.callers.outcomes(),
         runs: witness.runs(),
+        arrivals: witness.arrivals(),
         keys: stage.fleet.keys(),
         leaving: stage.fleet.leaving(),
         faults: Some((began, over)),
@@ -303,6 +308,22 @@
     under_way.join_all().await;
 }
 
+/// Lets instances refuse and ask for rest, or say that they leave.
+async fn be_resting(stage: &Arc<Stage>, rests: Vec<Resting>) {
+    let mut under_way = JoinSet::new();
+    for Resting { after, lasts, tenths, whom } in rests {
+        tokio::time::sleep(after).await;
+        let fleet = Arc::clone(&stage.fleet);
+        under_way.spawn(async move {
+            match tenths {
+                Some(tenths) => fleet.rest(whom, tenths, lasts).await,
+                None => fleet.leave(whom, lasts).await,
+            }
+        });
+    }
+    under_way.join_all().await;
+}
+
 /// Stops one node after the other with a plan, and starts it again.
 async fn stop_each(stage: &Arc<Stage>) {
     for (i, node) in stage.nodes.iter().enumerate() {
--- a/crates/workshold-soak/tests/judge.rs
+++ b/crates/workshold-soak/tests/judge.rs
@@ -5,6 +5,7 @@
 
 use rstest::rstest;
 use workshold_platform_standin::instance::EVENTS;
+use workshold_platform_standin::witness::Arrival;
 use workshold_platform_standin::witness::Run;
 use workshold_soak::callers::Asked;
 use workshold_soak::callers::Outcome;
@@ -233,3 +234,63 @@
     let broken = judge(&record).into_iter().map(|breach| breach.promise);
     broken.filter(|promise| *promise == Promise::EndsFew).collect()
 }
+
+/// Requests of two nodes at one instance that asks node 0 for three seconds of rest at second two:
+/// those of node 0 come at these times, in tenths of a second.
+fn resting(of_node_0: &[u64], of_node_1: &[u64], leaves: bool) -> Vec<Promise> {
+    let mut case = Case::new(Asked::Chat);
+    let at = |tenths: u64| case.start + Duration::from_millis(tenths * 100);
+    let first = (0, 20);
+    let others = of_node_0.iter().map(|at| (0, *at)).chain(of_node_1.iter().map(|at| (1, *at)));
+    let mut outcomes = Vec::new();
+    let mut arrivals = Vec::new();
+    for (i, (node, tenths)) in std::iter::once(first).chain(others).enumerate() {
+        let id = format!("q-{i}");
+        outcomes.push(Outcome {
+            id: id.clone(),
+            node: (node, 1),
+            sent: at(tenths),
+            ended: at(tenths),
+            seen: answer(503, None, String::new()),
+            ..case.record.outcomes[0].clone()
+        });
+        arrivals.push(Arrival {
+            request: id,
+            instance: "i-2".to_owned(),
+            at: at(tenths),
+            rest: (i == 0 && !leaves).then_some(Duration::from_secs(3)),
+            leaves: i == 0 && leaves,
+        });
+    }
+    case.record.outcomes.extend(outcomes);
+    case.record.arrivals = arrivals;
+    judge(&case.record).into_iter().map(|breach| breach.promise).collect()
+}
+
+#[rstest]
+#[case::two(&[26, 48], &[], false)]
+#[case::three(&[26, 30, 48], &[], true)]
+#[case::what_was_on_its_way(&[21, 22, 23, 24, 48], &[], false)]
+#[case::after_it(&[51, 52, 53, 54], &[], false)]
+#[case::from_another_node(&[], &[26, 30, 40, 48], false)]
+fn who_has_asked_for_rest_gets_two_at_most(
+    #[case] of_node_0: &[u64],
+    #[case] of_node_1: &[u64],
+    #[case] is_broken: bool,
+) {
+    let expected = if is_broken { vec![Promise::LetsRest] } else { Vec::new() };
+    assert_eq!(resting(of_node_0, of_node_1, false), expected);
+}
+
+#[rstest]
+#[case::in_time(&[49], &[49], 0)]
+#[case::too_late(&[51], &[], 1)]
+#[case::from_another_node(&[], &[51, 60], 2)]
+fn who_says_that_it_leaves_gets_nothing_later(
+    #[case] of_node_0: &[u64],
+    #[case] of_node_1: &[u64],
+    #[case] breaches: usize,
+) {
+    let seen = resting(of_node_0, of_node_1, true);
+    assert_eq!(seen, vec![Promise::LeavingGetsNothing; breaches]);
+}
--- a/crates/workshold-soak/tests/plan.rs
+++ b/crates/workshold-soak/tests/plan.rs
@@ -7,6 +7,7 @@
 use workshold_soak::plan::draw;
 use workshold_soak::plan::draw_limits;
 use workshold_soak::plan::draw_planned;
+use workshold_soak::plan::draw_rests;
 use workshold_soak::plan::draw_with_copies;
 use workshold_soak::plan::draw_with_new_lives;
 
@@ -69,3 +70,11 @@
     assert!(limits.iter().all(|limit| limit.after < limit.lasts));
     assert!(limits.iter().any(|limit| limit.tenths == 0));
 }
+
+#[test]
+fn some_of_those_that_rest_leave() {
+    let rests: Vec<_> = (0..50).flat_map(|seed| draw_rests(seed, 4)).collect();
+    assert_eq!(draw_rests(7, 4), draw_rests(7, 4));
+    let leave = rests.iter().filter(|resting| resting.tenths.is_none()).count();
+    assert!(leave * 5 > rests.len() && leave * 2 < rests.len(), "{leave} of {}", rests.len());
+}
