Model: an instance that says what it takes, before nodes that are killed

That a new sender starts with nothing saved up is not missed here, for what a kill adds stays within the margin; senders that change all at once miss it (core's tests).

--- a/crates/workshold-model/src/lib.rs
+++ b/crates/workshold-model/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ending;
 pub mod groups;
 pub mod hosted;
+pub mod intake;
 pub mod mutation;
 pub mod once;
 pub mod streams;
