--- a/crates/workshold-core/src/hosted/intake.rs
+++ b/crates/workshold-core/src/hosted/intake.rs
@@ -256,6 +256,11 @@
         *resting = Resting { until: resting.until.max(now + rest), said: now };
     }
 
+    /// For how long an instance wants nothing from this node.
+    pub fn rests_for(&self, id: &K, now: Millis) -> Millis {
+        self.rests.get(id).map_or(Millis::ZERO, |resting| resting.until.since(now))
+    }
+
     /// How many instances want nothing from this node.
     pub fn resting(&self, now: Millis) -> usize {
         self.rests.values().filter(|resting| resting.until > now).count()
--- a/crates/workshold-gateway/src/callers/control.rs
+++ b/crates/workshold-gateway/src/callers/control.rs
@@ -10,6 +10,7 @@
 use workshold_core::hosted::fingerprint::Fingerprint;
 use workshold_core::hosted::history::Era;
 use workshold_core::hosted::history::Place;
+use workshold_core::hosted::intake::Rate;
 
 use crate::callers::answers;
 use crate::callers::answers::AnswerBody;
@@ -75,6 +76,7 @@
 pub fn state(node: &Node) -> String {
     let now = node.now();
     let lease = node.lease.lock().clone();
+    let intake = node.intake.lock().clone();
     let list = node.list.lock();
     let instances: Vec<_> = list
         .roster
@@ -84,6 +86,8 @@
             json!({
                 "id": entry.instance.identity.as_str(),
                 "is_leaving": entry.is_leaving(),
+                "limit_per_s": intake.limit(&entry.instance.identity).map(Rate::as_per_s),
+                "rests_ms": intake.rests_for(&entry.instance.identity, now).0,
                 "is_listed": entry.unlisted_since.is_none(),
                 "group": own.map(|own| own.group.as_str().to_owned()),
                 "state": own.map(|own| format!("{:?}", own.state)),
--- a/crates/workshold-gateway/src/relay.rs
+++ b/crates/workshold-gateway/src/relay.rs
@@ -62,6 +62,8 @@
 const COME_BACK_NONE: Millis = Millis(500);
 /// The same for what is kept from instances: callers do not wait that long.
 const COME_BACK_HELD: Millis = Millis::from_secs(60);
+/// Why a request is refused that no instance takes now.
+const ALL_WITHHELD: &str = "all that serve it take nothing for now, by their own word";
 /// However long nobody takes anything; callers do not wait that long.
 const COME_BACK_LONGEST: Millis = Millis::from_secs(60);
 /// When to come back after a refusal by an upstream that is full.
@@ -289,6 +291,7 @@
                 Ok(target) => target,
                 Err(NoTarget { free_at }) => {
                     course.free_at = free_at;
+                    course.why = free_at.map_or(course.why, |_| ALL_WITHHELD);
                     course.give_up_repeat(node);
                     let next = if course.used.may_have_run { Next::Unknown } else { Next::NotRun };
                     return give_up(node, &course, next);
--- a/crates/workshold-gateway/tests/platform/resting.rs
+++ b/crates/workshold-gateway/tests/platform/resting.rs
@@ -159,6 +159,11 @@
         assert!((1.0..=4.0).contains(&after), "back in {after} s");
     }
     assert_eq!(came_to(&deployment, &deployment.gates[0]).len(), before, "none was sent");
+    let (_, state) = caller::get(node.control, "/state").await.unwrap();
+    let state: serde_json::Value = serde_json::from_slice(&state).unwrap();
+    let resting = |row: &serde_json::Value| row["rests_ms"].as_u64().is_some_and(|ms| ms > 0);
+    let rows = state["instances"].as_array().unwrap();
+    assert_eq!(rows.iter().filter(|row| resting(row)).count(), 2, "an operator sees them");
 }
 
 /// Fails where an instance that has said that it leaves gets more, from the node that it told or
