Reread: whoever is refused for a rest is told the time of its end, not up to twice that

Times to come back are drawn from one to two times what they are, so that callers don't come together. A rest of three seconds was told as up to six, past what callers wait.

--- a/crates/workshold-core/src/hosted/intake.rs
+++ b/crates/workshold-core/src/hosted/intake.rs
@@ -2,9 +2,10 @@
 //! while, or nothing any more; and who sends how much.
 //!
 //! A rest is between an instance and the node that it refused; that it leaves and its limit are
-//! for all nodes. All three belong to one life of an instance. The word comes in answers, which overtake each other, and from other nodes, whose word is
-//! older than it looks. What tightens a limit counts at once; what loosens it counts only if it
-//! was certainly said later: its request left after the word that it replaces had come.
+//! for all nodes. All three belong to one life of an instance. The word comes in answers, which
+//! overtake each other, and from other nodes, whose word is older than it looks. What tightens a
+//! limit counts at once; what loosens it counts only if it was certainly said later: its request
+//! left after the word that it replaces had come.
 //!
 //! Nodes keep to a limit together without asking each other. The first few of them, in an order
 //! that all see alike, are its senders; each has an equal part of the limit and saves up one
--- a/crates/workshold-gateway/src/relay.rs
+++ b/crates/workshold-gateway/src/relay.rs
@@ -435,9 +435,9 @@
             node.demand.lock().on_refusal(model, asked(&course.job), node.now());
         }
         let none = if course.tried.is_empty() { COME_BACK_NONE } else { COME_BACK_FULL };
-        let free = course.free_at.map(|at| at.since(node.now()));
-        let after = free.map_or(none, |free| free.clamp(COME_BACK_FULL, COME_BACK_LONGEST));
-        return answers::not_run("it has not run; come back later", spread(after));
+        let free_in = |at: Millis| at.since(node.now()).min(COME_BACK_LONGEST);
+        let after = course.free_at.map_or(Millis::ZERO, free_in);
+        return answers::not_run("it has not run; come back later", after + spread(none));
     }
     emit(Event::RequestUnknown, &fields);
     node.metrics.count(Metric::Unknown);
