A limit above what is wanted keeps no bursts out

With one request saved up a sender had to refuse whatever came in bursts: at nine nodes that want three requests a second each, and a limit of 40, 59 in 100 were sent.

--- a/crates/workshold-core/src/hosted/intake.rs
+++ b/crates/workshold-core/src/hosted/intake.rs
@@ -8,9 +8,9 @@
 //! left after the word that it replaces had come.
 //!
 //! Nodes keep to a limit together without asking each other. The first few of them, in an order
-//! that all see alike, are its senders; each has an equal part of the limit and saves up one
-//! request at most, so that over any `T` seconds they send no more than the limit times `T` and
-//! one each. How many senders there are follows from the limit: with few requests a second one
+//! that all see alike, are its senders; each has an equal part of the limit and of what all of
+//! them may save up, so that over any `T` seconds they send no more than the limit times `T` and
+//! that. How many senders there are follows from the limit: with few requests a second one
 //! saved up at each of hundreds of nodes would be more than the limit itself. Whoever becomes a
 //! sender starts with nothing saved up, so that a change of senders adds nothing.
 
@@ -120,8 +120,12 @@
 
 /// How many of `nodes` send to an instance with this limit.
 pub fn senders(limit: Rate, nodes: usize) -> usize {
-    let most = MOST_SAVED + MOST_SAVED_PART * limit.as_per_s();
-    (most as usize).min(nodes.max(1))
+    (saved_by_all(limit) as usize).min(nodes.max(1))
+}
+
+/// How many requests all senders together may have saved up.
+fn saved_by_all(limit: Rate) -> f64 {
+    MOST_SAVED + MOST_SAVED_PART * limit.as_per_s()
 }
 
 /// Until when an instance wants nothing, and when it said so.
@@ -152,7 +156,11 @@
         self.saved = match (part.is_sender, self.was_sender) {
             (false, _) => 0.0,
             (true, false) => rules.saved_at_first,
-            (true, true) => (self.saved + share * now.since(self.at).as_secs_f64()).min(1.0),
+            (true, true) => {
+                let limit = self.word.limit.unwrap_or(LEAST);
+                let most = (saved_by_all(limit) / part.senders.max(1) as f64).max(1.0);
+                (self.saved + share * now.since(self.at).as_secs_f64()).min(most)
+            }
         };
         self.at = now;
         self.was_sender = part.is_sender;
--- a/crates/workshold-core/tests/hosted/intake.rs
+++ b/crates/workshold-core/tests/hosted/intake.rs
@@ -195,6 +195,23 @@
     assert!(used >= wanted * 0.5, "{used} of {wanted}");
 }
 
+/// Fails where a limit above what is wanted keeps requests out: what comes in bursts has to be
+/// taken out of what was saved up.
+#[rstest]
+fn a_limit_above_what_is_wanted_keeps_little_out(#[values(1, 2, 3)] seed: u64) {
+    let (nodes, limit) = (9, 40.0);
+    let mut fleet = Fleet::new(nodes, IntakeRules::default(), seed);
+    fleet.name(limit);
+    fleet.run(Millis(8_000), 3.0);
+    let (from, before) = (fleet.now, fleet.came.len());
+    fleet.run(Millis(40_000), 3.0);
+    let wanted = 3.0 * nodes as f64 * 40.0;
+    let came = (fleet.came.len() - before) as f64;
+    assert!(came >= wanted * 0.9, "{came} of {wanted}");
+    let most = fleet.most(from);
+    assert!(most as f64 <= allowed(limit), "{most} in four seconds");
+}
+
 /// Fails where what a node has saved up, or sends before others notice it, comes on top: nodes end
 /// and begin all the time, and each begins without knowing of the limit.
 #[rstest]
