--- a/crates/workshold-gateway/tests/soak.rs
+++ b/crates/workshold-gateway/tests/soak.rs
@@ -53,6 +53,15 @@
     play_with(Options { silences: 2, ..options }, 1).await;
 }
 
+/// Fails where a word of an earlier life in a copy outlives the next life's: a member is taken
+/// while the head of its group serves.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn three_copies_in_a_row_take_no_member_from_a_head_that_serves() {
+    let options = options("three-copies", Duration::from_secs(12), Duration::ZERO, true);
+    let size = Size { nodes: 3, domains: 3, engines: 6, group: 2, gates: 3 };
+    play_with(Options { copies: true, callers: 12, size, ..options }, 1121).await;
+}
+
 /// Three processes share limits of engines and plain instances, several at once.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn instances_that_name_limits_get_no_more() {
