Events: an accepted entry of an earlier incarnation, and what the node knew then

W1303 said which incarnation a node took for ended, not why.

W1307 now names both incarnations, the position of the entry, how long it waited, and how long ago the list was read and the store failed. `/state` names the incarnation.

--- a/crates/workshold-core/src/hosted/roster.rs
+++ b/crates/workshold-core/src/hosted/roster.rs
@@ -96,10 +96,25 @@
 struct OlderRecord {
     instance: Arc<Instance>,
     place: LogPosition,
+    kept_at: Millis,
     /// When it is accepted unless the instance has written a newer record by then.
     accept_at: Millis,
 }
 
+/// An incarnation that is taken for ended because a record of an earlier one was accepted: no
+/// newer record has replaced it in time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reversion {
+    /// The incarnation that was known.
+    pub ended: Identity,
+    /// The incarnation of the accepted record.
+    pub accepted: Identity,
+    /// Position of the accepted record.
+    pub place: LogPosition,
+    /// When this node received that record.
+    pub received_at: Millis,
+}
+
 /// How long an unlisted instance is kept, since its group and its requests may outlast it.
 const UNLISTED_TTL: Millis = Millis::from_secs(20);
 /// A record of an earlier incarnation is accepted once it has been the newest one for this long.
@@ -157,7 +172,7 @@
             return None;
         };
         if known.is_newer_than(&report) {
-            known.keep_older(Arc::new(report), place, now + OLDER_RECORD_TIMEOUT);
+            known.keep_older(Arc::new(report), place, now, OLDER_RECORD_TIMEOUT);
             return None;
         }
         if known.contradicts(&report) {
@@ -221,7 +236,7 @@
             Arc::make_mut(&mut known.instance).is_leaving = true;
         }
         if !known.is_current_report(&report) {
-            known.keep_older(Arc::new(report), place, now + RESTORE_SETTLE_TIME);
+            known.keep_older(Arc::new(report), place, now, RESTORE_SETTLE_TIME);
         }
     }
 
@@ -265,12 +280,22 @@
 
     /// Accepts records that seemed older but that no newer one has replaced in time. Returns the
     /// incarnations that have ended by that.
-    fn accept_older(&mut self, now: Millis) -> Vec<Identity> {
+    fn accept_older(&mut self, now: Millis) -> Vec<Reversion> {
         let is_due =
             |entry: &&mut Entry| entry.older.as_ref().is_some_and(|older| now >= older.accept_at);
-        let accepted = self.entries.values_mut().filter(is_due);
-        let ended: Vec<_> = accepted.map(Entry::take_older).collect();
-        ended.into_iter().filter_map(|ended| self.note_end(ended, now)).collect()
+        let due = self.entries.values_mut().filter(is_due);
+        let accepted: Vec<_> = due.filter_map(Entry::take_older).collect();
+        let mut reversions = Vec::new();
+        for (older, ended) in accepted {
+            let Some(ended) = self.note_end(ended, now) else { continue };
+            reversions.push(Reversion {
+                ended,
+                accepted: older.instance.identity.clone(),
+                place: older.place,
+                received_at: older.kept_at,
+            });
+        }
+        reversions
     }
 
     /// Whether a member of a formation has restarted since it reported that it is in it. Then the
@@ -306,9 +331,9 @@
 
     /// Drops what has been gone for long. Returns the incarnations that turn out to have ended
     /// because a record of another one has now been accepted.
-    pub fn forget(&mut self, now: Millis) -> Vec<Identity> {
+    pub fn forget(&mut self, now: Millis) -> Vec<Reversion> {
         self.mark_unwritten_unlisted(now);
-        let ended = self.accept_older(now);
+        let reversions = self.accept_older(now);
         let formation = |entry: &Entry| {
             entry
                 .instance
@@ -322,7 +347,7 @@
         self.entries.retain(|_, entry| {
             entry.unlisted_since.is_none_or(|since| now.since(since) < UNLISTED_TTL)
         });
-        ended
+        reversions
     }
 
     /// The entry of an instance, whichever incarnation it is of.
@@ -420,17 +445,27 @@
         is_next.then_some(before)
     }
 
-    /// Keeps a report that seems older until it is accepted at `accept_at`, or replaced.
-    fn keep_older(&mut self, instance: Arc<Instance>, place: LogPosition, accept_at: Millis) {
+    /// Keeps a report that seems older, received at `now`, until it is accepted after `timeout`,
+    /// or replaced.
+    fn keep_older(
+        &mut self,
+        instance: Arc<Instance>,
+        place: LogPosition,
+        now: Millis,
+        timeout: Millis,
+    ) {
         if self.older.as_ref().is_none_or(|known| known.place < place) {
-            self.older = Some(OlderRecord { instance, place, accept_at });
+            let accept_at = now + timeout;
+            self.older = Some(OlderRecord { instance, place, kept_at: now, accept_at });
         }
     }
 
-    /// Accepts the older record; returns the previous report if it is of another incarnation.
-    fn take_older(&mut self) -> Option<Arc<Instance>> {
+    /// Accepts the older record. Returns it, and the previous report if that is of another
+    /// incarnation.
+    fn take_older(&mut self) -> Option<(OlderRecord, Option<Arc<Instance>>)> {
         let older = self.older.take()?;
-        self.replace(older.instance)
+        let ended = self.replace(Arc::clone(&older.instance));
+        Some((older, ended))
     }
 
     /// Whether what is known is newer than `report`, which is of an earlier incarnation, or of an
--- a/crates/workshold-gateway/src/callers/control.rs
+++ b/crates/workshold-gateway/src/callers/control.rs
@@ -94,6 +94,7 @@
             let membership = entry.instance.membership.as_ref();
             json!({
                 "id": entry.instance.identity.as_str(),
+                "incarnation": entry.instance.identity.incarnation,
                 "is_leaving": entry.is_leaving(),
                 "limit_per_s": instance_limits.limit(&entry.instance.identity).map(Rate::as_per_s),
                 "rests_ms": instance_limits.backoff_left(&entry.instance.identity, now).0,
--- a/crates/workshold-gateway/src/events.rs
+++ b/crates/workshold-gateway/src/events.rs
@@ -30,6 +30,7 @@
     InstanceLimited = 1304, Info, "an instance says how many requests a second it takes", "Find out which resource it lacks; limit is empty once it names none.";
     InstanceRests = 1305, Info, "an instance has refused a request and wants none of this node for a while", "Find out which resource it lacks; rest_ms is for how long it wants no requests.";
     InstanceLeaves = 1306, Info, "an instance says in its answers that it leaves", "Nothing; it finishes its requests, and others replace it.";
+    EarlierIncarnationAccepted = 1307, Warn, "an entry of an earlier incarnation is accepted, since none has replaced it", "Check the clock of the instance's machine; if the store failed within waited_ms, report it as a bug.";
     RequestEnded = 1401, Info, "a request was answered", "Nothing.";
     RequestNotRun = 1402, Warn, "a request was refused and has not run", "Read the reason; the caller was told when to retry.";
     RequestUnknown = 1403, Warn, "a request ended and nobody knows whether it ran", "Read the reason and the attempts.";
--- a/crates/workshold-gateway/src/tasks/upkeep.rs
+++ b/crates/workshold-gateway/src/tasks/upkeep.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use workshold_core::hosted::identity::Identity;
+use workshold_core::hosted::roster::Reversion;
 use workshold_protocol::Millis;
 
 use crate::events::Event;
@@ -52,14 +53,19 @@
 fn drop_expired(node: &Node) {
     let now = node.now();
     let mut list = node.list.lock();
-    let ended = list.roster.forget(now);
+    let reversions = list.roster.forget(now);
+    let last_failure_at = list.trust.last_failure_at();
+    let read_at = list.read_at;
     let known: BTreeSet<Identity> =
         list.roster.iter().map(|entry| entry.instance.identity.clone()).collect();
     let names: HashSet<&str> = known.iter().map(Identity::as_str).collect();
     list.raw.retain(|key, _| names.contains(key.as_str()));
     list.by_instance_hash.retain(|_, id| known.contains(id));
     drop(list);
-    ended.iter().for_each(|incarnation| node.note_superseded(incarnation));
+    for reversion in &reversions {
+        log_reversion(reversion, now, read_at, last_failure_at);
+        node.note_superseded(&reversion.ended);
+    }
     node.suspicions.lock().forget(now, |id| known.contains(id));
     node.gaps.lock().retain(|id| known.contains(id));
     node.outliers.lock().retain(|id| known.contains(id));
@@ -72,3 +78,25 @@
     drop(peers);
     node.loads.set_peer_loads(others, now);
 }
+
+/// Logs that a record of an earlier incarnation was accepted, and how recently the list was read
+/// and the store failed: a record that waited during an outage proves nothing.
+fn log_reversion(
+    reversion: &Reversion,
+    now: Millis,
+    read_at: Millis,
+    last_failure_at: Option<Millis>,
+) {
+    let age = |at: Millis| now.since(at).0.to_string();
+    let fields = [
+        ("instance", reversion.ended.as_str()),
+        ("ended", &*reversion.ended.incarnation.to_string()),
+        ("accepted", &*reversion.accepted.incarnation.to_string()),
+        ("era", &*reversion.place.era.to_string()),
+        ("offset", &*reversion.place.offset.to_string()),
+        ("waited_ms", &*age(reversion.received_at)),
+        ("list_read_ms_ago", &*age(read_at)),
+        ("store_failed_ms_ago", &*last_failure_at.map_or_else(String::new, age)),
+    ];
+    emit(Event::EarlierIncarnationAccepted, &fields);
+}
