Roster: an outage of the store proves no restart of an instance

What callers saw: nodes took a running head for ended, sent it nothing more, and gave its member to another group while its own was still open. Two engines served nobody for some ten seconds; a stream at that head would have stalled and been cut.

Cause: a record of an earlier incarnation is accepted once it has been the newest one for four seconds, since an instance that runs would have replaced it. These seconds were counted by the clock, also while the store was unavailable and nobody could write. And a record kept from before a restore outlived the log that had held it.

Change: the wait counts from the last failure of the store and ends with a read of the list that was sent after it; a restore drops what waited from before it. The same holds for records that cannot be read and for entries that a restored list lacks, which counted outages in the same way.

--- a/crates/workshold-core/src/hosted/roster.rs
+++ b/crates/workshold-core/src/hosted/roster.rs
@@ -96,9 +96,9 @@
 struct OlderRecord {
     instance: Arc<Instance>,
     place: LogPosition,
-    kept_at: Millis,
-    /// When it is accepted unless the instance has written a newer record by then.
-    accept_at: Millis,
+    received_at: Millis,
+    /// How long the instance must have been able to replace it before it is accepted.
+    timeout: Millis,
 }
 
 /// An incarnation that is taken for ended because a record of an earlier one was accepted: no
@@ -117,7 +117,8 @@
 
 /// How long an unlisted instance is kept, since its group and its requests may outlast it.
 const UNLISTED_TTL: Millis = Millis::from_secs(20);
-/// A record of an earlier incarnation is accepted once it has been the newest one for this long.
+/// A record of an earlier incarnation is accepted once it has been the newest one for this long,
+/// and the store has not failed for as long.
 /// An instance that runs checks in every 1.2 s and would have replaced the record by the second
 /// check-in. If it hasn't, the clock was set back between two incarnations.
 const OLDER_RECORD_TIMEOUT: Millis = Millis(4_000);
@@ -139,6 +140,9 @@
     /// The era that the store was restored to, and from when on an instance that isn't in the
     /// restored list counts as gone.
     era: Option<(Era, Millis)>,
+    /// When the store last failed, as far as this node knows; `None` if it never did. Until then
+    /// instances may have been unable to write.
+    last_failure_at: Option<Millis>,
 }
 
 impl Roster {
@@ -172,7 +176,12 @@
             return None;
         };
         if known.is_newer_than(&report) {
-            known.keep_older(Arc::new(report), place, now, OLDER_RECORD_TIMEOUT);
+            known.keep_older(OlderRecord {
+                instance: Arc::new(report),
+                place,
+                received_at: now,
+                timeout: OLDER_RECORD_TIMEOUT,
+            });
             return None;
         }
         if known.contradicts(&report) {
@@ -235,8 +244,15 @@
             // A shutdown is final.
             Arc::make_mut(&mut known.instance).is_leaving = true;
         }
+        // What the log showed before it was restored is no longer in it.
+        known.older = None;
         if !known.is_current_report(&report) {
-            known.keep_older(Arc::new(report), place, now, RESTORE_SETTLE_TIME);
+            known.keep_older(OlderRecord {
+                instance: Arc::new(report),
+                place,
+                received_at: now,
+                timeout: RESTORE_SETTLE_TIME,
+            });
         }
     }
 
@@ -245,11 +261,30 @@
     pub fn begin_era(&mut self, era: Era, true_from: Millis) {
         self.version += 1;
         self.era = Some((era, true_from));
+        for entry in self.entries.values_mut() {
+            entry.older.take_if(|older| older.place.era < era);
+        }
+    }
+
+    /// Records that the store didn't answer at `at`. Up to then an instance may have been unable
+    /// to write, so that the time in which it wrote nothing proves nothing.
+    pub fn on_store_failure(&mut self, at: Millis) {
+        self.last_failure_at = self.last_failure_at.max(Some(at));
     }
 
-    /// Marks entries as unlisted that weren't written again in the new era.
+    /// Whether every instance that runs has had the time to write its entry again after a restore,
+    /// as far as a list read at `now` shows.
+    fn is_settled(&self, true_from: Millis, now: Millis) -> bool {
+        let has_failed_since =
+            self.last_failure_at.is_some_and(|at| now < at + RESTORE_SETTLE_TIME);
+        now >= true_from && !has_failed_since
+    }
+
+    /// Marks entries as unlisted that weren't written again in the new era, as far as a list read
+    /// at `now` shows.
     fn mark_unwritten_unlisted(&mut self, now: Millis) {
-        let Some((era, _)) = self.era.filter(|(_, true_from)| now >= *true_from) else { return };
+        let settled = self.era.filter(|(_, true_from)| self.is_settled(*true_from, now));
+        let Some((era, _)) = settled else { return };
         let unwritten = self.entries.values_mut().filter(|entry| entry.place.era < era);
         unwritten.for_each(|entry| entry.unlisted_since = entry.unlisted_since.or(Some(now)));
         self.era = None;
@@ -278,13 +313,14 @@
         Some(ended.identity.clone())
     }
 
-    /// Accepts records that seemed older but that no newer one has replaced in time. Returns the
-    /// incarnations that have ended by that.
+    /// Accepts records that seemed older but that no newer one has replaced in time, as far as a
+    /// list read at `now` shows. Returns the incarnations that have ended by that.
     fn accept_older(&mut self, now: Millis) -> Vec<Reversion> {
+        let last_failure_at = self.last_failure_at.unwrap_or_default();
         let is_due =
-            |entry: &&mut Entry| entry.older.as_ref().is_some_and(|older| now >= older.accept_at);
-        let due = self.entries.values_mut().filter(is_due);
-        let accepted: Vec<_> = due.filter_map(Entry::take_older).collect();
+            |older: &mut OlderRecord| now >= older.received_at.max(last_failure_at) + older.timeout;
+        let taken = self.entries.values_mut().filter_map(|entry| entry.take_older_if(is_due));
+        let accepted: Vec<_> = taken.collect();
         let mut reversions = Vec::new();
         for (older, ended) in accepted {
             let Some(ended) = self.note_end(ended, now) else { continue };
@@ -292,7 +328,7 @@
                 ended,
                 accepted: older.instance.identity.clone(),
                 place: older.place,
-                received_at: older.kept_at,
+                received_at: older.received_at,
             });
         }
         reversions
@@ -315,7 +351,7 @@
         let end = end.into();
         self.version += 1;
         // An instance that hasn't written again since the store was restored may still do so.
-        let is_settling = self.era.is_some_and(|(_, true_from)| now < true_from);
+        let is_settling = self.era.is_some_and(|(_, true_from)| !self.is_settled(true_from, now));
         for (id, entry) in &mut self.entries {
             let may_be_rewritten = is_settling && entry.place.era < end.era;
             if !seen.contains(id) && entry.place < end && !may_be_rewritten {
@@ -330,7 +366,8 @@
     }
 
     /// Drops what has been gone for long. Returns the incarnations that turn out to have ended
-    /// because a record of another one has now been accepted.
+    /// because a record of another one has now been accepted. `now` is when the last read of the
+    /// list was sent that was answered: silence proves nothing while nobody could be read.
     pub fn forget(&mut self, now: Millis) -> Vec<Reversion> {
         self.mark_unwritten_unlisted(now);
         let reversions = self.accept_older(now);
@@ -445,25 +482,20 @@
         is_next.then_some(before)
     }
 
-    /// Keeps a report that seems older, received at `now`, until it is accepted after `timeout`,
-    /// or replaced.
-    fn keep_older(
-        &mut self,
-        instance: Arc<Instance>,
-        place: LogPosition,
-        now: Millis,
-        timeout: Millis,
-    ) {
-        if self.older.as_ref().is_none_or(|known| known.place < place) {
-            let accept_at = now + timeout;
-            self.older = Some(OlderRecord { instance, place, kept_at: now, accept_at });
+    /// Keeps a record that seems older until it is accepted or replaced.
+    fn keep_older(&mut self, record: OlderRecord) {
+        if self.older.as_ref().is_none_or(|known| known.place < record.place) {
+            self.older = Some(record);
         }
     }
 
-    /// Accepts the older record. Returns it, and the previous report if that is of another
-    /// incarnation.
-    fn take_older(&mut self) -> Option<(OlderRecord, Option<Arc<Instance>>)> {
-        let older = self.older.take()?;
+    /// Accepts the older record if it `is_due`. Returns it, and the previous report if that is of
+    /// another incarnation.
+    fn take_older_if(
+        &mut self,
+        is_due: impl FnOnce(&mut OlderRecord) -> bool,
+    ) -> Option<(OlderRecord, Option<Arc<Instance>>)> {
+        let older = self.older.take_if(is_due)?;
         let ended = self.replace(Arc::clone(&older.instance));
         Some((older, ended))
     }
@@ -500,9 +532,11 @@
     }
 
     /// Whether the instance has failed for three check-ins to replace a record that can't be
-    /// read.
-    pub fn is_unreadable_for_long(&self, now: Millis) -> bool {
-        self.unreadable_since.is_some_and(|since| now.since(since) >= UNREADABLE_TIMEOUT)
+    /// read, since the store last failed.
+    pub fn is_unreadable_for_long(&self, trust: &ListTrust, now: Millis) -> bool {
+        let able_since = |since: Millis| since.max(trust.last_failure_at().unwrap_or_default());
+        self.unreadable_since
+            .is_some_and(|since| now.since(able_since(since)) >= UNREADABLE_TIMEOUT)
     }
 
     /// Whether the instance is listed, or its absence may be due to an outage of the store.
--- a/crates/workshold-core/src/hosted/steward/context.rs
+++ b/crates/workshold-core/src/hosted/steward/context.rs
@@ -186,7 +186,7 @@
             entry.is_none_or(|entry| {
                 let is_present = rank > 0 || entry.is_present(self.trust, self.now);
                 let is_unreachable = self.is_lost_to_all_peers(&entry.instance.identity);
-                let is_unreadable = entry.is_unreadable_for_long(self.now);
+                let is_unreadable = entry.is_unreadable_for_long(self.trust, self.now);
                 entry.is_leaving() || !is_present || is_unreachable || is_unreadable
             })
         })
--- a/crates/workshold-core/tests/hosted/liveness.rs
+++ b/crates/workshold-core/tests/hosted/liveness.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use rstest::rstest;
 use smol_str::SmolStr;
 use workshold_core::hosted::config_freshness::ConfigFreshness;
 use workshold_core::hosted::roster::Instance;
@@ -15,6 +16,7 @@
 use workshold_core::hosted::suspicion::Suspicions;
 use workshold_protocol::Millis;
 use workshold_protocol::ids::DataCentre;
+use workshold_protocol::ids::Incarnation;
 use workshold_protocol::ids::InstanceId;
 use workshold_protocol::ids::ServiceName;
 
@@ -216,3 +218,89 @@
         "later reports don't move its start"
     );
 }
+
+/// The report of an instance's incarnation that started at `start`.
+fn report_of(start: u64) -> Instance {
+    let mut instance = report("i-1", false);
+    instance.identity.incarnation = Incarnation(start);
+    instance
+}
+
+/// Whether the roster takes the incarnation that started at `start` for the current one.
+fn is_current(roster: &Roster, start: u64) -> bool {
+    roster.get(&id("i-1")).unwrap().instance.identity.incarnation == Incarnation(start)
+}
+
+/// A late record of an earlier incarnation that the restored log no longer holds must not be
+/// accepted: a member was assigned to another group while its head served.
+#[test]
+fn a_record_that_a_restore_has_removed_is_not_accepted() {
+    let now = Millis(100_000);
+    let mut roster = Roster::default();
+    roster.apply(84, &id("i-1"), Some(report_of(2_000)), now);
+    roster.apply(95, &id("i-1"), Some(report_of(1_000)), now + Millis(100));
+    roster.begin_era(Era(1), now + Millis(3_000) + RESTORE_SETTLE_TIME);
+    let position = LogPosition { era: Era(1), offset: 84 };
+    roster.apply_restored(position, &id("i-1"), report_of(2_000), now + Millis(3_000));
+    roster.forget(now + Millis(20_000));
+    assert!(is_current(&roster, 2_000));
+}
+
+/// The store fails while a record of an earlier incarnation is the newest one: the instance could
+/// not replace it, so that it is accepted only some time after the store is back.
+#[rstest]
+#[case::written_to_the_log(false)]
+#[case::restored_from_a_backup(true)]
+fn an_outage_postpones_acceptance_of_an_older_record(#[case] is_restored: bool) {
+    let now = Millis(100_000);
+    let returned_at = now + Millis(6_000);
+    let position = LogPosition { era: Era(1), offset: 95 };
+    let mut roster = Roster::default();
+    roster.apply(84, &id("i-1"), Some(report_of(2_000)), now);
+    if is_restored {
+        roster.begin_era(Era(1), now + RESTORE_SETTLE_TIME);
+        roster.apply_restored(position, &id("i-1"), report_of(1_000), now);
+    } else {
+        roster.apply(position, &id("i-1"), Some(report_of(1_000)), now);
+    }
+    roster.on_store_failure(now + Millis(1_000));
+    roster.on_store_failure(returned_at);
+    assert!(roster.forget(returned_at + Millis(3_900)).is_empty());
+    assert!(is_current(&roster, 2_000), "the instance may still write again");
+    let accepted = roster.forget(returned_at + RESTORE_SETTLE_TIME);
+    assert_eq!(accepted.len(), 1);
+    assert!(is_current(&roster, 1_000), "no record has replaced it for long enough");
+}
+
+/// A second outage soon after a restore keeps instances from writing their entries again.
+#[test]
+fn an_outage_after_a_restore_removes_no_instance() {
+    let now = Millis(100_000);
+    let returned_at = now + Millis(6_000);
+    let mut roster = Roster::default();
+    roster.apply(8, &id("i-1"), Some(report("i-1", false)), now);
+    roster.begin_era(Era(1), now + RESTORE_SETTLE_TIME);
+    roster.on_store_failure(returned_at);
+    roster.forget(returned_at + RESTORE_SETTLE_TIME - Millis(1));
+    assert_eq!(roster.get(&id("i-1")).unwrap().unlisted_since, None);
+    roster.forget(returned_at + RESTORE_SETTLE_TIME);
+    assert!(roster.get(&id("i-1")).unwrap().unlisted_since.is_some());
+}
+
+/// An instance can't replace a record that can't be read while the store is unavailable: taken for
+/// one that shuts down, it would take its group out of service.
+#[test]
+fn an_outage_makes_no_instance_with_an_unreadable_record_leave() {
+    let now = Millis(100_000);
+    let mut trust = ListTrust::default();
+    let mut roster = Roster::default();
+    roster.apply(8, &id("i-1"), Some(report("i-1", false)), now);
+    roster.apply_unreadable(9, &id("i-1"), now);
+    let is_unreadable_for_long = |trust: &ListTrust, age: u64| {
+        roster.get(&id("i-1")).unwrap().is_unreadable_for_long(trust, now + Millis(age))
+    };
+    assert!(is_unreadable_for_long(&trust, 3_600), "the store did not fail");
+    trust.on_store_failure(now + Millis(5_000));
+    assert!(!is_unreadable_for_long(&trust, 8_500));
+    assert!(is_unreadable_for_long(&trust, 8_600));
+}
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -95,6 +95,15 @@
     pub has_unsent_records: bool,
 }
 
+impl ListReplica {
+    /// Records that the store didn't answer at `at`, this node or a node that reads the list for
+    /// it.
+    pub fn on_store_failure(&mut self, at: Millis) {
+        self.trust.on_store_failure(at);
+        self.roster.on_store_failure(at);
+    }
+}
+
 /// The roster version that the routing table was last built from, and when it was built.
 #[derive(Debug, Clone, Copy, Default)]
 struct TableBuild {
@@ -401,7 +410,7 @@
         let data_centre = settings.node.data_centre.as_str();
         let last_failure_at = self.peers.lock().list_failure_at(data_centre, self.now());
         if let Some(at) = last_failure_at {
-            self.list.lock().trust.on_store_failure(at);
+            self.list.lock().on_store_failure(at);
         }
     }
 
--- a/crates/workshold-gateway/src/tasks/long_poll.rs
+++ b/crates/workshold-gateway/src/tasks/long_poll.rs
@@ -71,7 +71,7 @@
     /// Notes that the store failed at `at`: missing entries then do not prove an instance gone.
     fn note_store_failure(self, node: &Node, at: Millis) {
         if self == Self::List {
-            node.list.lock().trust.on_store_failure(at);
+            node.list.lock().on_store_failure(at);
         }
     }
 }
--- a/crates/workshold-gateway/src/tasks/upkeep.rs
+++ b/crates/workshold-gateway/src/tasks/upkeep.rs
@@ -53,9 +53,9 @@
 fn drop_expired(node: &Node) {
     let now = node.now();
     let mut list = node.list.lock();
-    let reversions = list.roster.forget(now);
-    let last_failure_at = list.trust.last_failure_at();
     let read_at = list.read_at;
+    let reversions = list.roster.forget(read_at);
+    let last_failure_at = list.trust.last_failure_at();
     let known: BTreeSet<Identity> =
         list.roster.iter().map(|entry| entry.instance.identity.clone()).collect();
     let names: HashSet<&str> = known.iter().map(Identity::as_str).collect();
--- a/crates/workshold-gateway/tests/platform.rs
+++ b/crates/workshold-gateway/tests/platform.rs
@@ -10,6 +10,8 @@
 mod limits;
 #[path = "platform/request_path.rs"]
 mod request_path;
+#[path = "platform/stale_entries.rs"]
+mod stale_entries;
 #[path = "platform/store.rs"]
 mod store;
 #[path = "platform/store_outage.rs"]
