Events: a request that one more end of an instance quarantines

Nothing was logged before the end that quarantines a request, so that it could not be told why a node that had not seen the first ends did not know of them: not met yet, a datagram lost, or late. W1414 says how many instances have ended, who noticed the last end, how many peers were heard then, and how old it was.

--- a/crates/workshold-core/src/hosted/quarantine.rs
+++ b/crates/workshold-core/src/hosted/quarantine.rs
@@ -126,6 +126,8 @@
     is_unsaved: bool,
     /// Whether [`Quarantine::newly_quarantined`] has returned it since it was quarantined.
     is_announced: bool,
+    /// Number of ends that [`Quarantine::newly_suspect`] has returned.
+    reported_ends: usize,
 }
 
 /// A broken connection whose instance may turn out to have ended.
@@ -159,6 +161,7 @@
             gossip_left: 0,
             is_unsaved: false,
             is_announced: false,
+            reported_ends: 0,
         }
     }
 
@@ -475,6 +478,19 @@
         changed.collect()
     }
 
+    /// Suspect and quarantined records that have got further ends since the last call.
+    pub fn newly_suspect(&mut self) -> Vec<QuarantineRecord> {
+        let grown = self.entries.iter_mut().filter(|(_, entry)| {
+            entry.independent_ends() + 1 >= ENDS_TO_QUARANTINE
+                && entry.ends.len() > entry.reported_ends
+        });
+        let records = grown.map(|(fingerprint, entry)| {
+            entry.reported_ends = entry.ends.len();
+            entry.record(*fingerprint)
+        });
+        records.collect()
+    }
+
     /// All quarantined records, and until when they are.
     pub fn quarantined(&self, now: Millis) -> Vec<(QuarantineRecord, Millis)> {
         let quarantined = self.entries.iter().filter_map(|(fingerprint, entry)| {
--- a/crates/workshold-gateway/src/events.rs
+++ b/crates/workshold-gateway/src/events.rs
@@ -44,6 +44,7 @@
     RequestHeld = 1411, Error, "requests of this content are kept from all instances: whoever began to run one has ended", "Find the caller and the cause by the failed attempts with this fingerprint; DELETE /quarantine/FINGERPRINT releases it.";
     RequestReleased = 1412, Info, "requests of this content were let go by an operator", "Nothing.";
     QuarantineNotKept = 1413, Warn, "what is known of held requests cannot be read from or written to the store", "Serving continues by what other nodes report; check the store.";
+    RequestSuspected = 1414, Warn, "one more end of an instance quarantines requests of this content", "Find the caller and the cause by the failed attempts with this fingerprint; source says who noticed the last end, peers how many nodes were heard then, age_ms how long ago it was.";
 }
 
 /// The text of `docs/EVENTS-PLATFORM.md`: the events as a Markdown table.
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -66,6 +66,7 @@
 use crate::settings::Settings;
 use crate::store_monitor::StoreMonitor;
 
+pub use self::quarantine::EvidenceSource;
 pub use self::suspicions::Probe;
 pub use self::suspicions::ProbeTask;
 
--- a/crates/workshold-gateway/src/node/quarantine.rs
+++ b/crates/workshold-gateway/src/node/quarantine.rs
@@ -3,6 +3,7 @@
 
 use std::sync::atomic::Ordering;
 
+use displaydoc::Display;
 use workshold_core::hosted::fingerprint::Fingerprint;
 use workshold_core::hosted::identity::Identity;
 use workshold_core::hosted::quarantine;
@@ -19,6 +20,17 @@
 use crate::node::Node;
 use crate::routing_table::Target;
 
+/// Where evidence against a request comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum EvidenceSource {
+    /// this node
+    Here,
+    /// another node
+    Peer,
+    /// the store
+    Store,
+}
+
 impl Node {
     /// Until when a request is quarantined; `None` if it is not.
     pub fn quarantined_until(&self, fingerprint: Fingerprint) -> Option<Millis> {
@@ -50,7 +62,7 @@
         let domain = domain.as_ref().map(|domain| domain.as_str());
         let place = quarantine::place(domain, target.data_centre.as_str());
         let incarnation = quarantine::incarnation(&target.id);
-        self.update_quarantine(|quarantine| {
+        self.update_quarantine(EvidenceSource::Here, |quarantine| {
             quarantine.on_connection_broken(req.request_key(), incarnation, place, now)
         });
         self.is_suspect(req.fingerprint)
@@ -59,7 +71,7 @@
     /// Notes that an incarnation of an instance has ended.
     pub(super) fn note_process_ended(&self, id: &Identity) {
         let now = self.now();
-        self.update_quarantine(|quarantine| {
+        self.update_quarantine(EvidenceSource::Here, |quarantine| {
             quarantine.on_process_ended(quarantine::incarnation(id), now)
         });
     }
@@ -67,37 +79,54 @@
     /// Notes that a request ran to its end, which clears its fingerprint.
     pub fn note_finished(&self, req: &AdmittedRequest) {
         let now = self.now();
-        self.update_quarantine(|quarantine| quarantine.on_completed(req.fingerprint, now));
+        self.update_quarantine(EvidenceSource::Here, |quarantine| {
+            quarantine.on_completed(req.fingerprint, now)
+        });
     }
 
     /// Clears a request on an operator's order. Returns whether there was anything to clear.
     pub fn release(&self, fingerprint: Fingerprint) -> bool {
         let now = self.now();
-        self.update_quarantine(|quarantine| quarantine.clear(fingerprint, now))
+        self.update_quarantine(EvidenceSource::Here, |quarantine| {
+            quarantine.clear(fingerprint, now)
+        })
     }
 
     /// Merges quarantine records of a peer or of the store. Returns whether any was new.
-    pub fn merge_quarantine_records(&self, records: &[QuarantineRecord]) -> bool {
+    pub fn merge_quarantine_records(
+        &self,
+        records: &[QuarantineRecord],
+        source: EvidenceSource,
+    ) -> bool {
         let settings = self.settings();
         let is_relay = self.peers.lock().is_relay(&settings.own(), self.now());
-        self.update_quarantine(|quarantine| {
+        self.update_quarantine(source, |quarantine| {
             let news = records.iter().filter(|record| quarantine.take(record, is_relay));
             news.count() > 0
         })
     }
 
-    /// Applies a change to the quarantine. If it changes anything, the records are saved to the
+    /// Applies a change to the quarantine that is due to evidence from `source`. If it changes anything, the records are saved to the
     /// store, peers are told at once, and requests that wait at an instance without having
     /// started check again whether they are quarantined.
-    fn update_quarantine(&self, change: impl FnOnce(&mut Quarantine) -> bool) -> bool {
+    fn update_quarantine(
+        &self,
+        source: EvidenceSource,
+        change: impl FnOnce(&mut Quarantine) -> bool,
+    ) -> bool {
         let now = self.now();
         let mut quarantine = self.quarantine.lock();
         if !change(&mut quarantine) {
             return false;
         }
+        let suspect = quarantine.newly_suspect();
         let quarantined = quarantine.newly_quarantined(now);
         let has_news = quarantine.has_news();
         drop(quarantine);
+        if !suspect.is_empty() {
+            let heard = self.peers.lock().heard(now).count();
+            log_suspect(&suspect, source, heard, now);
+        }
         if !quarantined.is_empty() {
             log_quarantined(&quarantined, now);
             self.suspicion_changed.send_modify(|version| *version += 1);
@@ -120,6 +149,23 @@
     }
 }
 
+/// Logs each request that has got nearer to its quarantine, while `heard` peers are heard.
+fn log_suspect(records: &[QuarantineRecord], source: EvidenceSource, heard: usize, now: Millis) {
+    for record in records {
+        let last = record.ends.iter().map(|end| end.at).max().unwrap_or_default();
+        emit(
+            Event::RequestSuspected,
+            &[
+                ("fingerprint", &record.request_key.fingerprint.to_string()),
+                ("ended", &record.ends.len().to_string()),
+                ("source", &source.to_string()),
+                ("peers", &heard.to_string()),
+                ("age_ms", &now.since(last).0.to_string()),
+            ],
+        );
+    }
+}
+
 /// Logs each request that has just been quarantined.
 fn log_quarantined(quarantined: &[(QuarantineRecord, Millis)], now: Millis) {
     for (record, until) in quarantined {
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -23,6 +23,7 @@
 
 use crate::events::Event;
 use crate::events::emit;
+use crate::node::EvidenceSource;
 use crate::node::Node;
 use crate::node::ProbeTask;
 use crate::peers::Datagram;
@@ -335,7 +336,7 @@
     if !received.requests.is_empty() {
         let records: Vec<QuarantineRecord> =
             received.requests.iter().map(|entry| entry.known(now)).collect();
-        node.merge_quarantine_records(&records);
+        node.merge_quarantine_records(&records, EvidenceSource::Peer);
     }
 }
 
--- a/crates/workshold-gateway/src/tasks/quarantine_store.rs
+++ b/crates/workshold-gateway/src/tasks/quarantine_store.rs
@@ -17,6 +17,7 @@
 
 use crate::events::Event;
 use crate::events::emit;
+use crate::node::EvidenceSource;
 use crate::node::Node;
 
 /// Timeout of a call to the store.
@@ -149,7 +150,7 @@
     load_era(node, &stored.records, stored_era);
     let records: Vec<QuarantineRecord> =
         stored.records.iter().filter_map(|record| decode(node, record)).collect();
-    node.merge_quarantine_records(&records);
+    node.merge_quarantine_records(&records, EvidenceSource::Store);
     Ok(())
 }
 
