Events: how a node's list goes on after the store failed, and who withdraws from it

A node that was cut off from the store sent a request to an instance that had been gone for over two seconds, and its log said nothing of its list in between. W1110 says when the store answered a read of the list after a failure, W1109 what was requested from another node, W1308 when an instance's entry says that it leaves or is gone.

--- a/crates/workshold-gateway/src/events.rs
+++ b/crates/workshold-gateway/src/events.rs
@@ -20,6 +20,8 @@
     ConfigFromPeer = 1106, Info, "a configuration came from another node", "Nothing; this node cannot reach the store.";
     StoreReturned = 1107, Warn, "the store has come back from a copy: what it acknowledged last is gone", "Repeat what you wrote in the last seconds; groups are repaired after a few seconds.";
     ReadingLate = 1108, Warn, "the store's answer is late; it is asked again beside the question that is on its way", "Nothing; if it happens often, check the network path to the store.";
+    ListFetched = 1109, Info, "list records were requested from another node", "Nothing, unless outcome is a failure; then check the network between the nodes.";
+    ListReadAgain = 1110, Info, "the store has answered a read of the list after a failure", "Nothing; asked is how long ago the answered question was sent.";
     LeaseTaken = 1201, Info, "this node stewards other parts than before", "Nothing.";
     LeaseLost = 1202, Warn, "this node's right to give orders has ended", "Nothing; another node holds the lease.";
     Ordered = 1203, Info, "an instance was given an order", "Nothing.";
@@ -31,6 +33,7 @@
     InstanceRests = 1305, Info, "an instance has refused a request and wants none of this node for a while", "Find out which resource it lacks; rest_ms is for how long it wants no requests.";
     InstanceLeaves = 1306, Info, "an instance says in its answers that it leaves", "Nothing; it finishes its requests, and others replace it.";
     EarlierIncarnationAccepted = 1307, Warn, "an entry of an earlier incarnation is accepted, since none has replaced it", "Check the clock of the instance's machine; if the store failed within waited_ms, report it as a bug.";
+    InstanceWithdrawn = 1308, Info, "an instance's entry says that it leaves, or is gone", "Nothing; asked is how long ago the question was sent that brought this.";
     RequestEnded = 1401, Info, "a request was answered", "Nothing.";
     RequestNotRun = 1402, Warn, "a request was refused and has not run", "Read the reason; the caller was told when to retry.";
     RequestUnknown = 1403, Warn, "a request ended and nobody knows whether it ran", "Read the reason and the attempts.";
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -544,9 +544,22 @@
     let from = node.list.lock().next.unwrap_or_default();
     let path = format!("{LIST_PATH}?from={}.{}", from.era, from.offset);
     let sent = node.now();
-    let Some(bytes) = fetch(peer, &path).await else { return };
-    let Ok(news) = postcard::from_bytes::<ListNews>(&bytes) else { return };
-    store_sync::apply_list_news(node, &news, sent);
+    let bytes = fetch(peer, &path).await;
+    let update = bytes.and_then(|bytes| postcard::from_bytes::<ListNews>(&bytes).ok());
+    let end = update.as_ref().map_or_else(String::new, |update| update.next.offset.to_string());
+    let outcome = match &update {
+        None => "no usable answer",
+        Some(update) if store_sync::apply_list_news(node, update, sent) => "applied",
+        Some(_) => "records before them are missing",
+    };
+    let fields = [
+        ("peer", &*peer.to_string()),
+        ("from", &*from.offset.to_string()),
+        ("end", &*end),
+        ("outcome", outcome),
+        ("took", &*node.now().since(sent).to_string()),
+    ];
+    emit(Event::ListFetched, &fields);
 }
 
 /// Fetches a path from a peer over HTTP; `None` on any failure.
--- a/crates/workshold-gateway/src/tasks/store_sync.rs
+++ b/crates/workshold-gateway/src/tasks/store_sync.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use workshold_core::hosted::long_poll::LongPollRules;
+use workshold_core::hosted::roster::Entry;
 use workshold_core::hosted::store_era::LogPosition;
 use workshold_platform::config;
 use workshold_platform::entries;
@@ -236,6 +237,9 @@
     }
     let is_full = from.is_none();
     let end = next_position(&records, from);
+    if node.list.lock().trust.last_failure_at().is_some_and(|at| at >= sent) {
+        log_read_again(node, from, end, sent);
+    }
     enter_era(node, end, is_full.then_some(sent));
     apply_records(node, &records, is_full, sent);
     {
@@ -253,6 +257,16 @@
     true
 }
 
+/// Logs an answered read of the list, sent at `sent`, that follows a failure.
+fn log_read_again(node: &Node, from: Option<LogPosition>, end: LogPosition, sent: Millis) {
+    let fields = [
+        ("from", &*from.map_or_else(String::new, |from| from.offset.to_string())),
+        ("end", &*end.offset.to_string()),
+        ("asked", &*node.now().since(sent).to_string()),
+    ];
+    emit(Event::ListReadAgain, &fields);
+}
+
 /// Moves the list to the era of `end` if that is a new one. Its first full read, sent at
 /// `full_read_at`, counts as a restored snapshot if instances may not have renewed their entries
 /// by then.
@@ -284,7 +298,7 @@
             continue;
         };
         listed_ids.insert(id.clone());
-        apply_record(node, &id, record, now);
+        apply_record(node, &id, record, now, sent);
     }
     if is_full {
         node.list.lock().roster.on_full_list(&listed_ids, records.end, sent);
@@ -293,8 +307,8 @@
     node.planning_wanted.notify_one();
 }
 
-/// Applies one list record unless a newer one of the instance is known.
-fn apply_record(node: &Node, id: &InstanceId, record: &Record, now: Millis) {
+/// Applies one list record, of a read sent at `sent`, unless a newer one of the instance is known.
+fn apply_record(node: &Node, id: &InstanceId, record: &Record, now: Millis, sent: Millis) {
     let decoded = match record.value.is_empty() {
         true => Ok(None),
         false => entries::decode(id, &record.value).map(Some),
@@ -314,6 +328,7 @@
         list.roster.apply_unreadable(record.place, id, now);
         return;
     };
+    let withdrawn_before = list.roster.get(id).and_then(withdrawal);
     let identity = decoded_entry.as_ref().map(|decoded_entry| decoded_entry.identity.clone());
     let ended = match decoded_entry {
         Some(decoded_entry) if is_restored => {
@@ -325,7 +340,15 @@
     if let Some(identity) = &identity {
         list.by_instance_hash.insert(instance_hash(identity), identity.clone());
     }
+    let withdrawn = list.roster.get(id).and_then(withdrawal);
     drop(list);
+    if let Some(state) = withdrawn.filter(|state| withdrawn_before != Some(*state)) {
+        let asked = now.since(sent).to_string();
+        let offset = record.place.offset.to_string();
+        let fields =
+            [("instance", id.as_str()), ("state", state), ("offset", &*offset), ("asked", &*asked)];
+        emit(Event::InstanceWithdrawn, &fields);
+    }
     if let Some(incarnation) = ended {
         node.note_superseded(&incarnation);
     }
@@ -334,6 +357,15 @@
     }
 }
 
+/// How the list shows that an instance is to get no new requests; `None` if it doesn't.
+fn withdrawal(entry: &Entry) -> Option<&'static str> {
+    match (entry.unlisted_since, entry.is_leaving()) {
+        (Some(_), _) => Some("gone"),
+        (None, true) => Some("leaving"),
+        (None, false) => None,
+    }
+}
+
 /// Keeps a record for forwarding to peers. An undecodable one is replaced by a marker.
 fn store_raw(list: &mut ListReplica, record: &Record, is_readable: bool) {
     let unreadable = Bytes::from_static(entries::UNREADABLE_ENTRY);
