Routing: an instance counts as gone as soon as an outage no longer explains it

What callers saw: requests went to an instance that had been gone from the list for more than two seconds, where a leaving one may get none after that: DRAIN, 2,039 to 2,325 ms, on nodes whose way to the store had been cut until a second before.

Cause: for 2.3 s after a failure of the store, a missing entry counts as present. The routing table is rebuilt at each refresh in that time, and when the list changes, but not when the time ends: the last table built in it stood until the list changed or the table was two seconds old.

Change: a table built while missing entries counted as present is rebuilt at the next refresh.

--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -110,6 +110,8 @@
 struct TableBuild {
     version: u64,
     at: Millis,
+    /// Whether missing entries still counted as present: the table changes once they don't.
+    from_incomplete_list: bool,
 }
 
 /// This node's part of the stewards' lease, which permits it to send orders to instances.
@@ -422,7 +424,11 @@
         let now = self.now();
         let list = self.list.lock();
         let routing_table = RoutingTable::build(&serving_config, &list.roster, &list.trust, now);
-        let build = TableBuild { version: list.roster.version(), at: now };
+        let build = TableBuild {
+            version: list.roster.version(),
+            at: now,
+            from_incomplete_list: list.trust.may_be_incomplete(now),
+        };
         drop(list);
         *self.routing_table.write() = Arc::new(routing_table);
         *self.last_build.lock() = build;
@@ -449,7 +455,7 @@
         let last_build = *self.last_build.lock();
         let list = self.list.lock();
         let has_changed = list.roster.version() != last_build.version;
-        let is_incomplete = list.trust.may_be_incomplete(now);
+        let is_incomplete = list.trust.may_be_incomplete(now) || last_build.from_incomplete_list;
         drop(list);
         if has_changed || is_incomplete || now.since(last_build.at) >= MAX_TABLE_AGE {
             self.rebuild_table();
