Limits: peers hear of an announced departure for as long as the entry hides it

By reading, as the same fault as suspect requests that nodes met later never heard of: a departure that an instance announces in its answers alone was reported to peers for five seconds. A node that starts, or was cut off, for longer than that sent requests to it until one of its own was answered there.

Change: after the five seconds a departure is reported while the instance's entry is listed and does not say it, within the 32 of a heartbeat, the latest ones first.

Before: an_announced_departure_is_reported_while_the_entry_hides_it red (nothing reported after 60 s). After: green, with the other tests of incarnations and deadlock.

--- a/crates/workshold-gateway/src/node/instance_limits.rs
+++ b/crates/workshold-gateway/src/node/instance_limits.rs
@@ -28,7 +28,8 @@
 
 /// Most rate limits in one heartbeat: changed ones first, then the others in turn.
 const MAX_LIMITS_REPORTED: usize = 8;
-/// Time for which heartbeats tell that an instance is leaving, after it was first heard.
+/// Time for which heartbeats tell that an instance is leaving, after it was first heard. After
+/// that only if its list entry does not tell.
 const LEAVING_REPORT_TIME: Millis = Millis(5_000);
 /// Most leaving instances in one heartbeat.
 const MAX_LEAVING_REPORTED: usize = 32;
@@ -98,10 +99,22 @@
         }
     }
 
-    /// Hashes of the incarnations that this node reports to peers as shutting down.
+    /// Hashes of the incarnations that this node reports to peers as shutting down, the latest
+    /// ones first.
     pub fn leaving_to_report(&self) -> Vec<u32> {
-        let leaving = self.instance_limits.lock().recently_leaving(LEAVING_REPORT_TIME, self.now());
-        leaving.iter().take(MAX_LEAVING_REPORTED).map(instance_hash).collect()
+        let now = self.now();
+        let instance_limits = self.instance_limits.lock();
+        let recent = instance_limits.recently_leaving(LEAVING_REPORT_TIME, now);
+        let all = instance_limits.recently_leaving(Millis(u64::MAX), now);
+        drop(instance_limits);
+        let list = self.list.lock();
+        let is_hidden = |id: &Identity| {
+            let entry = list.roster.incarnation(id);
+            entry.is_some_and(|entry| !entry.instance.is_leaving && entry.unlisted_since.is_none())
+        };
+        let older = all.into_iter().skip(recent.len()).filter(is_hidden);
+        let reported = recent.iter().cloned().chain(older);
+        reported.take(MAX_LEAVING_REPORTED).map(|id| instance_hash(&id)).collect()
     }
 
     /// Handles rate limits in a peer's datagram that arrived after `since`.
--- a/crates/workshold-gateway/tests/incarnations.rs
+++ b/crates/workshold-gateway/tests/incarnations.rs
@@ -143,6 +143,25 @@
     assert_eq!(fixture.gates()[0].address, "10.0.0.1:80");
 }
 
+/// A departure that an instance announced in its answers alone was reported to peers for five
+/// seconds: a node that started, or was cut off, for longer than that sent requests to it.
+#[test]
+fn an_announced_departure_is_reported_while_the_entry_hides_it() {
+    let mut fixture = Fixture::new();
+    fixture.write_entry("i-1", &gate(FIRST_START, "10.0.0.1:80"));
+    let id = fixture.gates()[0].id.clone();
+    fixture.node.on_leaving(&id, true);
+    assert_eq!(fixture.node.leaving_to_report().len(), 1);
+    fixture.clock.advance(Millis(60_000));
+    assert_eq!(fixture.node.leaving_to_report().len(), 1, "its entry does not say it");
+    let mut entry = gate(FIRST_START, "10.0.0.1:80");
+    entry["state"] = json!("draining");
+    fixture.write_entry("i-1", &entry);
+    assert!(fixture.node.leaving_to_report().is_empty(), "the list tells all nodes");
+    fixture.write_entry("i-1", &gate(SECOND_START, "10.0.0.1:80"));
+    assert!(fixture.node.leaving_to_report().is_empty(), "that incarnation has ended");
+}
+
 #[test]
 fn an_instance_without_start_time_is_used() {
     let mut fixture = Fixture::new();
