--- a/crates/workshold-core/src/hosted/roster.rs
+++ b/crates/workshold-core/src/hosted/roster.rs
@@ -118,9 +118,9 @@
 /// How long an unlisted instance is kept, since its group and its requests may outlast it.
 const UNLISTED_TTL: Millis = Millis::from_secs(20);
 /// A record of an earlier incarnation is accepted once it has been the newest one for this long,
-/// and the store has not failed for as long.
-/// An instance that runs checks in every 1.2 s and would have replaced the record by the second
-/// check-in. If it hasn't, the clock was set back between two incarnations.
+/// and the store has not failed for as long. An instance that runs checks in every 1.2 s and would
+/// have replaced the record by the second check-in. If it hasn't, the clock was set back between
+/// two incarnations.
 const OLDER_RECORD_TIMEOUT: Millis = Millis(4_000);
 /// How long an unreadable record is tolerated, which is three check-ins. It may have been written
 /// by another process, and then the instance replaces it by its next check-in. After this time
--- a/crates/workshold-gateway/src/node/quarantine.rs
+++ b/crates/workshold-gateway/src/node/quarantine.rs
@@ -106,9 +106,9 @@
         })
     }
 
-    /// Applies a change to the quarantine that is due to evidence from `source`. If it changes anything, the records are saved to the
-    /// store, peers are told at once, and requests that wait at an instance without having
-    /// started check again whether they are quarantined.
+    /// Applies a change to the quarantine that is due to evidence from `source`. If it changes
+    /// anything, the records are saved to the store, peers are told at once, and requests that wait
+    /// at an instance without having started check again whether they are quarantined.
     fn update_quarantine(
         &self,
         source: EvidenceSource,
