Evacuations and cold instances: nothing goes to an evacuated data centre, and cold instances get what they bear

Cause: no node read the operator's request to evacuate a data centre, nor what an instance says of being cold. Callers saw answers from instances that were to get nothing; instances that were back cold got what they got before.

Change: - core::evacuation: the set of evacuated data centres at one position of the operator's log. Of two sets the one at the later position is right, so that reports of peers may come in any order. One that a restored log lacks is kept until the operator can have written it again. - It is read with the operator's log, told in heartbeats, and forwarded at once by relays. A node that has a configuration also has the evacuations. - core::cold_start: few senders for each cold instance, each with a token bucket; the sum over all nodes stays below the bound in any second. The bucket is shared with announced rate limits (core::token_bucket). - Instances of a data centre whose evacuation is over count as cold for as long as after a start, since their entries may not say so yet. - The permit that each send needs checks both at the moment of sending: first sends, retries, hedges, resumed streams. Where all that serves a request is evacuated it is refused at once. - Stewards: groups there stay as they are, get no new members, and do not count as capacity.

Ruled out: taking evacuated targets out of the routing table: a node before nothing but evacuated instances would say that it does not serve. Permits by instance alone: they would not see a change between choosing and sending.

Not done: health answers that say for how long an instance is cold; a node that starts right after a restore that lost an evacuation does not know of it.

--- a/crates/workshold-core/src/hosted.rs
+++ b/crates/workshold-core/src/hosted.rs
@@ -6,7 +6,8 @@
 //! and place requests.
 //!
 //! - Configuration: what is served ([`serving_config`]), how fresh that is
-//!   ([`config_freshness`]), and when the store is polled ([`long_poll`]).
+//!   ([`config_freshness`]), which data centres get no requests ([`evacuation`]), and when the
+//!   store is polled ([`long_poll`]).
 //! - Instances: the list with the groups they form ([`roster`], [`groups`]), one incarnation of
 //!   an instance ([`identity`]), which instances are unreachable ([`suspicion`]), and which era
 //!   of the store an answer belongs to ([`store_era`]).
@@ -15,13 +16,16 @@
 //! - Forming groups: [`steward`] plans for a fabric domain and sends orders to its instances;
 //!   [`partition_lease`] says when a node may act as one.
 //! - Requests: their content ([`fingerprint`]), those that crash instances ([`quarantine`]), the
-//!   limits that instances announce ([`instance_limits`]), the choice of an instance
+//!   limits that instances announce ([`instance_limits`]) or have while they are cold
+//!   ([`cold_start`]), how nodes share these ([`token_bucket`]), the choice of an instance
 //!   ([`placement`]), stalled streams ([`stall`]), retries ([`retry_policy`]), and the number of
 //!   nodes that share the retry budget ([`node_census`]).
 
 pub mod capacity;
+pub mod cold_start;
 pub mod config_freshness;
 pub mod demand;
+pub mod evacuation;
 pub mod fingerprint;
 pub mod groups;
 pub mod identity;
@@ -39,3 +43,4 @@
 pub mod steward;
 pub mod store_era;
 pub mod suspicion;
+pub mod token_bucket;
--- a/crates/workshold-core/src/hosted/instance_limits.rs
+++ b/crates/workshold-core/src/hosted/instance_limits.rs
@@ -20,6 +20,11 @@
 
 use workshold_protocol::Millis;
 
+use super::token_bucket::SharedRate;
+use super::token_bucket::TokenBucket;
+
+pub use super::token_bucket::SenderShare;
+
 /// A rate in thousandths of a request per second.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rate(pub u32);
@@ -62,15 +67,6 @@
     }
 }
 
-/// A node's share of an instance's rate limit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SenderShare {
-    /// Whether the node is one of the instance's senders.
-    pub is_sender: bool,
-    /// The number of senders.
-    pub senders: usize,
-}
-
 /// A request may not be sent to an instance now, because of a limit that it announced.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Withheld {
@@ -89,6 +85,10 @@
     Backoff,
     /// It is shutting down.
     Leaving,
+    /// It is cold and has got what it takes for now.
+    Cold,
+    /// The operator has evacuated its data centre.
+    Evacuated,
 }
 
 impl WithheldReason {
@@ -98,6 +98,8 @@
             Self::Limit => "the instance's rate limit is reached",
             Self::Backoff => "the instance has asked this node to back off",
             Self::Leaving => "the instance is shutting down",
+            Self::Cold => "the instance is cold and takes few requests",
+            Self::Evacuated => "the instance's data centre is evacuated",
         }
     }
 }
@@ -120,9 +122,6 @@
 const UNLISTED_TTL: Millis = Millis::from_secs(600);
 /// How many times a changed limit is sent to peers ahead of the others: a message may be lost.
 const GOSSIP_REPEATS: u8 = 3;
-/// A bucket that lacks less than this of one request counts as holding it: it is a rounding error.
-const ROUNDING_TOLERANCE: f64 = 1e-6;
-
 /// How many of `nodes` are senders to an instance with this limit.
 pub fn senders(limit: Rate, nodes: usize) -> usize {
     (total_burst(limit) as usize).min(nodes.max(1))
@@ -144,34 +143,16 @@
 #[derive(Debug, Clone, Copy)]
 struct LimitState {
     report: LimitReport,
-    /// Tokens in the bucket at `refilled_at`, if this node was a sender then.
-    tokens: f64,
-    refilled_at: Millis,
-    was_sender: bool,
+    bucket: TokenBucket,
     /// How many more times the limit is sent to peers ahead of unchanged ones.
     gossip_left: u8,
 }
 
 impl LimitState {
-    /// Rate of one sender in requests per second; `None` for any number.
-    fn sender_rate(&self, share: SenderShare) -> Option<f64> {
-        Some(self.report.limit?.max(RATE_MIN).as_per_s() / share.senders.max(1) as f64)
-    }
-
-    /// Adds the tokens that have accrued since the last refill.
-    fn refill(&mut self, rules: LimitRules, sender_rate: f64, share: SenderShare, now: Millis) {
-        self.tokens = match (share.is_sender, self.was_sender) {
-            (false, _) => 0.0,
-            (true, false) => rules.initial_tokens,
-            (true, true) => {
-                let limit = self.report.limit.unwrap_or(RATE_MIN);
-                let sender_burst = (total_burst(limit) / share.senders.max(1) as f64).max(1.0);
-                (self.tokens + sender_rate * now.since(self.refilled_at).as_secs_f64())
-                    .min(sender_burst)
-            }
-        };
-        self.refilled_at = now;
-        self.was_sender = share.is_sender;
+    /// What all senders together may send; `None` for any number.
+    fn shared_rate(&self) -> Option<SharedRate> {
+        let limit = self.report.limit?;
+        Some(SharedRate { per_s: limit.max(RATE_MIN).as_per_s(), burst: total_burst(limit) })
     }
 
     /// Whether a request may be sent now, and otherwise when.
@@ -181,18 +162,13 @@
         share: SenderShare,
         now: Millis,
     ) -> Result<(), Withheld> {
-        let Some(sender_rate) = self.sender_rate(share) else { return Ok(()) };
-        self.refill(rules, sender_rate, share, now);
-        if self.tokens >= 1.0 - ROUNDING_TOLERANCE {
+        let Some(rate) = self.shared_rate() else { return Ok(()) };
+        self.bucket.refill(rate, rules.initial_tokens, share, now);
+        let left = self.bucket.time_until_token(rate, share);
+        if left == Millis::ZERO {
             return Ok(());
         }
-        // A node that isn't a sender names the time of the next request of any sender.
-        let (missing, rate) = match share.is_sender {
-            true => (1.0 - self.tokens, sender_rate),
-            false => (1.0, sender_rate * share.senders as f64),
-        };
-        let until = now + Millis((missing / rate * 1000.0).ceil() as u64);
-        Err(Withheld { until: Some(until), why: WithheldReason::Limit })
+        Err(Withheld { until: Some(now + left), why: WithheldReason::Limit })
     }
 }
 
@@ -243,14 +219,8 @@
             if report.limit.is_none() {
                 return false;
             }
-            let (tokens, refilled_at) = (self.rules.initial_tokens, report.answer_received_at);
-            let state = LimitState {
-                report,
-                tokens,
-                refilled_at,
-                was_sender: false,
-                gossip_left: GOSSIP_REPEATS,
-            };
+            let bucket = TokenBucket::default();
+            let state = LimitState { report, bucket, gossip_left: GOSSIP_REPEATS };
             self.rate_limits.insert(id.clone(), state);
             return true;
         };
@@ -350,7 +320,7 @@
         if let Some(state) =
             self.rate_limits.get_mut(id).filter(|state| state.report.limit.is_some())
         {
-            state.tokens -= 1.0;
+            state.bucket.take();
         }
         Ok(())
     }
--- a/crates/workshold-core/src/hosted/roster.rs
+++ b/crates/workshold-core/src/hosted/roster.rs
@@ -63,6 +63,8 @@
     pub slots: u32,
     /// Whether it has announced that it is shutting down.
     pub is_leaving: bool,
+    /// How much longer it was cold when it wrote this.
+    pub cold_left: Millis,
     /// Models whose weights are staged on its host, ready to be loaded.
     pub staged: Vec<ModelName>,
     /// Models whose weights it has in memory.
--- a/crates/workshold-core/src/hosted/serving_config.rs
+++ b/crates/workshold-core/src/hosted/serving_config.rs
@@ -145,6 +145,17 @@
     pub name: ServiceName,
     /// Properties of its engines; `None` if it does not serve models.
     pub engine: Option<Engine>,
+    /// What its instances take while they are cold; `None` if they are never short of anything.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// How long an instance of a service is cold, and what it takes meanwhile.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// Time for which it is cold after a start.
+    pub duration: Millis,
+    /// Requests per second that it bears while it is cold, from all nodes together.
+    pub requests_per_s: f64,
 }
 
 /// Limits on callers' requests and connections.
--- a/crates/workshold-core/src/hosted/steward/context.rs
+++ b/crates/workshold-core/src/hosted/steward/context.rs
@@ -71,6 +71,9 @@
     pub models: &'a dyn Fn() -> Vec<planner::Model>,
     /// Whether demand has been observed for long enough to close groups because of it.
     pub may_close: bool,
+    /// Whether the domain's data centre is evacuated: its instances then get no new work, and
+    /// groups there stay as they are.
+    pub is_evacuated: bool,
     /// Whether no request has arrived yet: until then, loading weights is fast and costs nothing.
     pub before_traffic: bool,
     /// This steward's share of the fleet's weight loads, 0 to 1.
@@ -156,7 +159,8 @@
 
     /// Whether an instance can be put into a group.
     pub(super) fn can_serve(&self, entry: &Entry) -> bool {
-        entry.is_in_service(self.trust, self.now)
+        !self.is_evacuated
+            && entry.is_in_service(self.trust, self.now)
             && (self.loss)(&entry.instance.identity) == Loss::None
     }
 
--- a/crates/workshold-core/tests/hosted.rs
+++ b/crates/workshold-core/tests/hosted.rs
@@ -2,6 +2,10 @@
 
 #[path = "hosted/capacity.rs"]
 mod capacity;
+#[path = "hosted/cold_start.rs"]
+mod cold_start;
+#[path = "hosted/evacuation.rs"]
+mod evacuation;
 #[path = "hosted/instance_limits.rs"]
 mod instance_limits;
 #[path = "hosted/liveness.rs"]
--- a/crates/workshold-core/tests/hosted/instance_limits.rs
+++ b/crates/workshold-core/tests/hosted/instance_limits.rs
@@ -477,6 +477,7 @@
         domain: None,
         slots: 4,
         is_leaving: false,
+        cold_left: Millis::ZERO,
         staged: Vec::new(),
         loaded: Vec::new(),
         membership: None,
--- a/crates/workshold-core/tests/hosted/liveness.rs
+++ b/crates/workshold-core/tests/hosted/liveness.rs
@@ -33,6 +33,7 @@
         domain: None,
         slots: 6,
         is_leaving,
+        cold_left: Millis::ZERO,
         staged: Vec::new(),
         loaded: Vec::new(),
         membership: None,
--- a/crates/workshold-core/tests/hosted/stewards.rs
+++ b/crates/workshold-core/tests/hosted/stewards.rs
@@ -77,6 +77,7 @@
     restarted_epochs: BTreeSet<u64>,
     /// Instances about which not all nodes have been asked yet.
     not_fully_probed: BTreeSet<Identity>,
+    is_evacuated: bool,
     before_traffic: bool,
     now: Millis,
 }
@@ -118,6 +119,7 @@
             heads: BTreeMap::new(),
             restarted_epochs: BTreeSet::new(),
             not_fully_probed: BTreeSet::new(),
+            is_evacuated: false,
             before_traffic: false,
             now: Millis(100_000),
         }
@@ -134,6 +136,7 @@
             domain: Some(FabricDomain::new("d").unwrap()),
             slots: 17,
             is_leaving: false,
+            cold_left: Millis::ZERO,
             staged: names(staged),
             loaded: names(loaded),
             membership: None,
@@ -234,6 +237,7 @@
             others: &|| self.others.clone(),
             models: &|| models.clone(),
             may_close: self.may_close,
+            is_evacuated: self.is_evacuated,
             before_traffic: self.before_traffic,
             load_share: 1.0,
             last_arrival_at: Millis::ZERO,
@@ -861,3 +865,21 @@
     let joins = domain.plan(&mut steward);
     assert_eq!(describe(&joins), ["i-2 join 4", "i-3 join 4", "i-4 join 4", "i-5 join 4"]);
 }
+
+/// Groups in an evacuated data centre stay as they are, and no instance there gets new work.
+#[test]
+fn nothing_is_formed_or_closed_in_an_evacuated_data_centre() {
+    let mut domain = Domain::new();
+    for name in ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6"] {
+        domain.add(name, &["small"], &["small"]);
+    }
+    domain.join("small", 7, &["i-1", "i-2"], MemberState::Open);
+    domain.is_evacuated = true;
+    let mut steward = steward(1);
+    for _ in 0..10 {
+        assert_eq!(describe(&domain.plan(&mut steward)), Vec::<String>::new());
+    }
+    domain.is_evacuated = false;
+    let begun = (0..10).any(|_| !domain.plan(&mut steward).is_empty());
+    assert!(begun, "its instances are used again once that is over");
+}
--- a/crates/workshold-gateway/src/callers/control.rs
+++ b/crates/workshold-gateway/src/callers/control.rs
@@ -86,6 +86,9 @@
     let now = node.now();
     let lease = node.lease.lock().clone();
     let instance_limits = node.instance_limits.lock().clone();
+    let cold_instances = node.cold_instances.lock().clone();
+    let evacuated: Vec<String> =
+        node.evacuations.lock().all(now).map(ToString::to_string).collect();
     let list = node.list.lock();
     let instances: Vec<_> = list
         .roster
@@ -98,6 +101,7 @@
                 "is_leaving": entry.is_leaving(),
                 "limit_per_s": instance_limits.limit(&entry.instance.identity).map(Rate::as_per_s),
                 "rests_ms": instance_limits.backoff_left(&entry.instance.identity, now).0,
+                "is_cold": cold_instances.is_cold(&entry.instance.identity, now),
                 "is_listed": entry.unlisted_since.is_none(),
                 "group": membership.map(|member| member.group.as_str().to_owned()),
                 "state": membership.map(|member| format!("{:?}", member.state)),
@@ -137,6 +141,7 @@
         "readiness": readiness.map_or_else(|why| why.to_string(), |()| "it serves".to_owned()),
         "config": node.config_age().map(|(version, age)| json!({ "version": version, "age_ms": age.0 })),
         "refuses_stale_keys": node.settings().bounds.refuse_stale_keys,
+        "evacuated": evacuated,
         "list_age_ms": list_age,
         "store_age_ms": node.store_silent_for().0,
         "store_era": node.store_monitor.era(),
--- a/crates/workshold-gateway/src/events.rs
+++ b/crates/workshold-gateway/src/events.rs
@@ -22,6 +22,7 @@
     ReadingLate = 1108, Warn, "the store's answer is late; it is asked again beside the question that is on its way", "Nothing; if it happens often, check the network path to the store.";
     ListFetched = 1109, Info, "list records were requested from another node", "Nothing, unless outcome is a failure; then check the network between the nodes.";
     ListReadAgain = 1110, Info, "the store has answered a read of the list after a failure", "Nothing; asked is how long ago the answered question was sent.";
+    EvacuationsChanged = 1111, Info, "other data centres than before are evacuated", "Nothing; evacuated names all whose instances get no requests now.";
     LeaseTaken = 1201, Info, "this node stewards other parts than before", "Nothing.";
     LeaseLost = 1202, Warn, "this node's right to give orders has ended", "Nothing; another node holds the lease.";
     Ordered = 1203, Info, "an instance was given an order", "Nothing.";
@@ -34,6 +35,7 @@
     InstanceLeaves = 1306, Info, "an instance says in its answers that it leaves", "Nothing; it finishes its requests, and others replace it.";
     EarlierIncarnationAccepted = 1307, Warn, "an entry of an earlier incarnation is accepted, since none has replaced it", "Check the clock of the instance's machine; if the store failed within waited_ms, report it as a bug.";
     InstanceWithdrawn = 1308, Info, "an instance's entry says that it leaves, or is gone", "Nothing; asked is how long ago the question was sent that brought this.";
+    InstanceCold = 1309, Info, "an instance is cold and gets few requests for a while", "Nothing; left_ms is for how long.";
     RequestEnded = 1401, Info, "a request was answered", "Nothing.";
     RequestNotRun = 1402, Warn, "a request was refused and has not run", "Read the reason; the caller was told when to retry.";
     RequestUnknown = 1403, Warn, "a request ended and nobody knows whether it ran", "Read the reason and the attempts.";
--- a/crates/workshold-gateway/src/metrics.rs
+++ b/crates/workshold-gateway/src/metrics.rs
@@ -73,6 +73,8 @@
     Peers = "peers", "gauge", "other nodes whose messages arrive";
     Limited = "limited", "gauge", "instances that have announced a limit of requests per second";
     Resting = "resting", "gauge", "instances that have asked this node to send no requests for a while";
+    Cold = "cold", "gauge", "instances that are cold and get few requests";
+    Evacuated = "evacuated", "gauge", "data centres that are evacuated: their instances get no requests";
     Held = "held", "gauge", "fingerprints of requests that are quarantined from all instances";
     Sharers = "sharers", "gauge", "nodes that share the slack of the retry budget, including this one";
 }
@@ -125,6 +127,8 @@
         self.gauge(Metric::Peers, node.peers.lock().heard(now).count() as u64);
         self.gauge(Metric::Limited, node.instance_limits.lock().limits().count() as u64);
         self.gauge(Metric::Resting, node.instance_limits.lock().backing_off(now) as u64);
+        self.gauge(Metric::Cold, node.cold_instances.lock().count(now) as u64);
+        self.gauge(Metric::Evacuated, node.evacuations.lock().all(now).count() as u64);
         self.gauge(Metric::Held, node.quarantine.lock().quarantined(now).len() as u64);
         self.gauge(Metric::Sharers, node.peers.lock().max_node_count() as u64);
         self.exposition.text().unwrap_or_else(|err| format!("# {err}\n").into_bytes())
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -3,9 +3,12 @@
 //! - [`store_access`]: which nodes read the store, and how its answers are accepted.
 //! - [`suspicions`]: instances that cannot be reached.
 //! - [`quarantine`]: quarantined requests.
-//! - [`instance_limits`]: rate limits, backoffs and departures that instances announce.
+//! - [`evacuations`]: evacuated data centres, and instances that are cold.
+//! - [`instance_limits`]: rate limits, backoffs and departures that instances announce, and the
+//!   permit for each request.
 //! - [`retry_budget`]: the retry budget of each upstream.
 
+mod evacuations;
 mod instance_limits;
 mod quarantine;
 mod retry_budget;
@@ -28,8 +31,10 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use workshold_core::hosted::capacity::Workload;
+use workshold_core::hosted::cold_start::ColdInstances;
 use workshold_core::hosted::config_freshness::ConfigFreshness;
 use workshold_core::hosted::demand::Demand;
+use workshold_core::hosted::evacuation::Evacuations;
 use workshold_core::hosted::identity::Identity;
 use workshold_core::hosted::instance_limits::InstanceLimits;
 use workshold_core::hosted::partition_lease::PartitionLease;
@@ -167,6 +172,10 @@
     pub list_store: Store,
     serving_config: RwLock<Option<(Arc<ServingConfig>, Bytes)>>,
     config_freshness: Mutex<ConfigFreshness>,
+    /// Data centres to whose instances no requests are sent.
+    pub evacuations: Mutex<Evacuations>,
+    /// Instances that take few requests for now.
+    pub cold_instances: Mutex<ColdInstances<Identity>>,
     /// The instance list.
     pub list: Mutex<ListReplica>,
     routing_table: RwLock<Arc<RoutingTable>>,
@@ -287,6 +296,8 @@
             list_store,
             serving_config: RwLock::new(None),
             config_freshness: Mutex::default(),
+            evacuations: Mutex::default(),
+            cold_instances: Mutex::default(),
             list: Mutex::default(),
             routing_table: RwLock::default(),
             last_build: Mutex::default(),
@@ -469,7 +480,7 @@
         let mut others = others.filter(|other| other.id != target.id);
         others.any(|other| {
             let has_place = self.loads.of(&other.id).requests < other.slots;
-            has_place && !self.is_suspected(other) && self.check_instance_limits(&other.id).is_ok()
+            has_place && !self.is_suspected(other) && self.check_target(other).is_ok()
         })
     }
 
--- a/crates/workshold-gateway/src/node/instance_limits.rs
+++ b/crates/workshold-gateway/src/node/instance_limits.rs
@@ -1,17 +1,19 @@
-//! Rate limits, backoffs and departures that instances announce, and what this node may send
-//! them.
+//! Rate limits, backoffs and departures that instances announce, and the permit that every request
+//! to an instance needs.
 
 use std::time::Duration;
 
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use workshold_core::hosted::cold_start::ColdLimit;
 use workshold_core::hosted::identity::Identity;
 use workshold_core::hosted::instance_limits;
 use workshold_core::hosted::instance_limits::LimitReport;
 use workshold_core::hosted::instance_limits::Rate;
 use workshold_core::hosted::instance_limits::SenderShare;
 use workshold_core::hosted::instance_limits::Withheld;
+use workshold_core::hosted::instance_limits::WithheldReason;
 use workshold_http::body::Body;
 use workshold_http::client::CallError;
 use workshold_http::client::ConnectionTask;
@@ -25,6 +27,7 @@
 use crate::metrics::Metric;
 use crate::node::Node;
 use crate::peers::WireLimit;
+use crate::routing_table::Target;
 
 /// Most rate limits in one heartbeat: changed ones first, then the others in turn.
 const MAX_LIMITS_REPORTED: usize = 8;
@@ -34,8 +37,9 @@
 /// Most leaving instances in one heartbeat.
 const MAX_LEAVING_REPORTED: usize = 32;
 
-/// Permission to send one request to an instance, counted against its rate limit. Requests can
-/// be sent only through a permit, so that no code path can bypass the limit.
+/// Permission to send one request to an instance, counted against its rate limit and against what
+/// it takes while it is cold. Requests can be sent only through a permit, so that no code path can
+/// bypass these limits, or send to an evacuated data centre.
 #[derive(Debug)]
 pub struct Permit(());
 
@@ -150,35 +154,71 @@
         limits.iter().map(|(id, report)| WireLimit::new(id, *report, now)).collect()
     }
 
-    /// Checks whether an instance accepts a request of this node now, without counting one.
+    /// Checks whether a request of this node may go to a target now, without counting one.
     ///
     /// # Errors
     ///
-    /// [`Withheld`] if it does not.
-    pub fn check_instance_limits(&self, id: &Identity) -> Result<(), Withheld> {
-        let share = self.sender_share(id);
-        self.instance_limits.lock().check(id, share, self.now())
+    /// [`Withheld`] if it may not.
+    pub fn check_target(&self, target: &Target) -> Result<(), Withheld> {
+        if self.is_evacuated(&target.data_centre) {
+            return Err(Withheld { until: None, why: WithheldReason::Evacuated });
+        }
+        let now = self.now();
+        let share = self.rate_limit_share(&target.id);
+        self.instance_limits.lock().check(&target.id, share, now)?;
+        let Some((limit, share)) = self.cold_limit(target) else { return Ok(()) };
+        let left = self.cold_instances.lock().time_until_send(&target.id, limit, share, now);
+        if left == Millis::ZERO {
+            return Ok(());
+        }
+        Err(Withheld { until: Some(now + left), why: WithheldReason::Cold })
     }
 
-    /// Takes the permit for one request to an instance; called just before it is sent.
+    /// Whether nothing withholds a request from any instance now, so that targets need no check.
+    pub fn accepts_any_target(&self) -> bool {
+        self.instance_limits.lock().is_empty()
+            && self.cold_instances.lock().is_empty()
+            && self.evacuations.lock().is_empty(self.now())
+    }
+
+    /// Takes the permit for one request to a target; called just before it is sent.
     ///
     /// # Errors
     ///
-    /// [`Withheld`] if the instance accepts no request of this node now.
-    pub fn permit(&self, id: &Identity) -> Result<Permit, Withheld> {
-        let share = self.sender_share(id);
-        let taken = self.instance_limits.lock().take(id, share, self.now());
+    /// [`Withheld`] if no request of this node may go there now.
+    pub fn permit(&self, target: &Target) -> Result<Permit, Withheld> {
+        let now = self.now();
+        let share = self.rate_limit_share(&target.id);
+        let allowed = self.check_target(target);
+        let taken = allowed.and_then(|()| self.instance_limits.lock().take(&target.id, share, now));
         taken.inspect_err(|_| self.metrics.count(Metric::Withheld))?;
+        self.cold_instances.lock().on_sent(&target.id, now);
         Ok(Permit(()))
     }
 
     /// This node's share of an instance's rate limit. Without a limit every node may send.
-    fn sender_share(&self, id: &Identity) -> SenderShare {
+    fn rate_limit_share(&self, id: &Identity) -> SenderShare {
         let limit = self.instance_limits.lock().limit(id);
         let Some(limit) = limit else { return SenderShare { is_sender: true, senders: 1 } };
+        self.share_among(id, |nodes| instance_limits::senders(limit, nodes))
+    }
+
+    /// What a target takes because it is cold, and this node's share of it; `None` if it is warm.
+    fn cold_limit(&self, target: &Target) -> Option<(ColdLimit, SenderShare)> {
+        if !self.cold_instances.lock().is_cold(&target.id, self.now()) {
+            return None;
+        }
+        let serving_config = self.serving_config()?;
+        let cold_start = serving_config.upstreams.get(&target.service)?.cold_start?;
+        let limit = self.settings().cold_limit(cold_start);
+        Some((limit, self.share_among(&target.id, |nodes| limit.senders(nodes))))
+    }
+
+    /// This node's share if there are `senders` of so many nodes to an instance.
+    fn share_among(&self, id: &Identity, senders: impl Fn(usize) -> usize) -> SenderShare {
         let settings = self.settings();
         let peers = self.peers.lock();
-        let senders = instance_limits::senders(limit, peers.max_node_count());
+        let senders = senders(peers.max_node_count());
         let is_first =
             || peers.is_sender_for(&settings.node.name, instance_hash(id), senders, self.now());
         SenderShare { is_sender: !self.is_leaving() && is_first(), senders }
--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -47,6 +47,7 @@
 pub use self::messages::ProbeAudience;
 pub use self::messages::Scope;
 pub use self::messages::VERSION;
+pub use self::messages::WireEvacuations;
 pub use self::messages::WireLimit;
 pub use self::messages::WireLoad;
 pub use self::messages::WireNode;
@@ -350,12 +351,19 @@
 }
 
 /// Whether other nodes wait for what has changed in a heartbeat: that the node stops serving,
-/// its fencing token, a newer era of the store (a restore from a snapshot), or a newer
-/// configuration.
+/// its fencing token, a newer era of the store (a restore from a snapshot), a newer configuration,
+/// or which data centres are evacuated.
 fn is_urgent(last: &Heartbeat, next: &Heartbeat) -> bool {
     let version = |heartbeat: &Heartbeat| heartbeat.config.map(|(version, _)| version);
     let past = |heartbeat: &Heartbeat| heartbeat.past.map(|(era, _)| era);
+    let evacuated = |heartbeat: &Heartbeat| {
+        heartbeat.evacuations.as_ref().map_or(0, |evacuations| evacuations.data_centres.len())
+    };
+    let next_end = next.evacuations.as_ref().map(|evacuations| evacuations.end);
+    let last_end = last.evacuations.as_ref().map(|evacuations| evacuations.end);
+    let has_evacuations = evacuated(last) + evacuated(next) > 0;
     (last.is_ready && !next.is_ready)
+        || (has_evacuations && last_end < next_end)
         || last.acts_by != next.acts_by
         || past(last) < past(next)
         || version(last) < version(next)
--- a/crates/workshold-gateway/src/peers/exchange.rs
+++ b/crates/workshold-gateway/src/peers/exchange.rs
@@ -542,6 +542,7 @@
             is_ready: entry.is_ready,
             has_traffic: false,
             config: None,
+            evacuations: None,
             list: None,
             acts_by: None,
             past: None,
--- a/crates/workshold-gateway/src/peers/messages.rs
+++ b/crates/workshold-gateway/src/peers/messages.rs
@@ -26,7 +26,7 @@
 use crate::peers::packing;
 
 /// Version of the format of these messages; datagrams of another version are ignored.
-pub const VERSION: u8 = 8;
+pub const VERSION: u8 = 9;
 
 /// A datagram from one node to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -296,6 +296,8 @@
     /// The configuration version that it holds, and the time since that was known to be the
     /// newest, in ms.
     pub config: Option<(u64, u64)>,
+    /// The evacuated data centres that it knows; `None` before it knows which there are.
+    pub evacuations: Option<WireEvacuations>,
     /// Position at which its instance list ends, and the time since that was known to be the end,
     /// in ms.
     pub list: Option<(LogPosition, u64)>,
@@ -326,6 +328,15 @@
     pub leaving: Vec<u32>,
 }
 
+/// The evacuated data centres at a position of the operator's log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireEvacuations {
+    /// The position up to which the sender knows the log.
+    pub end: LogPosition,
+    /// The names of the data centres that are evacuated there.
+    pub data_centres: Vec<SmolStr>,
+}
+
 /// An instance's rate limit as it is encoded in a datagram.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireLimit {
--- a/crates/workshold-gateway/src/proxy.rs
+++ b/crates/workshold-gateway/src/proxy.rs
@@ -20,6 +20,7 @@
 use workshold_core::hosted::demand::RequestCost;
 use workshold_core::hosted::identity::Identity;
 use workshold_core::hosted::instance_limits::Withheld;
+use workshold_core::hosted::instance_limits::WithheldReason;
 use workshold_core::hosted::placement;
 use workshold_core::hosted::placement::Candidate;
 use workshold_core::hosted::retry_policy;
@@ -65,6 +66,8 @@
 const RETRY_AFTER_QUARANTINED_MAX: Millis = Millis::from_secs(60);
 /// Logged reason of a refusal when every instance has asked for no requests now.
 const ALL_WITHHELD: &str = "all instances that serve it have asked for no requests for now";
+/// Logged reason of a refusal when every instance is in an evacuated data centre.
+const ALL_EVACUATED: &str = "all instances that serve it are in evacuated data centres";
 /// Longest `Retry-After` while instances ask for no requests: callers do not wait longer.
 const RETRY_AFTER_WITHHELD_MAX: Millis = Millis::from_secs(60);
 /// `Retry-After` if instances were attempted but none took the request, such as full ones.
@@ -321,9 +324,13 @@
         if attempts.is_empty() {
             let target = match wait_for_target(node, &progress).await {
                 Ok(target) => target,
-                Err(NoTarget { available_at }) => {
+                Err(NoTarget { available_at, is_evacuated }) => {
                     progress.available_at = available_at;
-                    progress.reason = available_at.map_or(progress.reason, |_| ALL_WITHHELD);
+                    progress.reason = match available_at {
+                        Some(_) => ALL_WITHHELD,
+                        None if is_evacuated => ALL_EVACUATED,
+                        None => progress.reason,
+                    };
                     progress.return_unused_retry(node);
                     let next = if progress.used.may_have_run {
                         NextStep::Unknown
@@ -520,11 +527,13 @@
 }
 
 /// No target takes the request now.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy, Default)]
 pub struct NoTarget {
     /// When the first instance takes requests again, if all that serve the request have asked for
     /// none now.
     pub available_at: Option<Millis>,
+    /// Whether all that serve the request are in evacuated data centres.
+    pub is_evacuated: bool,
 }
 
 /// Waits a little for a target: a moment without any is often shorter than the caller's round
@@ -540,7 +549,7 @@
         let is_late = no_target.available_at.is_some_and(|at| at > until);
         let is_timed_out =
             node.now() + TARGET_POLL_INTERVAL > until || progress.left(node) <= MIN_TIME_LEFT;
-        if is_late || is_timed_out {
+        if is_late || is_timed_out || no_target.is_evacuated {
             return Err(no_target);
         }
         tokio::time::sleep(TARGET_POLL_INTERVAL.to_duration()).await;
@@ -560,7 +569,7 @@
         .iter()
         .filter(|target| target.model.is_none() || target.model == request.model)
         .filter(|target| !progress.tried.contains(&target.id));
-    let (targets, available_at) = accepting(node, targets);
+    let (targets, no_target) = accepting(node, targets);
     let settings = node.settings();
     let now = node.now();
     let gaps = node.gaps.lock();
@@ -578,29 +587,36 @@
         })
         .collect();
     if progress.is_new() && placement::are_full(&candidates, QUEUED_MAX) {
-        return Err(NoTarget { available_at: None });
+        return Err(NoTarget::default());
     }
     let chosen = placement::choose(&candidates, rand::rng().random());
-    chosen.map(|chosen| Arc::clone(targets[chosen])).ok_or(NoTarget { available_at })
+    chosen.map(|chosen| Arc::clone(targets[chosen])).ok_or(no_target)
 }
 
-/// The targets that take a request from this node now, and when the first of the others does.
+/// The targets that take a request from this node now, and what is known of the others.
 fn accepting<'a>(
     node: &Node,
     targets: impl Iterator<Item = &'a Arc<Target>>,
-) -> (Vec<&'a Arc<Target>>, Option<Millis>) {
-    if node.instance_limits.lock().is_empty() {
-        return (targets.collect(), None);
+) -> (Vec<&'a Arc<Target>>, NoTarget) {
+    let mut others = NoTarget::default();
+    if node.accepts_any_target() {
+        return (targets.collect(), others);
     }
-    let mut available_at: Option<Millis> = None;
-    let accepting = targets.filter(|target| match node.check_instance_limits(&target.id) {
-        Ok(()) => true,
-        Err(Withheld { until, .. }) => {
-            available_at = available_at.into_iter().chain(until).min();
-            false
+    let mut accepting = Vec::new();
+    let mut evacuated = 0;
+    let mut total = 0;
+    for target in targets {
+        total += 1;
+        match node.check_target(target) {
+            Ok(()) => accepting.push(target),
+            Err(Withheld { why: WithheldReason::Evacuated, .. }) => evacuated += 1,
+            Err(Withheld { until, .. }) => {
+                others.available_at = others.available_at.into_iter().chain(until).min();
+            }
         }
-    });
-    (accepting.collect(), available_at)
+    }
+    others.is_evacuated = total > 0 && evacuated == total;
+    (accepting, others)
 }
 
 /// How long the first event or the answer may take before the instance is probed, and before
--- a/crates/workshold-gateway/src/proxy/attempt.rs
+++ b/crates/workshold-gateway/src/proxy/attempt.rs
@@ -112,7 +112,7 @@
         return Err((AttemptEnd::NotSent, "too little time left before the deadline"));
     }
     let permit =
-        node.permit(&target.id).map_err(|withheld| (AttemptEnd::Withheld, withheld.why.text()))?;
+        node.permit(&target).map_err(|withheld| (AttemptEnd::Withheld, withheld.why.text()))?;
     let sent = node.now();
     is_sent.store(true, Ordering::Relaxed);
     let req = upstream_request(&request, &target, last, left);
--- a/crates/workshold-gateway/src/settings.rs
+++ b/crates/workshold-gateway/src/settings.rs
@@ -5,8 +5,10 @@
 
 use displaydoc::Display;
 use serde::Deserialize;
+use workshold_core::hosted::cold_start::ColdLimit;
 use workshold_core::hosted::long_poll::LongPollRules;
 use workshold_core::hosted::retry_policy::RetryBudgetRules;
+use workshold_core::hosted::serving_config::ColdStart;
 use workshold_protocol::Millis;
 use workshold_protocol::ids::DataCentre;
 
@@ -128,6 +130,11 @@
     pub repeat_window_s: f64,
     /// Retries in a window that all nodes together may make beyond the ratio.
     pub repeat_slack: f64,
+    /// How many times what a cold instance bears in a second may arrive there in one, from all
+    /// nodes together.
+    pub cold_factor: f64,
+    /// Requests that may arrive at a cold instance in a second beyond that.
+    pub cold_slack: f64,
     /// The longest time to live of addresses that callers are given, in seconds.
     pub addresses_good_at_most_s: f64,
 }
@@ -143,6 +150,8 @@
             repeat_ratio: 0.2,
             repeat_window_s: 10.0,
             repeat_slack: 20.0,
+            cold_factor: 1.0,
+            cold_slack: 0.0,
             addresses_good_at_most_s: 5.0,
         }
     }
@@ -247,6 +256,13 @@
         }
     }
 
+    /// What an instance of a service takes while it is cold.
+    pub fn cold_limit(&self, cold_start: ColdStart) -> ColdLimit {
+        let max_in_second =
+            cold_start.requests_per_s * self.bounds.cold_factor + self.bounds.cold_slack;
+        ColdLimit { per_s: cold_start.requests_per_s, max_in_second }
+    }
+
     /// Most connections that callers may have open. Each may need a second descriptor, for an
     /// upstream.
     pub fn caller_connections(&self) -> usize {
@@ -330,6 +346,13 @@
         ("bounds.repeat_window_s", bounds.repeat_window_s),
         ("bounds.addresses_good_at_most_s", bounds.addresses_good_at_most_s),
     ];
+    let not_negative =
+        [("bounds.cold_factor", bounds.cold_factor), ("bounds.cold_slack", bounds.cold_slack)];
+    if let Some((name, value)) =
+        not_negative.iter().find(|(_, value)| !(value.is_finite() && *value >= 0.0))
+    {
+        return Err(format!("{name} is {value}, but must not be negative"));
+    }
     match positive.iter().find(|(_, value)| !(value.is_finite() && *value > 0.0)) {
         Some((name, value)) => Err(format!("{name} is {value}, but must be greater than zero")),
         None => Ok(settings),
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -180,6 +180,7 @@
         is_ready: node.readiness().is_ok(),
         has_traffic: node.has_local_traffic(),
         config,
+        evacuations: node.evacuations_to_report(),
         list: list_end(node),
         hears: Vec::new(),
         seeks: false,
@@ -317,12 +318,18 @@
 }
 
 /// Handles the parts of a heartbeat that do not concern membership, from a datagram that arrived
-/// after `since`: era, configuration, list position, departures, rate limits and quarantine.
+/// after `since`: era, evacuations, configuration, list position, departures, rate limits and
+/// quarantine.
 fn handle_shared_state(node: &Node, received: &Heartbeat, since: Millis) {
     let now = node.now();
     if let Some((era, age)) = received.past {
         node.on_peer_era(era, now - Millis(age));
     }
+    // Before the configuration: a node that has that one also knows which data centres are
+    // evacuated.
+    if let Some(evacuations) = &received.evacuations {
+        node.on_reported_evacuations(evacuations);
+    }
     if let Some((version, age)) = received.config
         && node.confirm_config(version, since - Millis(age) - MAX_TRANSIT_TIME)
     {
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -137,6 +137,7 @@
     let list_read_at = list.read_at;
     let peers = node.peers.lock().heard(now).count();
     let suspicions = node.suspicions.lock().clone();
+    let evacuated = node.evacuations.lock().all(now).cloned().collect();
     let all_peers_asked =
         |id: &Identity, address: &SmolStr| node.have_all_peers_probed(id, address);
     let round = PlanningRound {
@@ -144,6 +145,7 @@
         roster: &list.roster,
         trust: &list.trust,
         suspicions: &suspicions,
+        evacuated: &evacuated,
         peers,
         log_times,
         before_traffic: !node.has_traffic() && node.settings().node.is_first_start,
--- a/crates/workshold-gateway/src/tasks/stewarding/planning_round.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding/planning_round.rs
@@ -31,6 +31,7 @@
 use workshold_core::hosted::suspicion::Loss;
 use workshold_core::hosted::suspicion::Suspicions;
 use workshold_protocol::Millis;
+use workshold_protocol::ids::DataCentre;
 use workshold_protocol::ids::FabricDomain;
 use workshold_protocol::ids::ModelName;
 use workshold_protocol::ids::ServiceName;
@@ -66,6 +67,8 @@
     pub trust: &'a ListTrust,
     /// Instances that cannot be reached.
     pub suspicions: &'a Suspicions<Identity>,
+    /// Data centres whose instances get no requests.
+    pub evacuated: &'a BTreeSet<DataCentre>,
     /// Number of other nodes that are heard, and so can be asked to probe.
     pub peers: usize,
     /// Whether all nodes were asked to probe the instance at this address and had time to answer.
@@ -130,6 +133,7 @@
                 others: &|| service_view.others(domain),
                 models: &|| service_view.models(&forming),
                 may_close: demand.observed_fraction >= MIN_OBSERVED_FRACTION,
+                is_evacuated: entries.iter().any(|entry| self.is_evacuated(entry)),
                 before_traffic: self.before_traffic,
                 load_share: 1.0 / domain_count.max(1) as f64,
                 last_arrival_at: self.roster.last_arrival_at(),
@@ -155,6 +159,16 @@
         (domains, parts.len())
     }
 
+    /// Whether an instance is in an evacuated data centre.
+    fn is_evacuated(&self, entry: &Entry) -> bool {
+        self.evacuated.contains(&entry.instance.data_centre)
+    }
+
+    /// Whether an instance may get requests, as far as the list and the operator say.
+    fn gets_work(&self, entry: &Entry) -> bool {
+        entry.is_in_service(self.trust, self.now) && !self.is_evacuated(entry)
+    }
+
     /// Whether this node may send orders to the instances of a domain now.
     fn may_order(&self, domain: &FabricDomain) -> bool {
         let partition_lease = self.lease.parts.get(&partition_of(domain, self.parts));
@@ -165,7 +179,7 @@
     fn listed(&self, engine: &Engine, entries: &[&Entry]) -> Vec<planner::Domain> {
         let is_fit = |entry: &Entry| {
             let is_lost = self.suspicions.loss(&entry.instance.identity, self.peers) > Loss::None;
-            !is_lost && entry.is_in_service(self.trust, self.now)
+            !is_lost && self.gets_work(entry)
         };
         let domains = by_domain(entries);
         let listed = domains.iter().map(|(domain, entries)| {
@@ -251,8 +265,7 @@
         engine: &Engine,
         entries: &[&Entry],
     ) -> (BTreeSet<u64>, BTreeMap<ModelName, f64>) {
-        let serving = |entry: &&Entry| entry.is_in_service(self.trust, self.now);
-        let serving = entries.iter().copied().filter(serving);
+        let serving = entries.iter().copied().filter(|entry| self.gets_work(entry));
         let mut known = BTreeSet::new();
         let mut counts = BTreeMap::new();
         for group in groups::assemble_groups(serving) {
--- a/crates/workshold-gateway/src/tasks/store_sync.rs
+++ b/crates/workshold-gateway/src/tasks/store_sync.rs
@@ -11,6 +11,7 @@
 use workshold_core::hosted::store_era::LogPosition;
 use workshold_platform::config;
 use workshold_platform::entries;
+use workshold_platform::evacuation;
 use workshold_platform::names;
 use workshold_platform::store::Record;
 use workshold_platform::store::Records;
@@ -137,6 +138,8 @@
     if is_of_old_era {
         return;
     }
+    let next = next_position(&records, from);
+    read_evacuations(node, &records, from, next);
     let last = records.records.iter().rfind(|record| record.key == names::CONFIG_KEY);
     match last {
         Some(record) if may_be_outdated(node, record) => {
@@ -154,7 +157,25 @@
             }
         }
     }
-    cursor.next = Some(next_position(&records, from));
+    cursor.next = Some(next);
+}
+
+/// Applies the operator's records about evacuations, of a read from the position `from`, or of all
+/// records, up to `next`.
+fn read_evacuations(node: &Node, records: &Records, from: Option<LogPosition>, next: LogPosition) {
+    let changes = records.records.iter().filter_map(|record| match evacuation::decode(record) {
+        Ok(change) => change,
+        Err(err) => {
+            emit(Event::ConfigUnreadable, &[("key", &record.key), ("why", &err.to_string())]);
+            None
+        }
+    });
+    if from.is_some() {
+        node.on_evacuation_changes(changes.collect(), next);
+    } else {
+        let evacuated = changes.filter(|change| change.is_evacuated);
+        node.on_evacuations(evacuated.map(|change| change.data_centre).collect(), next);
+    }
 }
 
 /// Position of the next record to read. The answer to a long poll may end before the topic does.
@@ -330,6 +351,7 @@
     };
     let withdrawn_before = list.roster.get(id).and_then(withdrawal);
     let identity = decoded_entry.as_ref().map(|decoded_entry| decoded_entry.identity.clone());
+    let cold_left = decoded_entry.as_ref().map_or(Millis::ZERO, |entry| entry.cold_left);
     let ended = match decoded_entry {
         Some(decoded_entry) if is_restored => {
             list.roster.apply_restored(record.place, id, decoded_entry, now);
@@ -349,6 +371,9 @@
             [("instance", id.as_str()), ("state", state), ("offset", &*offset), ("asked", &*asked)];
         emit(Event::InstanceWithdrawn, &fields);
     }
+    if let Some(identity) = &identity {
+        node.on_cold(identity, cold_left);
+    }
     if let Some(incarnation) = ended {
         node.note_superseded(&incarnation);
     }
--- a/crates/workshold-gateway/src/tasks/upkeep.rs
+++ b/crates/workshold-gateway/src/tasks/upkeep.rs
@@ -70,6 +70,7 @@
     node.gaps.lock().retain(|id| known.contains(id));
     node.outliers.lock().retain(|id| known.contains(id));
     node.instance_limits.lock().forget(now, |id| known.contains(id));
+    node.cold_instances.lock().forget(now);
     node.quarantine.lock().forget(now);
     node.loads.tidy();
     let mut peers = node.peers.lock();
--- a/crates/workshold-gateway/tests/common/mod.rs
+++ b/crates/workshold-gateway/tests/common/mod.rs
@@ -86,6 +86,7 @@
         is_ready: true,
         has_traffic: true,
         config: None,
+        evacuations: None,
         list: None,
         acts_by: None,
         past: None,
--- a/crates/workshold-gateway/tests/failover.rs
+++ b/crates/workshold-gateway/tests/failover.rs
@@ -263,6 +263,7 @@
         domain: None,
         slots: 17,
         is_leaving: false,
+        cold_left: Millis::ZERO,
         staged: Vec::new(),
         loaded: Vec::new(),
         membership: Some(Membership {
--- a/crates/workshold-gateway/tests/fleet/mod.rs
+++ b/crates/workshold-gateway/tests/fleet/mod.rs
@@ -10,6 +10,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use smol_str::SmolStr;
+use workshold_core::hosted::evacuation::Evacuations;
 use workshold_core::hosted::quarantine::Quarantine;
 use workshold_gateway::loads::Load;
 use workshold_gateway::peers::Datagram;
@@ -19,6 +20,7 @@
 use workshold_gateway::peers::Message;
 use workshold_gateway::peers::Peers;
 use workshold_gateway::peers::VERSION;
+use workshold_gateway::peers::WireEvacuations;
 use workshold_gateway::peers::WireLoad;
 use workshold_gateway::peers::WireQuarantineEntry;
 use workshold_gateway::peers::exchange::LocalNode;
@@ -26,6 +28,7 @@
 use workshold_gateway::peers::news::ListGap;
 use workshold_gateway::peers::news::STORE_READERS;
 use workshold_protocol::Millis;
+use workshold_protocol::ids::DataCentre;
 
 pub const DATA_CENTRES: usize = 5;
 /// Heads of groups, and at how many of them each node has requests.
@@ -60,6 +63,7 @@
     /// Its requests at head 0, the one whose load the tests examine.
     pub requests_at_head: u32,
     pub quarantine: Quarantine,
+    pub evacuations: Evacuations,
     /// Datagrams sent and received, and bytes received.
     pub sent: u64,
     pub received: u64,
@@ -134,6 +138,7 @@
                 class,
                 requests_at_head: 0,
                 quarantine: Quarantine::default(),
+                evacuations: Evacuations::default(),
                 sent: 0,
                 received: 0,
                 received_bytes: 0,
@@ -164,6 +169,10 @@
             is_ready: true,
             has_traffic: true,
             config: Some((7, 100)),
+            evacuations: self.nodes[i].evacuations.known().map(|(end, evacuated)| {
+                let names = evacuated.iter().map(|name| SmolStr::new(name.as_str()));
+                WireEvacuations { end, data_centres: names.collect() }
+            }),
             list: Some((self.nodes[i].list.into(), 100)),
             acts_by: None,
             past: None,
@@ -334,6 +343,15 @@
             node.quarantine.take(&entry.known(now), is_relay_now);
         });
         let has_quarantine_news = node.quarantine.has_news();
+        let evacuations = match &datagram.message {
+            Message::Heartbeat(heartbeat) => heartbeat.evacuations.as_ref(),
+            Message::Digest(digest) => digest.own.evacuations.as_ref(),
+            _ => None,
+        };
+        let has_evacuations = evacuations.is_some_and(|told| {
+            let names = told.data_centres.iter().map(|name| DataCentre::new(name).unwrap());
+            node.evacuations.adopt(told.end, names.collect(), now)
+        });
         let is_news = match datagram.message {
             Message::Heartbeat(heartbeat) => {
                 let seeks = heartbeat.seeks.then(|| heartbeat.data_centre.clone());
@@ -344,7 +362,7 @@
             Message::Digest(digest) => node.peers.on_digest(&own, from, name, *digest, now),
             _ => false,
         };
-        if has_quarantine_news || (is_news && node.peers.is_relay(&own, now)) {
+        if has_quarantine_news || has_evacuations || (is_news && node.peers.is_relay(&own, now)) {
             node.next_heartbeat_at = node
                 .next_heartbeat_at
                 .min(node.last_heartbeat_at + MIN_HEARTBEAT_INTERVAL)
--- a/crates/workshold-gateway/tests/gossip.rs
+++ b/crates/workshold-gateway/tests/gossip.rs
@@ -15,6 +15,7 @@
 use workshold_gateway::peers::exchange::LocalNode;
 use workshold_gateway::peers::exchange::RELAYS_PER_DATA_CENTRE;
 use workshold_protocol::Millis;
+use workshold_protocol::ids::DataCentre;
 
 use crate::fleet::DATA_CENTRES;
 use crate::fleet::Fleet;
@@ -240,3 +241,26 @@
     fleet.run(Millis(1_000));
     assert_eq!(suspecting(&fleet, fingerprint), nodes);
 }
+
+/// An evacuation that one node has read, and its end, are in force everywhere within a fraction of
+/// the five seconds that are allowed.
+#[rstest]
+#[case(9)]
+#[case(100)]
+#[case(986)]
+fn an_evacuation_is_known_everywhere_within_a_second(#[case] nodes: usize) {
+    let mut fleet = Fleet::start(nodes);
+    fleet.run(SETTLE_TIME);
+    let data_centre = DataCentre::new("dc-1").unwrap();
+    let reader = nodes / 2;
+    for (end, evacuated) in [(8, true), (9, false), (10, true)] {
+        let names = evacuated.then(|| data_centre.clone()).into_iter().collect();
+        let now = fleet.now;
+        fleet.nodes[reader].evacuations.adopt(end.into(), names, now);
+        fleet.nodes[reader].next_heartbeat_at = now;
+        fleet.run(Millis(1_000));
+        let knows =
+            |node: &&SimNode| node.evacuations.contains(&data_centre, fleet.now) == evacuated;
+        assert_eq!(fleet.nodes.iter().filter(knows).count(), nodes);
+    }
+}
--- a/crates/workshold-gateway/tests/peers.rs
+++ b/crates/workshold-gateway/tests/peers.rs
@@ -36,6 +36,7 @@
         is_ready: true,
         has_traffic: false,
         config: Some((7, 100)),
+        evacuations: None,
         list: Some((12.into(), 100)),
         acts_by: None,
         past: None,
--- a/crates/workshold-gateway/tests/platform.rs
+++ b/crates/workshold-gateway/tests/platform.rs
@@ -6,6 +6,8 @@
 mod daemon;
 #[path = "platform/ending.rs"]
 mod ending;
+#[path = "platform/evacuation.rs"]
+mod evacuation;
 #[path = "platform/limits.rs"]
 mod limits;
 #[path = "platform/request_path.rs"]
--- a/crates/workshold-gateway/tests/probing.rs
+++ b/crates/workshold-gateway/tests/probing.rs
@@ -192,6 +192,7 @@
         domain: None,
         slots: 17,
         is_leaving: false,
+        cold_left: Millis::ZERO,
         staged: Vec::new(),
         loaded: Vec::new(),
         membership: None,
--- a/crates/workshold-model/src/hosted/engine.rs
+++ b/crates/workshold-model/src/hosted/engine.rs
@@ -152,6 +152,7 @@
             domain: Some(FabricDomain::new("d").expect("the name is valid")),
             slots: 8,
             is_leaving: false,
+            cold_left: Millis::ZERO,
             staged: self.staged.iter().chain(&self.prestaged).cloned().collect(),
             loaded: self.loaded.iter().cloned().collect(),
             membership,
--- a/crates/workshold-model/src/hosted/steward_node.rs
+++ b/crates/workshold-model/src/hosted/steward_node.rs
@@ -246,6 +246,7 @@
             others: &Vec::new,
             models: &|| models.clone(),
             may_close: view.mode == Mode::ShiftingDemand,
+            is_evacuated: false,
             before_traffic: view.mode == Mode::BeforeTraffic,
             load_share: 1.0,
             last_arrival_at: Millis::ZERO,
