Configuration: nodes that rely on what peers read get a change from a peer, not from the store

Cause: a node read the store as soon as it heard of a newer version, and at its start. Of 986 nodes that makes some 970 calls a change and 986 at the start.

Change: such a node fetches the version from a peer: one of the best equipped that have it, near ones first, drawn at random, after a short random delay. A peer refuses what would keep its link full for longer than a quarter of a second if 32 asked; then, and after two failed fetches, the store is read as before. What a peer announced of a version counts for its freshness once it is taken: it counted as outdated until the next heartbeat, and keys were refused. At its start a node waits up to 1.5 s for peers before it reads the configuration, as it did for the list, unless it is one of few nodes.

Ruled out: pushing the configuration down the tree of the list's news: up to 820 KB in datagrams. Fetching from any peer: the first by address got all.

--- a/crates/workshold-core/src/hosted/config_freshness.rs
+++ b/crates/workshold-core/src/hosted/config_freshness.rs
@@ -11,6 +11,8 @@
 pub struct ConfigFreshness {
     version: Option<u64>,
     newest_at: Millis,
+    /// A newer version that a peer holds, and when it was known to be the newest.
+    announced: Option<(u64, Millis)>,
 }
 
 impl ConfigFreshness {
@@ -30,8 +32,9 @@
                 false
             }
             _ => {
+                let announced = self.announced.filter(|(announced, _)| *announced == version);
                 self.version = Some(version);
-                self.newest_at = at;
+                self.newest_at = announced.map_or(at, |(_, announced_at)| announced_at.max(at));
                 true
             }
         }
@@ -44,7 +47,11 @@
         if self.version == Some(version) {
             self.newest_at = self.newest_at.max(at);
         }
-        self.version.is_none_or(|held| version > held)
+        let is_lacking = self.version.is_none_or(|held| version > held);
+        if is_lacking {
+            self.announced = self.announced.max(Some((version, at)));
+        }
+        is_lacking
     }
 
     /// How long ago the version held was last known to be the newest; `None` without a version.
--- a/crates/workshold-core/tests/hosted.rs
+++ b/crates/workshold-core/tests/hosted.rs
@@ -4,6 +4,8 @@
 mod capacity;
 #[path = "hosted/cold_start.rs"]
 mod cold_start;
+#[path = "hosted/config_freshness.rs"]
+mod config_freshness;
 #[path = "hosted/evacuation.rs"]
 mod evacuation;
 #[path = "hosted/instance_limits.rs"]
--- a/crates/workshold-gateway/src/callers/control.rs
+++ b/crates/workshold-gateway/src/callers/control.rs
@@ -33,10 +33,8 @@
 /// Handles a request of another node or an operator.
 pub fn handle(node: &Node, req: &Request<Incoming>) -> Response<ResponseBody> {
     match req.uri().path() {
-        gossip::CONFIG_PATH => match node.config_bytes() {
-            Some(bytes) => Response::new(responses::full_body(bytes)),
-            None => responses::plain_text(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
-        },
+        gossip::CONFIG_PATH => config(node, usize::MAX),
+        gossip::SHORT_CONFIG_PATH => config(node, node.settings().max_shared_config_len()),
         gossip::LIST_PATH => list_records(node, req.uri().query().unwrap_or_default()),
         path if path.starts_with(QUARANTINE_PATH) => release(node, req.method(), path),
         METRICS_PATH => Response::new(responses::full_body(node.metrics.text(node).into())),
@@ -45,6 +43,17 @@
     }
 }
 
+/// The configuration, for a node that lacks it, unless it is longer than `max_len` bytes.
+fn config(node: &Node, max_len: usize) -> Response<ResponseBody> {
+    match node.config_bytes() {
+        Some(bytes) if bytes.len() > max_len => {
+            responses::plain_text(StatusCode::PAYLOAD_TOO_LARGE, "the configuration is long")
+        }
+        Some(bytes) => Response::new(responses::full_body(bytes)),
+        None => responses::plain_text(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
+    }
+}
+
 /// Releases the quarantined request whose fingerprint ends the path.
 fn release(node: &Node, method: &Method, path: &str) -> Response<ResponseBody> {
     if method != Method::DELETE {
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -220,6 +220,9 @@
     pub list_read_wanted: Notify,
     /// Ends a long poll of the list that is waiting: a read that began later is needed.
     pub list_reread_wanted: Notify,
+    /// Whether a peer has a newer configuration, which peers do not deliver: it has to be read from
+    /// the store.
+    pub is_config_read_wanted: AtomicBool,
     /// Ends a long poll of the configuration that is waiting.
     pub config_reread_wanted: Notify,
     /// Wakes the task that rebuilds the routing table.
@@ -321,6 +324,7 @@
             list_fetch_wanted: Notify::new(),
             list_read_wanted: Notify::new(),
             list_reread_wanted: Notify::new(),
+            is_config_read_wanted: AtomicBool::new(false),
             config_reread_wanted: Notify::new(),
             table_rebuild_wanted: Notify::new(),
             lease_renewal_wanted: Notify::new(),
--- a/crates/workshold-gateway/src/node/store_access.rs
+++ b/crates/workshold-gateway/src/node/store_access.rs
@@ -133,6 +133,13 @@
             self.quarantine.lock().mark_all_unsaved();
             self.quarantine_save_wanted.notify_one();
         }
+    /// Whether this node hears others, and knows of so few that each reads the store itself.
+    pub fn is_in_small_fleet(&self) -> bool {
+        let peers = self.peers.lock();
+        let hears_any = peers.heard(self.now()).next().is_some();
+        hears_any && peers.addresses().len() < MIN_PEERS_FOR_FOLLOWERS
+    }
+
         self.heartbeat_wanted.notify_one();
         self.lease_renewal_wanted.notify_one();
         self.list_read_wanted.notify_one();
--- a/crates/workshold-gateway/src/peers/news.rs
+++ b/crates/workshold-gateway/src/peers/news.rs
@@ -15,6 +15,7 @@
 
 use crate::peers::ListNews;
 use crate::peers::ListRecord;
+use crate::peers::Peer;
 use crate::peers::Peers;
 use crate::peers::exchange::LocalNode;
 use crate::peers::packing::packed_len;
@@ -77,6 +78,28 @@
         data_centres.iter().filter_map(|name| first(name)).collect()
     }
 
+    /// The peer from which a node that holds version `own` of the configuration fetches a newer
+    /// one: one of those that are best equipped, of the same data centre if possible. It is selected
+    /// by the random number `draw`.
+    pub fn config_source(
+        &self,
+        own_node: &LocalNode<'_>,
+        own: Option<u64>,
+        draw: usize,
+        now: Millis,
+    ) -> Option<SocketAddr> {
+        let version = |peer: &Peer| peer.heartbeat.config.map(|(version, _)| version);
+        let newer = self.heard(now).filter(|(_, peer)| version(peer) > own);
+        let order = |peer: &Peer| {
+            let is_distant = peer.heartbeat.data_centre != own_node.data_centre;
+            (is_distant, peer.rank >> super::HASH_BITS)
+        };
+        let newer: Vec<_> = newer.map(|(address, peer)| (order(peer), *address)).collect();
+        let best = newer.iter().map(|(order, _)| *order).min()?;
+        let among: Vec<_> = newer.iter().filter(|(order, _)| *order == best).collect();
+        among.get(draw.checked_rem(among.len())?).map(|(_, address)| *address)
+    }
+
     /// The peer from which a node whose list ends at `next` fetches records: one whose list goes on
     /// beyond that, of the same data centre if possible. It is selected by the random number
     /// `draw`, or all nodes that missed the same records would ask the same peer.
@@ -87,7 +110,7 @@
         draw: usize,
         now: Millis,
     ) -> Option<SocketAddr> {
-        let ends = |peer: &super::Peer| peer.heartbeat.list.map(|(next, _)| next);
+        let ends = |peer: &Peer| peer.heartbeat.list.map(|(next, _)| next);
         let ahead = self.heard(now).filter(|(_, peer)| ends(peer) > next);
         let (nearby, distant): (Vec<_>, Vec<_>) =
             ahead.partition(|(_, peer)| peer.heartbeat.data_centre == own.data_centre);
--- a/crates/workshold-gateway/src/settings.rs
+++ b/crates/workshold-gateway/src/settings.rs
@@ -194,6 +194,10 @@
 const RESERVED_DESCRIPTORS: usize = 300;
 /// Time to live of a lease. The partitions of a node that dies have no holder for this long.
 const LEASE_TTL: Millis = Millis(1_500);
+/// Time for which the link of a node may be full with a configuration that others ask for.
+const SHARED_CONFIG_TIME: Millis = Millis(250);
+/// Nodes that ask one node for a new configuration at the same time.
+const CONFIG_FOLLOWERS: f64 = 32.0;
 
 impl Settings {
     /// This node as its peers know it.
@@ -253,6 +257,13 @@
             ratio: self.bounds.repeat_ratio,
             window: Millis((self.bounds.repeat_window_s * 1000.0) as u64),
             slack: self.bounds.repeat_slack,
+    /// Longest configuration in bytes that this node sends to others as soon as they ask: so long
+    /// that all who ask at the same time get it within [`SHARED_CONFIG_TIME`].
+    pub fn max_shared_config_len(&self) -> usize {
+        let bytes_per_s = self.limits.link_mbit_per_s * 1e6 / 8.0;
+        (bytes_per_s * SHARED_CONFIG_TIME.as_secs_f64() / CONFIG_FOLLOWERS) as usize
+    }
+
         }
     }
 
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -75,6 +76,8 @@
 /// While an answer of the store is arriving, a peer is asked only after this time: an answer
 /// that is incomplete by then may never be completed.
 const MAX_STORE_HEAD_START: Millis = Millis(1_500);
+/// Attempts to fetch a newer configuration from peers before it is read from the store.
+const EARLY_FETCH_ATTEMPTS: usize = 2;
 /// Timeout of a fetch from a peer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -432,32 +435,67 @@
     tokio::join!(catch_up_config(Arc::clone(&node)), catch_up_list(node));
 }
 
-/// Fetches the configuration from a peer if the store does not deliver a newer one in time.
+/// Keeps the configuration up to date with peers, until the node ends. A node that relies on what
+/// peers read fetches a newer configuration from one of them at once, and reads the store only if
+/// that fails: otherwise every change would be read by every node. A node that reads the store
+/// fetches it from a peer if the store does not deliver it in time.
 async fn catch_up_config(node: Arc<Node>) {
-    let mut newer_since = None;
-    let mut received = 0;
-    let mut received_at = Millis::ZERO;
+    let mut progress = StoreProgress::default();
     loop {
         tokio::select! {
             () = tokio::time::sleep(PEER_CHECK_INTERVAL) => {}
             () = node.config_fetch_wanted.notified() => {}
         }
-        let newer = peer_with_newer_config(&node);
-        let now = node.now();
-        if node.config_store.received_len() > received {
-            received = node.config_store.received_len();
-            received_at = now;
+        if newest_config_source(&node).is_none() {
+            node.is_config_read_wanted.store(false, Ordering::Relaxed);
+            progress = StoreProgress::default();
+            continue;
         }
-        newer_since = newer.and(newer_since.or(Some(now)));
-        let waited = newer_since.map_or(Millis::ZERO, |since| now.since(since));
+        let is_early = progress.newer_since.is_none() && !node.is_store_reader();
+        if is_early && fetch_config_early(&node).await {
+            continue;
+        }
+        node.is_config_read_wanted.store(true, Ordering::Relaxed);
+        if progress.is_too_slow(node.config_store.received_len(), node.now())
+            && let Some(peer) = newest_config_source(&node)
+        {
+            fetch_config(&node, peer, CONFIG_PATH).await;
+        }
+    }
+}
+
+/// Fetches a newer configuration from a peer unless it is long. Returns whether that worked.
+async fn fetch_config_early(node: &Node) -> bool {
+    let spread = Millis(rand::random_range(0..=FETCH_MAX_JITTER.0));
+    tokio::time::sleep(spread.to_duration()).await;
+    for _ in 0..EARLY_FETCH_ATTEMPTS {
+        let Some(peer) = newest_config_source(node) else { return true };
+        fetch_config(node, peer, SHORT_CONFIG_PATH).await;
+    }
+    newest_config_source(node).is_none()
+}
+
+/// How a newer configuration that a peer has announced is arriving from the store.
+#[derive(Debug, Default)]
+struct StoreProgress {
+    newer_since: Option<Millis>,
+    received: u64,
+    received_at: Millis,
+}
+
+impl StoreProgress {
+    /// Whether the store, which has sent `received` bytes by `now`, does not deliver it in time.
+    fn is_too_slow(&mut self, received: u64, now: Millis) -> bool {
+        if received > self.received {
+            self.received = received;
+            self.received_at = now;
+        }
+        let waited = now.since(*self.newer_since.get_or_insert(now));
         // Data that is already arriving from the store would load this node's link and a
         // peer's a second time: without this check 28 of 61 nodes received 820 KB twice.
         let is_arriving =
-            now.since(received_at) < STORE_HEAD_START && waited < MAX_STORE_HEAD_START;
-        let has_waited = waited >= STORE_HEAD_START && !is_arriving;
-        if let Some(peer) = newer.filter(|_| has_waited) {
-            fetch_config(&node, peer).await;
-        }
+            now.since(self.received_at) < STORE_HEAD_START && waited < MAX_STORE_HEAD_START;
+        waited >= STORE_HEAD_START && !is_arriving
     }
 }
 
@@ -508,12 +546,11 @@
 }
 
 /// A peer that holds a newer configuration than this node; `None` if no peer that is heard does.
-pub fn peer_with_newer_config(node: &Node) -> Option<SocketAddr> {
+fn newest_config_source(node: &Node) -> Option<SocketAddr> {
     let own = node.config_age().map(|(version, _)| version);
-    let peers = node.peers.lock();
-    let heard = peers.heard(node.now());
-    let newer = heard.filter(|(_, peer)| peer.heartbeat.config.map(|(version, _)| version) > own);
-    newer.map(|(address, _)| *address).next()
+    let settings = node.settings();
+    let draw = rand::random::<u32>() as usize;
+    node.peers.lock().config_source(&settings.own(), own, draw, node.now())
 }
 
 /// Handles a peer's report that the list ended at `next` at time `at`: this node's list is
@@ -535,10 +572,12 @@
 pub const CONFIG_PATH: &str = "/peer/config";
 /// HTTP path at which a node serves its list records to peers, from a given position on.
 pub const LIST_PATH: &str = "/peer/list";
+/// The same, unless the configuration is too long for the link of that node.
+pub const SHORT_CONFIG_PATH: &str = "/peer/short-config";
 
 /// Fetches a peer's configuration and installs it.
-async fn fetch_config(node: &Node, peer: SocketAddr) {
-    let Some(bytes) = fetch(peer, CONFIG_PATH).await else { return };
+async fn fetch_config(node: &Node, peer: SocketAddr, path: &str) {
+    let Some(bytes) = fetch(peer, path).await else { return };
     let Ok(serving_config) = config::decode(&bytes) else { return };
     let version = serving_config.version.to_string();
     // The peer's next heartbeat tells how recent it is.
--- a/crates/workshold-gateway/src/tasks/store_sync.rs
+++ b/crates/workshold-gateway/src/tasks/store_sync.rs
@@ -25,7 +25,6 @@
 use crate::node::Node;
 use crate::peers::ListNews;
 use crate::peers::ListRecord;
-use crate::tasks::gossip;
 use crate::tasks::long_poll;
 use crate::tasks::long_poll::PollAnswer;
 use crate::tasks::long_poll::PollOutcome;
@@ -56,6 +55,7 @@
 /// Keeps the configuration in sync with the store until the node ends.
 pub async fn config(node: Arc<Node>) {
     let mut cursor = TopicCursor::default();
+    wait_to_start(&node, || node.config_age().is_some() || node.is_in_small_fleet()).await;
     loop {
         wait_while_peers_read(&node, is_config_current).await;
         tokio::select! {
@@ -77,10 +77,9 @@
     newest: Option<u64>,
 }
 
-/// Waits at the node's start until it has received the list from a peer, or knows that it has to
-/// read the store itself, or [`MAX_START_WAIT`] are over.
-async fn wait_to_start(node: &Node) {
-    let has_it = || node.list.lock().next.is_some();
+/// Waits at the node's start until it has received from a peer what it needs (`has_it`), or knows
+/// that it has to read the store itself, or [`MAX_START_WAIT`] are over.
+async fn wait_to_start(node: &Node, has_it: impl Fn() -> bool) {
     while node.age() < MAX_START_WAIT
         && !has_it()
         && !(node.knows_peers() && node.is_store_reader())
@@ -101,12 +100,11 @@
     !node.is_store_reader() && !node.are_readers_cut_off() && is_current(node)
 }
 
-/// Not if a peer has a newer configuration: it is read from the store, since it may be long and a
-/// peer's link is slow.
+/// Not if a peer has a newer configuration that peers do not deliver.
 fn is_config_current(node: &Node) -> bool {
     let current = node.settings().max_shared_config_age();
     let is_fresh = node.config_age().is_some_and(|(_, age)| age < current);
-    is_fresh && gossip::peer_with_newer_config(node).is_none()
+    is_fresh && !node.is_config_read_wanted.load(Ordering::Relaxed)
 }
 
 /// Not while the steward waits for list entries, for which it reads the store itself.
@@ -205,7 +203,7 @@
 /// Keeps the instance list in sync with the store until the node ends.
 pub async fn list(node: Arc<Node>) {
     loop {
-        wait_to_start(&node).await;
+        wait_to_start(&node, || node.list.lock().next.is_some()).await;
         wait_while_peers_read(&node, is_list_current).await;
         let rules = node.settings().list_poll_rules(node.is_store_reader());
         let wait = if node.needs_list_reread() { Millis::ZERO } else { rules.wait };
--- a/crates/workshold-gateway/tests/followers.rs
+++ b/crates/workshold-gateway/tests/followers.rs
@@ -16,6 +16,9 @@
 use bytes::Bytes;
 use rstest::rstest;
 use smol_str::SmolStr;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use workshold_core::hosted::serving_config::Limits;
 use workshold_core::hosted::serving_config::ServingConfig;
@@ -29,6 +32,7 @@
 use workshold_gateway::tasks::gossip;
 use workshold_gateway::tasks::long_poll::Topic;
 use workshold_gateway::tasks::store_sync;
+use workshold_platform_standin::deployment;
 use workshold_protocol::Millis;
 
 /// With this many other nodes, only a few read the store.
@@ -179,6 +183,46 @@
     }
 }
 
+/// A peer that serves a configuration of version 7 over HTTP.
+async fn peer_with_config() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut buf = [0; 4096];
+            let _ = stream.read(&mut buf).await;
+            let config = deployment::config(7, "k1");
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", config.len());
+            let _ = stream.write_all((head + &config).as_bytes()).await;
+        }
+    });
+    address
+}
+
+/// Guards against a store that every node reads after every change: 986 nodes made some 970 calls
+/// for each.
+#[tokio::test]
+async fn a_follower_gets_a_newer_configuration_from_a_peer_and_leaves_the_store_alone() {
+    let (store, asked) = common::listen_as_peer().await;
+    let node = follower_of(&store.to_string(), &[reader("a", 100)]).await;
+    node.install_config(serving_config(), Bytes::from_static(b"{}"), node.now());
+    let peer = peer_with_config().await;
+    let report = PeerReport { data_centre: "a", list_trouble_ms: None, store_age_ms: 100 };
+    let newer = Heartbeat { config: Some((7, 0)), next_ms: 20_000, ..heartbeat(peer, report) };
+    let own = node.settings().control();
+    node.peers.lock().on_heartbeat(own, peer, SmolStr::new("n-99"), newer, node.now());
+    assert!(node.confirm_config(7, node.now()));
+    node.config_fetch_wanted.notify_one();
+    let store_sync = tokio::spawn(store_sync::config(Arc::clone(&node)));
+    let catching_up = tokio::spawn(gossip::catch_up(Arc::clone(&node)));
+    tokio::time::sleep(CHECK_TIME).await;
+    store_sync.abort();
+    catching_up.abort();
+    assert_eq!(node.config_age(), Some((7, Millis::ZERO)), "as fresh as the peer says");
+    assert_eq!(asked.load(Ordering::Relaxed), 0);
+}
+
 fn serving_config() -> ServingConfig {
     let limits = Limits {
         head_len: 16_384,
