Lease: as many nodes stand for it as it has partitions; nodes are found by the settings' seeds

If nobody holds a lease that has not expired although the store answers somebody, others step in one after the other, and leave once two candidates hold it again. - Heartbeats and digests tell how many hold a lease that has not expired. - The role serves `control`, so that the settings name seeds. The store is asked for nodes only by a node that has heard nobody after 1 to 1.5 s, and by relays. - Who is gone for good is dropped from the count of nodes also where the store is not asked, unless few peers are heard.

--- a/crates/workshold-core/src/hosted.rs
+++ b/crates/workshold-core/src/hosted.rs
@@ -14,7 +14,8 @@
 //! - Planning: the demand for each model ([`demand`]), the load that a group can take
 //!   ([`capacity`]), and which groups there should be ([`planner`]).
 //! - Forming groups: [`steward`] plans for a fabric domain and sends orders to its instances;
-//!   [`partition_lease`] says when a node may act as one.
+//!   [`lease_candidacy`] says which nodes stand for the lease that this needs, and
+//!   [`partition_lease`] when a node may act by it.
 //! - Requests: their content ([`fingerprint`]), those that crash instances ([`quarantine`]), the
 //!   limits that instances announce ([`instance_limits`]) or have while they are cold
 //!   ([`cold_start`]), how nodes share these ([`token_bucket`]), the choice of an instance
@@ -30,6 +31,7 @@
 pub mod groups;
 pub mod identity;
 pub mod instance_limits;
+pub mod lease_candidacy;
 pub mod long_poll;
 pub mod node_census;
 pub mod partition_lease;
--- a/crates/workshold-core/src/hosted/node_census.rs
+++ b/crates/workshold-core/src/hosted/node_census.rs
@@ -35,7 +35,12 @@
     /// that are gone.
     pub fn on_listed(&mut self, named: impl IntoIterator<Item = K>, at: Millis) {
         named.into_iter().for_each(|node| self.on_seen(node, at));
-        self.last_seen.retain(|_, last| at.since(*last) < GONE_AFTER);
+        self.forget(at);
+    }
+
+    /// Drops nodes that are gone.
+    pub fn forget(&mut self, now: Millis) {
+        self.last_seen.retain(|_, last| now.since(*last) < GONE_AFTER);
     }
 
     /// The number of nodes that may be running.
--- a/crates/workshold-core/tests/hosted.rs
+++ b/crates/workshold-core/tests/hosted.rs
@@ -10,6 +10,8 @@
 mod evacuation;
 #[path = "hosted/instance_limits.rs"]
 mod instance_limits;
+#[path = "hosted/lease_candidacy.rs"]
+mod lease_candidacy;
 #[path = "hosted/liveness.rs"]
 mod liveness;
 #[path = "hosted/long_poll.rs"]
--- a/crates/workshold-gateway/src/metrics.rs
+++ b/crates/workshold-gateway/src/metrics.rs
@@ -58,7 +58,8 @@
     Orders = "orders", "counter", "orders given to instances";
     ConfigReads = "config_reads", "counter", "reads of the configuration from the store";
     ListReads = "list_reads", "counter", "reads of the list of instances from the store";
-    LeaseCalls = "lease_calls", "counter", "renewals of the lease, and queries for its holders";
+    LeaseCalls = "lease_calls", "counter", "renewals of the lease at the store";
+    DiscoveryCalls = "discovery_calls", "counter", "queries of the store for other nodes";
     Looks = "looks", "counter", "probes of an instance";
     LooksSilent = "looks_silent", "counter", "probes that were not answered in time";
     LooksVoid = "looks_void", "counter", "probes that showed nothing because this node itself was delayed";
--- a/crates/workshold-gateway/src/node/store_access.rs
+++ b/crates/workshold-gateway/src/node/store_access.rs
@@ -1,5 +1,6 @@
 //! Which nodes read the store on behalf of others, and how its answers are accepted.
 
+use workshold_core::hosted::lease_candidacy::LeaseView;
 use workshold_core::hosted::store_era::Era;
 use workshold_core::hosted::store_era::EraOrder;
 use workshold_platform::store::Answer;
@@ -93,6 +94,38 @@
         Some(age.unwrap_or(LIST_TROUBLE_MAX_AGE_MS).min(LIST_TROUBLE_MAX_AGE_MS))
     }
 
+    /// Whether this node holds a partition of the lease and has renewed it in time.
+    pub fn holds_lease(&self) -> bool {
+        let ttl = self.settings().lease_ttl();
+        let lease = self.lease.lock();
+        !lease.parts.is_empty() && self.now().since(lease.renewed_at) < ttl
+    }
+
+    /// What this node knows for its decision whether to stand for the lease. In a small fleet
+    /// every node does.
+    pub fn lease_view(&self) -> LeaseView {
+        let now = self.now();
+        let settings = self.settings();
+        let has_followers = self.has_followers();
+        let holds_itself = self.holds_lease();
+        let peers = self.peers.lock();
+        let totals = peers.totals(now);
+        let own_holds = usize::from(holds_itself && peers.totals_include_self(now));
+        let before = peers.nodes_before_for_lease(&settings.own(), settings.store.parts, now);
+        LeaseView {
+            nodes_before: before.filter(|_| has_followers),
+            holders: totals.lease_holders.saturating_sub(own_holds),
+            is_store_answering: totals
+                .store_answered
+                .is_some_and(|at| now.since(at) < READERS_CUT_OFF_AFTER),
+        }
+    }
+
+    /// Whether this node is one of its data centre's relays.
+    pub fn is_relay(&self) -> bool {
+        self.peers.lock().is_relay(&self.settings().own(), self.now())
+    }
+
     /// Whether this node is among the first `most` of its data centre by rank.
     fn ranks_first(&self, most: usize) -> bool {
         let settings = self.settings();
@@ -100,6 +133,13 @@
         self.peers.lock().ranks_among_first(&settings.node.name, data_centre, most, self.now())
     }
 
+    /// Whether this node hears others, and knows of so few that each reads the store itself.
+    pub fn is_in_small_fleet(&self) -> bool {
+        let peers = self.peers.lock();
+        let hears_any = peers.heard(self.now()).next().is_some();
+        hears_any && peers.addresses().len() < MIN_PEERS_FOR_FOLLOWERS
+    }
+
     /// Whether there are so many nodes that some rely on what others read.
     pub fn has_followers(&self) -> bool {
         self.peers.lock().heard(self.now()).count() >= MIN_PEERS_FOR_FOLLOWERS
@@ -133,13 +173,6 @@
             self.quarantine.lock().mark_all_unsaved();
             self.quarantine_save_wanted.notify_one();
         }
-    /// Whether this node hears others, and knows of so few that each reads the store itself.
-    pub fn is_in_small_fleet(&self) -> bool {
-        let peers = self.peers.lock();
-        let hears_any = peers.heard(self.now()).next().is_some();
-        hears_any && peers.addresses().len() < MIN_PEERS_FOR_FOLLOWERS
-    }
-
         self.heartbeat_wanted.notify_one();
         self.lease_renewal_wanted.notify_one();
         self.list_read_wanted.notify_one();
--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -270,6 +270,23 @@
         let mut totals = self.totals(now).loads();
         if self.totals_include_self(now) {
             // The totals of the relays include what this node has reported to them.
+    /// How many nodes of its data centre come before this one by rank, beyond those that stand for
+    /// the lease; `None` if it is one of these. All data centres together have as many of them as
+    /// the lease has partitions, `parts`.
+    pub fn nodes_before_for_lease(
+        &self,
+        own: &LocalNode<'_>,
+        parts: u64,
+        now: Millis,
+    ) -> Option<usize> {
+        let own_rank = rank(own.name, self.class);
+        let data_centres = self.other_data_centres(own, now).len() + 1;
+        let candidates = (parts as usize).div_ceil(data_centres);
+        let nearby = self.heard(now).filter(|(_, p)| p.heartbeat.data_centre == own.data_centre);
+        let before = nearby.filter(|(_, peer)| peer.rank < own_rank).count();
+        before.checked_sub(candidates)
+    }
+
             for (instance, load) in &self.reported_loads {
                 totals.entry(*instance).and_modify(|sum| *sum = sum.less(*load));
             }
@@ -349,6 +366,12 @@
         self.fleet_digest.as_ref().filter(|heard| heard.is_fresh(now))
     }
 }
+    /// Drops nodes that are gone from the number of nodes. Only for a node that hears most others:
+    /// one that is cut off must not count fewer.
+    pub fn forget_gone(&mut self, now: Millis) {
+        self.census.forget(now);
+    }
+
 
 /// Whether other nodes wait for what has changed in a heartbeat: that the node stops serving,
 /// its fencing token, a newer era of the store (a restore from a snapshot), a newer configuration,
--- a/crates/workshold-gateway/src/peers/exchange.rs
+++ b/crates/workshold-gateway/src/peers/exchange.rs
@@ -84,6 +84,8 @@
     /// The workload that their callers ask for, by the hashes of models' names.
     pub fn work(&self) -> &BTreeMap<u32, Workload> {
         &self.by_model
+    /// Number of nodes that hold a partition of the lease and have renewed it in time.
+    pub lease_holders: usize,
     }
 
     /// The addresses of nodes that may send orders to instances, with their fencing tokens.
@@ -129,6 +131,7 @@
         self.add_work(&digest.work);
         self.add_loads(&digest.loads);
         self.acts_by.extend(digest.acts_by.iter().copied());
+        self.lease_holders += usize::from(heartbeat.holds_lease);
         self.seen_percent = self.seen_percent.max(digest.seen_percent);
         self.has_traffic |= digest.has_traffic;
         self.add_store_answer(heard.at - Millis(digest.store_age_ms));
@@ -139,6 +142,7 @@
     /// The messages to send now; `heartbeat` is this node's heartbeat, `draw` a random number.
     pub fn outgoing(
         &mut self,
+        self.lease_holders += usize::from(digest.lease_holders);
         own: &LocalNode<'_>,
         heartbeat: &Heartbeat,
         now: Millis,
@@ -469,6 +473,7 @@
         self.valid_fleet_digest(now).is_some()
     }
 
+            lease_holders: totals.lease_holders.min(usize::from(u16::MAX)) as u16,
     /// The totals of the heartbeats that this node receives from a data centre.
     fn data_centre_totals(&self, data_centre: &str, now: Millis) -> FleetTotals {
         let mut totals = FleetTotals::default();
@@ -562,3 +567,4 @@
         silent_after,
     }
 }
+            holds_lease: false,
--- a/crates/workshold-gateway/src/peers/messages.rs
+++ b/crates/workshold-gateway/src/peers/messages.rs
@@ -245,6 +245,8 @@
     pub acts_by: Vec<(SocketAddr, Fence)>,
     /// Time since the store last answered any of the nodes, in ms.
     pub store_age_ms: u64,
+    /// Number of nodes that hold a partition of the lease and have renewed it in time.
+    pub lease_holders: u16,
     /// Whether any of the nodes has received requests.
     pub has_traffic: bool,
     /// The workload that the nodes' callers ask for, by model.
@@ -312,6 +314,8 @@
     pub list_trouble_ms: Option<u32>,
     /// A random sample of the nodes that it hears; only filled in if `seeks` is set.
     pub hears: Vec<SocketAddr>,
+    /// Whether it holds a partition of the lease and has renewed it in time.
+    pub holds_lease: bool,
     /// Whether it looks for relays and wants a digest in reply.
     pub seeks: bool,
     /// The workload that its callers ask for, by model.
--- a/crates/workshold-gateway/src/settings.rs
+++ b/crates/workshold-gateway/src/settings.rs
@@ -56,6 +56,10 @@
     pub readiness: SocketAddr,
     /// For callers who ask which addresses to use.
     pub directory: SocketAddr,
+    /// Nodes that may be there, by the addresses that the platform names for them; only the IP
+    /// counts, since all nodes have the same port for gossip.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Port for the gossip datagrams of other nodes and, over TCP, for the control server that
     /// other nodes and operators use; the same port on all nodes.
     pub peers_port: u16,
@@ -190,14 +194,14 @@
 const RETRY_INTERVAL_MAX: Millis = Millis(1_300);
 /// Time allowed for the store's answer and for passing on what another node has read.
 const CONFIG_FORWARDING_ALLOWANCE: Millis = Millis(700);
-/// File descriptors reserved for the store, probes of suspected instances, peers and files.
-const RESERVED_DESCRIPTORS: usize = 300;
-/// Time to live of a lease. The partitions of a node that dies have no holder for this long.
-const LEASE_TTL: Millis = Millis(1_500);
 /// Time for which the link of a node may be full with a configuration that others ask for.
 const SHARED_CONFIG_TIME: Millis = Millis(250);
 /// Nodes that ask one node for a new configuration at the same time.
 const CONFIG_FOLLOWERS: f64 = 32.0;
+/// File descriptors reserved for the store, probes of suspected instances, peers and files.
+const RESERVED_DESCRIPTORS: usize = 300;
+/// Time to live of a lease. The partitions of a node that dies have no holder for this long.
+const LEASE_TTL: Millis = Millis(1_500);
 
 impl Settings {
     /// This node as its peers know it.
@@ -219,6 +223,13 @@
         ADDRESS_TTL_S.min(self.bounds.addresses_good_at_most_s)
     }
 
+    /// Addresses at which other nodes may receive gossip.
+    pub fn seeds(&self) -> impl Iterator<Item = SocketAddr> {
+        let own = self.control();
+        let seeds = self.listen.seeds.iter();
+        seeds.map(move |seed| SocketAddr::new(seed.ip(), own.port())).filter(move |at| *at != own)
+    }
+
     /// How old a configuration may be for API keys to be accepted by it.
     pub fn max_key_age(&self) -> Millis {
         Millis((self.bounds.keys_believed_ms as f64 * KEY_AGE_FACTOR) as u64)
@@ -246,6 +257,13 @@
         wait + wait + CONFIG_FORWARDING_ALLOWANCE
     }
 
+    /// Longest configuration in bytes that this node sends to others as soon as they ask: so long
+    /// that all who ask at the same time get it within [`SHARED_CONFIG_TIME`].
+    pub fn max_shared_config_len(&self) -> usize {
+        let bytes_per_s = self.limits.link_mbit_per_s * 1e6 / 8.0;
+        (bytes_per_s * SHARED_CONFIG_TIME.as_secs_f64() / CONFIG_FOLLOWERS) as usize
+    }
+
     /// Time to live of a lease.
     pub fn lease_ttl(&self) -> Millis {
         LEASE_TTL.max(Millis(self.store.least_ttl_ms))
@@ -257,13 +275,6 @@
             ratio: self.bounds.repeat_ratio,
             window: Millis((self.bounds.repeat_window_s * 1000.0) as u64),
             slack: self.bounds.repeat_slack,
-    /// Longest configuration in bytes that this node sends to others as soon as they ask: so long
-    /// that all who ask at the same time get it within [`SHARED_CONFIG_TIME`].
-    pub fn max_shared_config_len(&self) -> usize {
-        let bytes_per_s = self.limits.link_mbit_per_s * 1e6 / 8.0;
-        (bytes_per_s * SHARED_CONFIG_TIME.as_secs_f64() / CONFIG_FOLLOWERS) as usize
-    }
-
         }
     }
 
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -175,6 +175,7 @@
     let (work, observed_fraction) = node.local_workload();
     // Taken before the struct is built: no lock may be held while the other fields are computed.
     let acts_by = node.lease.lock().active_fence();
+    let holds_lease = node.holds_lease();
     Heartbeat {
         callers: settings.listen.callers,
         data_centre: SmolStr::new(settings.node.data_centre.as_str()),
@@ -188,6 +189,7 @@
         hears: Vec::new(),
         seeks: false,
         acts_by,
+        holds_lease,
         past: node.store_monitor.told(node.now()),
         store_age_ms: node.store_silent_for().0,
         list_trouble_ms: node.list_failure_age_ms(),
@@ -570,10 +572,10 @@
 
 /// HTTP path at which a node serves its configuration to peers.
 pub const CONFIG_PATH: &str = "/peer/config";
-/// HTTP path at which a node serves its list records to peers, from a given position on.
-pub const LIST_PATH: &str = "/peer/list";
 /// The same, unless the configuration is too long for the link of that node.
 pub const SHORT_CONFIG_PATH: &str = "/peer/short-config";
+/// HTTP path at which a node serves its list records to peers, from a given position on.
+pub const LIST_PATH: &str = "/peer/list";
 
 /// Fetches a peer's configuration and installs it.
 async fn fetch_config(node: &Node, peer: SocketAddr, path: &str) {
--- a/crates/workshold-gateway/src/tasks/leasing.rs
+++ b/crates/workshold-gateway/src/tasks/leasing.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use workshold_core::hosted::lease_candidacy::LeaseCandidacy;
 use workshold_core::hosted::partition_lease::PartitionLease;
 use workshold_core::hosted::store_era::Fence;
 use workshold_platform::store::GroupAssignment;
@@ -23,6 +24,8 @@
 /// The same for a node that holds no partition, as there are more nodes than partitions; still
 /// shorter than the lease's duration.
 const RENEWAL_INTERVAL_IDLE: Duration = Duration::from_millis(1_000);
+/// Interval at which a node that does not stand for the lease decides again whether it does.
+const CANDIDACY_INTERVAL: Duration = Duration::from_millis(200);
 /// Least time between two renewals, whatever fencing tokens peers announce.
 const MIN_RENEWAL_GAP: Duration = Duration::from_millis(60);
 /// Interval at which a starting node checks whether it knows its peers.
@@ -32,6 +35,8 @@
 const MAX_PEER_WAIT: Millis = Millis(2_000);
 /// Timeout of a call to the store.
 const STORE_TIMEOUT: Millis = Millis(700);
+/// Time in which one of the nodes that the settings name answers, if any is there.
+const SEED_TIMEOUT: Millis = Millis(1_500);
 /// Interval at which a node asks the store for other nodes. A new node asks at its start, and its
 /// heartbeats make it known to the others; this is for nodes that were cut off for long.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(20_000);
@@ -49,16 +54,31 @@
     let member = member(&node);
     let ttl = node.settings().lease_ttl();
     wait_for_peers(&node).await;
+    let mut candidacy = LeaseCandidacy::default();
+    let mut is_member = false;
     while !node.is_leaving() {
-        let sent = node.now();
-        if let Ok((joined, fence)) = join(&node, &member, ttl, sent).await {
-            take(&node, fence, &joined.partitions, sent);
+        if candidacy.stands(node.lease_view(), node.now()) {
+            is_member = true;
+            let sent = node.now();
+            if let Ok((joined, fence)) = join(&node, &member, ttl, sent).await {
+                take(&node, fence, &joined.partitions, sent);
+            }
+        } else if std::mem::take(&mut is_member) {
+            leave(&node, &member).await;
         }
-        wait_for_renewal(&node).await;
+        wait_for_renewal(&node, is_member).await;
     }
+    if is_member {
+        leave(&node, &member).await;
+    }
+}
+
+/// Gives up this node's partitions and leaves the group.
+async fn leave(node: &Node, member: &str) {
     node.lease.lock().parts.clear();
+    node.heartbeat_wanted.notify_one();
     // If this call fails, the lease expires by itself.
-    let _ = node.store.leave(GROUP, &member, STORE_TIMEOUT).await;
+    let _ = node.store.leave(GROUP, member, STORE_TIMEOUT).await;
 }
 
 /// Joins the group or renews the membership. A generation of an earlier era is not passed on,
@@ -88,10 +108,15 @@
     }
 }
 
-/// Waits before the next renewal: a short time if a peer has announced a higher fencing token.
-async fn wait_for_renewal(node: &Node) {
+/// Waits before the next renewal, or the next decision whether to stand for the lease: a short time
+/// if a peer has announced a higher fencing token.
+async fn wait_for_renewal(node: &Node, is_member: bool) {
     let has_parts = !node.lease.lock().parts.is_empty();
-    let interval = if has_parts { RENEWAL_INTERVAL } else { RENEWAL_INTERVAL_IDLE };
+    let interval = match (is_member, has_parts) {
+        (true, true) => RENEWAL_INTERVAL,
+        (true, false) => RENEWAL_INTERVAL_IDLE,
+        (false, _) => CANDIDACY_INTERVAL,
+    };
     tokio::time::sleep(MIN_RENEWAL_GAP).await;
     tokio::select! {
         () = tokio::time::sleep(interval - MIN_RENEWAL_GAP) => {}
@@ -136,24 +161,50 @@
     }
 }
 
-/// Discovers other nodes as members of the lease's group, until the node ends.
+/// Discovers other nodes until the node ends: by the settings and, if none of those answers, as
+/// members of the lease's group. Nodes that hear others learn of all of them by gossip. Only relays
+/// go on asking the store, in case the fleet has split into parts that do not know each other.
 pub async fn discover_peers(node: Arc<Node>) {
-    let own = node.settings().control();
+    let seeds: Vec<SocketAddr> = node.settings().seeds().collect();
+    seeds.iter().for_each(|seed| node.peers.lock().add(*seed, node.now()));
+    if !seeds.is_empty() {
+        node.heartbeat_wanted.notify_one();
+        wait_for_seeds(&node).await;
+    }
     loop {
-        let sent = node.now();
-        node.metrics.count(Metric::LeaseCalls);
-        let answer = node.store.owners(GROUP, STORE_TIMEOUT).await;
-        if let Ok(owners) = answer.and_then(|answer| node.take_answer(answer, sent)) {
-            let addresses = owners.iter().filter_map(|owner| address_of(&owner.member));
-            let others: Vec<SocketAddr> = addresses.filter(|address| *address != own).collect();
-            node.peers.lock().on_listed(&others, sent);
-        }
         let is_alone = node.peers.lock().heard(node.now()).next().is_none();
+        if is_alone || node.is_relay() {
+            discover_by_store(&node).await;
+        }
+        if !node.hears_few_peers() {
+            node.peers.lock().forget_gone(node.now());
+        }
         let pause = if is_alone { DISCOVERY_INTERVAL_ALONE } else { DISCOVERY_INTERVAL };
         tokio::time::sleep(pause).await;
     }
 }
 
+/// Waits until a node of the settings has answered, or [`SEED_TIMEOUT`] are over.
+async fn wait_for_seeds(node: &Node) {
+    let timeout = Millis(rand::random_range(SEED_TIMEOUT.0 * 2 / 3..=SEED_TIMEOUT.0));
+    while node.age() < timeout && node.peers.lock().heard(node.now()).next().is_none() {
+        tokio::time::sleep(PEER_WAIT_CHECK_INTERVAL).await;
+    }
+}
+
+/// Asks the store once for the members of the lease's group.
+async fn discover_by_store(node: &Node) {
+    let own = node.settings().control();
+    let sent = node.now();
+    node.metrics.count(Metric::DiscoveryCalls);
+    let answer = node.store.owners(GROUP, STORE_TIMEOUT).await;
+    if let Ok(owners) = answer.and_then(|answer| node.take_answer(answer, sent)) {
+        let addresses = owners.iter().filter_map(|owner| address_of(&owner.member));
+        let others: Vec<SocketAddr> = addresses.filter(|address| *address != own).collect();
+        node.peers.lock().on_listed(&others, sent);
+    }
+}
+
 /// The address in a member name; `None` if it has none.
 fn address_of(member: &str) -> Option<SocketAddr> {
     member.split('/').next()?.parse().ok()
--- a/crates/workshold-gateway/tests/common/mod.rs
+++ b/crates/workshold-gateway/tests/common/mod.rs
@@ -89,6 +89,7 @@
         evacuations: None,
         list: None,
         acts_by: None,
+        holds_lease: false,
         past: None,
         store_age_ms: 100,
         list_trouble_ms: None,
--- a/crates/workshold-gateway/tests/fleet/mod.rs
+++ b/crates/workshold-gateway/tests/fleet/mod.rs
@@ -175,6 +175,7 @@
             }),
             list: Some((self.nodes[i].list.into(), 100)),
             acts_by: None,
+            holds_lease: false,
             past: None,
             store_age_ms: 100,
             list_trouble_ms: None,
--- a/crates/workshold-gateway/tests/peers.rs
+++ b/crates/workshold-gateway/tests/peers.rs
@@ -39,6 +39,7 @@
         evacuations: None,
         list: Some((12.into(), 100)),
         acts_by: None,
+        holds_lease: false,
         past: None,
         store_age_ms: 100,
         list_trouble_ms: None,
