Gossip: nodes that have gone silent are told in turn until all know

Cause: a digest listed 24 nodes that had changed, for a second. After half of 986 nodes had ended at once most were never told as gone, and counted as alive until their listing ran out 13 s later: 505 of the rest would have named dead nodes to callers seven seconds on. What grew with the fleet was the time that telling takes.

Change: digests carry the addresses of nodes that have gone silent, 128 in turn, for twelve seconds. A relay that has been one for two seconds takes those that never sent it anything for gone: they ended with the relays before it, and counted as present they kept it from speaking for its data centre.

--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -48,6 +48,7 @@
 pub use self::messages::Scope;
 pub use self::messages::VERSION;
 pub use self::messages::WireEvacuations;
+pub use self::messages::WireGone;
 pub use self::messages::WireLimit;
 pub use self::messages::WireLoad;
 pub use self::messages::WireNode;
@@ -137,8 +138,12 @@
     gone: BTreeSet<SocketAddr>,
     /// When a heartbeat was last sent to a silent address, to heal a partition of the fleet.
     sought_at: Millis,
+    /// Since when this node has been a relay; `None` if it is none.
+    relay_since: Option<Millis>,
     /// The node that the round robin of digests listed last, by scope.
     round_robin: [Option<SocketAddr>; 2],
+    /// The same for nodes that have gone silent.
+    gone_round_robin: [Option<SocketAddr>; 2],
 }
 
 /// A peer counts as gone after this many missed heartbeats, plus [`HEARTBEAT_DELAY`].
@@ -265,11 +270,6 @@
         before.take(most).count() < most
     }
 
-    /// Load at each instance from all other nodes.
-    pub fn loads(&self, now: Millis) -> HashMap<u32, Load> {
-        let mut totals = self.totals(now).loads();
-        if self.totals_include_self(now) {
-            // The totals of the relays include what this node has reported to them.
     /// How many nodes of its data centre come before this one by rank, beyond those that stand for
     /// the lease; `None` if it is one of these. All data centres together have as many of them as
     /// the lease has partitions, `parts`.
@@ -287,6 +287,11 @@
         before.checked_sub(candidates)
     }
 
+    /// Load at each instance from all other nodes.
+    pub fn loads(&self, now: Millis) -> HashMap<u32, Load> {
+        let mut totals = self.totals(now).loads();
+        if self.totals_include_self(now) {
+            // The totals of the relays include what this node has reported to them.
             for (instance, load) in &self.reported_loads {
                 totals.entry(*instance).and_modify(|sum| *sum = sum.less(*load));
             }
@@ -361,17 +366,17 @@
         self.data_centre_digests.retain(|_, heard| heard.is_fresh(now));
     }
 
-    /// The digest of all nodes, if there is a valid one.
-    fn valid_fleet_digest(&self, now: Millis) -> Option<&ReceivedDigest> {
-        self.fleet_digest.as_ref().filter(|heard| heard.is_fresh(now))
-    }
-}
     /// Drops nodes that are gone from the number of nodes. Only for a node that hears most others:
     /// one that is cut off must not count fewer.
     pub fn forget_gone(&mut self, now: Millis) {
         self.census.forget(now);
     }
 
+    /// The digest of all nodes, if there is a valid one.
+    fn valid_fleet_digest(&self, now: Millis) -> Option<&ReceivedDigest> {
+        self.fleet_digest.as_ref().filter(|heard| heard.is_fresh(now))
+    }
+}
 
 /// Whether other nodes wait for what has changed in a heartbeat: that the node stops serving,
 /// its fencing token, a newer era of the store (a restore from a snapshot), a newer configuration,
--- a/crates/workshold-gateway/src/peers/exchange.rs
+++ b/crates/workshold-gateway/src/peers/exchange.rs
@@ -21,6 +21,7 @@
 use crate::peers::messages::Heartbeat;
 use crate::peers::messages::Message;
 use crate::peers::messages::Scope;
+use crate::peers::messages::WireGone;
 use crate::peers::messages::WireLoad;
 use crate::peers::messages::WireNode;
 use crate::peers::messages::WireWorkload;
@@ -36,10 +37,17 @@
 const CHANGE_REPORT_TIME: Millis = Millis(1_000);
 /// Most changed nodes in one digest.
 const MAX_CHANGED_NODES: usize = 24;
+/// Time for which digests list a node that has gone silent, if others that have are listed in turn
+/// with it: longer than a node that nobody lists any more counts as alive.
+const GONE_REPORT_TIME: Millis = Millis(12_000);
+/// Most nodes that have gone silent in one digest: three relays list a thousand within a second.
+const MAX_GONE_NODES: usize = 128;
 /// A relay sends a heartbeat to a silent address no more often than this.
 const SEEK_INTERVAL: Millis = Millis(1_000);
 /// Least time for which a node that a digest lists counts as alive after it was heard.
 const MIN_LISTED_LIFETIME: Millis = Millis(MIN_SILENCE.0 + HEARTBEAT_DELAY.0);
+/// Time after which all nodes of its data centre have sent something to a new relay.
+const RELAY_SETTLE_TIME: Millis = Millis(2_000);
 /// Greatest difference between the times at which two relays last heard the same node, while
 /// both of them hear it.
 const MAX_HEARD_DIFFERENCE: Millis = Millis(400);
@@ -76,6 +84,8 @@
     pub seen_percent: u8,
     /// Whether any of them has received requests.
     pub has_traffic: bool,
+    /// Number of nodes that hold a partition of the lease and have renewed it in time.
+    pub lease_holders: usize,
     /// When the store last answered any of them.
     pub store_answered: Option<Millis>,
 }
@@ -84,8 +94,6 @@
     /// The workload that their callers ask for, by the hashes of models' names.
     pub fn work(&self) -> &BTreeMap<u32, Workload> {
         &self.by_model
-    /// Number of nodes that hold a partition of the lease and have renewed it in time.
-    pub lease_holders: usize,
     }
 
     /// The addresses of nodes that may send orders to instances, with their fencing tokens.
@@ -123,6 +131,7 @@
         self.acts_by.extend(heartbeat.acts_by.map(|fence| (address, fence)));
         self.seen_percent = self.seen_percent.max(heartbeat.seen_percent);
         self.has_traffic |= heartbeat.has_traffic;
+        self.lease_holders += usize::from(heartbeat.holds_lease);
         self.add_store_answer(heard - Millis(heartbeat.store_age_ms));
     }
 
@@ -131,9 +140,9 @@
         self.add_work(&digest.work);
         self.add_loads(&digest.loads);
         self.acts_by.extend(digest.acts_by.iter().copied());
-        self.lease_holders += usize::from(heartbeat.holds_lease);
         self.seen_percent = self.seen_percent.max(digest.seen_percent);
         self.has_traffic |= digest.has_traffic;
+        self.lease_holders += usize::from(digest.lease_holders);
         self.add_store_answer(heard.at - Millis(digest.store_age_ms));
     }
 }
@@ -142,7 +151,6 @@
     /// The messages to send now; `heartbeat` is this node's heartbeat, `draw` a random number.
     pub fn outgoing(
         &mut self,
-        self.lease_holders += usize::from(digest.lease_holders);
         own: &LocalNode<'_>,
         heartbeat: &Heartbeat,
         now: Millis,
@@ -151,6 +159,8 @@
         self.reported_loads =
             heartbeat.loads.iter().map(|entry| (entry.instance, entry.load())).collect();
         let is_relay = self.is_relay(own, now);
+        self.relay_since = is_relay.then(|| self.relay_since.unwrap_or(now));
+        self.drop_unheard(own, now);
         let mut relays = self.relays(own.data_centre, now);
         relays.truncate(if is_relay { RELAYS_PER_DATA_CENTRE - 1 } else { RELAYS_PER_DATA_CENTRE });
         let mut messages = Vec::new();
@@ -197,8 +207,7 @@
         let mut digest = self.digest(Scope::All, own, heartbeat, now);
         for relay in self.relays(data_centre, now) {
             digest.nodes.retain(|entry| entry.address != relay);
-            let entry =
-                self.by_address.get(&relay).map(|peer| digest_entry(relay, peer, false, now));
+            let entry = self.by_address.get(&relay).map(|peer| digest_entry(relay, peer, now));
             digest.nodes.extend(entry);
         }
         Message::Digest(Box::new(digest))
@@ -232,6 +241,9 @@
         for entry in digest.nodes.iter().filter(|entry| entry.address != own.address) {
             is_urgent |= self.on_digest_entry(entry, cycle, now);
         }
+        for entry in digest.gone.iter().filter(|entry| entry.address != own.address) {
+            is_urgent |= self.on_gone(entry, now);
+        }
         if digest.scope == Scope::All {
             self.peers_node_count = Some(digest.heard);
         }
@@ -254,40 +266,65 @@
         let heard = now - Millis(u64::from(entry.age) * AGE_UNIT_MS);
         let since = self.addresses.entry(entry.address).or_insert(heard);
         *since = (*since).max(heard);
-        if !entry.is_gone {
-            self.census.on_seen(entry.address, now);
-        }
+        self.census.on_seen(entry.address, now);
+        let silent_after = MIN_LISTED_LIFETIME + cycle;
         let Some(peer) = self.by_address.get_mut(&entry.address) else {
-            let silent_after =
-                if entry.is_gone { Millis::ZERO } else { MIN_LISTED_LIFETIME + cycle };
             let peer = peer_from_entry(entry, heard, silent_after);
             self.by_address.insert(entry.address, peer);
             self.changed.insert(entry.address, now);
             return false;
         };
-        if entry.is_gone {
-            // If it was heard later, another digest will list it as alive again.
-            let is_believed = peer.heard <= heard + MAX_HEARD_DIFFERENCE && peer.is_heard(now);
-            if is_believed {
-                peer.silent_after = MIN_LISTED_LIFETIME.min(now.since(peer.heard));
-                self.gone.insert(entry.address);
-                self.changed.insert(entry.address, now);
-            }
-            return is_believed && peer.heartbeat.is_ready;
-        }
         if heard <= peer.heard {
             return false;
         }
         let stops = peer.heartbeat.is_ready && !entry.is_ready;
         peer.heard = heard;
         peer.heartbeat.is_ready = entry.is_ready;
-        peer.silent_after = MIN_LISTED_LIFETIME + cycle;
+        peer.silent_after = silent_after;
         if self.gone.remove(&entry.address) || stops {
             self.changed.insert(entry.address, now);
         }
         stops
     }
 
+    /// Handles a relay's report that a node has gone silent. Returns whether the node was taken for
+    /// one that serves. If it was heard later, the report is outdated.
+    fn on_gone(&mut self, entry: &WireGone, now: Millis) -> bool {
+        let heard = now - Millis(u64::from(entry.age) * AGE_UNIT_MS);
+        let Some(peer) = self.by_address.get_mut(&entry.address) else { return false };
+        if peer.heard > heard + MAX_HEARD_DIFFERENCE || !peer.is_heard(now) {
+            return false;
+        }
+        peer.silent_after = MIN_LISTED_LIFETIME.min(now.since(peer.heard));
+        let was_ready = peer.heartbeat.is_ready;
+        self.gone.insert(entry.address);
+        self.changed.insert(entry.address, now);
+        was_ready
+    }
+
+    /// Notes nodes of this relay's data centre as gone that have never sent it anything, although it
+    /// has been a relay for long enough: they ended together with the relays before it, and only
+    /// digests of those have listed them. Counted as present they would keep it from believing that
+    /// it hears its data centre.
+    fn drop_unheard(&mut self, own: &LocalNode<'_>, now: Millis) {
+        if self.relay_since.is_none_or(|since| now.since(since) < RELAY_SETTLE_TIME) {
+            return;
+        }
+        let is_unheard = |peer: &Peer| {
+            let is_nearby = peer.heartbeat.data_centre == own.data_centre;
+            let is_silent = peer.heard_directly.is_none_or(|at| now.since(at) >= RELAY_SETTLE_TIME);
+            is_nearby
+                && is_silent
+                && peer.is_heard(now)
+                && now.since(peer.heard) >= RELAY_SETTLE_TIME
+        };
+        for (address, peer) in self.by_address.iter_mut().filter(|(_, peer)| is_unheard(peer)) {
+            peer.silent_after = Millis::ZERO;
+            self.gone.insert(*address);
+            self.changed.insert(*address, now);
+        }
+    }
+
     /// Notes which nodes of this relay's data centre have gone silent.
     fn note_gone(&mut self, own: &LocalNode<'_>, now: Millis) {
         let is_gone = |peer: &Peer| {
@@ -433,8 +470,10 @@
             scope,
             own: Heartbeat { work: Vec::new(), loads: Vec::new(), ..heartbeat.clone() },
             nodes: self.digest_entries(scope, own, now),
+            gone: self.gone_entries(scope, own, now),
             heard: heard.min(usize::from(u16::MAX)) as u16,
             acts_by: totals.acts_by.into_iter().collect(),
+            lease_holders: totals.lease_holders.min(usize::from(u16::MAX)) as u16,
             store_age_ms: now.since(answered).0,
             has_traffic: totals.has_traffic,
             work: work.collect(),
@@ -473,7 +512,6 @@
         self.valid_fleet_digest(now).is_some()
     }
 
-            lease_holders: totals.lease_holders.min(usize::from(u16::MAX)) as u16,
     /// The totals of the heartbeats that this node receives from a data centre.
     fn data_centre_totals(&self, data_centre: &str, now: Millis) -> FleetTotals {
         let mut totals = FleetTotals::default();
@@ -487,44 +525,82 @@
 
     /// Entries for a digest: nodes that have changed, and the next ones of the round robin.
     fn digest_entries(&mut self, scope: Scope, own: &LocalNode<'_>, now: Millis) -> Vec<WireNode> {
-        let is_covered = |peer: &Peer| match scope {
-            Scope::All => true,
-            Scope::DataCentre => peer.heartbeat.data_centre == own.data_centre,
-        };
-        let changed = self.changed.iter().filter(|(_, at)| now.since(**at) < CHANGE_REPORT_TIME);
-        let mut changed: Vec<SocketAddr> = changed.map(|(address, _)| *address).collect();
-        // Nodes that are gone come before nodes that are new.
-        changed.sort_by_key(|address| !self.gone.contains(address));
-        let first: BTreeSet<SocketAddr> = changed.into_iter().take(MAX_CHANGED_NODES).collect();
-        let heard: BTreeSet<SocketAddr> = self
+        let changed = self.changed.iter().filter(|(address, at)| {
+            now.since(**at) < CHANGE_REPORT_TIME && !self.gone.contains(address)
+        });
+        let first: BTreeSet<SocketAddr> =
+            changed.map(|(address, _)| *address).take(MAX_CHANGED_NODES).collect();
+        let heard = self
             .heard(now)
-            .filter(|(address, peer)| is_covered(peer) && !first.contains(address))
-            .map(|(address, _)| *address)
-            .collect();
-        let last_listed = &mut self.round_robin[usize::from(scope == Scope::All)];
-        let after = heard.iter().filter(|address| last_listed.is_none_or(|last| **address > last));
-        let in_turn =
-            after.chain(heard.iter().filter(|address| last_listed.is_some_and(|l| **address <= l)));
-        let in_turn: Vec<SocketAddr> = in_turn.take(ROUND_ROBIN_NODES).copied().collect();
-        *last_listed = in_turn.last().copied().or(*last_listed);
+            .filter(|(address, peer)| is_covered(peer, scope, own) && !first.contains(address));
+        let heard: BTreeSet<SocketAddr> = heard.map(|(address, _)| *address).collect();
+        let last = &mut self.round_robin[scope_index(scope)];
+        let in_turn = next_in_turn(&heard, last, ROUND_ROBIN_NODES);
         let all = first.iter().chain(&in_turn);
         let peers = all.filter_map(|address| Some((address, self.by_address.get(address)?)));
-        let peers = peers.filter(|(_, peer)| is_covered(peer));
-        let is_gone = |address: &SocketAddr| self.gone.contains(address);
-        peers.map(|(address, peer)| digest_entry(*address, peer, is_gone(address), now)).collect()
+        let peers = peers.filter(|(_, peer)| is_covered(peer, scope, own));
+        peers.map(|(address, peer)| digest_entry(*address, peer, now)).collect()
+    }
+
+    /// The next of the nodes that have gone silent lately, for a digest.
+    fn gone_entries(&mut self, scope: Scope, own: &LocalNode<'_>, now: Millis) -> Vec<WireGone> {
+        let is_recent = |address: &SocketAddr| {
+            self.changed.get(address).is_some_and(|at| now.since(*at) < GONE_REPORT_TIME)
+        };
+        let is_reported = |address: &SocketAddr| {
+            let peer = self.by_address.get(address);
+            is_recent(address) && peer.is_some_and(|peer| is_covered(peer, scope, own))
+        };
+        let gone: BTreeSet<SocketAddr> =
+            self.gone.iter().filter(|address| is_reported(address)).copied().collect();
+        let last = &mut self.gone_round_robin[scope_index(scope)];
+        let in_turn = next_in_turn(&gone, last, MAX_GONE_NODES);
+        let peers = in_turn.iter().filter_map(|at| Some((at, self.by_address.get(at)?)));
+        peers.map(|(at, peer)| WireGone { address: *at, age: wire_age(peer, now) }).collect()
     }
 }
 
+/// Whether a digest of this scope covers a node.
+fn is_covered(peer: &Peer, scope: Scope, own: &LocalNode<'_>) -> bool {
+    scope == Scope::All || peer.heartbeat.data_centre == own.data_centre
+}
+
+/// Index of what is kept for each scope.
+const fn scope_index(scope: Scope) -> usize {
+    match scope {
+        Scope::DataCentre => 0,
+        Scope::All => 1,
+    }
+}
+
+/// The next addresses of a round robin that listed `last` before, at most `max`.
+fn next_in_turn(
+    all: &BTreeSet<SocketAddr>,
+    last: &mut Option<SocketAddr>,
+    max: usize,
+) -> Vec<SocketAddr> {
+    let is_after = |address: &&SocketAddr| last.is_none_or(|last| **address > last);
+    let rest_of_turn = all.iter().filter(is_after);
+    let start_of_turn = all.iter().filter(|address| !is_after(address));
+    let in_turn: Vec<SocketAddr> = rest_of_turn.chain(start_of_turn).take(max).copied().collect();
+    *last = in_turn.last().copied().or(*last);
+    in_turn
+}
+
+/// Time since a node was last heard, as it is encoded in a datagram.
+fn wire_age(peer: &Peer, now: Millis) -> u8 {
+    (now.since(peer.heard).0 / AGE_UNIT_MS).min(u64::from(u8::MAX)) as u8
+}
+
 /// The entry of a digest for a peer.
-fn digest_entry(address: SocketAddr, peer: &Peer, is_gone: bool, now: Millis) -> WireNode {
+fn digest_entry(address: SocketAddr, peer: &Peer, now: Millis) -> WireNode {
     WireNode {
         address,
         callers: peer.heartbeat.callers,
         data_centre: peer.heartbeat.data_centre.clone(),
         rank: peer.rank,
         is_ready: peer.heartbeat.is_ready,
-        is_gone,
-        age: (now.since(peer.heard).0 / AGE_UNIT_MS).min(u64::from(u8::MAX)) as u8,
+        age: wire_age(peer, now),
     }
 }
 
@@ -550,6 +626,7 @@
             evacuations: None,
             list: None,
             acts_by: None,
+            holds_lease: false,
             past: None,
             store_age_ms: 0,
             list_trouble_ms: None,
@@ -567,4 +644,3 @@
         silent_after,
     }
 }
-            holds_lease: false,
--- a/crates/workshold-gateway/src/peers/messages.rs
+++ b/crates/workshold-gateway/src/peers/messages.rs
@@ -26,7 +26,7 @@
 use crate::peers::packing;
 
 /// Version of the format of these messages; datagrams of another version are ignored.
-pub const VERSION: u8 = 9;
+pub const VERSION: u8 = 11;
 
 /// A datagram from one node to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -239,14 +239,16 @@
     pub own: Heartbeat,
     /// Some of the nodes: those that have changed, and others by round robin.
     pub nodes: Vec<WireNode>,
+    /// Some of the nodes that have gone silent lately, by round robin.
+    pub gone: Vec<WireGone>,
     /// Number of nodes that the relay knows, itself included.
     pub heard: u16,
     /// Addresses of nodes that may send orders to instances, with their fencing tokens.
     pub acts_by: Vec<(SocketAddr, Fence)>,
-    /// Time since the store last answered any of the nodes, in ms.
-    pub store_age_ms: u64,
     /// Number of nodes that hold a partition of the lease and have renewed it in time.
     pub lease_holders: u16,
+    /// Time since the store last answered any of the nodes, in ms.
+    pub store_age_ms: u64,
     /// Whether any of the nodes has received requests.
     pub has_traffic: bool,
     /// The workload that the nodes' callers ask for, by model.
@@ -258,6 +260,15 @@
     pub loads: Vec<WireLoad>,
 }
 
+/// A node that has gone silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireGone {
+    /// The address that it sent datagrams from.
+    pub address: SocketAddr,
+    /// Time since it was last heard, in units of [`AGE_UNIT_MS`].
+    pub age: u8,
+}
+
 /// An entry of a digest: one node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireNode {
@@ -271,8 +282,6 @@
     pub rank: u32,
     /// Whether it serves callers.
     pub is_ready: bool,
-    /// Whether it has gone silent.
-    pub is_gone: bool,
     /// Time since it was last heard, in units of [`AGE_UNIT_MS`].
     pub age: u8,
 }
@@ -305,6 +314,8 @@
     pub list: Option<(LogPosition, u64)>,
     /// The fencing token of its orders; `None` if it holds no partition of the lease.
     pub acts_by: Option<Fence>,
+    /// Whether it holds a partition of the lease and has renewed it in time.
+    pub holds_lease: bool,
     /// The newest era of the store that it knows, and for how long it has, in ms.
     pub past: Option<(Era, u64)>,
     /// Time since the store last answered it, in ms.
@@ -314,8 +325,6 @@
     pub list_trouble_ms: Option<u32>,
     /// A random sample of the nodes that it hears; only filled in if `seeks` is set.
     pub hears: Vec<SocketAddr>,
-    /// Whether it holds a partition of the lease and has renewed it in time.
-    pub holds_lease: bool,
     /// Whether it looks for relays and wants a digest in reply.
     pub seeks: bool,
     /// The workload that its callers ask for, by model.
--- a/crates/workshold-gateway/tests/fleet/mod.rs
+++ b/crates/workshold-gateway/tests/fleet/mod.rs
@@ -235,8 +235,8 @@
         let own_address = address(i);
         let node = &mut self.nodes[i];
         let is_reader =
-            node.peers.ranks_among_first(&node.name, &node.data_centre, STORE_READERS, now);
-        if is_reader && node.list < self.end && node.next_read_at <= now {
+            || node.peers.ranks_among_first(&node.name, &node.data_centre, STORE_READERS, now);
+        if node.list < self.end && node.next_read_at <= now && is_reader() {
             node.list = self.end;
             node.has_unsent_reads = true;
             node.gap.on_own_list_end(node.list.into());
@@ -393,6 +393,16 @@
         (*heard.iter().min().unwrap(), *heard.iter().max().unwrap())
     }
 
+    /// How many running nodes would name a node that is down to callers.
+    pub fn naming_dead_nodes(&self) -> usize {
+        let is_dead = |address: &SocketAddr| !self.nodes[index(*address)].is_up;
+        let names_dead = |node: &&SimNode| {
+            let mut heard = node.peers.heard(self.now);
+            node.is_up && heard.any(|(at, peer)| peer.heartbeat.is_ready && is_dead(at))
+        };
+        self.nodes.iter().filter(names_dead).count()
+    }
+
     pub fn set_requests_at_head(&mut self, requests: u32) {
         self.nodes.iter_mut().for_each(|node| node.requests_at_head = requests);
     }
--- a/crates/workshold-gateway/tests/gossip.rs
+++ b/crates/workshold-gateway/tests/gossip.rs
@@ -6,6 +6,9 @@
 
 mod fleet;
 
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use workshold_core::hosted::fingerprint::Fingerprint;
 use workshold_core::hosted::quarantine::Quarantine;
@@ -242,6 +245,26 @@
     assert_eq!(suspecting(&fleet, fingerprint), nodes);
 }
 
+/// Half of all nodes are killed at once. Callers must not be sent to any of them seven seconds
+/// later, a second before the shortest time that callers are promised at this size.
+///
+/// Guards against reports of changed nodes that leave most of them out: a digest listed 24 that had
+/// changed, for a second, and 505 nodes that were left of 986 named others that were dead.
+#[rstest]
+#[case(100)]
+#[case(300)]
+#[case(986)]
+fn killed_nodes_are_soon_named_to_nobody(#[case] nodes: usize) {
+    let mut fleet = Fleet::start(nodes);
+    fleet.run(SETTLE_TIME);
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    for node in &mut fleet.nodes {
+        node.is_up = rng.random_bool(0.5);
+    }
+    fleet.run(Millis(7_000));
+    assert_eq!(fleet.naming_dead_nodes(), 0, "of {nodes} nodes");
+}
+
 /// An evacuation that one node has read, and its end, are in force everywhere within a fraction of
 /// the five seconds that are allowed.
 #[rstest]
