--- a/crates/workshold-gateway/src/node/store_access.rs
+++ b/crates/workshold-gateway/src/node/store_access.rs
@@ -47,16 +47,19 @@
     /// nodes start at once; each waits for a time that grows with its rank, so that there are nodes
     /// to ask.
     pub fn knows_peers(&self) -> bool {
-        let settings = self.settings();
-        let delay = (u64::from(rank(&settings.node.name, settings.limits.class()))
-            * FIRST_START_STAGGER.0)
-            >> u32::BITS;
-        if settings.node.is_first_start && self.age() < Millis(delay) {
+        if self.settings().node.is_first_start && self.age() < self.start_stagger() {
             return false;
         }
         !self.peers.lock().misses_nodes(self.now())
     }
 
+    /// How long this node waits at the first start of a fleet; it grows with its rank.
+    pub fn start_stagger(&self) -> Millis {
+        let settings = self.settings();
+        let own_rank = rank(&settings.node.name, settings.limits.class());
+        Millis((u64::from(own_rank) * FIRST_START_STAGGER.0) >> u32::BITS)
+    }
+
     /// Whether this node reads the store itself. With many nodes only a few of each data centre
     /// do, and the others rely on what these have read.
     pub fn is_store_reader(&self) -> bool {
--- a/crates/workshold-gateway/src/settings.rs
+++ b/crates/workshold-gateway/src/settings.rs
@@ -56,10 +56,6 @@
     pub readiness: SocketAddr,
     /// For callers who ask which addresses to use.
     pub directory: SocketAddr,
-    /// Nodes that may be there, by the addresses that the platform names for them; only the IP
-    /// counts, since all nodes have the same port for gossip.
-    #[serde(default)]
-    pub seeds: Vec<SocketAddr>,
     /// Port for the gossip datagrams of other nodes and, over TCP, for the control server that
     /// other nodes and operators use; the same port on all nodes.
     pub peers_port: u16,
@@ -223,13 +219,6 @@
         ADDRESS_TTL_S.min(self.bounds.addresses_good_at_most_s)
     }
 
-    /// Addresses at which other nodes may receive gossip.
-    pub fn seeds(&self) -> impl Iterator<Item = SocketAddr> {
-        let own = self.control();
-        let seeds = self.listen.seeds.iter();
-        seeds.map(move |seed| SocketAddr::new(seed.ip(), own.port())).filter(move |at| *at != own)
-    }
-
     /// How old a configuration may be for API keys to be accepted by it.
     pub fn max_key_age(&self) -> Millis {
         Millis((self.bounds.keys_believed_ms as f64 * KEY_AGE_FACTOR) as u64)
--- a/crates/workshold-gateway/src/tasks/leasing.rs
+++ b/crates/workshold-gateway/src/tasks/leasing.rs
@@ -35,8 +35,8 @@
 const MAX_PEER_WAIT: Millis = Millis(2_000);
 /// Timeout of a call to the store.
 const STORE_TIMEOUT: Millis = Millis(700);
-/// Time in which one of the nodes that the settings name answers, if any is there.
-const SEED_TIMEOUT: Millis = Millis(1_500);
+/// Time after its turn to start within which a node has joined the group.
+const FIRST_JOIN_TIME: Millis = Millis(100);
 /// Interval at which a node asks the store for other nodes. A new node asks at its start, and its
 /// heartbeats make it known to the others; this is for nodes that were cut off for long.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(20_000);
@@ -161,15 +161,13 @@
     }
 }
 
-/// Discovers other nodes until the node ends: by the settings and, if none of those answers, as
-/// members of the lease's group. Nodes that hear others learn of all of them by gossip. Only relays
-/// go on asking the store, in case the fleet has split into parts that do not know each other.
+/// Discovers other nodes until the node ends, as members of the lease's group. Nodes that hear others
+/// learn of all of them by gossip. Only relays go on asking the store, in case the fleet has split
+/// into parts that do not know each other.
 pub async fn discover_peers(node: Arc<Node>) {
-    let seeds: Vec<SocketAddr> = node.settings().seeds().collect();
-    seeds.iter().for_each(|seed| node.peers.lock().add(*seed, node.now()));
-    if !seeds.is_empty() {
-        node.heartbeat_wanted.notify_one();
-        wait_for_seeds(&node).await;
+    if node.settings().node.is_first_start {
+        // The first nodes have joined the group by then, so that the others ask only once.
+        tokio::time::sleep((node.start_stagger() + FIRST_JOIN_TIME).to_duration()).await;
     }
     loop {
         let is_alone = node.peers.lock().heard(node.now()).next().is_none();
@@ -184,14 +182,6 @@
     }
 }
 
-/// Waits until a node of the settings has answered, or [`SEED_TIMEOUT`] are over.
-async fn wait_for_seeds(node: &Node) {
-    let timeout = Millis(rand::random_range(SEED_TIMEOUT.0 * 2 / 3..=SEED_TIMEOUT.0));
-    while node.age() < timeout && node.peers.lock().heard(node.now()).next().is_none() {
-        tokio::time::sleep(PEER_WAIT_CHECK_INTERVAL).await;
-    }
-}
-
 /// Asks the store once for the members of the lease's group.
 async fn discover_by_store(node: &Node) {
     let own = node.settings().control();
