--- a/crates/workshold-gateway/src/peers/exchange.rs
+++ b/crates/workshold-gateway/src/peers/exchange.rs
@@ -40,8 +40,8 @@
 /// Time for which digests list a node that has gone silent, if others that have are listed in turn
 /// with it: longer than a node that nobody lists any more counts as alive.
 const GONE_REPORT_TIME: Millis = Millis(12_000);
-/// Most nodes that have gone silent in one digest: three relays list a thousand within a second.
-const MAX_GONE_NODES: usize = 128;
+/// Most nodes that have gone silent in one digest: three relays list a thousand within two seconds.
+const MAX_GONE_NODES: usize = 64;
 /// A relay sends a heartbeat to a silent address no more often than this.
 const SEEK_INTERVAL: Millis = Millis(1_000);
 /// Least time for which a node that a digest lists counts as alive after it was heard.
