--- a/crates/workshold-gateway/src/peers/exchange.rs
+++ b/crates/workshold-gateway/src/peers/exchange.rs
@@ -37,10 +37,10 @@
 const CHANGE_REPORT_TIME: Millis = Millis(1_000);
 /// Most changed nodes in one digest.
 const MAX_CHANGED_NODES: usize = 24;
-/// Time for which digests list a node that has gone silent, if others that have are listed in turn
-/// with it: longer than a node that nobody lists any more counts as alive.
+/// Time for which digests list a node that has gone silent, in turn with others that have: a digest
+/// may get lost, and a node may hear of it only from its next relay.
 const GONE_REPORT_TIME: Millis = Millis(12_000);
-/// Most nodes that have gone silent in one digest: three relays list a thousand within two seconds.
+/// Most nodes that have gone silent in one digest: with these it still fits a datagram.
 const MAX_GONE_NODES: usize = 64;
 /// A relay sends a heartbeat to a silent address no more often than this.
 const SEEK_INTERVAL: Millis = Millis(1_000);
