Admission: order of admission by rank, kind and team

Under overload it did not depend on rank or team which requests were refused (docs/design/hard-load.md, part 2).

--- a/crates/workshold-core/src/hosted.rs
+++ b/crates/workshold-core/src/hosted.rs
@@ -21,7 +21,9 @@
 //!   ([`cold_start`]), how nodes share these ([`token_bucket`]), the choice of an instance
 //!   ([`placement`]), stalled streams ([`stall`]), retries ([`retry_policy`]), and the number of
 //!   nodes that share the retry budget ([`node_census`]).
+//! - Overload: which requests are admitted, and when refused callers return ([`admission`]).
 
+pub mod admission;
 pub mod capacity;
 pub mod cold_start;
 pub mod config_freshness;
