Admission: tests for absurd fractions and for the longest return time

Trial mutations of the sources showed two rules that no test checked: the meaning of a fraction that is no number, and that spreading keeps to the time that callers honour. The ledger's clock jumps were handled twice; once is enough.

--- a/crates/workshold-core/src/hosted/admission/return_time.rs
+++ b/crates/workshold-core/src/hosted/admission/return_time.rs
@@ -161,12 +161,12 @@
         if now < begin && begin - now <= CLOCK_TOLERANCE {
             return begin;
         }
-        let passed = usize::try_from(slot.wrapping_sub(self.first_slot)).unwrap_or(SLOTS);
-        if now < begin || passed >= SLOTS {
-            self.slots.iter_mut().for_each(|returns| *returns = 0);
-        } else {
-            self.slots.rotate_left(passed);
-            self.slots.range_mut(SLOTS - passed..).for_each(|returns| *returns = 0);
+        // A clock that has jumped back or far ahead leaves nothing of the ledger.
+        let passed =
+            slot.checked_sub(self.first_slot).map_or(SLOTS as u64, |n| n.min(SLOTS as u64));
+        for _ in 0..passed {
+            self.slots.pop_front();
+            self.slots.push_back(0);
         }
         self.first_slot = slot;
         now
--- a/crates/workshold-core/tests/admission_order.rs
+++ b/crates/workshold-core/tests/admission_order.rs
@@ -293,6 +293,20 @@
     }
 }
 
+/// Guards against an outage where the fraction can't be computed: the bucket still limits.
+#[rstest]
+#[case::not_a_number(f64::NAN, 1.0)]
+#[case::infinite(f64::INFINITY, 1.0)]
+#[case::negative(-1.0, 0.0)]
+#[case::none(0.0, 0.0)]
+fn an_absurd_fraction_has_a_stated_meaning(#[case] model_fraction: f64, #[case] expected: f64) {
+    let arrivals = mixed_arrivals();
+    let precedence = counted(&arrivals);
+    for arrival in &arrivals {
+        assert_eq!(precedence.admitted_fraction(arrival, model_fraction), expected);
+    }
+}
+
 /// Guards against a draw that prefers small requests: the largest must be admitted as often.
 #[test]
 fn the_size_of_a_request_makes_no_difference() {
--- a/crates/workshold-core/tests/return_time.rs
+++ b/crates/workshold-core/tests/return_time.rs
@@ -301,6 +301,17 @@
     assert!(beyond_ledger >= Millis(30_000) && beyond_ledger < Millis(38_000), "{beyond_ledger}");
 }
 
+/// Guards against a spread that takes a return beyond what its caller honours, where there is
+/// capacity just before.
+#[test]
+fn spreading_keeps_to_the_longest_time_that_is_honoured() {
+    let backlog = Backlog { excess: 19.5, completed_per_s: 10.0 };
+    for fingerprint in 0..100 {
+        let told = ReturnLedger::default().retry_after(first(fingerprint), backlog, START);
+        assert!(told >= Millis(1_950) && told.0 <= TIME_LIMIT.0 / 3, "{fingerprint}: {told}");
+    }
+}
+
 /// Guards against records that hold callers up for as long as a clock has jumped.
 #[test]
 fn after_a_clock_jumps_back_nothing_is_held_up() {
