Admission: what the heads of a model accept, and which one is drawn

Change: a head accepts what it completes plus its free slots spread over the age of the counts; heads are drawn by that rate; the sum over the heads and the rate of arrivals give the fraction that every node admits. The limit that callers of a route state is learned, since the configured one may be longer. The draw of a request changes every four seconds, so that no content is refused for long. Returning callers may be given more or less than the capacity that is left.

--- a/crates/workshold-core/src/hosted/admission.rs
+++ b/crates/workshold-core/src/hosted/admission.rs
@@ -1,11 +1,14 @@
-//! Admission under overload (docs/design/hard-load.md): which requests are admitted when there are
-//! more than can be served ([`precedence`]), and when refused callers return ([`return_time`]).
+//! Admission under overload (docs/design/hard-load.md): how many requests can be served and where
+//! ([`room`]), which are admitted when there are more ([`precedence`]), and when refused callers
+//! return ([`return_time`]).
 
 use workshold_protocol::Millis;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 pub mod precedence;
 pub mod return_time;
+pub mod room;
+pub mod stated_limit;
 
 /// How a request relates to earlier refusals. The derived order is the order of admission among
 /// requests of one rank.
--- a/crates/workshold-core/src/hosted/admission/precedence.rs
+++ b/crates/workshold-core/src/hosted/admission/precedence.rs
@@ -18,17 +18,21 @@
 use super::unit_hash;
 
 /// Rules of the order of admission.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PrecedenceRules {
     /// Number of ranks; a higher rank in a request counts as the last one.
     pub ranks: u8,
     /// Time constant of the exponential decay by which an arrival counts less and less.
     pub decay_time: Millis,
+    /// What the returning callers of a rank take of the capacity that is left for it, as a fraction,
+    /// before new ones do. Below 1, a lasting overload leaves some capacity for requests that can
+    /// still be answered in time; above 1, callers that return as told are admitted beyond it.
+    pub returning_share: f64,
 }
 
 impl Default for PrecedenceRules {
     fn default() -> Self {
-        Self { ranks: 1, decay_time: Millis(2_000) }
+        Self { ranks: 1, decay_time: Millis(2_000), returning_share: 1.0 }
     }
 }
 
@@ -54,12 +58,16 @@
 /// Distinguishes the draw of [`draw`] from other hashes of the fingerprint.
 const DRAW_PURPOSE: u64 = 1;
 
+/// Length of the periods in which a request's draw stays the same: longer than impatient callers
+/// go on repeating a request, and short enough that no content is refused for long by its draw.
+const DRAW_PERIOD: Millis = Millis::from_secs(4);
+
 /// A number in [0, 1) for the comparison with [`Precedence::admitted_fraction`]. It depends on the
-/// content of the request only, so a caller that repeats a refused request at once, here or at
-/// other nodes, doesn't get another chance. Its next chance is its return at the time that it was
-/// told, as [`ArrivalKind::Returning`].
-pub fn draw(fingerprint: u64) -> f64 {
-    unit_hash(fingerprint, DRAW_PURPOSE)
+/// content of the request and on the period of the wall-clock time only, so a caller that repeats a
+/// refused request at once, here or at other nodes, doesn't get another chance. Its next chance is
+/// its return at the time that it was told, as [`ArrivalKind::Returning`].
+pub fn draw(fingerprint: u64, wall: Millis) -> f64 {
+    unit_hash(fingerprint ^ (wall.0 / DRAW_PERIOD.0).rotate_left(32), DRAW_PURPOSE)
 }
 
 /// Ranks by the priorities of team and route; the team's is compared first.
@@ -223,18 +231,34 @@
             return 1.0;
         }
         let capacity = model_fraction.max(0.0) * self.ordered_totals().sum::<f64>();
-        let position = self.rank_index(arrival) * ArrivalKind::ALL.len() + arrival.kind as usize;
-        let ahead: f64 = self.ordered_totals().take(position).sum();
-        let class = &self.classes[self.rank_index(arrival)][arrival.kind as usize];
+        let rank = self.rank_index(arrival);
+        let ahead_of_rank: f64 = self.ordered_totals().take(rank * ArrivalKind::ALL.len()).sum();
         // Both sums add in one order, so that rounding can't admit a class in part while one ahead
         // of it isn't admitted in full.
-        if capacity <= ahead {
+        if capacity <= ahead_of_rank {
+            return 0.0;
+        }
+        let class = &self.classes[rank][arrival.kind as usize];
+        let left = self.left_for_class(rank, arrival.kind, capacity - ahead_of_rank);
+        if left <= 0.0 {
             return 0.0;
         }
-        if capacity >= ahead + class.total {
+        if left >= class.total {
             return 1.0;
         }
-        class.team_fraction(arrival.team, capacity - ahead, model_fraction)
+        class.team_fraction(arrival.team, left, model_fraction)
+    }
+
+    /// What is left of the `capacity` of a rank for one kind of its requests.
+    fn left_for_class(&self, rank: usize, kind: ArrivalKind, capacity: f64) -> f64 {
+        let [returning, new, early] = &self.classes[rank];
+        let unused = capacity - new.total - early.total;
+        let for_returning = (capacity * self.rules.returning_share).max(unused);
+        match kind {
+            ArrivalKind::Returning => for_returning,
+            ArrivalKind::New => capacity - returning.total.min(for_returning),
+            ArrivalKind::Early => capacity - returning.total.min(for_returning) - new.total,
+        }
     }
 
     /// Number of teams counted separately, in all classes together.
--- a/crates/workshold-core/src/hosted/demand.rs
+++ b/crates/workshold-core/src/hosted/demand.rs
@@ -19,6 +19,9 @@
 /// Time constant of the exponential decay by which a request counts less and less: long enough
 /// to even out single arrivals, short enough to follow a shift of demand within seconds.
 const DECAY_TIME: Millis = Millis(3_000);
+/// Time constant for the requests that arrive at present: short enough that admission follows a
+/// swing of demand, of which three seconds would show half.
+const PRESENT_TIME: Millis = Millis(1_000);
 /// Weight of the newest answer in the moving average of answer lengths.
 const LENGTH_SMOOTHING: f64 = 0.02;
 
@@ -29,6 +32,8 @@
     requests: f64,
     prompt_tokens: f64,
     pause_goals: f64,
+    /// Decaying sum over all requests, refused ones included, with [`PRESENT_TIME`].
+    present: f64,
     /// Mean number of events in an answer; `None` before the first one.
     mean_events: Option<f64>,
     /// When the sums were last decayed.
@@ -45,14 +50,24 @@
 
     /// Decays the sums to `now`.
     fn decay(&mut self, now: Millis) {
-        let factor = (-(now.since(self.decayed_at).0 as f64) / DECAY_TIME.0 as f64).exp();
+        let factor = decay_factor(now.since(self.decayed_at), DECAY_TIME);
         self.requests *= factor;
         self.prompt_tokens *= factor;
         self.pause_goals *= factor;
+        self.present *= decay_factor(now.since(self.decayed_at), PRESENT_TIME);
         self.decayed_at = self.decayed_at.max(now);
     }
 }
 
+/// Least part of [`PRESENT_TIME`] that counts as observed: the first request after a start says
+/// little of a rate.
+const OBSERVED_MIN: f64 = 0.2;
+
+/// The part of a sum that is left after `time`, if it decays with `time_constant`.
+fn decay_factor(time: Millis, time_constant: Millis) -> f64 {
+    (-(time.0 as f64) / time_constant.0 as f64).exp()
+}
+
 /// Weight that is taken off for a refused request: about half of them are sent again and would
 /// be counted twice.
 const RETRIED_FRACTION: f64 = 0.5;
@@ -72,6 +87,7 @@
         let arrivals = self.arrivals(model, now);
         arrivals.decay(now);
         arrivals.add_request(cost, 1.0);
+        arrivals.present += 1.0;
     }
 
     /// Takes part of a refused request off again: its caller is likely to send it once more, and
@@ -90,6 +106,20 @@
         *mean += LENGTH_SMOOTHING * (events - *mean);
     }
 
+    /// Requests for `model` that arrive per second at present, refused ones included.
+    pub fn arriving(&self, model: &str, now: Millis) -> f64 {
+        let Some(arrivals) = self.by_model.get(model) else { return 0.0 };
+        let since_first = self.since.map_or(Millis::ZERO, |since| now.since(since));
+        let observed = 1.0 - decay_factor(since_first, PRESENT_TIME);
+        let decay = decay_factor(now.since(arrivals.decayed_at), PRESENT_TIME);
+        arrivals.present * decay / (PRESENT_TIME.as_secs_f64() * observed.max(OBSERVED_MIN))
+    }
+
+    /// Mean number of events in an answer of `model`; `None` before the first one.
+    pub fn mean_events(&self, model: &str) -> Option<f64> {
+        self.by_model.get(model)?.mean_events
+    }
+
     /// Demand for each model per second. Answers are taken to be as long as earlier ones of the
     /// model, or `usual_events` long if there were none.
     pub fn all(&self, usual_events: f64, now: Millis) -> Vec<(SmolStr, Workload)> {
@@ -112,8 +142,7 @@
     /// The fraction of the demand that the sums show so long after the first request: they need
     /// several times `DECAY_TIME` to reach the full rate.
     pub fn observed_fraction(&self, now: Millis) -> f64 {
-        self.since
-            .map_or(0.0, |since| 1.0 - (-(now.since(since).0 as f64) / DECAY_TIME.0 as f64).exp())
+        self.since.map_or(0.0, |since| 1.0 - decay_factor(now.since(since), DECAY_TIME))
     }
 
     fn arrivals(&mut self, model: &SmolStr, now: Millis) -> &mut Arrivals {
--- a/crates/workshold-core/src/hosted/fingerprint.rs
+++ b/crates/workshold-core/src/hosted/fingerprint.rs
@@ -25,6 +25,11 @@
         Self(u128::from_be_bytes(bytes))
     }
 
+    /// Half of its bits, where collisions only cost fairness.
+    pub fn as_u64(self) -> u64 {
+        self.0 as u64
+    }
+
     /// Parses the text that [`fmt::Display`] writes.
     ///
     /// # Errors
--- a/crates/workshold-core/src/hosted/placement.rs
+++ b/crates/workshold-core/src/hosted/placement.rs
@@ -27,7 +27,7 @@
 impl Candidate {
     /// Expected time to serve a further request, in milliseconds. Every request queued beyond the
     /// slots counts as four events.
-    fn cost(&self) -> f64 {
+    pub fn cost(&self) -> f64 {
         let load = f64::from(self.load);
         let slots = f64::from(self.slots.max(1));
         let batch = (load / slots).min(1.0) * FULL_BATCH_SLOWDOWN;
--- a/crates/workshold-core/tests/admission_fleet.rs
+++ b/crates/workshold-core/tests/admission_fleet.rs
@@ -20,7 +20,8 @@
 
 const START: Millis = Millis::from_secs(1_000);
 const TIME_LIMIT: Millis = Millis(6_000);
-const RULES: PrecedenceRules = PrecedenceRules { ranks: 3, decay_time: Millis(2_000) };
+const RULES: PrecedenceRules =
+    PrecedenceRules { ranks: 3, decay_time: Millis(2_000), returning_share: 1.0 };
 
 /// Enough for fractions that are exact to 0.02.
 const REQUESTS_MIN: u64 = 10_000;
@@ -73,7 +74,7 @@
         let arrival = arrival(rng.random_range(0..3), rng.random_range(0..10), rng.random());
         let node = &mut fleet[rng.random_range(0..nodes)];
         node.on_arrival(&arrival, now);
-        let is_admitted = draw(arrival.fingerprint) < node.admitted_fraction(&arrival, 0.5);
+        let is_admitted = draw(arrival.fingerprint, START) < node.admitted_fraction(&arrival, 0.5);
         ranks[usize::from(arrival.rank)].count(is_admitted);
         all.count(is_admitted);
     }
@@ -99,8 +100,8 @@
     for _ in 0..5_000 {
         let arrival = arrival(0, 0, rng.random());
         let fraction = precedence.admitted_fraction(&arrival, 0.4);
-        once.count(draw(arrival.fingerprint) < fraction);
-        often.count((0..10).any(|_| draw(arrival.fingerprint) < fraction));
+        once.count(draw(arrival.fingerprint, START) < fraction);
+        often.count((0..10).any(|_| draw(arrival.fingerprint, START) < fraction));
         often_with_own_draws.count((0..10).any(|_| rng.random::<f64>() < fraction));
     }
     assert!((once.fraction() - 0.4).abs() < 0.03, "{}", once.fraction());
@@ -168,7 +169,9 @@
         let arrival = Arrival { kind, ..arrival(0, team, request.fingerprint) };
         let model_fraction = self.model_fraction(now, per_s);
         self.precedence.on_arrival(&arrival, now);
-        if draw(request.fingerprint) < self.precedence.admitted_fraction(&arrival, model_fraction) {
+        if draw(request.fingerprint, START)
+            < self.precedence.admitted_fraction(&arrival, model_fraction)
+        {
             return Ok(());
         }
         let backlog = Backlog { excess: 0.0, completed_per_s: per_s };
--- a/crates/workshold-core/tests/admission_order.rs
+++ b/crates/workshold-core/tests/admission_order.rs
@@ -20,7 +20,8 @@
 /// Any number, infinite ones and those that are none included.
 const FLOAT: prop::num::f64::Any = prop::num::f64::ANY;
 
-const RULES: PrecedenceRules = PrecedenceRules { ranks: RANKS, decay_time: Millis(2_000) };
+const RULES: PrecedenceRules =
+    PrecedenceRules { ranks: RANKS, decay_time: Millis(2_000), returning_share: 1.0 };
 
 fn arrival(rank: u8, team: u32, kind: ArrivalKind) -> Arrival {
     Arrival {
@@ -165,7 +166,11 @@
         ranks in any::<u8>(),
         decay_ms in prop_oneof![Just(0), Just(u64::MAX), any::<u64>()],
     ) {
-        let mut precedence = Precedence::new(PrecedenceRules { ranks, decay_time: Millis(decay_ms) });
+        let mut precedence = Precedence::new(PrecedenceRules {
+            ranks,
+            decay_time: Millis(decay_ms),
+            ..PrecedenceRules::default()
+        });
         for (rank, team, kind, now, model_fraction) in inputs {
             let arrival = Arrival { prompt_tokens: f64::NAN, ..arrival(rank, team, kind) };
             precedence.on_arrival(&arrival, Millis(now));
