Admission: nodes shed what the groups of a model cannot serve in time

Cause: at a peak requests queue at heads until nearly all answers are late, and Retry-After is 150 to 300 ms whatever the load is. Change: with the section [admission] of the settings, a new request for a model is admitted by the fraction that its groups accept and by its place in the order of admission, or refused at once with the time to return. Heartbeats tell the requests that arrive at present, averaged over one second: over three seconds they show half of a swing, and groups stood half empty after a peak. The choice of a target moves to a module of its own.

--- a/crates/workshold-gateway/src/callers/requests.rs
+++ b/crates/workshold-gateway/src/callers/requests.rs
@@ -56,6 +56,8 @@
     pub fingerprint: Fingerprint,
     /// Hash of the team's name, or of the empty string without a team.
     pub caller: u32,
+    /// Rank of its team and route, 0 to [`LOWEST_URGENCY`]; 0 goes first.
+    pub rank: u8,
     /// The model that it names, if any.
     pub model: Option<SmolStr>,
     /// Tokens of the prompt, as the caller states them; 0 if it does not.
@@ -90,7 +92,7 @@
 /// ranks.
 const ROUTE_RANKS_PER_TEAM_RANK: u8 = 3;
 /// The lowest urgency that the header takes; 0 is the highest.
-const LOWEST_URGENCY: u8 = 9;
+pub const LOWEST_URGENCY: u8 = 9;
 
 /// Handles one request of a caller.
 pub async fn handle(node: Arc<Node>, req: Request<Incoming>) -> Response<ResponseBody> {
@@ -141,7 +143,8 @@
     let caller = team.as_ref().map(|(name, _)| name.as_str());
     let fingerprint = Fingerprint::of(caller, path, &body);
     let caller = quarantine::name_hash(caller.unwrap_or_default());
-    set_upstream_headers(&mut headers, team.map(|(name, _)| name), urgency(rank, route.priority));
+    let rank = urgency(rank, route.priority);
+    set_upstream_headers(&mut headers, team.map(|(name, _)| name), rank);
     Ok(AdmittedRequest {
         id,
         route: Arc::clone(route),
@@ -152,6 +155,7 @@
         body,
         fingerprint,
         caller,
+        rank,
         model,
         prompt_tokens,
         last_event_id,
--- a/crates/workshold-gateway/src/loads.rs
+++ b/crates/workshold-gateway/src/loads.rs
@@ -128,6 +128,11 @@
         *self.peers.lock() = (peers, now);
     }
 
+    /// Whether the peers' loads are known.
+    pub fn has_peer_loads(&self) -> bool {
+        self.peers.lock().1 > Millis::ZERO
+    }
+
     /// Whether the sums of the peers' loads are at least `age` old.
     pub fn are_peer_loads_stale(&self, now: Millis, age: Millis) -> bool {
         now.since(self.peers.lock().1) >= age
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -3,11 +3,13 @@
 //! - [`store_access`]: which nodes read the store, and how its answers are accepted.
 //! - [`suspicions`]: instances that cannot be reached.
 //! - [`quarantine`]: quarantined requests.
+//! - [`admission`]: which requests are admitted under overload.
 //! - [`evacuations`]: evacuated data centres, and instances that are cold.
 //! - [`instance_limits`]: rate limits, backoffs and departures that instances announce, and the
 //!   permit for each request.
 //! - [`retry_budget`]: the retry budget of each upstream.
 
+mod admission;
 mod evacuations;
 mod instance_limits;
 mod quarantine;
@@ -71,6 +73,9 @@
 use crate::settings::Settings;
 use crate::store_monitor::StoreMonitor;
 
+pub use self::admission::Admission;
+pub use self::admission::ModelRoom;
+pub use self::admission::Refusal;
 pub use self::quarantine::EvidenceSource;
 pub use self::suspicions::Probe;
 pub use self::suspicions::ProbeTask;
@@ -199,6 +204,8 @@
     pub loads: Loads,
     /// Counters and gauges for `/metrics`.
     pub metrics: Metrics,
+    /// Admission of each model's requests.
+    pub admission: Mutex<Admission>,
     /// The workload that this node's callers ask for.
     pub demand: Mutex<Demand>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
@@ -313,6 +320,7 @@
             instance_limits: Mutex::default(),
             loads: Loads::default(),
             metrics: Metrics::default(),
+            admission: Mutex::default(),
             demand: Mutex::default(),
             budgets: Mutex::default(),
             peers: Mutex::new(peers),
--- a/crates/workshold-gateway/src/peers/exchange.rs
+++ b/crates/workshold-gateway/src/peers/exchange.rs
@@ -78,6 +78,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct FleetTotals {
     by_model: BTreeMap<u32, Workload>,
+    arriving: BTreeMap<u32, f64>,
     by_instance: BTreeMap<u32, (Load, u8)>,
     acts_by: BTreeMap<SocketAddr, Fence>,
     /// Percentage of the demand that the nodes have had time to observe: the highest of any node.
@@ -96,6 +97,11 @@
         &self.by_model
     }
 
+    /// The requests per second that arrive at present for the model whose name has this hash.
+    pub fn arriving(&self, model: u32) -> f64 {
+        self.arriving.get(&model).copied().unwrap_or_default()
+    }
+
     /// The addresses of nodes that may send orders to instances, with their fencing tokens.
     pub fn active_fences(&self) -> impl Iterator<Item = (&SocketAddr, Fence)> {
         self.acts_by.iter().map(|(address, fence)| (address, *fence))
@@ -110,6 +116,7 @@
         for entry in work {
             let sum = self.by_model.entry(entry.model).or_default();
             *sum = sum.plus(entry.work());
+            *self.arriving.entry(entry.model).or_default() += entry.arriving_per_s();
         }
     }
 
@@ -463,8 +470,11 @@
             .collect();
         loads.sort_by_key(|entry| std::cmp::Reverse(entry.requests));
         loads.truncate(MAX_DIGEST_LOADS);
-        let work =
-            totals.by_model.iter().map(|(model, work)| WireWorkload::from_hash(*model, *work));
+        let arriving = &totals.arriving;
+        let work = totals.by_model.iter().map(|(model, work)| {
+            let per_s = arriving.get(model).copied().unwrap_or_default();
+            WireWorkload::from_hash(*model, *work).with_arriving(per_s)
+        });
         let answered = totals.store_answered.unwrap_or_default();
         Digest {
             scope,
--- a/crates/workshold-gateway/src/peers/messages.rs
+++ b/crates/workshold-gateway/src/peers/messages.rs
@@ -26,7 +26,7 @@
 use crate::peers::packing;
 
 /// Version of the format of these messages; datagrams of another version are ignored.
-pub const VERSION: u8 = 11;
+pub const VERSION: u8 = 12;
 
 /// A datagram from one node to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -144,6 +144,8 @@
     pub events: u32,
     /// The longest pause between events that meets the latency goal, in ms.
     pub pause_goal: u32,
+    /// Requests that arrive at present, refused ones included, in tenths.
+    pub arriving: u32,
 }
 
 const REQUESTS_UNIT: f64 = 0.1;
@@ -163,9 +165,21 @@
             prompt_tokens: (work.prompt_tokens / TOKENS_UNIT).round() as u32,
             events: work.events.round() as u32,
             pause_goal: work.pause_goal.0 as u32,
+            arriving: 0,
         }
     }
 
+    /// Adds the requests per second that arrive at present.
+    #[must_use]
+    pub fn with_arriving(self, per_s: f64) -> Self {
+        Self { arriving: (per_s / REQUESTS_UNIT).round() as u32, ..self }
+    }
+
+    /// The requests per second that arrive at present.
+    pub fn arriving_per_s(&self) -> f64 {
+        f64::from(self.arriving) * REQUESTS_UNIT
+    }
+
     /// Decodes the workload.
     pub fn work(&self) -> Workload {
         Workload {
--- a/crates/workshold-gateway/src/proxy.rs
+++ b/crates/workshold-gateway/src/proxy.rs
@@ -4,12 +4,14 @@
 //! - [`attempts`]: the concurrent attempts of one request; the first to respond wins.
 //! - [`framing`]: splits a stream into whole events.
 //! - [`stream`]: forwards a stream's events, and continues it at another instance if they stop.
+//! - [`target_choice`]: the target of an attempt, and admission by what its model accepts.
 //! - [`wait`]: how long to wait for an instance before it is probed or suspected.
 
 pub mod attempt;
 pub mod attempts;
 pub mod framing;
 pub mod stream;
+pub mod target_choice;
 pub mod wait;
 
 use std::sync::Arc;
@@ -19,10 +21,6 @@
 use rand::Rng;
 use workshold_core::hosted::demand::RequestCost;
 use workshold_core::hosted::identity::Identity;
-use workshold_core::hosted::instance_limits::Withheld;
-use workshold_core::hosted::instance_limits::WithheldReason;
-use workshold_core::hosted::placement;
-use workshold_core::hosted::placement::Candidate;
 use workshold_core::hosted::retry_policy;
 use workshold_core::hosted::retry_policy::AttemptEnd;
 use workshold_core::hosted::retry_policy::AttemptsUsed;
@@ -38,6 +36,7 @@
 use crate::metrics::Metric;
 use crate::node::Node;
 use crate::node::ProbeTask;
+use crate::node::Refusal;
 use crate::node::RequestGuard;
 use crate::proxy::attempt::AttemptResponse;
 use crate::proxy::attempt::Failure;
@@ -46,6 +45,7 @@
 use crate::proxy::attempts::AttemptEvent;
 use crate::proxy::attempts::Attempts;
 use crate::proxy::stream::ProxiedStream;
+use crate::proxy::target_choice::NoTarget;
 use crate::proxy::wait::REPROBE_INTERVAL;
 use crate::proxy::wait::WaitLimits;
 use crate::routing_table::Target;
@@ -53,13 +53,6 @@
 
 /// No attempt starts with less time than this left before the deadline.
 pub const MIN_TIME_LEFT: Millis = Millis(25);
-/// Requests that may queue at a full group: one slot becomes free within a fraction of the
-/// latency goal, several do not.
-const QUEUED_MAX: u32 = 2;
-/// A request waits for a target to become available for its latency goal divided by this.
-const TARGET_WAIT_DIVISOR: u64 = 6;
-/// Poll interval while a request waits for a target.
-const TARGET_POLL_INTERVAL: Millis = Millis(15);
 /// `Retry-After` if nothing serves the model.
 const RETRY_AFTER_NO_TARGET: Millis = Millis(500);
 /// Longest `Retry-After` of quarantined requests: callers do not wait longer.
@@ -68,6 +61,8 @@
 const ALL_WITHHELD: &str = "all instances that serve it have asked for no requests for now";
 /// Logged reason of a refusal when every instance is in an evacuated data centre.
 const ALL_EVACUATED: &str = "all instances that serve it are in evacuated data centres";
+/// Logged reason of a refusal under overload.
+const NO_CAPACITY: &str = "requests that go before it take what its model accepts";
 /// Longest `Retry-After` while instances ask for no requests: callers do not wait longer.
 const RETRY_AFTER_WITHHELD_MAX: Millis = Millis::from_secs(60);
 /// `Retry-After` if instances were attempted but none took the request, such as full ones.
@@ -160,7 +155,7 @@
     ) {
         let now = node.now();
         let suspect = attempts.newest().map(|newest| Arc::clone(&newest.target));
-        let hedge_target = choose_target(node, self);
+        let hedge_target = target_choice::choose_target(node, self);
         let lacks = match &hedge_target {
             _ if node.is_suspect(self.request.fingerprint) => {
                 "evidence that it crashes no instance"
@@ -319,10 +314,13 @@
     record_demand(node, &request);
     let last = request.last_event_id;
     let mut progress = RequestProgress::new(request);
+    if let Err(refusal) = target_choice::admit(node, &progress) {
+        return shed(node, &progress, refusal);
+    }
     let mut attempts = Attempts::default();
     loop {
         if attempts.is_empty() {
-            let target = match wait_for_target(node, &progress).await {
+            let target = match target_choice::wait_for_target(node, &progress).await {
                 Ok(target) => target,
                 Err(NoTarget { available_at, is_evacuated }) => {
                     progress.available_at = available_at;
@@ -486,6 +484,28 @@
     responses::not_run("it has not run; it ends whoever begins to run it", with_jitter(after))
 }
 
+/// Refuses a request because those that go before it take what its model accepts.
+fn shed(node: &Node, progress: &RequestProgress, refusal: Refusal) -> Response<ResponseBody> {
+    let request = &progress.request;
+    let percent = |fraction: f64| format!("{:.0}", fraction * 100.0);
+    emit(
+        Event::RequestNotRun,
+        &[
+            ("request", &request.id),
+            ("fingerprint", &request.fingerprint.to_string()),
+            ("why", NO_CAPACITY),
+            ("rank", &request.rank.to_string()),
+            ("kind", &format!("{:?}", refusal.kind)),
+            ("admissible_percent", &percent(refusal.admissible)),
+            ("admitted_percent", &percent(refusal.admitted)),
+            ("retry_after_ms", &refusal.retry_after.0.to_string()),
+        ],
+    );
+    node.metrics.count(Metric::NotRun);
+    node.metrics.count(Metric::Shed);
+    responses::not_run("it has not run; its model has no capacity for it now", refusal.retry_after)
+}
+
 /// The final response to a request that is given up.
 fn give_up(node: &Node, progress: &RequestProgress, next: NextStep) -> Response<ResponseBody> {
     let is_deadline_passed = progress.left(node) <= MIN_TIME_LEFT;
@@ -526,99 +546,6 @@
     Millis(after.0 + rand::rng().random_range(0..=after.0))
 }
 
-/// No target takes the request now.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct NoTarget {
-    /// When the first instance takes requests again, if all that serve the request have asked for
-    /// none now.
-    pub available_at: Option<Millis>,
-    /// Whether all that serve the request are in evacuated data centres.
-    pub is_evacuated: bool,
-}
-
-/// Waits a little for a target: a moment without any is often shorter than the caller's round
-/// trip for a retry.
-async fn wait_for_target(node: &Node, progress: &RequestProgress) -> Result<Arc<Target>, NoTarget> {
-    let max_wait = Millis(progress.request.route.latency_goal.0 / TARGET_WAIT_DIVISOR);
-    let until = node.now() + max_wait;
-    loop {
-        let no_target = match choose_target(node, progress) {
-            Ok(target) => return Ok(target),
-            Err(no_target) => no_target,
-        };
-        let is_late = no_target.available_at.is_some_and(|at| at > until);
-        let is_timed_out =
-            node.now() + TARGET_POLL_INTERVAL > until || progress.left(node) <= MIN_TIME_LEFT;
-        if is_late || is_timed_out || no_target.is_evacuated {
-            return Err(no_target);
-        }
-        tokio::time::sleep(TARGET_POLL_INTERVAL.to_duration()).await;
-    }
-}
-
-/// Chooses the best target that was not attempted yet.
-///
-/// # Errors
-///
-/// [`NoTarget`] if there is none, or none with a free slot.
-pub fn choose_target(node: &Node, progress: &RequestProgress) -> Result<Arc<Target>, NoTarget> {
-    let routing_table = node.routing_table();
-    let request = &progress.request;
-    let targets = routing_table
-        .of(&request.service)
-        .iter()
-        .filter(|target| target.model.is_none() || target.model == request.model)
-        .filter(|target| !progress.tried.contains(&target.id));
-    let (targets, no_target) = accepting(node, targets);
-    let settings = node.settings();
-    let now = node.now();
-    let gaps = node.gaps.lock();
-    let outliers = node.outliers.lock();
-    let candidates: Vec<Candidate> = targets
-        .iter()
-        .map(|target| (target, node.loads.of(&target.id)))
-        .map(|(target, load)| Candidate {
-            load: load.requests,
-            queued_prefill_ms: f64::from(load.unread) * target.prefill_ms_per_token,
-            slots: target.slots,
-            event_ms: gaps.mean_ms(&target.id).unwrap_or(target.idle_event_gap_ms),
-            is_near: target.data_centre == settings.node.data_centre,
-            is_deprioritized: outliers.is_ejected(&target.id, now) || node.is_suspected(target),
-        })
-        .collect();
-    if progress.is_new() && placement::are_full(&candidates, QUEUED_MAX) {
-        return Err(NoTarget::default());
-    }
-    let chosen = placement::choose(&candidates, rand::rng().random());
-    chosen.map(|chosen| Arc::clone(targets[chosen])).ok_or(no_target)
-}
-
-/// The targets that take a request from this node now, and what is known of the others.
-fn accepting<'a>(
-    node: &Node,
-    targets: impl Iterator<Item = &'a Arc<Target>>,
-) -> (Vec<&'a Arc<Target>>, NoTarget) {
-    let mut others = NoTarget::default();
-    if node.accepts_any_target() {
-        return (targets.collect(), others);
-    }
-    let mut accepting = Vec::new();
-    let mut evacuated = 0;
-    let mut total = 0;
-    for target in targets {
-        total += 1;
-        match node.check_target(target) {
-            Ok(()) => accepting.push(target),
-            Err(Withheld { why: WithheldReason::Evacuated, .. }) => evacuated += 1,
-            Err(Withheld { until, .. }) => {
-                others.available_at = others.available_at.into_iter().chain(until).min();
-            }
-        }
-    }
-    others.is_evacuated = total > 0 && evacuated == total;
-    (accepting, others)
-}
-
 /// How long the first event or the answer may take before the instance is probed, and before
 /// another attempt starts elsewhere.
 pub fn first_response_limits(progress: &RequestProgress, usual_gap_ms: f64) -> (Millis, Millis) {
--- a/crates/workshold-gateway/src/proxy/stream.rs
+++ b/crates/workshold-gateway/src/proxy/stream.rs
@@ -31,6 +31,7 @@
 use crate::proxy::attempts::Attempt;
 use crate::proxy::attempts::AttemptEvent;
 use crate::proxy::attempts::Attempts;
+use crate::proxy::target_choice;
 use crate::proxy::wait::WaitLimits;
 use crate::routing_table::Target;
 
@@ -228,7 +229,7 @@
         if self.progress.next_step(&self.node, target, ending, reason) != NextStep::Again {
             return Err(self.cut());
         }
-        let Ok(next) = proxy::choose_target(&self.node, &self.progress) else {
+        let Ok(next) = target_choice::choose_target(&self.node, &self.progress) else {
             self.progress.return_unused_retry(&self.node);
             return Err(self.cut());
         };
--- a/crates/workshold-gateway/src/settings.rs
+++ b/crates/workshold-gateway/src/settings.rs
@@ -1,5 +1,7 @@
 //! A node's settings: a TOML file, validated as a whole before anything starts.
 
+mod admission;
+
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -14,6 +16,8 @@
 
 use crate::peers::exchange::LocalNode;
 
+pub use self::admission::AdmissionSettings;
+
 /// All settings of a node, by section of the file.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -30,6 +34,9 @@
     /// Limits that were promised to callers and operators.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Admission under overload; without this section all requests are admitted until every group
+    /// is full.
+    pub admission: Option<AdmissionSettings>,
 }
 
 /// Name and location of a node.
@@ -364,6 +371,9 @@
     {
         return Err(format!("{name} is {value}, but must not be negative"));
     }
+    if let Some(admission) = &settings.admission {
+        admission.check()?;
+    }
     match positive.iter().find(|(_, value)| !(value.is_finite() && *value > 0.0)) {
         Some((name, value)) => Err(format!("{name} is {value}, but must be greater than zero")),
         None => Ok(settings),
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -14,6 +14,7 @@
 use rand::Rng;
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
+use workshold_core::hosted::capacity::Workload;
 use workshold_core::hosted::quarantine::QuarantineRecord;
 use workshold_core::hosted::store_era::Fence;
 use workshold_core::hosted::store_era::LogPosition;
@@ -193,7 +194,7 @@
         past: node.store_monitor.told(node.now()),
         store_age_ms: node.store_silent_for().0,
         list_trouble_ms: node.list_failure_age_ms(),
-        work: work.iter().map(|(model, work)| WireWorkload::new(model, *work)).collect(),
+        work: wire_workloads(node, &work),
         seen_percent: (observed_fraction * 100.0) as u8,
         loads: wire_loads(node),
         requests: quarantine_entries(node),
@@ -202,6 +203,16 @@
     }
 }
 
+/// The workloads for the next heartbeat.
+fn wire_workloads(node: &Node, work: &[(SmolStr, Workload)]) -> Vec<WireWorkload> {
+    let now = node.now();
+    let demand = node.demand.lock();
+    let entry = |(model, work): &(SmolStr, Workload)| {
+        WireWorkload::new(model, *work).with_arriving(demand.arriving(model, now))
+    };
+    work.iter().map(entry).collect()
+}
+
 /// The quarantine records for the next heartbeat.
 fn quarantine_entries(node: &Node) -> Vec<WireQuarantineEntry> {
     let now = node.now();
--- a/crates/workshold-gateway/tests/platform.rs
+++ b/crates/workshold-gateway/tests/platform.rs
@@ -1,5 +1,7 @@
 //! End-to-end tests: nodes that run against a stand-in of the platform, over real sockets.
 
+#[path = "platform/admission.rs"]
+mod admission;
 #[path = "platform/backoff.rs"]
 mod backoff;
 #[path = "platform/daemon.rs"]
