--- a/crates/workshold-gateway/tests/failover.rs
+++ b/crates/workshold-gateway/tests/failover.rs
@@ -213,6 +213,7 @@
             body: Bytes::new(),
             fingerprint: Fingerprint::of(Some("t-1"), "/chat/x", b""),
             caller: 0,
+            rank: 0,
             model: Some(SmolStr::new("m1")),
             prompt_tokens: 100.0,
             last_event_id: None,
