Core: evidence that replaces probes of a group that a node waits for

Cause: every node that waits for a head probes all members of its group every 250 ms, 128,000 connections for 24,700 requests on 71 nodes. Change: hosted::probe_plan decides when a node probes a group: not while its head sends events to this node, nor while a peer reports such an event or a probe that all members answered. If several nodes wait, they probe at moments that depend on their place in the group's order. The path to the head is probed by each node, after 250, 500 and then each 1,000 ms. A loss is found by each waiting node within 250 ms, as before.

--- a/crates/workshold-core/src/hosted.rs
+++ b/crates/workshold-core/src/hosted.rs
@@ -9,8 +9,8 @@
 //!   ([`config_freshness`]), which data centres get no requests ([`evacuation`]), and when the
 //!   store is polled ([`long_poll`]).
 //! - Instances: the list with the groups they form ([`roster`], [`groups`]), one incarnation of
-//!   an instance ([`identity`]), which instances are unreachable ([`suspicion`]), and which era
-//!   of the store an answer belongs to ([`store_era`]).
+//!   an instance ([`identity`]), which instances are unreachable ([`suspicion`]), when a group
+//!   is probed ([`probe_plan`]), and which era of the store an answer belongs to ([`store_era`]).
 //! - Planning: the demand for each model ([`demand`]), the load that a group can take
 //!   ([`capacity`]), and which groups there should be ([`planner`]).
 //! - Forming groups: [`steward`] plans for a fabric domain and sends orders to its instances;
@@ -37,6 +37,7 @@
 pub mod partition_lease;
 pub mod placement;
 pub mod planner;
+pub mod probe_plan;
 pub mod quarantine;
 pub mod retry_policy;
 pub mod roster;
--- a/crates/workshold-core/tests/hosted.rs
+++ b/crates/workshold-core/tests/hosted.rs
@@ -22,6 +22,8 @@
 mod partition_lease;
 #[path = "hosted/planning.rs"]
 mod planning;
+#[path = "hosted/probe_plan.rs"]
+mod probe_plan;
 #[path = "hosted/quarantine.rs"]
 mod quarantine;
 #[path = "hosted/reference_planner.rs"]
