Gateway: probes of a group are shared by the requests and nodes that wait

Cause: 128,000 connections for 24,700 requests on 71 nodes; each node with a waiting request probed all members of the group every 250 ms. Change: proxy::wait asks hosted::probe_plan for the next probe. Events that were awaited count as evidence, those from a buffer do not. A node tells the others of an event or of a probe that all members answered, if requests of other nodes wait for the group (new message GroupWorks, which nodes that do not know it drop). A probe runs in a task of its own, so that its result is kept when the request that began it is answered. Plain instances are probed as before, except for awaited answers.

--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`store_access`]: which nodes read the store, and how its answers are accepted.
 //! - [`suspicions`]: instances that cannot be reached.
+//! - [`group_probes`]: evidence that groups work, and when they are probed.
 //! - [`quarantine`]: quarantined requests.
 //! - [`evacuations`]: evacuated data centres, and instances that are cold.
 //! - [`instance_limits`]: rate limits, backoffs and departures that instances announce, and the
@@ -9,6 +10,7 @@
 //! - [`retry_budget`]: the retry budget of each upstream.
 
 mod evacuations;
+mod group_probes;
 mod instance_limits;
 mod quarantine;
 mod retry_budget;
@@ -38,6 +40,7 @@
 use workshold_core::hosted::identity::Identity;
 use workshold_core::hosted::instance_limits::InstanceLimits;
 use workshold_core::hosted::partition_lease::PartitionLease;
+use workshold_core::hosted::probe_plan::ProbePlan;
 use workshold_core::hosted::quarantine::Quarantine;
 use workshold_core::hosted::retry_policy::RetryBudget;
 use workshold_core::hosted::roster::ListTrust;
@@ -242,8 +245,8 @@
     is_closing: AtomicBool,
     refuses_all: AtomicBool,
     in_flight: AtomicUsize,
-    /// When all members of the group of a head were last probed.
-    group_probes: Mutex<HashMap<Identity, Millis>>,
+    /// Evidence that groups work, and when they were last probed.
+    pub probe_plan: Mutex<ProbePlan<Identity>>,
     /// When an instance was last probed because a peer asked.
     probe_requests: Mutex<HashMap<Identity, Millis>>,
     /// When this node last asked all others to probe an instance.
@@ -337,7 +340,7 @@
             is_closing: AtomicBool::new(false),
             refuses_all: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
-            group_probes: Mutex::default(),
+            probe_plan: Mutex::default(),
             probe_requests: Mutex::default(),
             all_peers_asked: Mutex::default(),
             stall: StallRules::default(),
--- a/crates/workshold-gateway/src/node/suspicions.rs
+++ b/crates/workshold-gateway/src/node/suspicions.rs
@@ -19,8 +19,6 @@
 use crate::peers::ProbeAudience;
 use crate::routing_table::Target;
 
-/// A probe of all members of a group counts for all its streams for this long.
-const GROUP_PROBE_VALID_FOR: Millis = Millis(250);
 /// With fewer nodes than this, all of them probe a suspected instance when one asks.
 const FEW_PEERS: usize = 24;
 /// With more, this many of each data centre do.
@@ -60,6 +58,8 @@
         /// Which nodes are to probe it as well.
         asks: ProbeAudience,
     },
+    /// Tell all nodes that the group of which it is the head works.
+    ReportGroup,
 }
 
 impl Node {
@@ -176,20 +176,6 @@
         true
     }
 
-    /// Whether all members of a target's group were probed within [`GROUP_PROBE_VALID_FOR`].
-    pub fn was_probed_recently(&self, id: &Identity) -> bool {
-        let now = self.now();
-        self.group_probes.lock().get(id).is_some_and(|at| now.since(*at) < GROUP_PROBE_VALID_FOR)
-    }
-
-    /// Notes that all members of a target's group have been probed.
-    pub fn note_group_probe(&self, id: &Identity) {
-        let now = self.now();
-        let mut group_probes = self.group_probes.lock();
-        group_probes.retain(|_, at| now.since(*at) < GROUP_PROBE_VALID_FOR);
-        group_probes.insert(id.clone(), now);
-    }
-
     /// Wakes the requests that wait on a suspected instance, and the steward.
     pub fn notify_suspicions_changed(&self) {
         self.suspicion_changed.send_modify(|version| *version += 1);
--- a/crates/workshold-gateway/src/peers.rs
+++ b/crates/workshold-gateway/src/peers.rs
@@ -22,6 +22,7 @@
 pub mod messages;
 pub mod news;
 pub mod packing;
+mod places;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
--- a/crates/workshold-gateway/src/peers/messages.rs
+++ b/crates/workshold-gateway/src/peers/messages.rs
@@ -58,6 +58,12 @@
         /// Which nodes are to probe it as well.
         ask: ProbeAudience,
     },
+    /// The sender has just had an event from the head of a group, or an answer to its probes from
+    /// all members. Nodes that do not know this message drop it, and probe the group themselves.
+    GroupWorks {
+        /// Hash of the identity of the group's head.
+        head: u32,
+    },
 }
 
 /// Which nodes are asked to probe an instance.
--- a/crates/workshold-gateway/src/proxy.rs
+++ b/crates/workshold-gateway/src/proxy.rs
@@ -23,6 +23,7 @@
 use workshold_core::hosted::instance_limits::WithheldReason;
 use workshold_core::hosted::placement;
 use workshold_core::hosted::placement::Candidate;
+use workshold_core::hosted::probe_plan::PROBE_INTERVAL;
 use workshold_core::hosted::retry_policy;
 use workshold_core::hosted::retry_policy::AttemptEnd;
 use workshold_core::hosted::retry_policy::AttemptsUsed;
@@ -46,7 +47,6 @@
 use crate::proxy::attempts::AttemptEvent;
 use crate::proxy::attempts::Attempts;
 use crate::proxy::stream::ProxiedStream;
-use crate::proxy::wait::REPROBE_INTERVAL;
 use crate::proxy::wait::WaitLimits;
 use crate::routing_table::Target;
 use crate::tasks::probing;
@@ -124,6 +124,7 @@
         WaitLimits {
             last_data_at,
             probe_after: self.request.route.is_repeatable().then_some(after.0),
+            evidence_max_age: after.0.min(PROBE_INTERVAL),
             failover_after: may_begin.then_some(after.1),
             no_suspicion_before: self.no_suspicion_before,
             deadline: self.request.deadline,
@@ -150,7 +151,7 @@
 
     /// Starts a hedge, which is an attempt concurrent with those under way, if there is a target
     /// with a free slot and retry budget for it. Otherwise nothing changes, and the suspicion is
-    /// reported again after [`REPROBE_INTERVAL`].
+    /// reported again after [`PROBE_INTERVAL`].
     pub fn start_hedge(
         &mut self,
         node: &Arc<Node>,
@@ -182,7 +183,7 @@
         );
         match hedge_target.ok().filter(|_| lacks == "nothing") {
             Some(target) => self.start_attempt(node, attempts, target, last),
-            None => self.no_suspicion_before = now + REPROBE_INTERVAL,
+            None => self.no_suspicion_before = now + PROBE_INTERVAL,
         }
     }
 
@@ -226,8 +227,8 @@
         }
         if node.note_connection_lost(&self.request, target) {
             probing::probe_instance(node, &target.id, &target.address).await;
-        } else if !node.was_probed_recently(&target.id) {
-            node.note_group_probe(&target.id);
+        } else if !node.has_probed_head(&target.id) {
+            node.note_head_probe(&target.id);
             node.probe(&target.id, &target.address, ProbeTask::ForSelf);
         }
     }
@@ -431,7 +432,11 @@
         first_response_limits(progress, mean_ms),
         under_way,
     );
-    WaitLimits { queued_fingerprint: Some(progress.request.fingerprint), ..limits }
+    WaitLimits {
+        evidence_max_age: PROBE_INTERVAL,
+        queued_fingerprint: Some(progress.request.fingerprint),
+        ..limits
+    }
 }
 
 /// Counts the request towards its model's demand, whether it can be served or not.
--- a/crates/workshold-gateway/src/proxy/attempt.rs
+++ b/crates/workshold-gateway/src/proxy/attempt.rs
@@ -136,6 +136,9 @@
         let complete = read_complete(res).await?;
         let took = node.now().since(sent);
         node.gaps.lock().on_gap(&target.id, took);
+        if complete.status().is_success() {
+            node.note_group_event(&target, sent);
+        }
         node.outliers.lock().on_answer(&target.id, took, node.now());
         return Ok(AttemptResponse::Complete(complete));
     }
@@ -156,6 +159,9 @@
             .await
             .map_err(|(ending, _)| (ending, "the stream broke off before its first event"))?;
     }
+    if !event_stream.ready.is_empty() {
+        node.note_group_event(&target, sent);
+    }
     event_stream.in_flight.on_first_event();
     Ok(AttemptResponse::Stream(Box::new((parts, event_stream))))
 }
--- a/crates/workshold-gateway/src/proxy/attempts.rs
+++ b/crates/workshold-gateway/src/proxy/attempts.rs
@@ -186,7 +186,7 @@
     /// If no attempt is under way.
     pub async fn next(
         &mut self,
-        node: &Node,
+        node: &Arc<Node>,
         request_id: &str,
         limits: WaitLimits,
     ) -> AttemptEvent {
--- a/crates/workshold-gateway/src/proxy/stream.rs
+++ b/crates/workshold-gateway/src/proxy/stream.rs
@@ -10,6 +10,7 @@
 use hyper::Response;
 use hyper::body::Frame;
 use hyper::http::response::Parts;
+use workshold_core::hosted::probe_plan::PROBE_INTERVAL;
 use workshold_core::hosted::retry_policy::AttemptEnd;
 use workshold_core::hosted::retry_policy::NextStep;
 use workshold_protocol::Millis;
@@ -125,9 +126,11 @@
     /// Waits for the next event of the attempts, and handles it.
     async fn handle_next_event(&mut self) -> Result<(), BodyCut> {
         let limits = self.wait_limits();
+        let waited_since = self.node.now();
         match self.attempts.next(&self.node, &self.progress.request.id, limits).await {
             AttemptEvent::Events(dropped) => {
                 self.progress.used.sent += dropped;
+                self.note_group_event(waited_since);
                 self.take_ready_events(false);
             }
             AttemptEvent::Responded(_, AttemptResponse::Stream(started)) => {
@@ -147,6 +150,16 @@
         Ok(())
     }
 
+    /// Notes that the only attempt has events, which were waited for since `waited_since`.
+    fn note_group_event(&mut self, waited_since: Millis) {
+        let Some(source) = self.attempts.newest() else { return };
+        let target = Arc::clone(&source.target);
+        let has_events = source.event_stream().is_some_and(|events| !events.ready.is_empty());
+        if has_events {
+            self.node.note_group_event(&target, waited_since);
+        }
+    }
+
     /// How long to wait for the newest attempt.
     fn wait_limits(&mut self) -> WaitLimits {
         let under_way = self.attempts.len();
@@ -160,11 +173,11 @@
         } else {
             (rules.probe_after(mean_ms, goal), rules.failover_after(mean_ms, goal))
         };
-        let queued_fingerprint = newest.is_pending().then_some(self.progress.request.fingerprint);
-        WaitLimits {
-            queued_fingerprint,
-            ..self.progress.wait_limits(last_data_at, after, under_way)
-        }
+        let is_pending = newest.is_pending();
+        let queued_fingerprint = is_pending.then_some(self.progress.request.fingerprint);
+        let limits = self.progress.wait_limits(last_data_at, after, under_way);
+        let evidence_max_age = if is_pending { PROBE_INTERVAL } else { limits.evidence_max_age };
+        WaitLimits { evidence_max_age, queued_fingerprint, ..limits }
     }
 
     /// Takes the events that the only attempt has received. The time to its first events is not
--- a/crates/workshold-gateway/src/proxy/wait.rs
+++ b/crates/workshold-gateway/src/proxy/wait.rs
@@ -1,7 +1,9 @@
 //! Decides, while a response is awaited, when its instance is probed and when it is suspected.
 
-use futures_util::future::join_all;
+use std::sync::Arc;
+
 use workshold_core::hosted::fingerprint::Fingerprint;
+use workshold_core::hosted::probe_plan::PROBE_INTERVAL;
 use workshold_protocol::Millis;
 
 use crate::node::Node;
@@ -30,6 +32,9 @@
     /// Silence after which the instance is probed; `None` if the request must not run twice, so
     /// that no probe result could have a consequence.
     pub probe_after: Option<Millis>,
+    /// Age up to which evidence that the group works replaces the first probe. While events are
+    /// due it is the silence that is unusual; a first event or an answer has no usual time.
+    pub evidence_max_age: Millis,
     /// Silence after which the instance is suspected even if all members answer probes; `None` if
     /// the request may not be sent to another instance: then no suspicion is reported at all.
     pub failover_after: Option<Millis>,
@@ -42,9 +47,6 @@
     pub queued_fingerprint: Option<Fingerprint>,
 }
 
-/// How often an instance that answers probes but sends nothing is probed again, and how soon a
-/// suspicion that had no consequence is reported again.
-pub const REPROBE_INTERVAL: Millis = Millis(250);
 /// Longest sleep before the clock is read again: timers do not advance while the machine is
 /// suspended.
 const SLEEP_MAX: Millis = Millis(1_000);
@@ -54,11 +56,12 @@
 const LATE_DATA_TIMEOUT: Millis = Millis(500);
 
 /// Waits until the wait for a response of `target` is over or the target is suspected. Probes the
-/// target's group meanwhile.
-pub async fn until_over(node: &Node, target: &Target, limits: WaitLimits) -> WaitOver {
+/// target's group meanwhile, as far as there is no other evidence that it works.
+pub async fn until_over(node: &Arc<Node>, target: &Arc<Target>, limits: WaitLimits) -> WaitOver {
     let mut changed = node.suspicion_changed.subscribe();
     let deadline = limits.deadline - RESPONSE_LEAD_TIME;
-    let mut probe_at = limits.probe_after.map(|after| limits.last_data_at + after);
+    let first_probe_at = limits.probe_after.map(|after| limits.last_data_at + after);
+    let mut evidence_max_age = limits.evidence_max_age;
     let mut failover_at = limits
         .failover_after
         .map(|after| (limits.last_data_at + after).max(limits.no_suspicion_before));
@@ -91,18 +94,23 @@
             if node.has_alternative_to(target) {
                 return WaitOver::Suspected("the instance has been silent for too long");
             }
-            failover_at = Some(now + REPROBE_INTERVAL);
+            failover_at = Some(now + PROBE_INTERVAL);
         }
-        if probe_at.is_some_and(|at| now >= at) {
-            probe_members(node, target).await;
-            probe_at = Some(node.now() + REPROBE_INTERVAL);
+        let next_probe =
+            first_probe_at.map(|at| node.next_group_probe(target, at, evidence_max_age, now));
+        if let Some(probe) = next_probe.filter(|probe| now >= probe.at) {
+            // A task of its own, so that the results are recorded for all requests that wait for
+            // the group, even if this one gets its response meanwhile.
+            let (node, target) = (Arc::clone(node), Arc::clone(target));
+            tokio::spawn(probing::probe_group(node, target, probe.scope, now));
+            evidence_max_age = PROBE_INTERVAL;
             continue;
         }
         let times = [
             Some(deadline),
             give_up_at,
             failover_at,
-            probe_at,
+            next_probe.map(|probe| probe.at),
             suspect_at.filter(|_| is_group_suspected),
         ];
         let wake_at = times.into_iter().flatten().min().unwrap_or(deadline);
@@ -113,17 +121,3 @@
         }
     }
 }
-
-/// Probes all members of a target's group concurrently, unless that was done just now. The node
-/// records the results for all requests that wait for them.
-async fn probe_members(node: &Node, target: &Target) {
-    if node.was_probed_recently(&target.id) {
-        return;
-    }
-    let probes = target
-        .members
-        .iter()
-        .map(|member| probing::probe_instance(node, &member.identity, &member.address));
-    join_all(probes).await;
-    node.note_group_probe(&target.id);
-}
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -69,6 +69,9 @@
 /// Interval at which a node finds that no datagram is waiting, while none arrives. The next one
 /// looks older than it is by up to this, a fraction of the time for which keys are trusted.
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(100);
+/// A datagram that may have waited for longer than this, somewhat more than [`RECEIVE_TIMEOUT`],
+/// was read after a pause of this process.
+const REPORT_MAX_AGE: Millis = Millis(150);
 /// Interval at which a node checks whether a peer has newer data.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// A newer configuration is fetched from a peer if the store has not delivered it by then.
@@ -278,6 +281,7 @@
         Message::Verdict { instance, reach, ask } => {
             handle_verdict(node, from, &datagram.from, (instance, reach.into()), ask);
         }
+        Message::GroupWorks { head } => handle_group_report(node, head, since),
     }
     None
 }
@@ -432,6 +436,18 @@
     node.notify_suspicions_changed();
 }
 
+/// Handles a peer's report that a group works, in a datagram that arrived after `since`. A report
+/// that may have waited while this process was stalled shows nothing of the present.
+fn handle_group_report(node: &Node, head: u32, since: Millis) {
+    if node.now().since(since) > REPORT_MAX_AGE {
+        return;
+    }
+    let head = node.list.lock().by_instance_hash.get(&head).cloned();
+    if let Some(head) = head {
+        node.note_group_report(&head);
+    }
+}
+
 /// Fetches from peers what the store does not deliver in time, until the node ends.
 pub async fn catch_up(node: Arc<Node>) {
     tokio::join!(catch_up_config(Arc::clone(&node)), catch_up_list(node));
--- a/crates/workshold-gateway/src/tasks/probing.rs
+++ b/crates/workshold-gateway/src/tasks/probing.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use futures_util::future::select_ok;
 use rand::Rng;
 use smol_str::SmolStr;
@@ -10,7 +11,9 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedReceiver;
 use workshold_core::hosted::identity::Identity;
+use workshold_core::hosted::probe_plan::Scope;
 use workshold_core::hosted::roster::Entry;
+use workshold_core::hosted::roster::Instance;
 use workshold_core::hosted::suspicion;
 use workshold_core::hosted::suspicion::OtherProbes;
 use workshold_core::hosted::suspicion::ProbeResult;
@@ -23,6 +26,7 @@
 use crate::node::ProbeTask;
 use crate::peers::Message;
 use crate::peers::ProbeAudience;
+use crate::routing_table::Target;
 use crate::tasks::gossip;
 
 /// Time within which an instance has to accept a connection: several round trips between data
@@ -132,6 +136,18 @@
     result
 }
 
+/// Probes the head of a group or all members concurrently. The results wake the requests that wait
+/// for the group.
+pub async fn probe_group(node: Arc<Node>, target: Arc<Target>, scope: Scope, started_at: Millis) {
+    let is_probed = |member: &&Arc<Instance>| scope == Scope::Group || member.identity == target.id;
+    let probes = target.members.iter().filter(is_probed).map(|member| async {
+        let result = probe_instance(&node, &member.identity, &member.address).await;
+        (member.identity.clone(), result)
+    });
+    let results = join_all(probes).await;
+    node.on_group_probed(&target, scope, &results, started_at);
+}
+
 /// Works through the queue of probe tasks until the node ends.
 pub async fn run(node: Arc<Node>, socket: Arc<UdpSocket>, mut probes: UnboundedReceiver<Probe>) {
     while let Some(probe) = probes.recv().await {
@@ -161,6 +177,11 @@
                     return;
                 }
                 ProbeTask::Announce { reach, asks } => (reach, asks),
+                ProbeTask::ReportGroup => {
+                    let message = Message::GroupWorks { head: instance_hash(&probe.id) };
+                    gossip::broadcast(&node, &socket, message).await;
+                    return;
+                }
             };
             let message = verdict(&probe.id, reach, ask);
             gossip::broadcast(&node, &socket, message.clone()).await;
--- a/crates/workshold-gateway/src/tasks/upkeep.rs
+++ b/crates/workshold-gateway/src/tasks/upkeep.rs
@@ -72,6 +72,7 @@
     node.instance_limits.lock().forget(now, |id| known.contains(id));
     node.cold_instances.lock().forget(now);
     node.quarantine.lock().forget(now);
+    node.probe_plan.lock().forget(now);
     node.loads.tidy();
     let mut peers = node.peers.lock();
     peers.forget(now);
--- a/crates/workshold-gateway/tests/platform.rs
+++ b/crates/workshold-gateway/tests/platform.rs
@@ -12,6 +12,8 @@
 mod limits;
 #[path = "platform/request_path.rs"]
 mod request_path;
+#[path = "platform/shared_probes.rs"]
+mod shared_probes;
 #[path = "platform/stale_entries.rs"]
 mod stale_entries;
 #[path = "platform/store.rs"]
