Gateway tests: how soon all nodes find a lost member of a busy group

Cause: the evidence that replaces probes must not hide a loss. Change: a second test with the load of the first one.

--- a/crates/workshold-gateway/tests/platform/shared_probes.rs
+++ b/crates/workshold-gateway/tests/platform/shared_probes.rs
@@ -1,7 +1,8 @@
-//! Connections that nodes open for requests which wait for a first event.
+//! Requests that wait for a first event at busy groups: the probes that they cause, and how soon
+//! all nodes find a lost member.
 //!
-//! Guards against the cost of probes by every node that waits: 128,000 connections for 24,700
-//! requests on 71 nodes.
+//! Guards against the cost of probes by every node that waits, 128,000 connections for 24,700
+//! requests on 71 nodes, and against a loss that the evidence in place of probes hides.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -23,18 +24,14 @@
 const DURATION: Duration = Duration::from_secs(8);
 /// Connections for probes per request, of the 1.5 connections that a request may cost.
 const PROBES_PER_REQUEST_MAX: f64 = 0.5;
+/// Time until the loss, so that requests wait at all heads and streams are under way.
+const TIME_TO_LOSS: Duration = Duration::from_millis(2_500);
+/// Time in which all nodes know of a loss: the interval between probes, and as much again for the
+/// probe, the message and a busy machine.
+const FOUND_WITHIN: Duration = Duration::from_millis(500);
 
-/// The number of probes that a node has sent; there is no such line before the first.
-async fn probes(node: &TestNode) -> u64 {
-    let (_, body) = caller::get(node.control, "/metrics").await.unwrap();
-    let text = String::from_utf8(body.to_vec()).unwrap();
-    let line = text.lines().find_map(|line| line.strip_prefix("workshold_looks "));
-    line.map_or(0, |count| count.parse().unwrap())
-}
-
-/// The stand-in's engines answer after 700 ms here, and requests are probed for after 320 ms.
-#[tokio::test]
-async fn requests_that_wait_for_busy_groups_cost_few_probes() {
+/// Nodes and two groups whose heads answer after 700 ms; requests are probed for after 320 ms.
+async fn start() -> (Deployment, Vec<TestNode>) {
     let deployment = Deployment::start(ENGINES, 0).await;
     deployment.store.configure(&config_with(2, &["k1"], GROUP_SIZE));
     let nodes: Vec<TestNode> = (0..NODES)
@@ -46,26 +43,53 @@
     tokio::time::sleep(Duration::from_secs(1)).await;
     let behaviour = InstanceBehaviour::Slow;
     deployment.engines.iter().for_each(|engine| engine.set_behaviour(behaviour));
-    let mut probes_before = 0;
-    for node in &nodes {
-        probes_before += probes(node).await;
+    (deployment, nodes)
+}
+
+/// The value of a node's metric; a counter has no line before it is first counted.
+async fn metric(node: &TestNode, name: &str) -> u64 {
+    let (_, body) = caller::get(node.control, "/metrics").await.unwrap();
+    let text = String::from_utf8(body.to_vec()).unwrap();
+    let prefix = format!("workshold_{name} ");
+    let line = text.lines().find_map(|line| line.strip_prefix(&prefix));
+    line.map_or(0, |value| value.parse().unwrap())
+}
+
+/// The number of probes that all nodes have sent.
+async fn probes(nodes: &[TestNode]) -> u64 {
+    let mut sum = 0;
+    for node in nodes {
+        sum += metric(node, "looks").await;
     }
+    sum
+}
+
+/// Requests under way. The result of each is whether it was answered.
+type Requests = JoinSet<bool>;
+
+/// Sends the next request.
+fn send_request(nodes: &[TestNode], requests: &mut Requests, number: usize) {
+    let callers = nodes[number % NODES].callers;
+    let req = caller::request(&format!("r-{number}"), "/chat/x", "k1");
+    requests.spawn(async move {
+        caller::send(callers, req).await.is_ok_and(|(res, _)| res.status() == 200)
+    });
+}
+
+#[tokio::test]
+async fn requests_that_wait_for_busy_groups_cost_few_probes() {
+    let (_deployment, nodes) = start().await;
+    let probes_before = probes(&nodes).await;
     let began = Instant::now();
-    let mut requests = JoinSet::new();
+    let mut requests = Requests::new();
     let mut sent = 0;
     while began.elapsed() < DURATION {
-        let callers = nodes[sent % NODES].callers;
-        let req = caller::request(&format!("r-{sent}"), "/chat/x", "k1");
-        requests.spawn(async move { caller::send(callers, req).await });
+        send_request(&nodes, &mut requests, sent);
         sent += 1;
         tokio::time::sleep(REQUEST_INTERVAL).await;
     }
-    let answers = requests.join_all().await;
-    let answered = answers.iter().flatten().filter(|(res, _)| res.status() == 200).count();
-    let mut probes_after = 0;
-    for node in &nodes {
-        probes_after += probes(node).await;
-    }
+    let answered = requests.join_all().await.into_iter().filter(|is_answered| *is_answered).count();
+    let probes_after = probes(&nodes).await;
     let per_request = (probes_after - probes_before) as f64 / sent as f64;
     assert!(answered > 0);
     assert!(probes_after > 0, "the groups are not waited for, or the metric has another name");
@@ -74,3 +98,29 @@
         "{sent} requests, {answered} answered, {per_request:.3} probes for each"
     );
 }
+
+/// The member that ends is no head, so that no connection for a request breaks with it.
+#[tokio::test]
+async fn every_node_soon_finds_a_lost_member_of_a_busy_group() {
+    let (deployment, nodes) = start().await;
+    let began = Instant::now();
+    let mut requests = Requests::new();
+    let mut sent = 0;
+    while began.elapsed() < TIME_TO_LOSS {
+        send_request(&nodes, &mut requests, sent);
+        sent += 1;
+        tokio::time::sleep(REQUEST_INTERVAL).await;
+    }
+    let member = deployment.engines.iter().find(|engine| engine.ran().is_empty());
+    member.expect("only heads run requests").crash();
+    let lost_at = Instant::now();
+    for node in &nodes {
+        while metric(node, "in_doubt").await == 0 {
+            let elapsed = lost_at.elapsed();
+            assert!(elapsed <= FOUND_WITHIN, "{elapsed:?} after the loss a node does not know it");
+            send_request(&nodes, &mut requests, sent);
+            sent += 1;
+            tokio::time::sleep(REQUEST_INTERVAL).await;
+        }
+    }
+}
