Demand memory: remember the demand of past peaks by model

The demand estimate forgets within 3 s, so a trough of a swinging demand looks like a lasting decline.

--- a/crates/workshold-core/src/hosted.rs
+++ b/crates/workshold-core/src/hosted.rs
@@ -11,7 +11,8 @@
 //! - Instances: the list with the groups they form ([`roster`], [`groups`]), one incarnation of
 //!   an instance ([`identity`]), which instances are unreachable ([`suspicion`]), and which era
 //!   of the store an answer belongs to ([`store_era`]).
-//! - Planning: the demand for each model ([`demand`]), the load that a group can take
+//! - Planning: the demand for each model ([`demand`]), that of the last peaks
+//!   ([`demand_memory`]), the load that a group can take
 //!   ([`capacity`]), and which groups there should be ([`planner`]).
 //! - Forming groups: [`steward`] plans for a fabric domain and sends orders to its instances;
 //!   [`lease_candidacy`] says which nodes stand for the lease that this needs, and
@@ -26,6 +27,7 @@
 pub mod cold_start;
 pub mod config_freshness;
 pub mod demand;
+pub mod demand_memory;
 pub mod evacuation;
 pub mod fingerprint;
 pub mod groups;
--- a/crates/workshold-core/tests/hosted.rs
+++ b/crates/workshold-core/tests/hosted.rs
@@ -6,6 +6,8 @@
 mod cold_start;
 #[path = "hosted/config_freshness.rs"]
 mod config_freshness;
+#[path = "hosted/demand_memory.rs"]
+mod demand_memory;
 #[path = "hosted/evacuation.rs"]
 mod evacuation;
 #[path = "hosted/instance_limits.rs"]
