Planner: form groups for a remembered demand of free instances

A group that was lost while demand was low was formed again only once demand was high, although instances that hold the weights were free: its gain at the present demand did not outweigh a load, or weights that its members lose. With [admission] in the settings, nodes now record the fleet's demand and the plan forms such groups for the remembered demand as well, or loads their weights at no more than half the usable rate.

No group is closed for it: of three plans the first is taken that makes no steward close a group, now or later, that it would have kept. A group that the remembered demand needs is closed only for a greater gain.

In virtual time a loss at the start of a trough is repaired within 2 s (7.2 s without memory), or its weights are ordered within 1.5 s (after more than 6 s without). In 51 s of a demand that swings every 17 s no group is closed; without memory more than 3 are. Without the section the plan is the same as before, as the unchanged tests show.

--- a/crates/workshold-core/src/hosted/planner.rs
+++ b/crates/workshold-core/src/hosted/planner.rs
@@ -8,82 +8,28 @@
 //! change has a positive one. There are no thresholds: the plan does not oscillate because every
 //! change has a cost.
 //!
+//! Where a higher demand is remembered, the plan keeps what it needs: groups for it are formed of
+//! instances that are free, but none is closed for it ([`plan_with_reserve`]).
+//!
 //! The plan is a pure function of what all nodes see alike. So the stewards of different domains
 //! compute the same plan without communicating, and each executes its own part.
 
-use workshold_protocol::Millis;
-use workshold_protocol::ids::FabricDomain;
-
-use super::capacity::Utility;
-use super::identity::Identity;
-
-/// What an instance needs before it can be a member of a group of one model.
-///
-/// The derived order ranks instances: those that come first are preferred.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct HostReadiness {
-    /// Whether the model's weights have to be fetched and no fetch has begun.
-    pub needs_load: bool,
-    /// Whether the weights are being fetched to the host.
-    pub waits_for_weights: bool,
-    /// Time until it is ready, counted from the order to join, or from now if weights are being
-    /// fetched.
-    pub delay: Millis,
-    /// Whether the head of its last group has to leave that group first.
-    pub waits_for_head: bool,
-}
-
-/// An instance that the plan can use.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Host {
-    /// Identity of the instance.
-    pub id: Identity,
-    /// What it needs to serve each model, in the order of the models.
-    pub readiness: Vec<HostReadiness>,
-}
+mod input;
+mod reserve;
 
-/// A group that serves requests.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ServingGroup {
-    /// Epoch of the group.
-    pub epoch: u64,
-    /// Index of the model that it serves.
-    pub model: usize,
-    /// Its members by rank, the head first.
-    pub members: Vec<Host>,
-}
+pub use self::input::Domain;
+pub use self::input::Host;
+pub use self::input::HostReadiness;
+pub use self::input::Model;
+pub use self::input::ServingGroup;
+pub use self::input::models;
+pub use self::reserve::Plan;
+pub use self::reserve::plan_with_reserve;
 
-/// A fabric domain, as input of the plan.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Domain {
-    /// Name of the domain.
-    pub name: FabricDomain,
-    /// Instances that are in no group.
-    pub free: Vec<Host>,
-    /// Groups that serve and may be closed.
-    pub serving_groups: Vec<ServingGroup>,
-}
+use workshold_protocol::Millis;
 
-/// A model, as input of the plan.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Model {
-    /// Number of instances in a group.
-    pub size: usize,
-    /// Utility of its groups at the estimated demand.
-    pub utility: Utility,
-    /// Utility if the demand is lower than estimated. Together with [`Self::utility_high`] it
-    /// makes sure that a serving group is closed only if that pays off despite the estimate's
-    /// error.
-    pub utility_low: Utility,
-    /// Utility if the demand is higher than estimated; see [`Self::utility_low`].
-    pub utility_high: Utility,
-    /// Number of groups that serve or are already being formed.
-    pub groups: f64,
-    /// Time that a closed group takes to drain.
-    pub drain_time: Millis,
-    /// Time to fetch its weights from the weight store.
-    pub load: Millis,
-}
+use self::reserve::FormRule;
+use super::identity::Identity;
 
 /// A planned change of one domain.
 #[derive(Debug, Clone, PartialEq)]
@@ -133,16 +79,7 @@
 /// the changes chosen elsewhere. So each domain's candidates are computed once, and again only
 /// for the domain whose change was chosen.
 pub fn plan(domains: Vec<Domain>, models: &[Model], limits: Limits) -> Vec<Change> {
-    let mut planner = Planner { candidates: Vec::new(), domains, models: models.to_vec(), limits };
-    planner.candidates =
-        (0..planner.domains.len()).map(|domain| planner.candidates(domain)).collect();
-    let mut changes = Vec::new();
-    while changes.len() < MAX_CHANGES {
-        let Some(change) = planner.best() else { break };
-        planner.apply(&change);
-        changes.push(change);
-    }
-    changes
+    Planner::new(domains, models, limits).choose_all()
 }
 
 /// A candidate change of a domain, without its net gain.
@@ -181,11 +118,42 @@
     domains: Vec<Domain>,
     models: Vec<Model>,
     limits: Limits,
+    form_rule: FormRule,
 }
 
 impl Planner {
-    /// The candidate with the highest net gain per instance; `None` if none has a positive one.
-    fn best(&self) -> Option<Change> {
+    fn new(domains: Vec<Domain>, models: &[Model], limits: Limits) -> Self {
+        let mut planner = Self {
+            candidates: Vec::new(),
+            domains,
+            models: models.to_vec(),
+            limits,
+            form_rule: FormRule::Present,
+        };
+        planner.compute_candidates();
+        planner
+    }
+
+    /// Computes the candidates of all domains.
+    fn compute_candidates(&mut self) {
+        self.candidates = (0..self.domains.len()).map(|domain| self.candidates(domain)).collect();
+    }
+
+    /// Chooses and applies changes until none has a positive net gain.
+    fn choose_all(&mut self) -> Vec<Change> {
+        let mut changes = Vec::new();
+        while changes.len() < MAX_CHANGES {
+            let Some((net_gain, candidate)) = self.best() else { break };
+            let change = Change { net_gain, ..candidate.change.clone() };
+            self.apply(&change);
+            changes.push(change);
+        }
+        changes
+    }
+
+    /// The candidate with the highest net gain per instance, and its net gain; `None` if none has
+    /// a positive one.
+    fn best(&self) -> Option<(f64, &Candidate)> {
         let mut best: Option<(f64, f64, &Candidate)> = None;
         for candidate in self.candidates.iter().flatten() {
             let net_gain = self.net_gain(candidate);
@@ -194,7 +162,7 @@
                 best = Some((gain_per_instance, net_gain, candidate));
             }
         }
-        best.map(|(_, net_gain, candidate)| Change { net_gain, ..candidate.change.clone() })
+        best.map(|(_, net_gain, candidate)| (net_gain, candidate))
     }
 
     /// All candidate changes of one domain.
@@ -328,21 +296,30 @@
         if loads > self.limits.max_loads {
             return 0.0;
         }
+        if self.exceeds_reserve_loads(candidate) {
+            return 0.0;
+        }
         let own = &self.models[candidate.change.model];
         let (gain, costs) = match candidate.kind {
-            CandidateKind::Form => (own.utility.gain(own.groups, 1.0), 0.0),
+            CandidateKind::Form => (self.forming_gain(own), 0.0),
             CandidateKind::Convert { donor, closed, formed, net_closed } => {
                 let donor = &self.models[donor];
                 let gain = own.utility_low.gain(own.groups, formed as f64)
-                    + donor.utility_high.gain(donor.groups, -net_closed);
-                let without = donor.utility_high.gain(donor.groups, -(closed as f64));
+                    + donor.closing_gain(net_closed);
+                let without = donor.closing_gain(closed as f64);
                 let closing = -without * donor.drain_time.as_secs_f64();
                 (gain, closing + CLOSE_COST_INSTANCE_S * closed as f64)
             }
         };
         let lifetime_s = MIX_LIFETIME.since(candidate.delay).as_secs_f64();
-        let costs = costs + self.weights_lost(candidate) + LOAD_COST_INSTANCE_S * loads as f64;
-        gain * lifetime_s - costs
+        gain * lifetime_s - (costs + self.forming_costs(candidate))
+    }
+
+    /// Cost of the loads that a candidate needs and of the weights that its members lose, in
+    /// instance-seconds.
+    fn forming_costs(&self, candidate: &Candidate) -> f64 {
+        let loads = candidate.change.loading_members.len();
+        self.weights_lost(candidate) + LOAD_COST_INSTANCE_S * loads as f64
     }
 
     /// Cost of the weights that members lose and that may be needed before they can be fetched
@@ -350,7 +327,7 @@
     fn weights_lost(&self, candidate: &Candidate) -> f64 {
         let lost = self.models.iter().zip(&candidate.lost).filter(|(_, hosts)| **hosts > 0);
         let costs = lost.map(|(model, hosts)| {
-            let gain_per_instance = model.utility.gain(model.groups, 1.0) / model.size as f64;
+            let gain_per_instance = self.weights_gain(model) / model.size as f64;
             *hosts as f64 * gain_per_instance * model.load.as_secs_f64() * WEIGHT_MISS_PROBABILITY
         });
         costs.sum()
--- a/crates/workshold-core/src/hosted/steward.rs
+++ b/crates/workshold-core/src/hosted/steward.rs
@@ -42,9 +42,11 @@
 use self::context::LEAVING_DRAIN_TIME;
 use self::planner_input::FreeInstance;
 use self::planning::describe_changes;
+use self::staging::LoadPurpose;
 use super::groups;
 use super::groups::Group;
 use super::identity::Identity;
+use super::planner::Plan;
 use super::roster::Instance;
 use super::roster::MemberState;
 
@@ -93,6 +95,8 @@
     headless_since: BTreeMap<u64, Millis>,
     /// When weights were ordered within the rate limit's window.
     recent_loads: VecDeque<Millis>,
+    /// When weights were ordered for a remembered demand, within the window of its rate.
+    reserve_loads: VecDeque<Millis>,
     deferred: Vec<DeferredGroup>,
     last_plans: BTreeMap<FabricDomain, PlannedState>,
     summary: DomainSummary,
@@ -164,6 +168,7 @@
             released_epochs: BTreeSet::new(),
             headless_since: BTreeMap::new(),
             recent_loads: VecDeque::new(),
+            reserve_loads: VecDeque::new(),
             deferred: Vec::new(),
             last_plans: BTreeMap::new(),
             summary: DomainSummary::default(),
@@ -230,9 +235,11 @@
             }
         }
         let pool = self.pool(cx, &groups, &idle);
-        let changes = self.plan_changes(cx, &groups, &pool);
+        let Plan { present, reserve, .. } = self.plan_changes(cx, &groups, &pool);
+        let reserve = planning::with_free_members(reserve, &pool);
         self.form_deferred_groups(cx, &pool);
-        self.execute_changes(cx, &groups, &pool, &changes, &mut commands);
+        self.execute_changes(cx, &groups, &pool, &present, LoadPurpose::Present, &mut commands);
+        self.execute_changes(cx, &groups, &pool, &reserve, LoadPurpose::Reserve, &mut commands);
         self.advance_formations(cx, &groups, &mut commands);
         self.stage_ahead(cx, &pool, &mut commands);
         self.prune_state(cx);
@@ -242,7 +249,7 @@
             staging: pool.iter().filter(|free| self.is_staging(free.instance(), cx)).count(),
             forming: self.forming.len(),
             free_instances: pool.iter().map(FreeInstance::describe).collect::<Vec<_>>().join(" "),
-            planned_changes: describe_changes(cx, &changes),
+            planned_changes: describe_changes(cx, present.iter().chain(&reserve)),
         };
         commands
     }
--- a/crates/workshold-core/src/hosted/steward/planning.rs
+++ b/crates/workshold-core/src/hosted/steward/planning.rs
@@ -13,7 +13,7 @@
 use crate::hosted::planner::Host;
 use crate::hosted::planner::HostReadiness;
 use crate::hosted::planner::Limits;
-use crate::hosted::roster::Entry;
+use crate::hosted::planner::Plan;
 use crate::hosted::roster::MemberState;
 use crate::hosted::serving_config::ModelSpec;
 
@@ -26,18 +26,22 @@
 use super::context::LEAVING_DRAIN_TIME;
 use super::planner_input;
 use super::planner_input::FreeInstance;
+use super::staging::LoadPurpose;
+use super::staging::max_reserve_loads;
 
 impl Steward {
     /// Plans over all domains and returns the changes of this one.
+    ///
+    /// Before traffic there is no remembered demand, and so no reserve.
     pub(super) fn plan_changes(
         &mut self,
         cx: &DomainContext<'_>,
         groups: &[Group],
         pool: &[FreeInstance],
-    ) -> Vec<Change> {
+    ) -> Plan {
         let is_settled = cx.now.since(cx.last_arrival_at) >= self.rules.list_quiet_time;
         if cx.before_traffic && (!is_settled || pool.is_empty()) {
-            return Vec::new();
+            return Plan::default();
         }
         let own_domain = if cx.before_traffic {
             super::listed(cx.domain, cx.entries, cx.engine, true, |entry| cx.can_serve(entry))
@@ -46,16 +50,15 @@
         };
         if own_domain.free.is_empty() && !cx.may_close {
             self.last_plans.remove(&own_domain.name);
-            return Vec::new();
+            return Plan::default();
         }
         if !self.is_plan_due(&own_domain, cx.now) {
-            return Vec::new();
+            return Plan::default();
         }
         let mut domains = (cx.others)();
         let at = domains.partition_point(|other| other.name < own_domain.name);
         domains.insert(at, own_domain);
-        let is_loading = |entry: &&&Entry| self.is_staging(&entry.instance, cx);
-        let loads_under_way = cx.entries.iter().filter(is_loading).count();
+        let loads_under_way = self.loads_under_way(cx);
         let limits = Limits {
             may_close: cx.may_close && !cx.before_traffic,
             may_load_on_join: cx.before_traffic,
@@ -65,13 +68,19 @@
         if cx.before_traffic {
             models.iter_mut().for_each(|model| model.groups = 0.0);
         }
-        let changes = planner::plan(domains, &models, limits);
-        let own_changes = changes.into_iter().filter(|change| change.domain == at);
+        let max_reserve_loads = max_reserve_loads(cx.engine).saturating_sub(loads_under_way);
+        let mut plan = planner::plan_with_reserve(&domains, &models, limits, max_reserve_loads);
+        plan.present.retain(|change| change.domain == at);
+        plan.reserve.retain(|change| change.domain == at);
         if cx.before_traffic {
-            self.changes_not_begun(own_changes, cx, groups, pool)
-        } else {
-            own_changes.collect()
+            plan.present = self.changes_not_begun(plan.present.into_iter(), cx, groups, pool);
         }
+        plan
+    }
+
+    /// Number of the domain's instances whose hosts are fetching weights.
+    fn loads_under_way(&self, cx: &DomainContext<'_>) -> usize {
+        cx.entries.iter().filter(|entry| self.is_staging(&entry.instance, cx)).count()
     }
 
     /// Whether to plan over all domains: this domain has changed since the last plan, or that plan
@@ -141,6 +150,7 @@
         groups: &[Group],
         pool: &[FreeInstance],
         changes: &[Change],
+        purpose: LoadPurpose,
         commands: &mut Vec<Command>,
     ) {
         for change in changes {
@@ -150,7 +160,7 @@
                 let lacking =
                     instances.filter(|e| change.loading_members.contains(&e.instance.identity));
                 for entry in lacking {
-                    self.stage_weights(&entry.instance, spec, cx, commands);
+                    self.stage_weights(&entry.instance, spec, purpose, cx, commands);
                 }
             } else if change.waits_for_weights {
                 // Wait until the weights have reached all members.
@@ -227,18 +237,28 @@
     }
 }
 
+/// Of the changes for a remembered demand, returns those that need only free instances. The others
+/// need members of a group that the present demand closes; later rounds plan them once it is
+/// closed.
+pub(super) fn with_free_members(changes: Vec<Change>, pool: &[FreeInstance]) -> Vec<Change> {
+    changes.into_iter().filter(|change| are_free(&change.members, pool)).collect()
+}
+
 /// Whether all `members` are in the pool of free instances.
 fn are_free(members: &[Identity], pool: &[FreeInstance]) -> bool {
     members.iter().all(|id| pool.iter().any(|free| &free.instance().identity == id))
 }
 
 /// Describes the changes for logs.
-pub(super) fn describe_changes(cx: &DomainContext<'_>, changes: &[Change]) -> String {
+pub(super) fn describe_changes<'a>(
+    cx: &DomainContext<'_>,
+    changes: impl Iterator<Item = &'a Change>,
+) -> String {
     let describe = |change: &Change| {
         let model = &cx.engine.models[change.model].name;
         let (size, closes, loads) =
             (change.members.len(), change.groups_to_close.len(), change.loading_members.len());
         format!("{model}:{size} closes:{closes} loads:{loads} gain:{:.0}", change.net_gain)
     };
-    changes.iter().map(describe).collect::<Vec<_>>().join(", ")
+    changes.map(describe).collect::<Vec<_>>().join(", ")
 }
--- a/crates/workshold-core/src/hosted/steward/staging.rs
+++ b/crates/workshold-core/src/hosted/steward/staging.rs
@@ -9,6 +9,7 @@
 use crate::hosted::planner;
 use crate::hosted::roster::Instance;
 use crate::hosted::roster::MemberState;
+use crate::hosted::serving_config::Engine;
 use crate::hosted::serving_config::ModelSpec;
 
 use super::Command;
@@ -20,9 +21,27 @@
 /// Fraction of the weight store's rate limit that is used, since orders that are executed late
 /// count towards another window.
 const RATE_LIMIT_FRACTION: f64 = 0.8;
+/// Fraction of the usable rate at which weights are loaded for a remembered demand.
+const RESERVE_FRACTION: f64 = 0.5;
 /// How long an instance that refused to load is not ordered to again: it is busy with another load.
 const BUSY_BACKOFF: Millis = Millis(3_000);
 
+/// What weights are loaded for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LoadPurpose {
+    /// Groups for the present demand.
+    Present,
+    /// Groups for a remembered demand.
+    Reserve,
+}
+
+/// Most concurrent loads for a remembered demand: half of those that the weight store serves at
+/// full speed, but enough for a group.
+pub(super) fn max_reserve_loads(engine: &Engine) -> usize {
+    let largest_size = engine.models.iter().map(|model| model.size).max().unwrap_or_default();
+    (engine.loads_at_once as usize / 2).max(largest_size)
+}
+
 impl Steward {
     /// Fetches weights that no planned change needs yet.
     ///
@@ -47,7 +66,7 @@
             let is_assigned =
                 self.is_assigned(&free.instance().identity) || self.is_staging(free.instance(), cx);
             if let Some(model) = models_by_gain(cx).first().filter(|_| !is_assigned) {
-                self.stage_weights(free.instance(), model, cx, commands);
+                self.stage_weights(free.instance(), model, LoadPurpose::Present, cx, commands);
             }
         }
     }
@@ -59,7 +78,7 @@
         for instance in instances {
             let other = models_by_gain.iter().copied().find(|m| !instance.loaded.contains(&m.name));
             if let Some(other) = other {
-                self.stage_weights(&instance, other, cx, commands);
+                self.stage_weights(&instance, other, LoadPurpose::Present, cx, commands);
             }
         }
     }
@@ -85,6 +104,7 @@
         &mut self,
         instance: &Instance,
         model: &ModelSpec,
+        purpose: LoadPurpose,
         cx: &DomainContext<'_>,
         commands: &mut Vec<Command>,
     ) {
@@ -97,15 +117,34 @@
         if !cx.before_traffic && self.recent_loads.len() as f64 + 1.0 > max_loads {
             return;
         }
+        if purpose == LoadPurpose::Reserve && !self.may_load_for_reserve(cx) {
+            return;
+        }
         let before = commands.len();
         let order = Order::Stage { model: model.name.clone() };
         self.send(instance, 0, "stage", order, "host will need the weights", cx.now, commands);
         if commands.len() > before {
             self.recent_loads.push_back(cx.now);
+            if purpose == LoadPurpose::Reserve {
+                self.reserve_loads.push_back(cx.now);
+            }
             self.staging.insert(instance.identity.clone(), (model.name.clone(), cx.now));
         }
     }
 
+    /// Whether the rate of loads for a remembered demand allows one more. Where that rate is less
+    /// than one load in the rate limit's window, the window is as long as one load needs.
+    fn may_load_for_reserve(&mut self, cx: &DomainContext<'_>) -> bool {
+        let rate = cx.engine.loads_per_s * cx.load_share * RATE_LIMIT_FRACTION * RESERVE_FRACTION;
+        if rate <= 0.0 {
+            return false;
+        }
+        let window_s = self.rules.load_rate_window.as_secs_f64().max(1.0 / rate);
+        let is_recent = |at: &Millis| cx.now.since(*at).as_secs_f64() < window_s;
+        self.reserve_loads.retain(is_recent);
+        (self.reserve_loads.len() + 1) as f64 <= (rate * window_s).max(1.0)
+    }
+
     /// The model whose weights an instance's host is fetching, and since when. `None` if they have
     /// arrived or are overdue.
     pub(super) fn staging_since(
@@ -140,7 +179,7 @@
 
 /// The models in descending order of the gain per instance from one more group.
 fn models_by_gain<'a>(cx: &DomainContext<'a>) -> Vec<&'a ModelSpec> {
-    let gain = |model: &planner::Model| model.utility.gain(model.groups, 1.0) / model.size as f64;
+    let gain = |model: &planner::Model| model.forming_gain() / model.size as f64;
     let mut models: Vec<(&ModelSpec, f64)> = cx
         .engine
         .models
--- a/crates/workshold-core/tests/hosted.rs
+++ b/crates/workshold-core/tests/hosted.rs
@@ -30,6 +30,12 @@
 mod reference_planner;
 #[path = "hosted/requests.rs"]
 mod requests;
+#[path = "hosted/reserve.rs"]
+mod reserve;
+#[path = "hosted/reserve_fleet.rs"]
+mod reserve_fleet;
+#[path = "hosted/reserve_plan.rs"]
+mod reserve_plan;
 #[path = "hosted/stewards.rs"]
 mod stewards;
 #[path = "hosted/store_era.rs"]
--- a/crates/workshold-core/tests/hosted/planning.rs
+++ b/crates/workshold-core/tests/hosted/planning.rs
@@ -23,7 +23,7 @@
 
 use crate::reference_planner;
 
-fn engine() -> Engine {
+pub fn engine() -> Engine {
     let spec = |name: &str, size, pace, share| ModelSpec {
         name: ModelName::new(name).unwrap(),
         size,
@@ -61,6 +61,7 @@
         utility: utility[i].clone(),
         utility_low: min_groups[i].clone(),
         utility_high: most[i].clone(),
+        utility_remembered: None,
         groups: groups[i],
         drain_time: Millis(2_000),
         load: spec.load,
@@ -136,7 +137,7 @@
 }
 
 /// Demand of `requests` per second, each with a prompt of 1,000 tokens and 20 events.
-fn workload(requests: f64) -> Workload {
+pub fn workload(requests: f64) -> Workload {
     Workload {
         requests,
         prompt_tokens: requests * 1_000.0,
@@ -146,7 +147,7 @@
 }
 
 /// Random domains with hosts and groups in any state.
-fn random_domains(rng: &mut ChaCha8Rng) -> Vec<Domain> {
+pub fn random_domains(rng: &mut ChaCha8Rng) -> Vec<Domain> {
     let domains = rng.random_range(1..8);
     (0..domains).map(|domain| random_domain(rng, domain)).collect()
 }
--- a/crates/workshold-core/tests/hosted/stewards.rs
+++ b/crates/workshold-core/tests/hosted/stewards.rs
@@ -207,6 +207,7 @@
             utility: utility[i].clone(),
             utility_low: at_least[i].clone(),
             utility_high: at_most[i].clone(),
+            utility_remembered: None,
             groups: self.group_counts[i],
             drain_time: Millis(2_000),
             load: self.engine.models[i].load,
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -8,6 +8,7 @@
 //!   permit for each request.
 //! - [`retry_budget`]: the retry budget of each upstream.
 
+mod demand_memory;
 mod evacuations;
 mod instance_limits;
 mod quarantine;
@@ -34,6 +35,7 @@
 use workshold_core::hosted::cold_start::ColdInstances;
 use workshold_core::hosted::config_freshness::ConfigFreshness;
 use workshold_core::hosted::demand::Demand;
+use workshold_core::hosted::demand_memory::DemandMemory;
 use workshold_core::hosted::evacuation::Evacuations;
 use workshold_core::hosted::identity::Identity;
 use workshold_core::hosted::instance_limits::InstanceLimits;
@@ -201,6 +203,8 @@
     pub metrics: Metrics,
     /// The workload that this node's callers ask for.
     pub demand: Mutex<Demand>,
+    /// The workload that the callers of all nodes asked for in the recent past.
+    demand_memory: Mutex<DemandMemory>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     /// What this node knows of the other nodes.
     pub peers: Mutex<Peers>,
@@ -259,6 +263,8 @@
     pub by_model: BTreeMap<ModelName, Workload>,
     /// Fraction of the demand that the nodes have had time to observe since their first request.
     pub observed_fraction: f64,
+    /// Workload per second at remembered peaks, weighted with its age; empty if none is remembered.
+    pub remembered: BTreeMap<ModelName, Workload>,
 }
 
 /// Outlier rules for instances of plain services and for group heads.
@@ -314,6 +320,7 @@
             loads: Loads::default(),
             metrics: Metrics::default(),
             demand: Mutex::default(),
+            demand_memory: Mutex::default(),
             budgets: Mutex::default(),
             peers: Mutex::new(peers),
             lease: Mutex::default(),
@@ -513,7 +520,8 @@
         let of = |name: &ModelName| by_name.get(&name_hash(name.as_str())).copied();
         let names = engine.models.iter().map(|spec| &spec.name);
         let by_model = names.map(|name| (name.clone(), of(name).unwrap_or_default())).collect();
-        ObservedDemand { by_model, observed_fraction }
+        let remembered = self.remembered_workload(engine);
+        ObservedDemand { by_model, observed_fraction, remembered }
     }
 
     /// Number of events in a typical answer by the operator's configuration: the highest of all
--- a/crates/workshold-gateway/src/settings.rs
+++ b/crates/workshold-gateway/src/settings.rs
@@ -30,6 +30,9 @@
     /// Limits that were promised to callers and operators.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Behaviour while demand exceeds capacity; without the section, that of earlier versions.
+    #[serde(default)]
+    pub admission: Option<AdmissionSettings>,
 }
 
 /// Name and location of a node.
@@ -139,6 +142,21 @@
     pub addresses_good_at_most_s: f64,
 }
 
+/// Behaviour while demand exceeds capacity.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct AdmissionSettings {
+    /// How long the demand of past peaks is remembered, and its half-life, in seconds; 0 switches
+    /// the memory off.
+    pub demand_memory_s: f64,
+}
+
+impl Default for AdmissionSettings {
+    fn default() -> Self {
+        Self { demand_memory_s: 40.0 }
+    }
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Self {
@@ -196,6 +214,9 @@
 const CONFIG_FOLLOWERS: f64 = 32.0;
 /// File descriptors reserved for the store, probes of suspected instances, peers and files.
 const RESERVED_DESCRIPTORS: usize = 300;
+/// Longest that demand may be remembered, in seconds: it bounds the memory's size, and an older
+/// peak says little about the next one.
+const DEMAND_MEMORY_MAX_S: f64 = 600.0;
 /// Time to live of a lease. The partitions of a node that dies have no holder for this long.
 const LEASE_TTL: Millis = Millis(1_500);
 
@@ -258,6 +279,12 @@
         LEASE_TTL.max(Millis(self.store.least_ttl_ms))
     }
 
+    /// How long the demand of past peaks is remembered; zero if it is not.
+    pub fn demand_memory(&self) -> Millis {
+        let memory_s = self.admission.as_ref().map_or(0.0, |admission| admission.demand_memory_s);
+        Millis((memory_s * 1000.0) as u64)
+    }
+
     /// The rules of the retry budget.
     pub fn budget(&self) -> RetryBudgetRules {
         RetryBudgetRules {
@@ -364,6 +391,14 @@
     {
         return Err(format!("{name} is {value}, but must not be negative"));
     }
+    if let Some(admission) = &settings.admission {
+        let value = admission.demand_memory_s;
+        if !(0.0..=DEMAND_MEMORY_MAX_S).contains(&value) {
+            return Err(format!(
+                "admission.demand_memory_s is {value}, but must be from 0 to {DEMAND_MEMORY_MAX_S}"
+            ));
+        }
+    }
     match positive.iter().find(|(_, value)| !(value.is_finite() && *value > 0.0)) {
         Some((name, value)) => Err(format!("{name} is {value}, but must be greater than zero")),
         None => Ok(settings),
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -52,6 +52,7 @@
             () = tokio::time::sleep(interval) => {}
             () = node.planning_wanted.notified() => {}
         }
+        node.record_demand();
         let commands = plan(&node, &stewards, &log_times);
         for command in commands {
             send_order(Arc::clone(&node), Arc::clone(&stewards), command);
--- a/crates/workshold-gateway/src/tasks/stewarding/planning_round.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding/planning_round.rs
@@ -10,7 +10,6 @@
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 use workshold_core::hosted::capacity::CapacityEstimate;
-use workshold_core::hosted::capacity::Utility;
 use workshold_core::hosted::capacity::Workload;
 use workshold_core::hosted::groups;
 use workshold_core::hosted::groups::Group;
@@ -44,10 +43,6 @@
 
 /// Fraction of the demand that has to be observed before groups are closed because of it.
 const MIN_OBSERVED_FRACTION: f64 = 0.6;
-/// Relative uncertainty of the demand, which is observed for some seconds only.
-const DEMAND_UNCERTAINTY: f64 = 0.15;
-/// Typical time that a closing group takes to finish its requests.
-const TYPICAL_DRAIN_TIME: Millis = Millis(2_000);
 /// Interval at which the state of a domain is logged.
 const LOG_INTERVAL: Millis = Millis(2_000);
 
@@ -202,25 +197,10 @@
             seen.plus(expected.scaled(1.0 - demand.observed_fraction))
         };
         let works: Vec<Workload> = engine.models.iter().map(work).collect();
-        let utilities = |factor: f64| {
-            let works: Vec<Workload> = works.iter().map(|work| work.scaled(factor)).collect();
-            Utility::of_all(engine, &works, |spec| instances / spec.size + 1)
-        };
-        let utilities = utilities(1.0)
-            .into_iter()
-            .zip(utilities(1.0 - DEMAND_UNCERTAINTY))
-            .zip(utilities(1.0 + DEMAND_UNCERTAINTY));
-        let model =
-            |(spec, ((utility, utility_low), utility_high)): (&ModelSpec, _)| planner::Model {
-                size: spec.size,
-                utility,
-                utility_low,
-                utility_high,
-                groups: 0.0,
-                drain_time: TYPICAL_DRAIN_TIME,
-                load: spec.load,
-            };
-        engine.models.iter().zip(utilities).map(model).collect()
+        let of_spec = |spec: &ModelSpec| demand.remembered.get(&spec.name).copied();
+        let remembered = engine.models.iter().map(|spec| of_spec(spec).unwrap_or_default());
+        let remembered = (!demand.remembered.is_empty()).then(|| remembered.collect::<Vec<_>>());
+        planner::models(engine, &works, remembered.as_deref(), |spec| instances / spec.size + 1)
     }
 
     /// Logs the state of a domain, at most once in [`LOG_INTERVAL`].
--- a/crates/workshold-model/src/hosted.rs
+++ b/crates/workshold-model/src/hosted.rs
@@ -175,6 +175,7 @@
             size: spec.size,
             utility_low: utility.clone(),
             utility_high: utility.clone(),
+            utility_remembered: None,
             utility,
             groups: 0.0,
             drain_time: Millis(500),
