Gateway: tests of the demand memory's settings

Without [admission], or with demand_memory_s = 0, a node remembers no demand, so its plan is as before; bounds are checked when the settings are read.

--- a/crates/workshold-gateway/tests/catalogues.rs
+++ b/crates/workshold-gateway/tests/catalogues.rs
@@ -124,3 +124,20 @@
         assert!(err.contains(named), "{err}");
     }
 }
+
+/// Guards against memories without bound, and against a section that changes what it does not say.
+#[test]
+fn demand_memory_is_within_its_bounds() {
+    let good = filled_template();
+    for value in ["-1.0", "600.1", "nan", "inf"] {
+        let text = format!("{good}\n[admission]\ndemand_memory_s = {value}\n");
+        let err = settings::parse(&text).unwrap_err();
+        assert!(err.contains("admission.demand_memory_s"), "{err}");
+    }
+    let err = settings::parse(&format!("{good}\n[admission]\nmemory = 1\n")).unwrap_err();
+    assert!(err.contains("memory"), "{err}");
+    let memory = |text: &str| settings::parse(&format!("{good}\n{text}")).unwrap().demand_memory();
+    assert_eq!(memory(""), Millis::ZERO);
+    assert_eq!(memory("[admission]\n"), Millis::from_secs(40));
+    assert_eq!(memory("[admission]\ndemand_memory_s = 0\n"), Millis::ZERO);
+}
