--- a/crates/workshold-gateway/src/settings.rs
+++ b/crates/workshold-gateway/src/settings.rs
@@ -265,6 +265,12 @@
         LEASE_TTL.max(Millis(self.store.least_ttl_ms))
     }
 
+    /// How long the demand of past peaks is remembered; zero if it is not.
+    pub fn demand_memory(&self) -> Millis {
+        let memory_s = self.admission.as_ref().map_or(0.0, |admission| admission.demand_memory_s);
+        Millis((memory_s * 1000.0) as u64)
+    }
+
     /// The rules of the retry budget.
     pub fn budget(&self) -> RetryBudgetRules {
         RetryBudgetRules {
--- a/crates/workshold-gateway/src/settings/admission.rs
+++ b/crates/workshold-gateway/src/settings/admission.rs
@@ -17,14 +17,20 @@
     /// as a fraction of the capacity. Above 1, returns that exceed it are served all the same: a
     /// caller that did as told is not refused a second time, and new requests make up for it.
     pub returning_share: f64,
+    /// How long the demand of past peaks is remembered, and its half-life, in seconds; 0 switches
+    /// the memory off.
+    pub demand_memory_s: f64,
 }
 
+/// Longest that demand may be remembered, in seconds: it bounds the memory's size, and an older
+/// peak says little about the next one.
+const DEMAND_MEMORY_MAX_S: f64 = 600.0;
 /// Returning callers beyond twice the capacity would only queue.
 const RETURNING_SHARE_MAX: f64 = 2.0;
 
 impl Default for AdmissionSettings {
     fn default() -> Self {
-        Self { horizon_ms: 800, target_fill: 0.9, returning_share: 1.25 }
+        Self { horizon_ms: 800, target_fill: 0.9, returning_share: 1.25, demand_memory_s: 40.0 }
     }
 }
 
@@ -46,6 +52,7 @@
         let in_range = [
             ("admission.target_fill", self.target_fill, f64::MIN_POSITIVE..=1.0),
             ("admission.returning_share", self.returning_share, 0.0..=RETURNING_SHARE_MAX),
+            ("admission.demand_memory_s", self.demand_memory_s, 0.0..=DEMAND_MEMORY_MAX_S),
         ];
         match in_range.iter().find(|(_, value, range)| !range.contains(value)) {
             Some((name, value, range)) => Err(format!(
