Probe plan: bounds of a test follow from the wanted connections, not from what was seen

They now follow from the aim (at most 1.5 connections a request instead of five, four of which are probes) and from the one node that has to probe each interval so that a loss is found in time.

--- a/crates/workshold-core/tests/hosted/probe_plan.rs
+++ b/crates/workshold-core/tests/hosted/probe_plan.rs
@@ -152,28 +152,36 @@
     node.is_multiple_of(2)
 }
 
-/// The bounds are in connections a second of all nodes together.
+/// Part of the probes without evidence that is left where several nodes wait for a group or have
+/// streams there: of five connections a request, four are probes, and at most 1.5 are wanted.
+const WANTED_PART: f64 = 0.5 / 4.0;
+
+/// Connections in 10 s if one node alone probes the group, as soon as the evidence is old enough for
+/// the first node in the order: without these a loss would be found later than an interval.
+const ONE_PROBER: u64 = 10_000 / 180 * MEMBERS;
+
+/// Guards against probes by every node that waits. A node that waits alone has no other evidence.
 #[rstest]
-#[case::one_node(1, all, none, 1_100)]
-#[case::one_of_many_waits(71, only_first, none, 1_100)]
-#[case::a_tenth_waits(71, every_tenth, none, 2_000)]
-#[case::all_wait(71, all, none, 3_000)]
-#[case::all_of_hundreds_wait(350, all, none, 7_000)]
-#[case::own_streams_progress(71, all, all, 50)]
-#[case::streams_of_others_progress(71, every_tenth, other_half, 200)]
-#[case::streams_of_hundreds_progress(350, all, other_half, 3_000)]
+#[case::one_node(1, all, none, 1.0)]
+#[case::one_of_many_waits(71, only_first, none, 1.0)]
+#[case::a_tenth_waits(71, every_tenth, none, WANTED_PART)]
+#[case::all_wait(71, all, none, WANTED_PART)]
+#[case::all_of_hundreds_wait(350, all, none, WANTED_PART)]
+#[case::own_streams_progress(71, all, all, WANTED_PART)]
+#[case::streams_of_others_progress(71, every_tenth, other_half, WANTED_PART)]
+#[case::streams_of_hundreds_progress(350, all, other_half, WANTED_PART)]
 fn probes_of_a_group_that_many_requests_wait_for(
     #[case] nodes: usize,
     #[case] is_waiting: fn(usize) -> bool,
     #[case] has_streams: fn(usize) -> bool,
-    #[case] most_in_10_s: u64,
+    #[case] wanted_part: f64,
 ) {
     let fleet = Fleet::new(nodes, is_waiting, has_streams).run(10_000);
     let waiting = (0..nodes).filter(|node| is_waiting(*node)).count() as u64;
     let before = waiting * CONNECTIONS_PER_S * 10;
     let connections = fleet.connections;
-    assert!(connections <= most_in_10_s, "{connections} in 10 s, without evidence {before}");
-    assert!(connections <= before + waiting * MEMBERS, "{connections}, without evidence {before}");
+    let most = ((before as f64 * wanted_part) as u64).max(ONE_PROBER) + waiting * MEMBERS;
+    assert!(connections <= most, "{connections} in 10 s, without evidence {before}");
 }
 
 /// How long after the loss each waiting node probes all members, were it not told of the loss, for
