--- a/crates/workshold-gateway/tests/catalogues.rs
+++ b/crates/workshold-gateway/tests/catalogues.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::path::PathBuf;
 
+use rstest::rstest;
 use workshold_gateway::events;
 use workshold_gateway::events::Event;
 use workshold_gateway::metrics;
@@ -128,7 +129,9 @@
 /// Guards against memories without bound, and against a section that changes what it does not say.
 #[test]
 fn demand_memory_is_within_its_bounds() {
-    let good = filled_template();
+    let template = filled_template();
+    assert!(settings::parse(&template).unwrap().admission.is_some());
+    let good = template.replace("[admission]\n", "");
     for value in ["-1.0", "600.1", "nan", "inf"] {
         let text = format!("{good}\n[admission]\ndemand_memory_s = {value}\n");
         let err = settings::parse(&text).unwrap_err();
@@ -141,3 +144,18 @@
     assert_eq!(memory("[admission]\n"), Millis::from_secs(40));
     assert_eq!(memory("[admission]\ndemand_memory_s = 0\n"), Millis::ZERO);
 }
+
+/// Guards against admission settings that refuse everything, limit nothing, or are not numbers.
+#[rstest]
+#[case("horizon_ms = 0")]
+#[case("target_fill = 0.0")]
+#[case("target_fill = 1.1")]
+#[case("target_fill = nan")]
+#[case("returning_share = -0.1")]
+#[case("returning_share = inf")]
+fn admission_settings_are_within_their_bounds(#[case] line: &str) {
+    let good = filled_template().replace("[admission]\n", "");
+    let err = settings::parse(&format!("{good}\n[admission]\n{line}\n")).unwrap_err();
+    let name = line.split(' ').next().unwrap();
+    assert!(err.contains(&format!("admission.{name}")), "{err}");
+}
