--- a/crates/workshold-core/src/hosted.rs
+++ b/crates/workshold-core/src/hosted.rs
@@ -9,9 +9,10 @@
 //!   ([`config_freshness`]), which data centres get no requests ([`evacuation`]), and when the
 //!   store is polled ([`long_poll`]).
 //! - Instances: the list with the groups they form ([`roster`], [`groups`]), one incarnation of
-//!   an instance ([`identity`]), which instances are unreachable ([`suspicion`]), and which era
-//!   of the store an answer belongs to ([`store_era`]).
-//! - Planning: the demand for each model ([`demand`]), the load that a group can take
+//!   an instance ([`identity`]), which instances are unreachable ([`suspicion`]), when a group
+//!   is probed ([`probe_plan`]), and which era of the store an answer belongs to ([`store_era`]).
+//! - Planning: the demand for each model ([`demand`]), that of the last peaks
+//!   ([`demand_memory`]), the load that a group can take
 //!   ([`capacity`]), and which groups there should be ([`planner`]).
 //! - Forming groups: [`steward`] plans for a fabric domain and sends orders to its instances;
 //!   [`lease_candidacy`] says which nodes stand for the lease that this needs, and
@@ -21,11 +22,14 @@
 //!   ([`cold_start`]), how nodes share these ([`token_bucket`]), the choice of an instance
 //!   ([`placement`]), stalled streams ([`stall`]), retries ([`retry_policy`]), and the number of
 //!   nodes that share the retry budget ([`node_census`]).
+//! - Overload: which requests are admitted, and when refused callers return ([`admission`]).
 
+pub mod admission;
 pub mod capacity;
 pub mod cold_start;
 pub mod config_freshness;
 pub mod demand;
+pub mod demand_memory;
 pub mod evacuation;
 pub mod fingerprint;
 pub mod groups;
@@ -37,6 +41,7 @@
 pub mod partition_lease;
 pub mod placement;
 pub mod planner;
+pub mod probe_plan;
 pub mod quarantine;
 pub mod retry_policy;
 pub mod roster;
--- a/crates/workshold-core/tests/hosted.rs
+++ b/crates/workshold-core/tests/hosted.rs
@@ -6,6 +6,8 @@
 mod cold_start;
 #[path = "hosted/config_freshness.rs"]
 mod config_freshness;
+#[path = "hosted/demand_memory.rs"]
+mod demand_memory;
 #[path = "hosted/evacuation.rs"]
 mod evacuation;
 #[path = "hosted/instance_limits.rs"]
@@ -22,12 +24,20 @@
 mod partition_lease;
 #[path = "hosted/planning.rs"]
 mod planning;
+#[path = "hosted/probe_plan.rs"]
+mod probe_plan;
 #[path = "hosted/quarantine.rs"]
 mod quarantine;
 #[path = "hosted/reference_planner.rs"]
 mod reference_planner;
 #[path = "hosted/requests.rs"]
 mod requests;
+#[path = "hosted/reserve.rs"]
+mod reserve;
+#[path = "hosted/reserve_fleet.rs"]
+mod reserve_fleet;
+#[path = "hosted/reserve_plan.rs"]
+mod reserve_plan;
 #[path = "hosted/stewards.rs"]
 mod stewards;
 #[path = "hosted/store_era.rs"]
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -2,13 +2,18 @@
 //!
 //! - [`store_access`]: which nodes read the store, and how its answers are accepted.
 //! - [`suspicions`]: instances that cannot be reached.
+//! - [`group_probes`]: evidence that groups work, and when they are probed.
 //! - [`quarantine`]: quarantined requests.
+//! - [`admission`]: which requests are admitted under overload.
 //! - [`evacuations`]: evacuated data centres, and instances that are cold.
 //! - [`instance_limits`]: rate limits, backoffs and departures that instances announce, and the
 //!   permit for each request.
 //! - [`retry_budget`]: the retry budget of each upstream.
 
+mod admission;
+mod demand_memory;
 mod evacuations;
+mod group_probes;
 mod instance_limits;
 mod quarantine;
 mod retry_budget;
@@ -34,10 +39,12 @@
 use workshold_core::hosted::cold_start::ColdInstances;
 use workshold_core::hosted::config_freshness::ConfigFreshness;
 use workshold_core::hosted::demand::Demand;
+use workshold_core::hosted::demand_memory::DemandMemory;
 use workshold_core::hosted::evacuation::Evacuations;
 use workshold_core::hosted::identity::Identity;
 use workshold_core::hosted::instance_limits::InstanceLimits;
 use workshold_core::hosted::partition_lease::PartitionLease;
+use workshold_core::hosted::probe_plan::ProbePlan;
 use workshold_core::hosted::quarantine::Quarantine;
 use workshold_core::hosted::retry_policy::RetryBudget;
 use workshold_core::hosted::roster::ListTrust;
@@ -71,6 +78,9 @@
 use crate::settings::Settings;
 use crate::store_monitor::StoreMonitor;
 
+pub use self::admission::Admission;
+pub use self::admission::ModelRoom;
+pub use self::admission::Refusal;
 pub use self::quarantine::EvidenceSource;
 pub use self::suspicions::Probe;
 pub use self::suspicions::ProbeTask;
@@ -199,8 +209,12 @@
     pub loads: Loads,
     /// Counters and gauges for `/metrics`.
     pub metrics: Metrics,
+    /// Admission of each model's requests.
+    pub admission: Mutex<Admission>,
     /// The workload that this node's callers ask for.
     pub demand: Mutex<Demand>,
+    /// The workload that the callers of all nodes asked for in the recent past.
+    demand_memory: Mutex<DemandMemory>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     /// What this node knows of the other nodes.
     pub peers: Mutex<Peers>,
@@ -242,8 +256,8 @@
     is_closing: AtomicBool,
     refuses_all: AtomicBool,
     in_flight: AtomicUsize,
-    /// When all members of the group of a head were last probed.
-    group_probes: Mutex<HashMap<Identity, Millis>>,
+    /// Evidence that groups work, and when they were last probed.
+    pub probe_plan: Mutex<ProbePlan<Identity>>,
     /// When an instance was last probed because a peer asked.
     probe_requests: Mutex<HashMap<Identity, Millis>>,
     /// When this node last asked all others to probe an instance.
@@ -259,6 +273,8 @@
     pub by_model: BTreeMap<ModelName, Workload>,
     /// Fraction of the demand that the nodes have had time to observe since their first request.
     pub observed_fraction: f64,
+    /// Workload per second at remembered peaks, weighted with its age; empty if none is remembered.
+    pub remembered: BTreeMap<ModelName, Workload>,
 }
 
 /// Outlier rules for instances of plain services and for group heads.
@@ -313,7 +329,9 @@
             instance_limits: Mutex::default(),
             loads: Loads::default(),
             metrics: Metrics::default(),
+            admission: Mutex::default(),
             demand: Mutex::default(),
+            demand_memory: Mutex::default(),
             budgets: Mutex::default(),
             peers: Mutex::new(peers),
             lease: Mutex::default(),
@@ -337,7 +355,7 @@
             is_closing: AtomicBool::new(false),
             refuses_all: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
-            group_probes: Mutex::default(),
+            probe_plan: Mutex::default(),
             probe_requests: Mutex::default(),
             all_peers_asked: Mutex::default(),
             stall: StallRules::default(),
@@ -513,7 +531,8 @@
         let of = |name: &ModelName| by_name.get(&name_hash(name.as_str())).copied();
         let names = engine.models.iter().map(|spec| &spec.name);
         let by_model = names.map(|name| (name.clone(), of(name).unwrap_or_default())).collect();
-        ObservedDemand { by_model, observed_fraction }
+        let remembered = self.remembered_workload(engine);
+        ObservedDemand { by_model, observed_fraction, remembered }
     }
 
     /// Number of events in a typical answer by the operator's configuration: the highest of all
--- a/crates/workshold-gateway/src/tasks/gossip.rs
+++ b/crates/workshold-gateway/src/tasks/gossip.rs
@@ -14,6 +14,7 @@
 use rand::Rng;
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
+use workshold_core::hosted::capacity::Workload;
 use workshold_core::hosted::quarantine::QuarantineRecord;
 use workshold_core::hosted::store_era::Fence;
 use workshold_core::hosted::store_era::LogPosition;
@@ -44,6 +45,9 @@
 /// better groups are chosen.
 const MIN_HEARTBEAT_INTERVAL: Millis = Millis(100);
 const MAX_HEARTBEAT_INTERVAL: Millis = Millis(300);
+/// Longest interval while a model is near its capacity: the counts of other nodes' requests come
+/// over up to three hops, and requests that they do not show yet overfill groups.
+const BUSY_HEARTBEAT_INTERVAL: Millis = Millis(150);
 /// Heartbeat interval per known node, within these bounds: the number of heartbeats that a
 /// relay receives grows with the number of nodes.
 const HEARTBEAT_INTERVAL_PER_NODE: Millis = Millis(16);
@@ -69,6 +73,9 @@
 /// Interval at which a node finds that no datagram is waiting, while none arrives. The next one
 /// looks older than it is by up to this, a fraction of the time for which keys are trusted.
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(100);
+/// A datagram that may have waited for longer than this, somewhat more than [`RECEIVE_TIMEOUT`],
+/// was read after a pause of this process.
+const REPORT_MAX_AGE: Millis = Millis(150);
 /// Interval at which a node checks whether a peer has newer data.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// A newer configuration is fetched from a peer if the store has not delivered it by then.
@@ -93,7 +100,7 @@
 /// Sends this node's heartbeats, and its digests if it is a relay, until the node ends.
 pub async fn send_heartbeats(node: Arc<Node>, socket: Arc<UdpSocket>) {
     loop {
-        let interval = heartbeat_interval(node.peers.lock().addresses().len());
+        let interval = node_heartbeat_interval(&node);
         let heartbeat = own_heartbeat(&node, interval.0 as u16);
         let settings = node.settings();
         let draw = rand::rng().random();
@@ -113,6 +120,12 @@
     }
 }
 
+/// Interval between this node's heartbeats.
+fn node_heartbeat_interval(node: &Node) -> Millis {
+    let interval = heartbeat_interval(node.peers.lock().addresses().len());
+    if node.is_near_capacity() { interval.min(BUSY_HEARTBEAT_INTERVAL) } else { interval }
+}
+
 /// Interval between heartbeats in a fleet of so many nodes.
 fn heartbeat_interval(nodes: usize) -> Millis {
     Millis(HEARTBEAT_INTERVAL_PER_NODE.0 * nodes as u64)
@@ -193,7 +206,7 @@
         past: node.store_monitor.told(node.now()),
         store_age_ms: node.store_silent_for().0,
         list_trouble_ms: node.list_failure_age_ms(),
-        work: work.iter().map(|(model, work)| WireWorkload::new(model, *work)).collect(),
+        work: wire_workloads(node, &work),
         seen_percent: (observed_fraction * 100.0) as u8,
         loads: wire_loads(node),
         requests: quarantine_entries(node),
@@ -202,6 +215,16 @@
     }
 }
 
+/// The workloads for the next heartbeat.
+fn wire_workloads(node: &Node, work: &[(SmolStr, Workload)]) -> Vec<WireWorkload> {
+    let now = node.now();
+    let demand = node.demand.lock();
+    let entry = |(model, work): &(SmolStr, Workload)| {
+        WireWorkload::new(model, *work).with_arriving(demand.arriving(model, now))
+    };
+    work.iter().map(entry).collect()
+}
+
 /// The quarantine records for the next heartbeat.
 fn quarantine_entries(node: &Node) -> Vec<WireQuarantineEntry> {
     let now = node.now();
@@ -278,6 +301,7 @@
         Message::Verdict { instance, reach, ask } => {
             handle_verdict(node, from, &datagram.from, (instance, reach.into()), ask);
         }
+        Message::GroupWorks { head } => handle_group_report(node, head, since),
     }
     None
 }
@@ -432,6 +456,18 @@
     node.notify_suspicions_changed();
 }
 
+/// Handles a peer's report that a group works, in a datagram that arrived after `since`. A report
+/// that may have waited while this process was stalled shows nothing of the present.
+fn handle_group_report(node: &Node, head: u32, since: Millis) {
+    if node.now().since(since) > REPORT_MAX_AGE {
+        return;
+    }
+    let head = node.list.lock().by_instance_hash.get(&head).cloned();
+    if let Some(head) = head {
+        node.note_group_report(&head);
+    }
+}
+
 /// Fetches from peers what the store does not deliver in time, until the node ends.
 pub async fn catch_up(node: Arc<Node>) {
     tokio::join!(catch_up_config(Arc::clone(&node)), catch_up_list(node));
--- a/crates/workshold-gateway/tests/platform.rs
+++ b/crates/workshold-gateway/tests/platform.rs
@@ -1,5 +1,7 @@
 //! End-to-end tests: nodes that run against a stand-in of the platform, over real sockets.
 
+#[path = "platform/admission.rs"]
+mod admission;
 #[path = "platform/backoff.rs"]
 mod backoff;
 #[path = "platform/daemon.rs"]
@@ -12,6 +14,8 @@
 mod limits;
 #[path = "platform/request_path.rs"]
 mod request_path;
+#[path = "platform/shared_probes.rs"]
+mod shared_probes;
 #[path = "platform/stale_entries.rs"]
 mod stale_entries;
 #[path = "platform/store.rs"]
