Read budget: bytes held for slow readers, a pure decision

Cause: nothing bounded the bytes held for callers that do not read, and none of them was ever disconnected (docs/design/hard-load.md, part 6). Change: hosted::read_budget accounts for the bytes of each reader and of all, says when a stream must not be read further, and which readers to end.

--- a/crates/workshold-core/src/hosted.rs
+++ b/crates/workshold-core/src/hosted.rs
@@ -19,8 +19,9 @@
 //! - Requests: their content ([`fingerprint`]), those that crash instances ([`quarantine`]), the
 //!   limits that instances announce ([`instance_limits`]) or have while they are cold
 //!   ([`cold_start`]), how nodes share these ([`token_bucket`]), the choice of an instance
-//!   ([`placement`]), stalled streams ([`stall`]), retries ([`retry_policy`]), and the number of
-//!   nodes that share the retry budget ([`node_census`]).
+//!   ([`placement`]), stalled streams ([`stall`]), bytes held for slow readers ([`read_budget`]),
+//!   retries ([`retry_policy`]), and the number of nodes that share the retry budget
+//!   ([`node_census`]).
 
 pub mod capacity;
 pub mod cold_start;
@@ -38,6 +39,7 @@
 pub mod placement;
 pub mod planner;
 pub mod quarantine;
+pub mod read_budget;
 pub mod retry_policy;
 pub mod roster;
 pub mod serving_config;
--- a/crates/workshold-core/tests/hosted.rs
+++ b/crates/workshold-core/tests/hosted.rs
@@ -24,6 +24,8 @@
 mod planning;
 #[path = "hosted/quarantine.rs"]
 mod quarantine;
+#[path = "hosted/read_budget.rs"]
+mod read_budget;
 #[path = "hosted/reference_planner.rs"]
 mod reference_planner;
 #[path = "hosted/requests.rs"]
