HTTP: how fast the other side takes what is sent to it

Cause: hyper does not tell when the bytes of a body leave its buffers, so a client that does not read, or an instance that does not take a request's body, could not be noticed. Change: write_progress counts what is handed over and what the kernel takes, for each connection; the server puts it into the requests' extensions and closes a connection on demand; the client can connect with bounded buffers.

--- a/crates/workshold-http/src/client.rs
+++ b/crates/workshold-http/src/client.rs
@@ -4,6 +4,9 @@
 //! whether the server received the request. With a new connection it can: until
 //! [`FreshConnection::send`] is called, no byte of the request has been sent.
 
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,12 +24,16 @@
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 use crate::body;
 use crate::body::Body;
+use crate::write_progress::ObservedStream;
+use crate::write_progress::TrackedBody;
+use crate::write_progress::WriteProgress;
 
 /// Maximum length of a response body that [`call`] and [`call_raw`] read, in bytes.
 const MAX_RESPONSE_LEN: usize = 32 * 1024 * 1024;
@@ -81,6 +88,17 @@
     address: String,
     sender: SendRequest<Body>,
     driver: ConnectionTask,
+    progress: Arc<WriteProgress>,
+}
+
+/// Bounds on what a connection buffers, for a server or a reader that is slow.
+#[derive(Debug, Clone, Copy)]
+pub struct BufferLimits {
+    /// Socket send buffer, in bytes. The kernel would let it grow to megabytes.
+    pub send_buffer: u32,
+    /// Buffer for what was received but not read, in bytes, which bounds the response's head too.
+    /// A limit below 8192 has no effect, since `hyper` needs a buffer of that size.
+    pub max_buf_len: usize,
 }
 
 /// The task that drives a connection. Dropping this aborts the task and closes the connection.
@@ -99,22 +117,65 @@
 ///
 /// [`CallError::Connect`] or [`CallError::TimedOut`]; in both cases nothing was sent.
 pub async fn connect(address: &str, within: Duration) -> Result<FreshConnection, CallError> {
+    open(address, within, TcpStream::connect(address), &http1::Builder::new()).await
+}
+
+/// Like [`connect`], with bounded buffers.
+///
+/// # Errors
+///
+/// As [`connect`].
+pub async fn connect_bounded(
+    address: &str,
+    within: Duration,
+    limits: BufferLimits,
+) -> Result<FreshConnection, CallError> {
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(limits.max_buf_len.max(MIN_BUF_LEN));
+    open(address, within, connect_socket(address, limits.send_buffer), &builder).await
+}
+
+/// Minimum buffer size that `hyper` accepts, in bytes; it panics at less.
+const MIN_BUF_LEN: usize = 8192;
+
+async fn connect_socket(address: &str, send_buffer: u32) -> io::Result<TcpStream> {
+    let address: SocketAddr = address.parse().map_err(io::Error::other)?;
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_send_buffer_size(send_buffer)?;
+    socket.connect(address).await
+}
+
+/// Opens a connection through `connecting`.
+async fn open(
+    address: &str,
+    within: Duration,
+    connecting: impl Future<Output = io::Result<TcpStream>>,
+    builder: &http1::Builder,
+) -> Result<FreshConnection, CallError> {
     let failed = |why: String| CallError::Connect { address: address.to_owned(), why };
-    let connecting = timeout(within, TcpStream::connect(address)).await;
-    let stream = connecting
+    let stream = timeout(within, connecting)
+        .await
         .map_err(|_| CallError::TimedOut { address: address.to_owned(), after: within })?
         .map_err(|err| failed(err.to_string()))?;
     stream.set_nodelay(true).map_err(|err| failed(err.to_string()))?;
-    let result = http1::handshake(TokioIo::new(stream)).await;
+    let progress = WriteProgress::new();
+    let io = TokioIo::new(ObservedStream::new(stream, Arc::clone(&progress)));
+    let result = builder.handshake(io).await;
     let (sender, connection) = result.map_err(|err| failed(err.to_string()))?;
     let driver = tokio::spawn(async move {
         // The pending request or the reader of the response body gets the connection's error.
         let _ = connection.await;
     });
-    Ok(FreshConnection { address: address.to_owned(), sender, driver: ConnectionTask(driver) })
+    let driver = ConnectionTask(driver);
+    Ok(FreshConnection { address: address.to_owned(), sender, driver, progress })
 }
 
 impl FreshConnection {
+    /// How much of the request the server has taken.
+    pub fn progress(&self) -> Arc<WriteProgress> {
+        Arc::clone(&self.progress)
+    }
+
     /// Sends the request and waits up to `within` for the head of the response. From this call on
     /// the server may have received the request.
     ///
@@ -128,6 +189,7 @@
         req: Request<Body>,
         within: Duration,
     ) -> Result<(Response<Incoming>, ConnectionTask), CallError> {
+        let req = req.map(|body| TrackedBody::new(body, self.progress).boxed());
         match timeout(within, self.sender.send_request(req)).await {
             Err(_) => Err(CallError::TimedOut { address: self.address, after: within }),
             Ok(Err(err)) => Err(CallError::Broken { address: self.address, why: err.to_string() }),
--- a/crates/workshold-http/src/server.rs
+++ b/crates/workshold-http/src/server.rs
@@ -1,4 +1,7 @@
 //! An HTTP/1 server that serves a `tower` service with limits on connections and request heads.
+//!
+//! Each request carries the [`WriteProgress`] of its connection as an extension. The service can
+//! track the response's body with it, and close the connection of a client that does not read.
 
 use std::convert::Infallible;
 use std::io;
@@ -11,16 +14,22 @@
 use hyper::body::Body as HttpBody;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
+use hyper::service::Service as HyperService;
+use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tower::Service;
 
+use crate::write_progress::ObservedStream;
+use crate::write_progress::WriteProgress;
+
 /// Limits of a server against clients that are many, slow, or send too much.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
@@ -122,7 +131,7 @@
         let service = TowerToHyperService::new(service.clone());
         let state = state.clone();
         connections.spawn(async move {
-            handle_connection(TokioIo::new(stream), limits, service, state).await;
+            handle_connection(stream, limits, service, state).await;
             drop(permit);
         });
         while connections.try_join_next().is_some() {}
@@ -136,7 +145,7 @@
 
 /// Serves one connection until it ends, or until the state of the server ends it.
 async fn handle_connection<S, B>(
-    io: TokioIo<tokio::net::TcpStream>,
+    stream: TcpStream,
     limits: ServerLimits,
     service: TowerToHyperService<S>,
     mut state: watch::Receiver<ServerState>,
@@ -148,6 +157,13 @@
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    let progress = WriteProgress::new();
+    let io = TokioIo::new(ObservedStream::new(stream, Arc::clone(&progress)));
+    let request_progress = Arc::clone(&progress);
+    let service = service_fn(move |mut req: Request<Incoming>| {
+        req.extensions_mut().insert(Arc::clone(&request_progress));
+        HyperService::call(&service, req)
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_read_timeout)
@@ -159,6 +175,7 @@
         tokio::select! {
             // An error ends only this connection: the client misbehaved or went away.
             _ = connection.as_mut() => return,
+            () = progress.aborted() => return,
             changed = state.changed() => match changed.map(|()| *state.borrow()) {
                 Ok(ServerState::Running) => {}
                 Ok(ServerState::Draining) => connection.as_mut().graceful_shutdown(),
