Gateway: disconnects callers that do not read, and bounds what is held for them

Cause: a caller that read nothing kept its stream, its connection and its place at the instance for ever, and nothing bounded what all such callers held. Change: callers and instances that read are accounted for in a read budget (node/readers.rs); its bound is a quarter of the new setting limits.memory_mb. Who reads nothing for 5 s while bytes are waiting is disconnected, as are those unread longest once the bound is reached (events 1415, 1416; metrics slow_callers, bodies_not_taken, unread_bytes). Time in which the instance is not read is not its silence, and a slow caller's deadline is not its failure.

--- a/crates/workshold-gateway/src/callers.rs
+++ b/crates/workshold-gateway/src/callers.rs
@@ -2,5 +2,6 @@
 
 pub mod control;
 pub mod directory;
+pub mod reading;
 pub mod requests;
 pub mod responses;
--- a/crates/workshold-gateway/src/callers/requests.rs
+++ b/crates/workshold-gateway/src/callers/requests.rs
@@ -23,16 +23,20 @@
 use workshold_core::hosted::serving_config::ServingConfig;
 use workshold_http::body;
 use workshold_http::body::BodyError;
+use workshold_http::write_progress::WriteProgress;
 use workshold_platform::names;
 use workshold_protocol::Millis;
 use workshold_protocol::ids::ServiceName;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::callers::reading;
 use crate::callers::responses;
 use crate::callers::responses::ResponseBody;
 use crate::events::Event;
 use crate::events::emit;
 use crate::node::Node;
+use crate::node::Reader;
+use crate::node::ReaderKind;
 use crate::proxy;
 
 /// A request that passed routing and authorization, with all that proxying it needs.
@@ -94,7 +98,12 @@
 
 /// Handles one request of a caller.
 pub async fn handle(node: Arc<Node>, req: Request<Incoming>) -> Response<ResponseBody> {
+    let reader = add_reader(&node, &req);
     let guard = node.begin_request();
+    let guard = match &reader {
+        Some(reader) => guard.with_reader(Arc::clone(reader)),
+        None => guard,
+    };
     node.note_traffic();
     let mut res = match admit(&node, req).await {
         Ok(request) => proxy::run(&node, request, guard).await,
@@ -103,7 +112,17 @@
     if node.is_closing() {
         res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    res
+    match reader {
+        Some(reader) => reading::report(node, reader, res),
+        None => res,
+    }
+}
+
+/// Adds the caller as the reader of its answer, if the server observes its connection.
+fn add_reader(node: &Node, req: &Request<Incoming>) -> Option<Arc<Reader>> {
+    let progress = req.extensions().get::<Arc<WriteProgress>>()?;
+    let id = header_text(req.headers(), &names::REQUEST_ID).unwrap_or_default();
+    Some(node.add_reader(ReaderKind::Caller, id, Arc::clone(progress)))
 }
 
 /// Routes, authorizes and reads a request; the error is the response that refuses it.
--- a/crates/workshold-gateway/src/daemon.rs
+++ b/crates/workshold-gateway/src/daemon.rs
@@ -107,6 +107,7 @@
     background_tasks.spawn(tasks::leasing::discover_peers(Arc::clone(&node)));
     background_tasks.spawn(tasks::stewarding::run(Arc::clone(&node)));
     background_tasks.spawn(tasks::quarantine_store::run(Arc::clone(&node)));
+    background_tasks.spawn(tasks::readers::run(Arc::clone(&node)));
     background_tasks.spawn(tasks::upkeep::run(Arc::clone(&node)));
     background_tasks.spawn(watch_settings(Arc::clone(&node), path.clone()));
     let lease = tokio::spawn(tasks::leasing::hold_lease(Arc::clone(&node)));
--- a/crates/workshold-gateway/src/events.rs
+++ b/crates/workshold-gateway/src/events.rs
@@ -50,6 +50,8 @@
     RequestReleased = 1412, Info, "requests of this content were let go by an operator", "Nothing.";
     QuarantineNotKept = 1413, Warn, "what is known of held requests cannot be read from or written to the store", "Serving continues by what other nodes report; check the store.";
     RequestSuspected = 1414, Warn, "one more end of an instance quarantines requests of this content", "Find the caller and the cause by the failed attempts with this fingerprint; source says who noticed the last end, peers how many nodes were heard then, age_ms how long ago it was.";
+    SlowCallerEnded = 1415, Warn, "a caller was disconnected because it did not read its answer", "Read the reason; if it happens often, check the network path to the callers, or limits.memory_mb.";
+    BodyNotTaken = 1416, Warn, "an attempt ends because its instance did not take the request's body", "Read the reason, and check the instance.";
 }
 
 /// The text of `docs/EVENTS-PLATFORM.md`: the events as a Markdown table.
--- a/crates/workshold-gateway/src/metrics.rs
+++ b/crates/workshold-gateway/src/metrics.rs
@@ -55,6 +55,8 @@
     StreamsMoved = "streams_moved", "counter", "streams that continued at another instance";
     StreamsCut = "streams_cut", "counter", "streams ended before their last event";
     CallersGone = "callers_gone", "counter", "callers who disconnected before the end of the answer";
+    SlowCallers = "slow_callers", "counter", "callers disconnected because they did not read their answers; not counted in callers_gone";
+    BodiesNotTaken = "bodies_not_taken", "counter", "attempts ended because the instance did not take the request's body";
     Orders = "orders", "counter", "orders given to instances";
     ConfigReads = "config_reads", "counter", "reads of the configuration from the store";
     ListReads = "list_reads", "counter", "reads of the list of instances from the store";
@@ -77,6 +79,7 @@
     Cold = "cold", "gauge", "instances that are cold and get few requests";
     Evacuated = "evacuated", "gauge", "data centres that are evacuated: their instances get no requests";
     Held = "held", "gauge", "fingerprints of requests that are quarantined from all instances";
+    UnreadBytes = "unread_bytes", "gauge", "bytes held for callers and instances that have not read them";
     Sharers = "sharers", "gauge", "nodes that share the slack of the retry budget, including this one";
 }
 
@@ -131,6 +134,7 @@
         self.gauge(Metric::Cold, node.cold_instances.lock().count(now) as u64);
         self.gauge(Metric::Evacuated, node.evacuations.lock().all(now).count() as u64);
         self.gauge(Metric::Held, node.quarantine.lock().quarantined(now).len() as u64);
+        self.gauge(Metric::UnreadBytes, node.readers.held_bytes());
         self.gauge(Metric::Sharers, node.peers.lock().max_node_count() as u64);
         self.exposition.text().unwrap_or_else(|err| format!("# {err}\n").into_bytes())
     }
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -6,11 +6,13 @@
 //! - [`evacuations`]: evacuated data centres, and instances that are cold.
 //! - [`instance_limits`]: rate limits, backoffs and departures that instances announce, and the
 //!   permit for each request.
+//! - [`readers`]: the bytes held for callers and instances that do not read them.
 //! - [`retry_budget`]: the retry budget of each upstream.
 
 mod evacuations;
 mod instance_limits;
 mod quarantine;
+mod readers;
 mod retry_budget;
 mod store_access;
 mod suspicions;
@@ -72,6 +74,9 @@
 use crate::store_monitor::StoreMonitor;
 
 pub use self::quarantine::EvidenceSource;
+pub use self::readers::Reader;
+pub use self::readers::ReaderKind;
+pub use self::readers::Readers;
 pub use self::suspicions::Probe;
 pub use self::suspicions::ProbeTask;
 
@@ -197,6 +202,8 @@
     pub instance_limits: Mutex<InstanceLimits<Identity>>,
     /// Number of requests at each instance, from this node and from its peers.
     pub loads: Loads,
+    /// Callers and instances that read, and the bytes held for them.
+    pub readers: Readers,
     /// Counters and gauges for `/metrics`.
     pub metrics: Metrics,
     /// The workload that this node's callers ask for.
@@ -285,6 +292,7 @@
     ) -> Self {
         let is_first_start = settings.node.is_first_start;
         let peers = Peers::with_class(settings.limits.class());
+        let readers = Readers::new(settings.read_budget_rules());
         let store = Store::new(&settings.store.address);
         let config_store = Store::new(&settings.store.address);
         let list_store = Store::new(&settings.store.address);
@@ -312,6 +320,7 @@
             outliers: Mutex::new(OutlierDetector::new(OUTLIER_RULES)),
             instance_limits: Mutex::default(),
             loads: Loads::default(),
+            readers,
             metrics: Metrics::default(),
             demand: Mutex::default(),
             budgets: Mutex::default(),
@@ -582,7 +591,7 @@
     /// Counts a request as in flight until the guard is dropped.
     pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
-        RequestGuard(Arc::clone(self))
+        RequestGuard { node: Arc::clone(self), reader: None }
     }
 
     /// Number of requests in flight.
@@ -624,10 +633,26 @@
 }
 
 /// Counts a request as in flight for as long as it lives.
-pub struct RequestGuard(Arc<Node>);
+pub struct RequestGuard {
+    node: Arc<Node>,
+    reader: Option<Arc<Reader>>,
+}
+
+impl RequestGuard {
+    /// The same guard, with the reader of the request's answer.
+    pub fn with_reader(mut self, reader: Arc<Reader>) -> Self {
+        self.reader = Some(reader);
+        self
+    }
+
+    /// The reader of the request's answer; `None` if nobody reads it from a connection.
+    pub fn reader(&self) -> Option<&Reader> {
+        self.reader.as_deref()
+    }
+}
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.node.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/workshold-gateway/src/proxy/attempt.rs
+++ b/crates/workshold-gateway/src/proxy/attempt.rs
@@ -21,8 +21,10 @@
 use workshold_http::body::Body;
 use workshold_http::body::full;
 use workshold_http::client;
+use workshold_http::client::BufferLimits;
 use workshold_http::client::CallError;
 use workshold_http::client::ConnectionTask;
+use workshold_http::client::FreshConnection;
 use workshold_platform::names;
 use workshold_platform::response_headers;
 use workshold_protocol::Millis;
@@ -33,12 +35,17 @@
 use crate::loads::InFlight;
 use crate::node::Node;
 use crate::node::ProbeTask;
+use crate::node::Reader;
+use crate::node::ReaderKind;
 use crate::proxy::MIN_TIME_LEFT;
 use crate::proxy::framing::Framer;
 use crate::routing_table::Target;
 
 /// Longest wait for a connection to an instance.
 const CONNECT_TIMEOUT: Millis = Millis(40);
+/// Buffers of a connection to an instance. What was received but not forwarded is at most one
+/// buffer here and one at the caller's connection, besides the beginning of an unfinished event.
+const BUFFER_LIMITS: BufferLimits = BufferLimits { send_buffer: 64 * 1024, max_buf_len: 16 * 1024 };
 /// Longest response body that is buffered until it is complete, in bytes.
 const BUFFERED_LEN_MAX: usize = 4 * 1024 * 1024;
 
@@ -74,6 +81,9 @@
 /// Logged reason why a quarantined request is not sent.
 pub const QUARANTINED: &str = "instances ended when they began to run it";
 
+/// Logged reason of an attempt whose instance did not take the request's body.
+pub const BODY_NOT_TAKEN: &str = "the instance did not take the request's body";
+
 /// How an attempt failed, and the reason for logs.
 pub type Failure = (AttemptEnd, &'static str);
 
@@ -102,7 +112,8 @@
 ) -> Result<AttemptResponse, Failure> {
     let AttemptParams { request, target, last, is_sent } = params;
     let in_flight = node.loads.begin(&target.id, request.prompt_tokens as u32);
-    let connected = client::connect(&target.address, CONNECT_TIMEOUT.to_duration()).await;
+    let within = CONNECT_TIMEOUT.to_duration();
+    let connected = client::connect_bounded(&target.address, within, BUFFER_LIMITS).await;
     let connected = connected.map_err(|_| {
         node.probe(&target.id, &target.address, ProbeTask::ForSelf);
         (AttemptEnd::NotSent, "could not connect")
@@ -116,12 +127,9 @@
     let sent = node.now();
     is_sent.store(true, Ordering::Relaxed);
     let req = upstream_request(&request, &target, last, left);
+    let body_reader = BodyReader::begin(&node, &request, &connected);
     let sending = permit.send(connected, req, left.to_duration());
-    let (res, driver) = match sending.await {
-        Ok(got) => got,
-        Err(CallError::TimedOut { .. }) => return Err((AttemptEnd::Unknown, DEADLINE_PASSED)),
-        Err(_) => return Err((AttemptEnd::Broken, "the connection broke before the response")),
-    };
+    let (res, driver) = body_reader.until_response(sending).await?;
     if is_from_target(&request, &res) {
         node.on_rate_limit(&target.id, response_headers::announced_limit(res.headers()), sent);
         node.on_backoff(
@@ -160,6 +168,45 @@
     Ok(AttemptResponse::Stream(Box::new((parts, event_stream))))
 }
 
+/// The instance as the reader of the request's body, until the head of its response comes.
+struct BodyReader {
+    node: Arc<Node>,
+    reader: Arc<Reader>,
+}
+
+impl BodyReader {
+    fn begin(node: &Arc<Node>, request: &AdmittedRequest, connected: &FreshConnection) -> Self {
+        let id = request.id.clone();
+        let reader = node.add_reader(ReaderKind::Instance, id, connected.progress());
+        Self { node: Arc::clone(node), reader }
+    }
+
+    /// Waits for the head of the response, unless the node ends the attempt because the body is not
+    /// taken.
+    async fn until_response(
+        self,
+        sending: impl Future<Output = Result<(Response<Incoming>, ConnectionTask), CallError>>,
+    ) -> Result<(Response<Incoming>, ConnectionTask), Failure> {
+        let result = tokio::select! {
+            biased;
+            result = sending => result,
+            () = self.reader.progress().aborted() => {
+                return Err((AttemptEnd::Unknown, BODY_NOT_TAKEN));
+            }
+        };
+        result.map_err(|err| match err {
+            CallError::TimedOut { .. } => (AttemptEnd::Unknown, DEADLINE_PASSED),
+            _ => (AttemptEnd::Broken, "the connection broke before the response"),
+        })
+    }
+}
+
+impl Drop for BodyReader {
+    fn drop(&mut self) {
+        self.node.remove_reader(&self.reader);
+    }
+}
+
 /// Builds the request for one attempt: adds the time left, the only instance that may run it, and
 /// the last event that the caller has.
 fn upstream_request(
--- a/crates/workshold-gateway/src/proxy/framing.rs
+++ b/crates/workshold-gateway/src/proxy/framing.rs
@@ -36,6 +36,11 @@
         self.event_count
     }
 
+    /// Length of the unfinished event in the buffer, in bytes.
+    pub fn partial_len(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Whether the buffer holds the beginning of an unfinished event.
     pub fn has_partial_event(&self) -> bool {
         !self.buf.is_empty()
--- a/crates/workshold-gateway/src/proxy/stream.rs
+++ b/crates/workshold-gateway/src/proxy/stream.rs
@@ -26,6 +26,7 @@
 use crate::proxy::MIN_TIME_LEFT;
 use crate::proxy::RequestProgress;
 use crate::proxy::attempt::AttemptResponse;
+use crate::proxy::attempt::DEADLINE_PASSED;
 use crate::proxy::attempt::EventStream;
 use crate::proxy::attempt::Failure;
 use crate::proxy::attempts::Attempt;
@@ -59,9 +60,20 @@
     is_complete: bool,
     /// Whether the end was reported to the caller, as complete or cut.
     is_closed: bool,
-    _guard: RequestGuard,
+    /// When the latest events were handed over to the caller's connection, if it has not asked for
+    /// more since.
+    handed_over_at: Option<Millis>,
+    /// Whether no events were taken since the caller's connection last took none for a while.
+    is_after_pause: bool,
+    /// How long the instance was not read because the caller's connection took nothing.
+    unread_for: Millis,
+    guard: RequestGuard,
 }
 
+/// A shorter time in which the caller's connection asks for no events is no pause: it is the time
+/// that the node itself takes.
+const READ_PAUSE_MIN: Millis = Millis(10);
+
 impl ProxiedStream {
     /// Builds the caller's response from a head and its first events; the body forwards the rest.
     pub fn response(
@@ -91,7 +103,10 @@
             events_before: 0,
             is_complete: false,
             is_closed: false,
-            _guard: guard,
+            handed_over_at: None,
+            is_after_pause: false,
+            unread_for: Millis::ZERO,
+            guard,
         };
         proxied.attempts.push(Attempt::streaming(event_stream, now));
         proxied.take_ready_events(true);
@@ -104,11 +119,13 @@
 
     /// The next events for the caller; `None` at the end.
     async fn next(&mut self) -> Option<Result<Bytes, BodyCut>> {
+        self.until_caller_reads().await;
         loop {
             if self.is_closed {
                 return None;
             }
             if !self.ready.is_empty() {
+                self.handed_over_at = Some(self.node.now());
                 return Some(Ok(std::mem::take(&mut self.ready)));
             }
             if self.is_complete {
@@ -122,6 +139,28 @@
         }
     }
 
+    /// Waits until the caller's connection takes more events. The instance is not read meanwhile,
+    /// so this time is neither its silence nor a pause between its events.
+    async fn until_caller_reads(&mut self) {
+        let Some(handed_over_at) = self.handed_over_at.take() else { return };
+        if let Some(reader) = self.guard.reader() {
+            while self.node.is_reader_full(reader) {
+                reader.progress().next_write().await;
+            }
+        }
+        let now = self.node.now();
+        let pause = now.since(handed_over_at);
+        if pause < READ_PAUSE_MIN {
+            return;
+        }
+        self.unread_for = self.unread_for + pause;
+        self.is_after_pause = true;
+        self.last_event_at = now;
+        if let Some(newest) = self.attempts.newest() {
+            newest.last_data_at = now;
+        }
+    }
+
     /// Waits for the next event of the attempts, and handles it.
     async fn handle_next_event(&mut self) -> Result<(), BodyCut> {
         let limits = self.wait_limits();
@@ -179,8 +218,17 @@
         self.last = event_stream.framer.last();
         self.events = event_stream.framer.event_count();
         self.is_complete = event_stream.is_complete;
+        if let Some(reader) = self.guard.reader() {
+            let partial = event_stream.framer.partial_len();
+            reader.set_partial(partial);
+            if partial > 0 {
+                self.node.note_reader(reader);
+            }
+        }
         if !self.ready.is_empty() {
-            if !is_first {
+            // Events that had arrived during a pause of the caller show no gap.
+            let is_after_pause = std::mem::take(&mut self.is_after_pause);
+            if !is_first && !is_after_pause {
                 self.node.gaps.lock().on_gap(&self.source.id, silent_for);
             }
             self.longest_gap = self.longest_gap.max(now.since(self.last_event_at));
@@ -218,7 +266,11 @@
         target: &Target,
         (ending, reason): Failure,
     ) -> Result<(), BodyCut> {
-        proxy::record_failure(&self.node, target, ending);
+        // The deadline of a caller that reads slowly passes without any fault of the instance.
+        let is_slow_caller = reason == DEADLINE_PASSED && self.unread_for > Millis::ZERO;
+        if !is_slow_caller {
+            proxy::record_failure(&self.node, target, ending);
+        }
         self.progress.probe_after_break(&self.node, target, ending).await;
         if !self.attempts.is_empty() {
             let others = self.attempts.len();
@@ -297,7 +349,8 @@
 
 impl Drop for ProxiedStream {
     fn drop(&mut self) {
-        if !self.is_closed {
+        let is_ended = self.guard.reader().is_some_and(|reader| reader.end_reason().is_some());
+        if !self.is_closed && !is_ended {
             let fields = [("request", self.progress.request.id.as_str())];
             self.node.metrics.count(Metric::CallersGone);
             emit(Event::CallerGone, &fields);
--- a/crates/workshold-gateway/src/settings.rs
+++ b/crates/workshold-gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use workshold_core::hosted::cold_start::ColdLimit;
 use workshold_core::hosted::long_poll::LongPollRules;
+use workshold_core::hosted::read_budget::ReadBudgetRules;
 use workshold_core::hosted::retry_policy::RetryBudgetRules;
 use workshold_core::hosted::serving_config::ColdStart;
 use workshold_protocol::Millis;
@@ -85,6 +86,8 @@
     pub link_mbit_per_s: f64,
     /// Processor cores that the node may use, such as 0.25.
     pub processor_share: f64,
+    /// Memory of the machine, in MB of 2^20 bytes.
+    pub memory_mb: f64,
 }
 
 /// Bandwidth and processor share with which a node can relay gossip to a hundred others: a relay
@@ -159,7 +162,12 @@
 
 impl Default for MachineLimits {
     fn default() -> Self {
-        Self { descriptors: 1_024, link_mbit_per_s: 1_000.0, processor_share: 1.0 }
+        Self {
+            descriptors: 1_024,
+            link_mbit_per_s: 1_000.0,
+            processor_share: 1.0,
+            memory_mb: 1_024.0,
+        }
     }
 }
 
@@ -196,6 +204,12 @@
 const CONFIG_FOLLOWERS: f64 = 32.0;
 /// File descriptors reserved for the store, probes of suspected instances, peers and files.
 const RESERVED_DESCRIPTORS: usize = 300;
+/// Bytes waiting for one caller at which its stream is not read further.
+const STREAM_UNREAD_MAX: u64 = 64 * 1024;
+/// Part of the memory that may hold bytes for callers and instances that have not read them.
+const UNREAD_MEMORY_DIVISOR: f64 = 4.0;
+/// How long a caller or an instance may read nothing of what waits for it.
+const UNREAD_TIME_MAX: Millis = Millis(5_000);
 /// Time to live of a lease. The partitions of a node that dies have no holder for this long.
 const LEASE_TTL: Millis = Millis(1_500);
 
@@ -267,6 +281,16 @@
         }
     }
 
+    /// Bounds on the bytes held for callers and instances that do not read them.
+    pub fn read_budget_rules(&self) -> ReadBudgetRules {
+        let memory = self.limits.memory_mb * 1024.0 * 1024.0;
+        ReadBudgetRules {
+            stream_bytes: STREAM_UNREAD_MAX,
+            total_bytes: (memory / UNREAD_MEMORY_DIVISOR) as u64,
+            unread_max: UNREAD_TIME_MAX,
+        }
+    }
+
     /// What an instance of a service takes while it is cold.
     pub fn cold_limit(&self, cold_start: ColdStart) -> ColdLimit {
         let max_in_second =
@@ -353,6 +377,7 @@
     }
     let bounds = &settings.bounds;
     let positive = [
+        ("limits.memory_mb", settings.limits.memory_mb),
         ("bounds.stop_within_s", bounds.stop_within_s),
         ("bounds.repeat_window_s", bounds.repeat_window_s),
         ("bounds.addresses_good_at_most_s", bounds.addresses_good_at_most_s),
--- a/crates/workshold-gateway/src/tasks.rs
+++ b/crates/workshold-gateway/src/tasks.rs
@@ -5,6 +5,7 @@
 pub mod long_poll;
 pub mod probing;
 pub mod quarantine_store;
+pub mod readers;
 pub mod stewarding;
 pub mod store_sync;
 pub mod upkeep;
