--- a/crates/workshold-core/tests/hosted.rs
+++ b/crates/workshold-core/tests/hosted.rs
@@ -28,6 +28,8 @@
 mod probe_plan;
 #[path = "hosted/quarantine.rs"]
 mod quarantine;
+#[path = "hosted/read_budget.rs"]
+mod read_budget;
 #[path = "hosted/reference_planner.rs"]
 mod reference_planner;
 #[path = "hosted/requests.rs"]
