Admission: limits of unused routes are forgotten, changed settings take effect, defaults for absurd data

Found on rereading: the limits stated for routes were kept for ever, returning_share of changed settings did not reach models that had had requests, and Arrival::with_defaults had no caller outside tests.

--- a/crates/workshold-core/src/hosted/admission/stated_limit.rs
+++ b/crates/workshold-core/src/hosted/admission/stated_limit.rs
@@ -19,6 +19,11 @@
 }
 
 impl StatedLimit {
+    /// Whether a limit of the present or the last period is known.
+    pub fn is_recent(&self, now: Millis) -> bool {
+        now.0 / PERIOD.0 <= self.period + 1
+    }
+
     /// Records the time left that a request states, and returns the limit that counts for it, which
     /// is never shorter than that and never longer than `configured` unless that is.
     pub fn on_request(&mut self, time_left: Millis, configured: Millis, now: Millis) -> Millis {
--- a/crates/workshold-core/tests/stated_limit.rs
+++ b/crates/workshold-core/tests/stated_limit.rs
@@ -46,3 +46,12 @@
     stated.on_request(Millis(7_000), CONFIGURED, Millis(50_000));
     assert_eq!(stated.on_request(Millis(5_000), CONFIGURED, then), Millis(5_000));
 }
+
+/// Guards against limits that are kept for ever for routes that get no more requests.
+#[test]
+fn only_limits_of_the_last_two_periods_are_recent() {
+    let mut stated = StatedLimit::default();
+    stated.on_request(Millis(6_000), CONFIGURED, Millis(15_000));
+    assert!(stated.is_recent(Millis(29_999)));
+    assert!(!stated.is_recent(Millis(30_000)));
+}
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -389,6 +389,8 @@
     /// Replaces the settings in force.
     pub fn set_settings(&self, settings: Settings) {
         *self.settings.write() = Arc::new(settings);
+        // Admission keeps rules of the old settings.
+        *self.admission.lock() = Admission::default();
     }
 
     /// The configuration in force; `None` before the first one is read.
--- a/crates/workshold-gateway/src/node/admission.rs
+++ b/crates/workshold-gateway/src/node/admission.rs
@@ -5,6 +5,7 @@
 
 use smol_str::SmolStr;
 use workshold_core::hosted::admission::Arrival;
+use workshold_core::hosted::admission::ArrivalDefaults;
 use workshold_core::hosted::admission::ArrivalKind;
 use workshold_core::hosted::admission::precedence;
 use workshold_core::hosted::admission::precedence::Precedence;
@@ -63,9 +64,9 @@
         }
     }
 
-    /// Forgets the routes for which `is_known` is false.
-    pub fn retain_routes(&mut self, is_known: impl Fn(&str) -> bool) {
-        self.stated_limits.retain(|name, _| is_known(name));
+    /// Forgets the limits of routes that get no requests any more.
+    pub fn forget(&mut self, now: Millis) {
+        self.stated_limits.retain(|_, stated| stated.is_recent(now));
     }
 }
 
@@ -112,6 +113,7 @@
         let now = self.now();
         let arriving = self.arrivals(model);
         let admissible = room::admissible_fraction(model_room.accepted_per_s, arriving.fleet);
+        let defaults = self.arrival_defaults(request);
         let mut admission = self.admission.lock();
         if admissible < NEAR_CAPACITY_FRACTION {
             admission.near_capacity_at = Some(now);
@@ -121,7 +123,8 @@
             .by_model
             .entry(model.clone())
             .or_insert_with(|| ModelAdmission::new(settings));
-        let arrival = arrival(request, timed, entry.refusals.kind(timed, now));
+        let kind = entry.refusals.kind(timed, now);
+        let arrival = arrival(request, timed, kind).with_defaults(&defaults);
         entry.precedence.on_arrival(&arrival, now);
         let admitted = entry.precedence.admitted_fraction(&arrival, admissible);
         if precedence::draw(arrival.fingerprint, self.wall()) < admitted {
@@ -136,6 +139,20 @@
         Err(Refusal { retry_after, kind: arrival.kind, admissible, admitted })
     }
 
+    /// What is assumed of a request whose data is missing or absurd.
+    fn arrival_defaults(&self, request: &AdmittedRequest) -> ArrivalDefaults {
+        let serving_config = self.serving_config();
+        let upstream = serving_config.as_ref().and_then(|cfg| cfg.upstreams.get(&request.service));
+        let engine = upstream.and_then(|upstream| upstream.engine.as_ref());
+        ArrivalDefaults {
+            lowest_rank: LOWEST_URGENCY,
+            typical_prompt_tokens: engine.map_or(0.0, |engine| engine.typical_prompt_tokens),
+            max_prompt_tokens: f64::from(u32::MAX),
+            latency_goal: request.route.latency_goal,
+            time_limit: request.route.timeout,
+        }
+    }
+
     /// The requests for `model` that arrive at all nodes and at this one.
     fn arrivals(&self, model: &SmolStr) -> Arrivals {
         let now = self.now();
--- a/crates/workshold-gateway/src/tasks/upkeep.rs
+++ b/crates/workshold-gateway/src/tasks/upkeep.rs
@@ -73,6 +73,7 @@
     node.cold_instances.lock().forget(now);
     node.quarantine.lock().forget(now);
     node.probe_plan.lock().forget(now);
+    node.admission.lock().forget(now);
     node.loads.tidy();
     let mut peers = node.peers.lock();
     peers.forget(now);
