Log when peers reach instances that this node does not

The log of a cut-off node names each instance that it cannot reach and nothing of what its peers reach, so a lost path looks like lost instances. W1310 and the gauge paths_lost count the instances that only peers reach.

--- a/crates/workshold-core/src/hosted/suspicion.rs
+++ b/crates/workshold-core/src/hosted/suspicion.rs
@@ -204,6 +204,13 @@
         self.by_instance.get(id).is_some_and(|suspicion| !suspicion.failed_peers.is_empty())
     }
 
+    /// Number of instances that this node couldn't reach although a peer did: the network path from
+    /// here is at fault.
+    pub fn reached_only_by_peers(&self) -> usize {
+        let is_path_lost = |s: &&Suspicion| s.failed_here && !s.reached_by.is_empty();
+        self.by_instance.values().filter(is_path_lost).count()
+    }
+
     /// All suspected incarnations.
     pub fn iter(&self) -> impl Iterator<Item = &K> {
         self.by_instance.keys()
--- a/crates/workshold-gateway/src/events.rs
+++ b/crates/workshold-gateway/src/events.rs
@@ -36,6 +36,8 @@
     EarlierIncarnationAccepted = 1307, Warn, "an entry of an earlier incarnation is accepted, since none has replaced it", "Check the clock of the instance's machine; if the store failed within waited_ms, report it as a bug.";
     InstanceWithdrawn = 1308, Info, "an instance's entry says that it leaves, or is gone", "Nothing; asked is how long ago the question was sent that brought this.";
     InstanceCold = 1309, Info, "an instance is cold and gets few requests for a while", "Nothing; left_ms is for how long.";
+    PathsLost = 1310, Warn, "peers reach instances that this node cannot reach", "Check the network between this node and the instances; lost counts those that only peers reach, of all that are listed.";
+    PathsBack = 1311, Info, "this node reaches all instances again that peers reach", "Nothing.";
     RequestEnded = 1401, Info, "a request was answered", "Nothing.";
     RequestNotRun = 1402, Warn, "a request was refused and has not run", "Read the reason; the caller was told when to retry.";
     RequestUnknown = 1403, Warn, "a request ended and nobody knows whether it ran", "Read the reason and the attempts.";
--- a/crates/workshold-gateway/src/metrics.rs
+++ b/crates/workshold-gateway/src/metrics.rs
@@ -74,6 +74,7 @@
     StoreAge = "store_age_ms", "gauge", "time since the store answered, in ms";
     Targets = "targets", "gauge", "groups and plain instances that take requests";
     InDoubt = "in_doubt", "gauge", "suspected instances: those that this node or a peer cannot reach";
+    PathsLost = "paths_lost", "gauge", "instances that peers reach and this node does not";
     Peers = "peers", "gauge", "other nodes whose messages arrive";
     Limited = "limited", "gauge", "instances that have announced a limit of requests per second";
     Resting = "resting", "gauge", "instances that have asked this node to send no requests for a while";
@@ -129,6 +130,7 @@
         self.gauge(Metric::StoreAge, node.store_silent_for().0);
         self.gauge(Metric::Targets, node.routing_table().len() as u64);
         self.gauge(Metric::InDoubt, node.suspicions.lock().iter().count() as u64);
+        self.gauge(Metric::PathsLost, node.lost_paths() as u64);
         self.gauge(Metric::Peers, node.peers.lock().heard(now).count() as u64);
         self.gauge(Metric::Limited, node.instance_limits.lock().limits().count() as u64);
         self.gauge(Metric::Resting, node.instance_limits.lock().backing_off(now) as u64);
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -6,6 +6,7 @@
 //! - [`quarantine`]: quarantined requests.
 //! - [`admission`]: which requests are admitted under overload.
 //! - [`evacuations`]: evacuated data centres, and instances that are cold.
+//! - [`paths`]: network paths from this node to instances.
 //! - [`instance_limits`]: rate limits, backoffs and departures that instances announce, and the
 //!   permit for each request.
 //! - [`readers`]: the bytes held for callers and instances that do not read them.
@@ -16,6 +17,7 @@
 mod evacuations;
 mod group_probes;
 mod instance_limits;
+mod paths;
 mod quarantine;
 mod readers;
 mod retry_budget;
--- a/crates/workshold-gateway/src/tasks/upkeep.rs
+++ b/crates/workshold-gateway/src/tasks/upkeep.rs
@@ -22,6 +22,7 @@
 /// Runs the periodic work until the node ends.
 pub async fn run(node: Arc<Node>) {
     let mut last = None;
+    let mut has_lost_paths = false;
     let mut cleaned_up_at = node.now();
     loop {
         let readiness = node.readiness();
@@ -33,6 +34,7 @@
             last = Some(readiness);
             node.heartbeat_wanted.notify_one();
         }
+        report_paths(&node, &mut has_lost_paths);
         tokio::select! {
             () = tokio::time::sleep(INTERVAL) => {}
             () = node.table_rebuild_wanted.notified() => {
@@ -49,6 +51,27 @@
     }
 }
 
+/// Logs when this node begins or ceases to lack a path to instances that peers reach.
+fn report_paths(node: &Node, has_lost_paths: &mut bool) {
+    let lost = node.lost_paths();
+    if (lost > 0) == *has_lost_paths {
+        return;
+    }
+    *has_lost_paths = lost > 0;
+    if lost == 0 {
+        emit(Event::PathsBack, &[]);
+        return;
+    }
+    let listed = node.list.lock().roster.iter().count();
+    let heard = node.peers.lock().heard(node.now()).count();
+    let fields = [
+        ("lost", &*lost.to_string()),
+        ("of", &*listed.to_string()),
+        ("peers", &*heard.to_string()),
+    ];
+    emit(Event::PathsLost, &fields);
+}
+
 /// Drops entries that are over, and what is known of instances without an entry.
 fn drop_expired(node: &Node) {
     let now = node.now();
