Connections to instances are opened by a port of the node

Requests, probes and orders each opened their own connections, so a test could not cut one node's path to the instances while its peers keep theirs. They now ask Node::connect, and that a Dial that tests replace. No change of behaviour.

--- a/crates/workshold-gateway/src/daemon.rs
+++ b/crates/workshold-gateway/src/daemon.rs
@@ -17,6 +17,8 @@
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 use tower::service_fn;
+use workshold_http::dial::Dial;
+use workshold_http::dial::TcpDialer;
 use workshold_http::server;
 use workshold_http::server::ServerLimits;
 use workshold_http::server::ServerState;
@@ -84,13 +86,24 @@
 /// # Errors
 ///
 /// [`DaemonError`] if the node cannot start, or one of its background tasks ends.
-pub async fn run(
+pub async fn run(settings: Settings, path: PathBuf, signals: Signals) -> Result<(), DaemonError> {
+    run_with_dialer(settings, path, signals, Box::new(TcpDialer)).await
+}
+
+/// Like [`run`], with the connections to instances opened by `dialer`.
+///
+/// # Errors
+///
+/// As [`run`].
+pub async fn run_with_dialer(
     settings: Settings,
     path: PathBuf,
     mut signals: Signals,
+    dialer: Box<dyn Dial>,
 ) -> Result<(), DaemonError> {
     let (probes, probes_rx) = mpsc::unbounded_channel();
-    let node = Arc::new(Node::new(settings, Box::new(SystemClock::default()), probes));
+    let node = Node::new(settings, Box::new(SystemClock::default()), probes);
+    let node = Arc::new(node.with_dialer(dialer));
     let (server_state, rx) = watch::channel(ServerState::Running);
     let callers = start_servers(&node, &rx)?;
     let socket = tasks::gossip::open(&node).await.map_err(DaemonError::GossipSocket)?;
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -6,7 +6,7 @@
 //! - [`quarantine`]: quarantined requests.
 //! - [`admission`]: which requests are admitted under overload.
 //! - [`evacuations`]: evacuated data centres, and instances that are cold.
-//! - [`paths`]: network paths from this node to instances.
+//! - [`paths`]: connections from this node to instances.
 //! - [`instance_limits`]: rate limits, backoffs and departures that instances announce, and the
 //!   permit for each request.
 //! - [`readers`]: the bytes held for callers and instances that do not read them.
@@ -64,6 +64,8 @@
 use workshold_core::hosted::suspicion::Suspicions;
 use workshold_core::outlier::OutlierDetector;
 use workshold_core::outlier::OutlierRules;
+use workshold_http::dial::Dial;
+use workshold_http::dial::TcpDialer;
 use workshold_platform::store::Store;
 use workshold_protocol::Clock;
 use workshold_protocol::Millis;
@@ -179,6 +181,7 @@
 pub struct Node {
     settings: RwLock<Arc<Settings>>,
     clock: Box<dyn Clock>,
+    dialer: Box<dyn Dial>,
     started_at: Millis,
     /// Client of the store for everything but the configuration and the instance list.
     pub store: Store,
@@ -320,6 +323,7 @@
             settings: RwLock::new(Arc::new(settings)),
             started_at: clock.now(),
             clock,
+            dialer: Box::new(TcpDialer),
             store,
             config_store,
             list_store,
@@ -373,6 +377,12 @@
         }
     }
 
+    /// The same node, which opens its connections to instances with `dialer`.
+    #[must_use]
+    pub fn with_dialer(self, dialer: Box<dyn Dial>) -> Self {
+        Self { dialer, ..self }
+    }
+
     /// Time of the monotonic clock.
     pub fn now(&self) -> Millis {
         self.clock.now()
--- a/crates/workshold-gateway/src/node/paths.rs
+++ b/crates/workshold-gateway/src/node/paths.rs
@@ -1,4 +1,8 @@
-//! Network paths from this node to instances.
+//! Connections from this node to instances, and the network paths that they need.
+
+use std::io;
+
+use tokio::net::TcpStream;
 
 use crate::node::Node;
 
@@ -7,4 +11,14 @@
     pub fn lost_paths(&self) -> usize {
         self.suspicions.lock().reached_only_by_peers()
     }
+
+    /// Opens a connection to the instance at `address`, an `ip:port`, without a time limit.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system, or that the address cannot be parsed.
+    pub async fn connect(&self, address: &str) -> io::Result<TcpStream> {
+        let address = address.parse().map_err(io::Error::other)?;
+        self.dialer.dial(address).await
+    }
 }
--- a/crates/workshold-gateway/src/proxy/attempt.rs
+++ b/crates/workshold-gateway/src/proxy/attempt.rs
@@ -21,7 +21,6 @@
 use workshold_http::body::Body;
 use workshold_http::body::full;
 use workshold_http::client;
-use workshold_http::client::BufferLimits;
 use workshold_http::client::CallError;
 use workshold_http::client::ConnectionTask;
 use workshold_http::client::FreshConnection;
@@ -43,9 +42,9 @@
 
 /// Longest wait for a connection to an instance.
 const CONNECT_TIMEOUT: Millis = Millis(40);
-/// Buffers of a connection to an instance. What was received but not forwarded is at most one
+/// Buffer of a connection to an instance. What was received but not forwarded is at most one
 /// buffer here and one at the caller's connection, besides the beginning of an unfinished event.
-const BUFFER_LIMITS: BufferLimits = BufferLimits { send_buffer: 64 * 1024, max_buf_len: 16 * 1024 };
+const MAX_BUF_LEN: usize = 16 * 1024;
 /// Longest response body that is buffered until it is complete, in bytes.
 const BUFFERED_LEN_MAX: usize = 4 * 1024 * 1024;
 
@@ -112,9 +111,7 @@
 ) -> Result<AttemptResponse, Failure> {
     let AttemptParams { request, target, last, is_sent } = params;
     let in_flight = node.loads.begin(&target.id, request.prompt_tokens as u32);
-    let within = CONNECT_TIMEOUT.to_duration();
-    let connected = client::connect_bounded(&target.address, within, BUFFER_LIMITS).await;
-    let connected = connected.map_err(|_| {
+    let connected = connect(&node, &target).await.ok_or_else(|| {
         node.probe(&target.id, &target.address, ProbeTask::ForSelf);
         (AttemptEnd::NotSent, "could not connect")
     })?;
@@ -174,6 +171,14 @@
     Ok(AttemptResponse::Stream(Box::new((parts, event_stream))))
 }
 
+/// Connects to a target; `None` if it cannot be reached in time.
+async fn connect(node: &Node, target: &Target) -> Option<FreshConnection> {
+    let connecting = node.connect(&target.address);
+    let stream =
+        tokio::time::timeout(CONNECT_TIMEOUT.to_duration(), connecting).await.ok()?.ok()?;
+    client::start(&target.address, stream, MAX_BUF_LEN).await.ok()
+}
+
 /// The instance as the reader of the request's body, until the head of its response comes.
 struct BodyReader {
     node: Arc<Node>,
--- a/crates/workshold-gateway/src/tasks/probing.rs
+++ b/crates/workshold-gateway/src/tasks/probing.rs
@@ -50,8 +50,7 @@
 pub async fn probe_once(node: &Node, address: &str) -> Option<ProbeResult> {
     let started_at = node.now();
     node.metrics.count(Metric::Looks);
-    let connected =
-        tokio::time::timeout(PROBE_TIMEOUT.to_duration(), TcpStream::connect(address)).await;
+    let connected = tokio::time::timeout(PROBE_TIMEOUT.to_duration(), node.connect(address)).await;
     let took = node.now().since(started_at);
     let result = match connected {
         Ok(Ok(_)) => Some(ProbeResult::Answers),
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -176,7 +176,8 @@
 fn send_order(node: Arc<Node>, stewards: Stewards, command: Command) {
     tokio::spawn(async move {
         node.metrics.count(Metric::Orders);
-        let reply = orders::send_order(&command, ORDER_TIMEOUT).await;
+        let connecting = node.connect(&command.address);
+        let reply = orders::send_order(&command, connecting, ORDER_TIMEOUT).await;
         let mut is_outranked = false;
         for steward in stewards.lock().values_mut() {
             is_outranked |= steward.on_reply(&command, reply);
--- a/crates/workshold-http/src/client.rs
+++ b/crates/workshold-http/src/client.rs
@@ -4,8 +4,6 @@
 //! whether the server received the request. With a new connection it can: until
 //! [`FreshConnection::send`] is called, no byte of the request has been sent.
 
-use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,7 +22,6 @@
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -91,16 +88,6 @@
     progress: Arc<WriteProgress>,
 }
 
-/// Bounds on what a connection buffers, for a server or a reader that is slow.
-#[derive(Debug, Clone, Copy)]
-pub struct BufferLimits {
-    /// Socket send buffer, in bytes. The kernel would let it grow to megabytes.
-    pub send_buffer: u32,
-    /// Buffer for what was received but not read, in bytes, which bounds the response's head too.
-    /// A limit below 8192 has no effect, since `hyper` needs a buffer of that size.
-    pub max_buf_len: usize,
-}
-
 /// The task that drives a connection. Dropping this aborts the task and closes the connection.
 #[derive(Debug)]
 pub struct ConnectionTask(JoinHandle<()>);
@@ -117,47 +104,42 @@
 ///
 /// [`CallError::Connect`] or [`CallError::TimedOut`]; in both cases nothing was sent.
 pub async fn connect(address: &str, within: Duration) -> Result<FreshConnection, CallError> {
-    open(address, within, TcpStream::connect(address), &http1::Builder::new()).await
+    let failed = |why: String| CallError::Connect { address: address.to_owned(), why };
+    let stream = timeout(within, TcpStream::connect(address))
+        .await
+        .map_err(|_| CallError::TimedOut { address: address.to_owned(), after: within })?
+        .map_err(|err| failed(err.to_string()))?;
+    stream.set_nodelay(true).map_err(|err| failed(err.to_string()))?;
+    handshake(address, stream, &http1::Builder::new()).await
 }
 
-/// Like [`connect`], with bounded buffers.
+/// Starts HTTP on a connection to `address` that is already open. What was received but not read is
+/// bounded by `max_buf_len` bytes, which bounds the response's head too. A limit below 8192 has no
+/// effect, since `hyper` needs a buffer of that size.
 ///
 /// # Errors
 ///
-/// As [`connect`].
-pub async fn connect_bounded(
+/// [`CallError::Connect`]; nothing was sent.
+pub async fn start(
     address: &str,
-    within: Duration,
-    limits: BufferLimits,
+    stream: TcpStream,
+    max_buf_len: usize,
 ) -> Result<FreshConnection, CallError> {
     let mut builder = http1::Builder::new();
-    builder.max_buf_size(limits.max_buf_len.max(MIN_BUF_LEN));
-    open(address, within, connect_socket(address, limits.send_buffer), &builder).await
+    builder.max_buf_size(max_buf_len.max(MIN_BUF_LEN));
+    handshake(address, stream, &builder).await
 }
 
 /// Minimum buffer size that `hyper` accepts, in bytes; it panics at less.
 const MIN_BUF_LEN: usize = 8192;
 
-async fn connect_socket(address: &str, send_buffer: u32) -> io::Result<TcpStream> {
-    let address: SocketAddr = address.parse().map_err(io::Error::other)?;
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_send_buffer_size(send_buffer)?;
-    socket.connect(address).await
-}
-
-/// Opens a connection through `connecting`.
-async fn open(
+/// Starts HTTP on an open connection.
+async fn handshake(
     address: &str,
-    within: Duration,
-    connecting: impl Future<Output = io::Result<TcpStream>>,
+    stream: TcpStream,
     builder: &http1::Builder,
 ) -> Result<FreshConnection, CallError> {
     let failed = |why: String| CallError::Connect { address: address.to_owned(), why };
-    let stream = timeout(within, connecting)
-        .await
-        .map_err(|_| CallError::TimedOut { address: address.to_owned(), after: within })?
-        .map_err(|err| failed(err.to_string()))?;
-    stream.set_nodelay(true).map_err(|err| failed(err.to_string()))?;
     let progress = WriteProgress::new();
     let io = TokioIo::new(ObservedStream::new(stream, Arc::clone(&progress)));
     let result = builder.handshake(io).await;
--- /dev/null
+++ b/crates/workshold-http/src/dial.rs
@@ -0,0 +1,41 @@
+//! Opens TCP connections to addresses whose network path may be at fault.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+
+/// A connection that is being opened.
+pub type Dialing = Pin<Box<dyn Future<Output = io::Result<TcpStream>> + Send>>;
+
+/// Opens TCP connections. Tests replace [`TcpDialer`] to cut the network path of one node.
+pub trait Dial: Send + Sync {
+    /// Opens a connection to `address`, which fails if the address refuses it. There is no time
+    /// limit beyond that of the operating system.
+    fn dial(&self, address: SocketAddr) -> Dialing;
+}
+
+/// Opens connections over the operating system's network.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct TcpDialer;
+
+/// Socket send buffer of a connection, in bytes. The kernel would let it grow to megabytes, and a
+/// receiver that has stopped reading would go unnoticed.
+const SEND_BUFFER_LEN: u32 = 64 * 1024;
+
+impl Dial for TcpDialer {
+    fn dial(&self, address: SocketAddr) -> Dialing {
+        Box::pin(connect(address))
+    }
+}
+
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_send_buffer_size(SEND_BUFFER_LEN)?;
+    let stream = socket.connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
--- a/crates/workshold-http/src/lib.rs
+++ b/crates/workshold-http/src/lib.rs
@@ -4,12 +4,14 @@
 //!   or slow.
 //! - [`client`] opens a new connection for each request, so that it is always known whether any
 //!   byte of the request was sent.
+//! - [`dial`] opens connections whose network path may be at fault.
 //! - [`body`] has helpers for request and response bodies.
 //! - [`write_progress`] observes how fast the other side takes what is sent to it.
 //! - [`signals`] translates Unix signals into actions.
 
 pub mod body;
 pub mod client;
+pub mod dial;
 pub mod server;
 pub mod signals;
 pub mod write_progress;
