--- a/crates/workshold-gateway/tests/platform.rs
+++ b/crates/workshold-gateway/tests/platform.rs
@@ -4,6 +4,8 @@
 mod admission;
 #[path = "platform/backoff.rs"]
 mod backoff;
+#[path = "platform/cut_off.rs"]
+mod cut_off;
 #[path = "platform/daemon.rs"]
 mod daemon;
 #[path = "platform/ending.rs"]
--- a/crates/workshold-gateway/tests/platform/support/mod.rs
+++ b/crates/workshold-gateway/tests/platform/support/mod.rs
@@ -6,9 +6,12 @@
 use tokio::task::JoinHandle;
 use workshold_gateway::daemon;
 use workshold_gateway::settings;
+use workshold_http::dial::Dial;
+use workshold_http::dial::TcpDialer;
 use workshold_http::signals::Signals;
 use workshold_platform_standin::caller;
 use workshold_platform_standin::free_address;
+use workshold_platform_standin::path::Path;
 use workshold_platform_standin::store::StandInStore;
 use workshold_platform_standin::wait_for;
 
@@ -35,15 +38,26 @@
 
     /// Starts a node that reaches the store at `store`, such as through a proxy.
     pub fn start_at(name: &str, store: SocketAddr, bounds: &str) -> Self {
-        Self::begin(name, store, bounds, true)
+        Self::begin(name, store, bounds, true, Box::new(TcpDialer))
     }
 
     /// Starts a node in a deployment that has run before (`is_first_start = false`).
     pub fn start_again(name: &str, store: &StandInStore, bounds: &str) -> Self {
-        Self::begin(name, store.address, bounds, false)
+        Self::begin(name, store.address, bounds, false, Box::new(TcpDialer))
     }
 
-    fn begin(name: &str, store: SocketAddr, bounds: &str, is_first_start: bool) -> Self {
+    /// Starts a node of a new deployment that reaches instances over `path`.
+    pub fn start_behind(name: &str, store: &StandInStore, bounds: &str, path: &Path) -> Self {
+        Self::begin(name, store.address, bounds, true, Box::new(path.clone()))
+    }
+
+    fn begin(
+        name: &str,
+        store: SocketAddr,
+        bounds: &str,
+        is_first_start: bool,
+        dialer: Box<dyn Dial>,
+    ) -> Self {
         let addresses: Vec<SocketAddr> = (0..4).map(|_| free_address()).collect();
         let text = format!(
             "[node]\nname = \"{name}\"\ndata_centre = \"a\"\nis_first_start = {is_first_start}\n\
@@ -58,7 +72,8 @@
         let settings = settings::parse(&text).unwrap();
         let signals = Signals::new().unwrap();
         let task = tokio::spawn(async move {
-            let ended = daemon::run(settings, PathBuf::from("/nonexistent"), signals).await;
+            let path = PathBuf::from("/nonexistent");
+            let ended = daemon::run_with_dialer(settings, path, signals, dialer).await;
             panic!("the node stopped: {ended:?}");
         });
         Self {
