Peers relay connections to instances that a node cannot reach

Cause: a failed connection was taken for a fault of the instance. Only the node's own path was ever tried, so each attempt ended as not sent; each failure became a suspicion (26 instances at each of the six nodes within 0.3 s), and the suspicions made the node take its models for full.

Change: before a failed connection counts, a peer is asked to open it (CONNECT at the control port, one hop) and relays it. That tells a lost path from a lost instance and serves the request in the same attempt: permit, deadline, retry budget and at-most-once stay with the node that has the caller, and nothing is sent before the relay has connected. Requests, probes and orders take the same way, so a cut-off steward still gives orders. A refusal counts as the end of a process only if a peer is refused as well. Streams on a lost path go on elsewhere.

--- a/crates/workshold-core/src/hosted.rs
+++ b/crates/workshold-core/src/hosted.rs
@@ -10,7 +10,7 @@
 //!   store is polled ([`long_poll`]).
 //! - Instances: the list with the groups they form ([`roster`], [`groups`]), one incarnation of
 //!   an instance ([`identity`]), which instances are unreachable ([`suspicion`]), when a group
-//!   is probed ([`probe_plan`]), and which era of the store an answer belongs to ([`store_era`]).
+//!   is probed ([`probe_plan`]), which ones only peers reach ([`lost_paths`]), and which era of the store an answer belongs to ([`store_era`]).
 //! - Planning: the demand for each model ([`demand`]), that of the last peaks
 //!   ([`demand_memory`]), the load that a group can take
 //!   ([`capacity`]), and which groups there should be ([`planner`]).
@@ -38,6 +38,7 @@
 pub mod instance_limits;
 pub mod lease_candidacy;
 pub mod long_poll;
+pub mod lost_paths;
 pub mod node_census;
 pub mod partition_lease;
 pub mod placement;
--- a/crates/workshold-core/src/hosted/suspicion.rs
+++ b/crates/workshold-core/src/hosted/suspicion.rs
@@ -41,6 +41,17 @@
     result.filter(|result| *result != ProbeResult::Silent || others != OtherProbes::Silent)
 }
 
+/// What this node's own probe shows of an instance once peers were asked for theirs; `None` from
+/// them if none has answered. A refusal shows that the process has ended only if a peer is refused
+/// as well: on the path from one node, something else may refuse.
+pub fn confirmed(own: ProbeResult, peers: Option<ProbeResult>) -> ProbeResult {
+    match (own, peers) {
+        (_, Some(ProbeResult::Answers)) => ProbeResult::Answers,
+        (ProbeResult::Refused, Some(ProbeResult::Silent)) => ProbeResult::Silent,
+        (own, _) => own,
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Suspicion {
     /// Since when no node reaches the instance, or else since when there is a suspicion.
@@ -204,11 +215,11 @@
         self.by_instance.get(id).is_some_and(|suspicion| !suspicion.failed_peers.is_empty())
     }
 
-    /// Number of instances that this node couldn't reach although a peer did: the network path from
-    /// here is at fault.
-    pub fn reached_only_by_peers(&self) -> usize {
-        let is_path_lost = |s: &&Suspicion| s.failed_here && !s.reached_by.is_empty();
-        self.by_instance.values().filter(is_path_lost).count()
+    /// Whether peers couldn't reach it either, as far as known.
+    pub fn is_unreachable_to_peers(&self, id: &K) -> bool {
+        self.by_instance.get(id).is_some_and(|suspicion| {
+            !suspicion.failed_peers.is_empty() && suspicion.reached_by.is_empty()
+        })
     }
 
     /// All suspected incarnations.
--- a/crates/workshold-gateway/src/daemon.rs
+++ b/crates/workshold-gateway/src/daemon.rs
@@ -1,5 +1,6 @@
 //! Starts a node and shuts it down gracefully.
 
+use std::future::ready;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -8,6 +9,7 @@
 use std::time::Duration;
 
 use displaydoc::Display;
+use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -30,6 +32,7 @@
 
 use crate::callers::control;
 use crate::callers::directory;
+use crate::callers::relay;
 use crate::callers::requests;
 use crate::callers::responses::ResponseBody;
 use crate::events::Event;
@@ -117,6 +120,7 @@
     background_tasks.spawn(tasks::gossip::catch_up(Arc::clone(&node)));
     background_tasks.spawn(tasks::probing::run(Arc::clone(&node), socket, probes_rx));
     background_tasks.spawn(tasks::probing::retry_probes(Arc::clone(&node)));
+    background_tasks.spawn(tasks::probing::retry_paths(Arc::clone(&node)));
     background_tasks.spawn(tasks::leasing::discover_peers(Arc::clone(&node)));
     background_tasks.spawn(tasks::stewarding::run(Arc::clone(&node)));
     background_tasks.spawn(tasks::quarantine_store::run(Arc::clone(&node)));
@@ -166,22 +170,34 @@
         infallible(requests::handle(Arc::clone(&handler_node), req))
     });
     let callers = tokio::spawn(server::serve(listener, bounds, service, server_state.clone()));
-    serve_auxiliary(node, settings.listen.directory, server_state, directory::handle)?;
-    serve_auxiliary(node, settings.listen.readiness, server_state, directory::readiness)?;
-    serve_auxiliary(node, settings.control(), server_state, control::handle)?;
+    serve_auxiliary(node, settings.listen.directory, server_state, |node, req| {
+        ready(directory::handle(&node, &req))
+    })?;
+    serve_auxiliary(node, settings.listen.readiness, server_state, |node, req| {
+        ready(directory::readiness(&node, &req))
+    })?;
+    serve_auxiliary(node, settings.control(), server_state, handle_control)?;
     Ok(callers)
 }
 
-/// Handles a request to the directory, readiness or control server.
-type AuxiliaryHandler = fn(&Node, &Request<Incoming>) -> Response<ResponseBody>;
+/// Handles a request to the control server.
+async fn handle_control(node: Arc<Node>, req: Request<Incoming>) -> Response<ResponseBody> {
+    if req.method() == Method::CONNECT {
+        return relay::handle(node, req).await;
+    }
+    control::handle(&node, &req)
+}
 
 /// Starts a server with its own limit of connections, so that callers cannot use them up.
-fn serve_auxiliary(
+fn serve_auxiliary<F>(
     node: &Arc<Node>,
     address: SocketAddr,
     server_state: &watch::Receiver<ServerState>,
-    handler: AuxiliaryHandler,
-) -> Result<(), DaemonError> {
+    handler: fn(Arc<Node>, Request<Incoming>) -> F,
+) -> Result<(), DaemonError>
+where
+    F: Future<Output = Response<ResponseBody>> + Send + 'static,
+{
     let bounds = ServerLimits {
         max_connections: AUXILIARY_CONNECTIONS_MAX,
         head_read_timeout: IDLE_TIMEOUT,
@@ -189,10 +205,8 @@
     };
     let listener = bind(address)?;
     let node = Arc::clone(node);
-    let service = service_fn(move |req: Request<Incoming>| {
-        let res = handler(&node, &req);
-        infallible(async move { res })
-    });
+    let service =
+        service_fn(move |req: Request<Incoming>| infallible(handler(Arc::clone(&node), req)));
     tokio::spawn(server::serve(listener, bounds, service, server_state.clone()));
     Ok(())
 }
--- a/crates/workshold-gateway/src/events.rs
+++ b/crates/workshold-gateway/src/events.rs
@@ -37,6 +37,7 @@
     InstanceWithdrawn = 1308, Info, "an instance's entry says that it leaves, or is gone", "Nothing; asked is how long ago the question was sent that brought this.";
     InstanceCold = 1309, Info, "an instance is cold and gets few requests for a while", "Nothing; left_ms is for how long.";
     PathsLost = 1310, Warn, "peers reach instances that this node cannot reach", "Check the network between this node and the instances; lost counts those that only peers reach, of all that are listed.";
+    PathLost = 1312, Info, "a peer reaches an instance that this node cannot reach", "Nothing; connections to it go through peers until W1311 or its path is back.";
     PathsBack = 1311, Info, "this node reaches all instances again that peers reach", "Nothing.";
     RequestEnded = 1401, Info, "a request was answered", "Nothing.";
     RequestNotRun = 1402, Warn, "a request was refused and has not run", "Read the reason; the caller was told when to retry.";
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -6,7 +6,7 @@
 //! - [`quarantine`]: quarantined requests.
 //! - [`admission`]: which requests are admitted under overload.
 //! - [`evacuations`]: evacuated data centres, and instances that are cold.
-//! - [`paths`]: connections from this node to instances.
+//! - [`paths`]: connections to instances, over this node's own network path or through a peer.
 //! - [`instance_limits`]: rate limits, backoffs and departures that instances announce, and the
 //!   permit for each request.
 //! - [`readers`]: the bytes held for callers and instances that do not read them.
@@ -38,6 +38,8 @@
 use parking_lot::RwLock;
 use smol_str::SmolStr;
 use tokio::sync::Notify;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use workshold_core::hosted::capacity::Workload;
 use workshold_core::hosted::cold_start::ColdInstances;
@@ -87,6 +89,10 @@
 pub use self::admission::Admission;
 pub use self::admission::ModelRoom;
 pub use self::admission::Refusal;
+pub use self::paths::ConnectError;
+pub use self::paths::ConnectTimes;
+pub use self::paths::InstanceConnection;
+pub use self::paths::Paths;
 pub use self::quarantine::EvidenceSource;
 pub use self::readers::Reader;
 pub use self::readers::ReaderKind;
@@ -202,6 +208,10 @@
     last_build: Mutex<TableBuild>,
     /// Instances that this node or its peers cannot reach.
     pub suspicions: Mutex<Suspicions<Identity>>,
+    /// What this node knows of its network paths to instances.
+    paths: Paths,
+    /// Connections that may still be relayed for other nodes.
+    relay_permits: Arc<Semaphore>,
     /// Incremented on each change of the suspicions or the quarantine, to wake waiting requests.
     pub suspicion_changed: watch::Sender<u64>,
     /// Mean time between the events of a stream, by instance.
@@ -314,6 +324,7 @@
         let is_first_start = settings.node.is_first_start;
         let peers = Peers::with_class(settings.limits.class());
         let readers = Readers::new(settings.read_budget_rules());
+        let relay_permits = Arc::new(Semaphore::new(settings.relayed_connections()));
         let store = Store::new(&settings.store.address);
         let config_store = Store::new(&settings.store.address);
         let list_store = Store::new(&settings.store.address);
@@ -335,6 +346,8 @@
             routing_table: RwLock::default(),
             last_build: Mutex::default(),
             suspicions: Mutex::default(),
+            paths: Paths::default(),
+            relay_permits,
             suspicion_changed: watch::Sender::new(0),
             gaps: Mutex::default(),
             quarantine: Mutex::default(),
@@ -627,7 +640,13 @@
         RequestGuard { node: Arc::clone(self), reader: None }
     }
 
-    /// Number of requests in flight.
+    /// A permit to relay one more connection for another node; `None` if this node relays as many
+    /// as it may.
+    pub fn relay_permit(&self) -> Option<OwnedSemaphorePermit> {
+        Arc::clone(&self.relay_permits).try_acquire_owned().ok()
+    }
+
+    /// Number of requests in flight, and of connections that are relayed for other nodes.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
     }
--- a/crates/workshold-gateway/src/node/paths.rs
+++ b/crates/workshold-gateway/src/node/paths.rs
@@ -1,24 +1,354 @@
-//! Connections from this node to instances, and the network paths that they need.
+//! Connections from this node to instances: over its own network path, or through a peer if that
+//! path is lost.
+//!
+//! A failed connection shows nothing of the instance while a peer can still open one. So a peer is
+//! asked before the failure counts, and the peer then relays the connection. Everything else about
+//! a request, such as its permit, its attempts and its deadline, stays with this node.
 
+use std::collections::HashMap;
 use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
 
+use futures_util::future::Either;
+use futures_util::future::join_all;
+use futures_util::future::select;
+use parking_lot::Mutex;
+use smol_str::SmolStr;
 use tokio::net::TcpStream;
+use workshold_core::hosted::identity::Identity;
+use workshold_core::hosted::lost_paths::LostPaths;
+use workshold_core::hosted::suspicion::ProbeResult;
+use workshold_http::relay;
+use workshold_http::relay::RelayError;
+use workshold_protocol::Millis;
 
+use crate::events::Event;
+use crate::events::emit;
+use crate::metrics::Metric;
 use crate::node::Node;
 
+/// A connection to an instance.
+#[derive(Debug)]
+pub struct InstanceConnection {
+    /// The connection, on which nothing was sent.
+    pub stream: TcpStream,
+    /// Whether a peer relays it.
+    pub is_relayed: bool,
+}
+
+/// Why there is no connection to an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectError {
+    /// The connection was refused, at this node or at the peer that was asked.
+    Refused,
+    /// There was no answer in time.
+    Silent,
+    /// The path from this node is lost, and no peer relays a connection now.
+    CutOff,
+}
+
+impl From<ConnectError> for ProbeResult {
+    fn from(err: ConnectError) -> Self {
+        match err {
+            ConnectError::Refused => Self::Refused,
+            ConnectError::Silent | ConnectError::CutOff => Self::Silent,
+        }
+    }
+}
+
+/// How long a connection may take and last.
+#[derive(Debug, Clone, Copy)]
+pub struct ConnectTimes {
+    /// Time to connect over this node's own path.
+    pub connect: Millis,
+    /// Time after which a relay closes the connection.
+    pub lifetime: Millis,
+}
+
+/// What this node knows of its network paths to instances.
+#[derive(Debug, Default)]
+pub struct Paths {
+    lost: Mutex<LostPaths<Identity>>,
+    /// Peers that relayed nothing when they were last asked, and when that was.
+    unavailable_relays: Mutex<HashMap<SocketAddr, Millis>>,
+}
+
+/// A peer is asked to connect as well after this time without an answer from an instance: several
+/// round trips within a region.
+const RELAY_DELAY: Duration = Duration::from_millis(20);
+/// Time within which a peer has to connect to an instance and say so.
+const RELAY_TIMEOUT: Millis = Millis(45);
+/// Peers that are asked one after the other for one connection.
+const RELAYS_TRIED_MAX: usize = 3;
+/// Peers that are asked at once before an instance is suspected: one alone may be cut off as well.
+const WITNESSES: usize = 2;
+/// Time for which a peer that relayed nothing is not asked while there are others.
+const UNAVAILABLE_FOR: Millis = Millis(1_000);
+/// Lifetime of a connection that only shows whether an instance answers.
+const PROBE_LIFETIME: Millis = Millis(200);
+
 impl Node {
-    /// Number of instances that peers reach and this node does not.
-    pub fn lost_paths(&self) -> usize {
-        self.suspicions.lock().reached_only_by_peers()
+    /// Opens a connection to an instance: over this node's own path unless that is lost, and
+    /// through a peer if it fails or is slow.
+    ///
+    /// # Errors
+    ///
+    /// [`ConnectError`]; nothing was sent.
+    pub async fn connect(
+        &self,
+        id: &Identity,
+        address: &str,
+        times: ConnectTimes,
+    ) -> Result<InstanceConnection, ConnectError> {
+        if self.is_path_lost(id) {
+            match self.connect_relayed(id, address, times.lifetime).await {
+                Err(ConnectError::CutOff) => {}
+                result => return result,
+            }
+            let direct = self.connect_direct(id, address, times.connect).await;
+            return direct.map_err(|_| ConnectError::CutOff);
+        }
+        let direct = Box::pin(self.connect_direct(id, address, times.connect));
+        let delay = Box::pin(tokio::time::sleep(RELAY_DELAY));
+        let (own_error, direct) = match select(direct, delay).await {
+            Either::Left((Ok(connection), _)) => return Ok(connection),
+            Either::Left((Err(err), _)) => (Some(err), None),
+            Either::Right((_, direct)) => (None, Some(direct)),
+        };
+        if !self.is_peer_worth_asking(id) {
+            return match (own_error, direct) {
+                (None, Some(direct)) => direct.await,
+                (own_error, _) => Err(own_error.unwrap_or(ConnectError::Silent)),
+            };
+        }
+        let relayed = Box::pin(self.connect_relayed(id, address, times.lifetime));
+        let Some(direct) = direct else {
+            let own_error = own_error.unwrap_or(ConnectError::Silent);
+            return relayed.await.map_err(|err| more_certain(own_error, err));
+        };
+        match select(direct, relayed).await {
+            Either::Left((Ok(connection), _)) | Either::Right((Ok(connection), _)) => {
+                Ok(connection)
+            }
+            Either::Left((Err(own), relayed)) => {
+                relayed.await.map_err(|err| more_certain(own, err))
+            }
+            Either::Right((Err(err), direct)) => direct.await.map_err(|own| more_certain(own, err)),
+        }
     }
 
-    /// Opens a connection to the instance at `address`, an `ip:port`, without a time limit.
+    /// Opens a connection over this node's own path.
     ///
     /// # Errors
     ///
-    /// The error of the operating system, or that the address cannot be parsed.
-    pub async fn connect(&self, address: &str) -> io::Result<TcpStream> {
-        let address = address.parse().map_err(io::Error::other)?;
-        self.dialer.dial(address).await
+    /// [`ConnectError`]; nothing was sent.
+    pub async fn connect_direct(
+        &self,
+        id: &Identity,
+        address: &str,
+        within: Millis,
+    ) -> Result<InstanceConnection, ConnectError> {
+        let address = address.parse().map_err(|_| ConnectError::Silent)?;
+        let dialing = self.dialer.dial(address);
+        match tokio::time::timeout(within.to_duration(), dialing).await {
+            Ok(Ok(stream)) => {
+                self.note_reached(id);
+                Ok(InstanceConnection { stream, is_relayed: false })
+            }
+            Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused => {
+                Err(ConnectError::Refused)
+            }
+            Ok(Err(_)) | Err(_) => Err(ConnectError::Silent),
+        }
+    }
+
+    /// Opens a connection through a peer. If that succeeds, this node's own path is lost, since it
+    /// was tried before.
+    async fn connect_relayed(
+        &self,
+        id: &Identity,
+        address: &str,
+        lifetime: Millis,
+    ) -> Result<InstanceConnection, ConnectError> {
+        let relays = self.choose_relays(id, RELAYS_TRIED_MAX);
+        for relay in relays {
+            match self.connect_through(relay, address, lifetime).await {
+                Ok(stream) => {
+                    self.note_reached_by_peer(id);
+                    return Ok(InstanceConnection { stream, is_relayed: true });
+                }
+                Err(RelayError::Unavailable(_)) => {}
+                Err(RelayError::Refused) => {
+                    self.paths.lost.lock().on_unreachable(id);
+                    return Err(ConnectError::Refused);
+                }
+                Err(RelayError::Silent) => {
+                    self.paths.lost.lock().on_unreachable(id);
+                    return Err(ConnectError::Silent);
+                }
+            }
+        }
+        Err(ConnectError::CutOff)
+    }
+
+    /// Opens a connection through one peer, and remembers if that relays none now.
+    async fn connect_through(
+        &self,
+        relay: SocketAddr,
+        address: &str,
+        lifetime: Millis,
+    ) -> Result<TcpStream, RelayError> {
+        self.metrics.count(Metric::RelaysAsked);
+        let connecting = relay::connect_through(relay, address, lifetime.to_duration());
+        let result = tokio::time::timeout(RELAY_TIMEOUT.to_duration(), connecting).await;
+        let result =
+            result.unwrap_or_else(|_| Err(RelayError::Unavailable("it does not answer".into())));
+        let mut unavailable = self.paths.unavailable_relays.lock();
+        match &result {
+            Err(RelayError::Unavailable(_)) => {
+                unavailable.insert(relay, self.now());
+            }
+            _ => {
+                unavailable.remove(&relay);
+            }
+        }
+        result
+    }
+
+    /// Whether peers reach an instance that this node has just tried in vain; `None` if no peer
+    /// says.
+    pub async fn ask_peers(&self, id: &Identity, address: &str) -> Option<ProbeResult> {
+        if !self.is_peer_worth_asking(id) {
+            return None;
+        }
+        let relays = self.choose_relays(id, WITNESSES);
+        let answers = relays.into_iter().map(|relay| async move {
+            match self.connect_through(relay, address, PROBE_LIFETIME).await {
+                Ok(_) => Some(ProbeResult::Answers),
+                Err(RelayError::Refused) => Some(ProbeResult::Refused),
+                Err(RelayError::Silent) => Some(ProbeResult::Silent),
+                Err(RelayError::Unavailable(_)) => None,
+            }
+        });
+        let answers = join_all(answers).await;
+        let has = |result| answers.contains(&Some(result));
+        if has(ProbeResult::Answers) {
+            self.note_reached_by_peer(id);
+        }
+        [ProbeResult::Answers, ProbeResult::Refused, ProbeResult::Silent]
+            .into_iter()
+            .find(|result| has(*result))
+    }
+
+    /// Probes an instance whose path is lost through a peer; `None` if no peer says.
+    pub async fn probe_relayed(&self, id: &Identity, address: &str) -> Option<ProbeResult> {
+        match self.connect_relayed(id, address, PROBE_LIFETIME).await {
+            Ok(_) => Some(ProbeResult::Answers),
+            Err(ConnectError::CutOff) => None,
+            Err(err) => Some(err.into()),
+        }
+    }
+
+    /// Whether a peer may reach an instance that this node does not: not if peers have tried in
+    /// vain, unless those are cut off as well.
+    fn is_peer_worth_asking(&self, id: &Identity) -> bool {
+        let is_hopeless = self.suspicions.lock().is_unreachable_to_peers(id);
+        !is_hopeless || self.is_cut_off()
+    }
+
+    /// Peers to relay a connection to an instance: those of its data centre first, since the bytes
+    /// then cross between data centres no more often than on the direct path.
+    fn choose_relays(&self, id: &Identity, most: usize) -> Vec<SocketAddr> {
+        let now = self.now();
+        let own = self.settings().node.data_centre.clone();
+        let data_centre = {
+            let list = self.list.lock();
+            let entry = list.roster.incarnation(id);
+            entry.map_or_else(|| own.clone(), |entry| entry.instance.data_centre.clone())
+        };
+        let mut unavailable = self.paths.unavailable_relays.lock();
+        unavailable.retain(|_, at| now.since(*at) < UNAVAILABLE_FOR);
+        let peers = self.peers.lock();
+        let mut relays: Vec<(bool, u8, u32, SocketAddr)> = peers
+            .heard(now)
+            .filter(|(_, peer)| peer.heartbeat.is_ready)
+            .map(|(address, peer)| {
+                let location = peer.heartbeat.data_centre.as_str();
+                let distance = match location {
+                    _ if location == data_centre.as_str() => 0,
+                    _ if location == own.as_str() => 1,
+                    _ => 2,
+                };
+                (unavailable.contains_key(address), distance, rand::random(), *address)
+            })
+            .collect();
+        drop(peers);
+        relays.sort_unstable();
+        relays.into_iter().take(most).map(|(.., address)| address).collect()
+    }
+
+    /// Notes that this node has reached an instance by itself.
+    fn note_reached(&self, id: &Identity) {
+        self.paths.lost.lock().on_reached(id, self.now());
+    }
+
+    /// Notes that a peer has reached an instance that this node has just tried in vain. Requests
+    /// that wait on connections over the lost path have to go elsewhere.
+    fn note_reached_by_peer(&self, id: &Identity) {
+        let is_new = self.paths.lost.lock().on_reached_by_peer(id, self.now());
+        if !is_new {
+            return;
+        }
+        self.record_probe_result(id, ProbeResult::Answers);
+        emit(Event::PathLost, &[("instance", id.as_str())]);
+        self.notify_suspicions_changed();
+    }
+
+    /// Whether peers reach an instance and this node does not.
+    pub fn is_path_lost(&self, id: &Identity) -> bool {
+        self.paths.lost.lock().is_lost(id)
+    }
+
+    /// Whether a connection to an instance over this node's own path, on which data last came at
+    /// `last_data_at`, has been silent since the path was lost.
+    pub fn is_silent_since_path_loss(&self, id: &Identity, last_data_at: Millis) -> bool {
+        self.paths.lost.lock().lost_since(id).is_some_and(|since| last_data_at <= since)
+    }
+
+    /// Whether this node has reached no instance by itself since it lost its path to one.
+    pub fn is_cut_off(&self) -> bool {
+        self.paths.lost.lock().is_cut_off()
+    }
+
+    /// Number of instances that peers reach and this node does not.
+    pub fn lost_paths(&self) -> usize {
+        self.paths.lost.lock().len()
+    }
+
+    /// The instances to which the lost path is to be tried again now, with their addresses.
+    pub fn take_due_paths(&self) -> Vec<(Identity, SmolStr)> {
+        let due = self.paths.lost.lock().take_due(self.now());
+        let list = self.list.lock();
+        let with_address = |id: Identity| {
+            let entry = list.roster.incarnation(&id)?;
+            Some((id, entry.instance.address.clone()))
+        };
+        due.into_iter().filter_map(with_address).collect()
+    }
+
+    /// Drops the paths to instances that are no longer known.
+    pub fn forget_paths(&self, is_known: impl Fn(&Identity) -> bool) {
+        self.paths.lost.lock().retain(is_known);
+    }
+}
+
+/// Why neither this node's own path nor a peer led to an instance. Only a refusal that a peer
+/// confirms comes from the instance's host; a node without peers believes its own.
+fn more_certain(own: ConnectError, relayed: ConnectError) -> ConnectError {
+    match (own, relayed) {
+        (own, ConnectError::CutOff) => own,
+        (ConnectError::Refused, ConnectError::Refused) => ConnectError::Refused,
+        _ => ConnectError::Silent,
     }
 }
--- a/crates/workshold-gateway/src/proxy/wait.rs
+++ b/crates/workshold-gateway/src/proxy/wait.rs
@@ -1,6 +1,8 @@
 //! Decides, while a response is awaited, when its instance is probed and when it is suspected.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use workshold_core::hosted::fingerprint::Fingerprint;
 use workshold_core::hosted::probe_plan::PROBE_INTERVAL;
@@ -57,7 +59,14 @@
 
 /// Waits until the wait for a response of `target` is over or the target is suspected. Probes the
 /// target's group meanwhile, as far as there is no other evidence that it works.
-pub async fn until_over(node: &Arc<Node>, target: &Arc<Target>, limits: WaitLimits) -> WaitOver {
+///
+/// `is_relayed` tells whether a peer relays the connection, which is not known before it is open.
+pub async fn until_over(
+    node: &Arc<Node>,
+    target: &Arc<Target>,
+    limits: WaitLimits,
+    is_relayed: &AtomicBool,
+) -> WaitOver {
     let mut changed = node.suspicion_changed.subscribe();
     let deadline = limits.deadline - RESPONSE_LEAD_TIME;
     let first_probe_at = limits.probe_after.map(|after| limits.last_data_at + after);
@@ -70,10 +79,18 @@
     let suspect_at = full_silence
         .map(|after| (limits.last_data_at + Millis(after.0 / 2)).max(limits.no_suspicion_before));
     loop {
-        let is_group_suspected = suspect_at.is_some() && node.is_suspected(target);
+        let is_path_suspected = !is_relayed.load(Ordering::Relaxed)
+            && node.is_silent_since_path_loss(&target.id, limits.last_data_at);
+        let is_group_suspected =
+            suspect_at.is_some() && (is_path_suspected || node.is_suspected(target));
         let now = node.now();
         if is_group_suspected && suspect_at.is_some_and(|at| now >= at) {
-            return WaitOver::Suspected("a member of its group is unreachable");
+            let reason = if is_path_suspected {
+                "this node has lost its path to the instance"
+            } else {
+                "a member of its group is unreachable"
+            };
+            return WaitOver::Suspected(reason);
         }
         if now >= deadline {
             return WaitOver::DeadlinePassed;
--- a/crates/workshold-gateway/src/settings.rs
+++ b/crates/workshold-gateway/src/settings.rs
@@ -211,6 +211,8 @@
 const CONFIG_FOLLOWERS: f64 = 32.0;
 /// File descriptors reserved for the store, probes of suspected instances, peers and files.
 const RESERVED_DESCRIPTORS: usize = 300;
+/// Fraction of the other descriptors, as a divisor, for connections relayed for other nodes.
+const RELAYED_DIVISOR: usize = 8;
 /// Bytes waiting for one caller at which its stream is not read further.
 const STREAM_UNREAD_MAX: u64 = 64 * 1024;
 /// Part of the memory that may hold bytes for callers and instances that have not read them.
@@ -314,7 +316,18 @@
     /// Most connections that callers may have open. Each may need a second descriptor, for an
     /// upstream.
     pub fn caller_connections(&self) -> usize {
-        (self.limits.descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2).max(64)
+        (self.connection_pairs() - self.relayed_connections()).max(64)
+    }
+
+    /// Most connections that are relayed for other nodes at the same time. Each needs two
+    /// descriptors.
+    pub fn relayed_connections(&self) -> usize {
+        self.connection_pairs() / RELAYED_DIVISOR
+    }
+
+    /// Pairs of connections for which there are descriptors.
+    fn connection_pairs(&self) -> usize {
+        self.limits.descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2
     }
 }
 
--- a/crates/workshold-gateway/src/tasks/probing.rs
+++ b/crates/workshold-gateway/src/tasks/probing.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::Either;
 use futures_util::future::join_all;
+use futures_util::future::select;
 use futures_util::future::select_ok;
 use rand::Rng;
 use smol_str::SmolStr;
@@ -11,6 +13,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedReceiver;
 use workshold_core::hosted::identity::Identity;
+use workshold_core::hosted::lost_paths;
 use workshold_core::hosted::probe_plan::Scope;
 use workshold_core::hosted::roster::Entry;
 use workshold_core::hosted::roster::Instance;
@@ -21,6 +24,7 @@
 
 use crate::loads::instance_hash;
 use crate::metrics::Metric;
+use crate::node::ConnectError;
 use crate::node::Node;
 use crate::node::Probe;
 use crate::node::ProbeTask;
@@ -46,18 +50,16 @@
 /// before anything is done about the instance.
 const SECOND_REQUEST_DELAY: Duration = Duration::from_millis(100);
 
-/// Probes an address once, by opening a connection; `None` if the probe is void.
-pub async fn probe_once(node: &Node, address: &str) -> Option<ProbeResult> {
+/// Probes an instance once over this node's own path, by opening a connection; `None` if the probe
+/// is void.
+pub async fn probe_once(node: &Node, id: &Identity, address: &str) -> Option<ProbeResult> {
     let started_at = node.now();
     node.metrics.count(Metric::Looks);
-    let connected = tokio::time::timeout(PROBE_TIMEOUT.to_duration(), node.connect(address)).await;
+    let connected = node.connect_direct(id, address, PROBE_TIMEOUT).await;
     let took = node.now().since(started_at);
     let result = match connected {
-        Ok(Ok(_)) => Some(ProbeResult::Answers),
-        Ok(Err(err)) if err.kind() == std::io::ErrorKind::ConnectionRefused => {
-            Some(ProbeResult::Refused)
-        }
-        Ok(Err(_)) => Some(ProbeResult::Silent),
+        Ok(_) => Some(ProbeResult::Answers),
+        Err(ConnectError::Refused) => Some(ProbeResult::Refused),
         Err(_) if took > PROBE_TIMEOUT + STALL_TOLERANCE => None,
         Err(_) => Some(ProbeResult::Silent),
     };
@@ -69,18 +71,41 @@
     result
 }
 
-/// Probes an instance, and a second time before it reports silence, since one packet may be lost.
-/// The second time other nodes and instances are probed along with it: if they are silent too,
-/// this node's own link may be at fault. A configuration of some hundred kilobytes saturates a
-/// slow link for a tenth of a second, at all nodes at once. By the logs of 61 nodes during a day
-/// of planned maintenance, 790 of 1,156 suspicions were wrong without this check and 19 of 202
-/// with it.
-async fn probe_twice(node: &Node, id: &Identity, address: &str) -> Option<ProbeResult> {
-    let first = probe_once(node, address).await;
+/// Probes an instance: over this node's own path, or through a peer if that path is lost. Before it
+/// reports a failure it probes a second time, since one packet may be lost, and asks peers.
+async fn probe(node: &Node, id: &Identity, address: &str) -> Option<ProbeResult> {
+    if node.is_path_lost(id) {
+        return node.probe_relayed(id, address).await;
+    }
+    let first = probe_once(node, id, address).await;
     if first == Some(ProbeResult::Answers) {
         return first;
     }
-    let (again, others) = tokio::join!(probe_once(node, address), probe_others(node, id));
+    let by_peers = Box::pin(node.ask_peers(id, address));
+    let again = Box::pin(probe_again(node, id, address));
+    let (own, peers) = match select(by_peers, again).await {
+        Either::Left((Some(ProbeResult::Answers), _)) => return Some(ProbeResult::Answers),
+        Either::Left((peers, again)) => (again.await, peers),
+        Either::Right((own @ Some(ProbeResult::Answers), _)) => return own,
+        Either::Right((own, by_peers)) => (own, by_peers.await),
+    };
+    conclude(node, own?, peers)
+}
+
+/// What this node's own failed probe shows once peers were asked; `None` if nothing, since this
+/// node reaches no other instance either.
+fn conclude(node: &Node, own: ProbeResult, peers: Option<ProbeResult>) -> Option<ProbeResult> {
+    let is_void = peers.is_none() && node.is_cut_off();
+    (!is_void).then(|| suspicion::confirmed(own, peers))
+}
+
+/// Probes an instance a second time. Other nodes and instances are probed along with it: if they
+/// are silent too, this node's own link may be at fault. A configuration of some hundred kilobytes
+/// saturates a slow link for a tenth of a second, at all nodes at once. By the logs of 61 nodes
+/// during a day of planned maintenance, 790 of 1,156 suspicions were wrong without this check and
+/// 19 of 202 with it.
+async fn probe_again(node: &Node, id: &Identity, address: &str) -> Option<ProbeResult> {
+    let (again, others) = tokio::join!(probe_once(node, id, address), probe_others(node, id));
     let conclusive = suspicion::conclusive(again, others);
     if conclusive.is_none() && again.is_some() {
         node.metrics.count(Metric::LooksVoid);
@@ -128,7 +153,7 @@
 
 /// Probes an instance, and tells peers if the result has changed; `None` if the probe is void.
 pub async fn probe_instance(node: &Node, id: &Identity, address: &SmolStr) -> Option<ProbeResult> {
-    let result = probe_twice(node, id, address).await;
+    let result = probe(node, id, address).await;
     if let Some(result) = result {
         node.on_probe_result(id, address, result);
     }
@@ -160,14 +185,14 @@
                     return;
                 }
                 ProbeTask::ForAll => {
-                    let Some(reach) = probe_twice(&node, &probe.id, &probe.address).await else {
+                    let Some(reach) = self::probe(&node, &probe.id, &probe.address).await else {
                         return;
                     };
                     node.record_probe_result(&probe.id, reach);
                     (reach, ProbeAudience::Nobody)
                 }
                 ProbeTask::ReplyTo(asker) => {
-                    let result = probe_twice(&node, &probe.id, &probe.address).await;
+                    let result = self::probe(&node, &probe.id, &probe.address).await;
                     if result == Some(ProbeResult::Answers) {
                         let message =
                             verdict(&probe.id, ProbeResult::Answers, ProbeAudience::Nobody);
@@ -214,9 +239,25 @@
             let Some(entry) = entry.filter(|entry| entry.unlisted_since.is_none()) else {
                 continue;
             };
-            if let Some(reach) = probe_once(&node, &entry.instance.address).await {
-                node.on_probe_result(&id, &entry.instance.address, reach);
+            let address = &entry.instance.address;
+            let own = probe_once(&node, &id, address).await;
+            let reach = match own {
+                None | Some(ProbeResult::Answers) => own,
+                Some(own) => conclude(&node, own, node.ask_peers(&id, address).await),
+            };
+            if let Some(reach) = reach {
+                node.on_probe_result(&id, address, reach);
             }
         }
     }
 }
+
+/// Tries lost paths again at an interval, until the node ends.
+pub async fn retry_paths(node: Arc<Node>) {
+    loop {
+        tokio::time::sleep(lost_paths::RETRY_INTERVAL.to_duration()).await;
+        let due = node.take_due_paths();
+        let tries = due.iter().map(|(id, address)| probe_once(&node, id, address));
+        join_all(tries).await;
+    }
+}
--- a/crates/workshold-gateway/src/tasks/stewarding.rs
+++ b/crates/workshold-gateway/src/tasks/stewarding.rs
@@ -24,6 +24,7 @@
 use crate::events::Event;
 use crate::events::emit;
 use crate::metrics::Metric;
+use crate::node::ConnectTimes;
 use crate::node::Node;
 use crate::node::ProbeTask;
 use crate::node::StewardLease;
@@ -176,7 +177,11 @@
 fn send_order(node: Arc<Node>, stewards: Stewards, command: Command) {
     tokio::spawn(async move {
         node.metrics.count(Metric::Orders);
-        let connecting = node.connect(&command.address);
+        let times = ConnectTimes { connect: ORDER_TIMEOUT, lifetime: ORDER_TIMEOUT };
+        let connecting = async {
+            let connected = node.connect(&command.to, &command.address, times).await;
+            connected.ok().map(|connection| connection.stream)
+        };
         let reply = orders::send_order(&command, connecting, ORDER_TIMEOUT).await;
         let mut is_outranked = false;
         for steward in stewards.lock().values_mut() {
--- a/crates/workshold-gateway/src/tasks/upkeep.rs
+++ b/crates/workshold-gateway/src/tasks/upkeep.rs
@@ -90,6 +90,7 @@
         node.note_superseded(&reversion.ended);
     }
     node.suspicions.lock().forget(now, |id| known.contains(id));
+    node.forget_paths(|id| known.contains(id));
     node.gaps.lock().retain(|id| known.contains(id));
     node.outliers.lock().retain(|id| known.contains(id));
     node.instance_limits.lock().forget(now, |id| known.contains(id));
--- a/crates/workshold-http/src/lib.rs
+++ b/crates/workshold-http/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`client`] opens a new connection for each request, so that it is always known whether any
 //!   byte of the request was sent.
 //! - [`dial`] opens connections whose network path may be at fault.
+//! - [`relay`] opens connections through another node.
 //! - [`body`] has helpers for request and response bodies.
 //! - [`write_progress`] observes how fast the other side takes what is sent to it.
 //! - [`signals`] translates Unix signals into actions.
@@ -12,6 +13,7 @@
 pub mod body;
 pub mod client;
 pub mod dial;
+pub mod relay;
 pub mod server;
 pub mod signals;
 pub mod write_progress;
--- a/crates/workshold-http/src/server.rs
+++ b/crates/workshold-http/src/server.rs
@@ -169,7 +169,8 @@
         .header_read_timeout(limits.head_read_timeout)
         .max_headers(limits.max_headers)
         .max_buf_size(limits.max_head_len.max(MIN_BUF_LEN))
-        .serve_connection(io, service);
+        .serve_connection(io, service)
+        .with_upgrades();
     let mut connection = std::pin::pin!(connection);
     loop {
         tokio::select! {
--- a/crates/workshold-http/src/write_progress.rs
+++ b/crates/workshold-http/src/write_progress.rs
@@ -124,6 +124,11 @@
         Self { stream, progress }
     }
 
+    /// What the connection has sent; it can also be aborted.
+    pub(crate) fn progress(&self) -> Arc<WriteProgress> {
+        Arc::clone(&self.progress)
+    }
+
     fn on_write(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(len)) = result {
             self.progress.on_written(len);
