Relays: other data centres second, two witnesses, and isolated nodes

Three gaps in the choice of relays, by reading: a node asked three peers of the instance's data centre, which may be cut off as a whole; one witness decided that a process behind a lost path had ended; and a node for which no peer relays stayed ready and took 0.5 s to refuse. The first relay is near the instance and the others elsewhere; a refusal behind a lost path counts once two peers agree; an isolated node is not ready and refuses at once until a path or a peer is back.

--- a/crates/workshold-core/tests/hosted.rs
+++ b/crates/workshold-core/tests/hosted.rs
@@ -18,6 +18,8 @@
 mod liveness;
 #[path = "hosted/long_poll.rs"]
 mod long_poll;
+#[path = "hosted/lost_paths.rs"]
+mod lost_paths;
 #[path = "hosted/node_census.rs"]
 mod node_census;
 #[path = "hosted/partition_lease.rs"]
--- a/crates/workshold-gateway/src/callers/relay.rs
+++ b/crates/workshold-gateway/src/callers/relay.rs
@@ -19,7 +19,7 @@
 use crate::node::Node;
 
 /// Time to connect to an instance for another node: shorter than that node waits.
-const CONNECT_TIMEOUT: Millis = Millis(28);
+const CONNECT_TIMEOUT: Millis = Millis(20);
 /// Longest that a connection is relayed.
 const LIFETIME_MAX: Duration = Duration::from_secs(60);
 
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -7,6 +7,7 @@
 //! - [`admission`]: which requests are admitted under overload.
 //! - [`evacuations`]: evacuated data centres, and instances that are cold.
 //! - [`paths`]: connections to instances, over this node's own network path or through a peer.
+//! - [`relays`]: which peers are asked to relay a connection.
 //! - [`instance_limits`]: rate limits, backoffs and departures that instances announce, and the
 //!   permit for each request.
 //! - [`readers`]: the bytes held for callers and instances that do not read them.
@@ -20,6 +21,7 @@
 mod paths;
 mod quarantine;
 mod readers;
+pub mod relays;
 mod retry_budget;
 mod store_access;
 mod suspicions;
@@ -179,6 +181,8 @@
     NoQuarantine,
     /// nothing can take requests
     NoTargets,
+    /// it has lost its paths to the instances, and no peer relays
+    Isolated,
     /// it is stopping
     Leaving,
 }
@@ -672,6 +676,9 @@
         if self.routing_table().is_empty() {
             return Err(NotReady::NoTargets);
         }
+        if self.is_isolated() {
+            return Err(NotReady::Isolated);
+        }
         if !self.is_quarantine_read() {
             return Err(NotReady::NoQuarantine);
         }
--- a/crates/workshold-gateway/src/node/paths.rs
+++ b/crates/workshold-gateway/src/node/paths.rs
@@ -6,6 +6,7 @@
 //! a request, such as its permit, its attempts and its deadline, stays with this node.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -27,6 +28,8 @@
 use crate::events::emit;
 use crate::metrics::Metric;
 use crate::node::Node;
+use crate::node::relays;
+use crate::node::relays::RelayCandidate;
 
 /// A connection to an instance.
 #[derive(Debug)]
@@ -72,6 +75,8 @@
     lost: Mutex<LostPaths<Identity>>,
     /// Peers that relayed nothing when they were last asked, and when that was.
     unavailable_relays: Mutex<HashMap<SocketAddr, Millis>>,
+    /// Since when every peer that was asked has relayed nothing; `None` if the last one did.
+    relays_failing_since: Mutex<Option<Millis>>,
 }
 
 /// A peer is asked to connect as well after this time without an answer from an instance: several
@@ -85,6 +90,8 @@
 const WITNESSES: usize = 2;
 /// Time for which a peer that relayed nothing is not asked while there are others.
 const UNAVAILABLE_FOR: Millis = Millis(1_000);
+/// A cut-off node for which no peer has relayed anything for this long cannot serve.
+const RELAYS_FAILING_MAX: Millis = Millis(500);
 /// Lifetime of a connection that only shows whether an instance answers.
 const PROBE_LIFETIME: Millis = Millis(200);
 
@@ -171,23 +178,18 @@
         address: &str,
         lifetime: Millis,
     ) -> Result<InstanceConnection, ConnectError> {
-        let relays = self.choose_relays(id, RELAYS_TRIED_MAX);
-        for relay in relays {
-            match self.connect_through(relay, address, lifetime).await {
+        for relay in self.choose_relays(id, RELAYS_TRIED_MAX) {
+            let err = match self.connect_through(relay, address, lifetime).await {
                 Ok(stream) => {
                     self.note_reached_by_peer(id);
                     return Ok(InstanceConnection { stream, is_relayed: true });
                 }
-                Err(RelayError::Unavailable(_)) => {}
-                Err(RelayError::Refused) => {
-                    self.paths.lost.lock().on_unreachable(id);
-                    return Err(ConnectError::Refused);
-                }
-                Err(RelayError::Silent) => {
-                    self.paths.lost.lock().on_unreachable(id);
-                    return Err(ConnectError::Silent);
-                }
-            }
+                Err(RelayError::Unavailable(_)) => continue,
+                Err(RelayError::Refused) => ConnectError::Refused,
+                Err(RelayError::Silent) => ConnectError::Silent,
+            };
+            self.paths.lost.lock().on_unreachable(id);
+            return Err(err);
         }
         Err(ConnectError::CutOff)
     }
@@ -204,20 +206,19 @@
         let result = tokio::time::timeout(RELAY_TIMEOUT.to_duration(), connecting).await;
         let result =
             result.unwrap_or_else(|_| Err(RelayError::Unavailable("it does not answer".into())));
-        let mut unavailable = self.paths.unavailable_relays.lock();
-        match &result {
-            Err(RelayError::Unavailable(_)) => {
-                unavailable.insert(relay, self.now());
-            }
-            _ => {
-                unavailable.remove(&relay);
-            }
+        let now = self.now();
+        if matches!(result, Err(RelayError::Unavailable(_))) {
+            self.paths.unavailable_relays.lock().insert(relay, now);
+            self.paths.relays_failing_since.lock().get_or_insert(now);
+        } else {
+            self.paths.unavailable_relays.lock().remove(&relay);
+            *self.paths.relays_failing_since.lock() = None;
         }
         result
     }
 
-    /// Whether peers reach an instance that this node has just tried in vain; `None` if no peer
-    /// says.
+    /// Whether peers reach an instance that this node has just tried in vain, or to which its path
+    /// is lost; `None` if no peer says. A refusal is reported only if no peer sees silence.
     pub async fn ask_peers(&self, id: &Identity, address: &str) -> Option<ProbeResult> {
         if !self.is_peer_worth_asking(id) {
             return None;
@@ -235,19 +236,11 @@
         let has = |result| answers.contains(&Some(result));
         if has(ProbeResult::Answers) {
             self.note_reached_by_peer(id);
+            return Some(ProbeResult::Answers);
         }
-        [ProbeResult::Answers, ProbeResult::Refused, ProbeResult::Silent]
-            .into_iter()
-            .find(|result| has(*result))
-    }
-
-    /// Probes an instance whose path is lost through a peer; `None` if no peer says.
-    pub async fn probe_relayed(&self, id: &Identity, address: &str) -> Option<ProbeResult> {
-        match self.connect_relayed(id, address, PROBE_LIFETIME).await {
-            Ok(_) => Some(ProbeResult::Answers),
-            Err(ConnectError::CutOff) => None,
-            Err(err) => Some(err.into()),
-        }
+        let result = [ProbeResult::Silent, ProbeResult::Refused].into_iter().find(|r| has(*r))?;
+        self.paths.lost.lock().on_unreachable(id);
+        Some(result)
     }
 
     /// Whether a peer may reach an instance that this node does not: not if peers have tried in
@@ -257,8 +250,9 @@
         !is_hopeless || self.is_cut_off()
     }
 
-    /// Peers to relay a connection to an instance: those of its data centre first, since the bytes
-    /// then cross between data centres no more often than on the direct path.
+    /// Peers to relay a connection to an instance. The first one is in the instance's data centre if
+    /// possible, since the bytes then cross between data centres no more often than on the direct
+    /// path; the others are elsewhere, since all nodes of a data centre may be cut off together.
     fn choose_relays(&self, id: &Identity, most: usize) -> Vec<SocketAddr> {
         let now = self.now();
         let own = self.settings().node.data_centre.clone();
@@ -267,25 +261,22 @@
             let entry = list.roster.incarnation(id);
             entry.map_or_else(|| own.clone(), |entry| entry.instance.data_centre.clone())
         };
-        let mut unavailable = self.paths.unavailable_relays.lock();
-        unavailable.retain(|_, at| now.since(*at) < UNAVAILABLE_FOR);
+        let unavailable: HashSet<SocketAddr> = {
+            let mut unavailable = self.paths.unavailable_relays.lock();
+            unavailable.retain(|_, at| now.since(*at) < UNAVAILABLE_FOR);
+            unavailable.keys().copied().collect()
+        };
         let peers = self.peers.lock();
-        let mut relays: Vec<(bool, u8, u32, SocketAddr)> = peers
-            .heard(now)
-            .filter(|(_, peer)| peer.heartbeat.is_ready)
-            .map(|(address, peer)| {
-                let location = peer.heartbeat.data_centre.as_str();
-                let distance = match location {
-                    _ if location == data_centre.as_str() => 0,
-                    _ if location == own.as_str() => 1,
-                    _ => 2,
-                };
-                (unavailable.contains_key(address), distance, rand::random(), *address)
+        let ready = peers.heard(now).filter(|(_, peer)| peer.heartbeat.is_ready);
+        let candidates: Vec<RelayCandidate> = ready
+            .map(|(address, peer)| RelayCandidate {
+                address: *address,
+                data_centre: peer.heartbeat.data_centre.clone(),
+                is_unavailable: unavailable.contains(address),
             })
             .collect();
         drop(peers);
-        relays.sort_unstable();
-        relays.into_iter().take(most).map(|(.., address)| address).collect()
+        relays::order(candidates, data_centre.as_str(), own.as_str(), most, &mut rand::rng())
     }
 
     /// Notes that this node has reached an instance by itself.
@@ -321,6 +312,14 @@
         self.paths.lost.lock().is_cut_off()
     }
 
+    /// Whether this node reaches no instance, neither by itself nor through a peer.
+    pub fn is_isolated(&self) -> bool {
+        let failing_since = *self.paths.relays_failing_since.lock();
+        let now = self.now();
+        self.is_cut_off()
+            && failing_since.is_some_and(|since| now.since(since) >= RELAYS_FAILING_MAX)
+    }
+
     /// Number of instances that peers reach and this node does not.
     pub fn lost_paths(&self) -> usize {
         self.paths.lost.lock().len()
--- /dev/null
+++ b/crates/workshold-gateway/src/node/relays.rs
@@ -0,0 +1,44 @@
+//! Which peers are asked to relay a connection, and in which order.
+
+use std::net::SocketAddr;
+
+use rand::Rng;
+use smol_str::SmolStr;
+
+/// A peer that may relay a connection.
+#[derive(Debug, Clone)]
+pub struct RelayCandidate {
+    /// Its address for other nodes.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: SmolStr,
+    /// Whether it relayed nothing when it was asked a moment ago.
+    pub is_unavailable: bool,
+}
+
+/// Orders the peers for a connection from a node of data centre `own` to an instance of `nearest`,
+/// and returns the first `most`. The first one is of `nearest` or else of `own`, and the others are
+/// of other data centres than the first as far as there are any. Those that are unavailable come
+/// last.
+pub fn order(
+    mut candidates: Vec<RelayCandidate>,
+    nearest: &str,
+    own: &str,
+    most: usize,
+    rng: &mut impl Rng,
+) -> Vec<SocketAddr> {
+    let distance = |candidate: &RelayCandidate| match candidate.data_centre.as_str() {
+        location if location == nearest => 0,
+        location if location == own => 1,
+        _ => 2,
+    };
+    candidates.sort_by_cached_key(|candidate| {
+        (candidate.is_unavailable, distance(candidate), rng.random::<u32>())
+    });
+    let Some(first) = candidates.first().cloned() else { return Vec::new() };
+    candidates[1..].sort_by_cached_key(|candidate| {
+        let is_with_first = candidate.data_centre == first.data_centre;
+        (candidate.is_unavailable, is_with_first, rng.random::<u32>())
+    });
+    candidates.into_iter().take(most).map(|candidate| candidate.address).collect()
+}
--- a/crates/workshold-gateway/src/proxy.rs
+++ b/crates/workshold-gateway/src/proxy.rs
@@ -315,6 +315,10 @@
     record_demand(node, &request);
     let last = request.last_event_id;
     let mut progress = RequestProgress::new(request);
+    if node.is_isolated() {
+        progress.reason = attempt::CUT_OFF;
+        return give_up(node, &progress, NextStep::NotRun);
+    }
     if let Err(refusal) = target_choice::admit(node, &progress) {
         return shed(node, &progress, refusal);
     }
--- a/crates/workshold-gateway/src/proxy/attempt.rs
+++ b/crates/workshold-gateway/src/proxy/attempt.rs
@@ -92,7 +92,7 @@
 const COULD_NOT_CONNECT: &str = "could not connect";
 
 /// Logged reason of an attempt while this node's path is lost and no peer relays.
-const CUT_OFF: &str = "this node has lost its path to the instance, and no peer relays";
+pub const CUT_OFF: &str = "this node has lost its path to the instance, and no peer relays";
 
 /// How an attempt failed, and the reason for logs.
 pub type Failure = (AttemptEnd, &'static str);
--- a/crates/workshold-gateway/src/tasks/probing.rs
+++ b/crates/workshold-gateway/src/tasks/probing.rs
@@ -75,7 +75,7 @@
 /// reports a failure it probes a second time, since one packet may be lost, and asks peers.
 async fn probe(node: &Node, id: &Identity, address: &str) -> Option<ProbeResult> {
     if node.is_path_lost(id) {
-        return node.probe_relayed(id, address).await;
+        return node.ask_peers(id, address).await;
     }
     let first = probe_once(node, id, address).await;
     if first == Some(ProbeResult::Answers) {
@@ -252,12 +252,16 @@
     }
 }
 
-/// Tries lost paths again at an interval, until the node ends.
+/// Tries lost paths again at an interval, until the node ends. While no peer relays either, peers
+/// are asked as well: an isolated node gets no requests that would ask them.
 pub async fn retry_paths(node: Arc<Node>) {
     loop {
         tokio::time::sleep(lost_paths::RETRY_INTERVAL.to_duration()).await;
         let due = node.take_due_paths();
         let tries = due.iter().map(|(id, address)| probe_once(&node, id, address));
         join_all(tries).await;
+        if let Some((id, address)) = due.first().filter(|_| node.is_isolated()) {
+            node.ask_peers(id, address).await;
+        }
     }
 }
