--- a/crates/workshold-gateway/src/daemon.rs
+++ b/crates/workshold-gateway/src/daemon.rs
@@ -20,7 +20,6 @@
 use tokio::task::JoinSet;
 use tower::service_fn;
 use workshold_http::dial::Dial;
-use workshold_http::dial::TcpDialer;
 use workshold_http::server;
 use workshold_http::server::ServerLimits;
 use workshold_http::server::ServerState;
@@ -84,21 +83,13 @@
 /// Callers may keep using addresses for up to this many times their time to live.
 const ADDRESS_REUSE_FACTOR: f64 = 3.0;
 
-/// Runs a node until one of `signals` stops it; `path` is the settings file to watch.
+/// Runs a node until one of `signals` stops it; `path` is the settings file to watch. `dialer` opens
+/// its connections to instances.
 ///
 /// # Errors
 ///
 /// [`DaemonError`] if the node cannot start, or one of its background tasks ends.
-pub async fn run(settings: Settings, path: PathBuf, signals: Signals) -> Result<(), DaemonError> {
-    run_with_dialer(settings, path, signals, Box::new(TcpDialer)).await
-}
-
-/// Like [`run`], with the connections to instances opened by `dialer`.
-///
-/// # Errors
-///
-/// As [`run`].
-pub async fn run_with_dialer(
+pub async fn run(
     settings: Settings,
     path: PathBuf,
     mut signals: Signals,
--- a/crates/workshold-gateway/src/main.rs
+++ b/crates/workshold-gateway/src/main.rs
@@ -1,11 +1,15 @@
 //! `workshold-gateway`: the binary that runs one entry node on the users' platform.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use bpaf::Parser;
 use workshold_gateway::daemon;
 use workshold_gateway::settings;
+use workshold_http::dial::Dial;
+use workshold_http::dial::ProxyDialer;
+use workshold_http::dial::TcpDialer;
 use workshold_http::signals::Signals;
 use workshold_telemetry::log::LevelFilter;
 use workshold_telemetry::writer;
@@ -20,6 +24,7 @@
 #[derive(Debug, Clone)]
 struct Options {
     settings: PathBuf,
+    instance_proxy: Option<SocketAddr>,
     is_check: bool,
 }
 
@@ -29,8 +34,12 @@
         .env(SETTINGS_VARIABLE)
         .help("The node's settings, in TOML")
         .argument::<PathBuf>("FILE");
+    let instance_proxy = bpaf::long("instance-proxy")
+        .help("Reach instances through the HTTP proxy (CONNECT) at this address")
+        .argument::<SocketAddr>("ADDRESS")
+        .optional();
     let is_check = bpaf::long("check").help("Check the settings and end").switch();
-    bpaf::construct!(Options { settings, is_check })
+    bpaf::construct!(Options { settings, instance_proxy, is_check })
         .to_options()
         .descr("Runs one entry node of workshold until a signal stops it.")
         .footer(
@@ -67,7 +76,11 @@
             return ExitCode::from(EXIT_FAILED);
         }
     };
-    let ended = daemon::run(settings, options.settings, signals).await;
+    let dialer: Box<dyn Dial> = match options.instance_proxy {
+        Some(proxy) => Box::new(ProxyDialer::new(proxy)),
+        None => Box::new(TcpDialer),
+    };
+    let ended = daemon::run(settings, options.settings, signals, dialer).await;
     if let Err(err) = &ended {
         eprintln!("{err}");
     }
--- a/crates/workshold-gateway/tests/platform/support/mod.rs
+++ b/crates/workshold-gateway/tests/platform/support/mod.rs
@@ -73,7 +73,7 @@
         let signals = Signals::new().unwrap();
         let task = tokio::spawn(async move {
             let path = PathBuf::from("/nonexistent");
-            let ended = daemon::run_with_dialer(settings, path, signals, dialer).await;
+            let ended = daemon::run(settings, path, signals, dialer).await;
             panic!("the node stopped: {ended:?}");
         });
         Self {
--- a/crates/workshold-http/src/dial.rs
+++ b/crates/workshold-http/src/dial.rs
@@ -4,10 +4,14 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::time::Duration;
 
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
+use crate::relay;
+use crate::relay::RelayError;
+
 /// A connection that is being opened.
 pub type Dialing = Pin<Box<dyn Future<Output = io::Result<TcpStream>> + Send>>;
 
@@ -39,3 +43,34 @@
     stream.set_nodelay(true)?;
     Ok(stream)
 }
+
+/// Opens connections through a proxy that takes the method `CONNECT`.
+#[derive(Debug, Clone, Copy)]
+pub struct ProxyDialer {
+    proxy: SocketAddr,
+}
+
+/// How long the proxy may keep a connection open: longer than any request takes.
+const PROXIED_LIFETIME: Duration = Duration::from_secs(60 * 60);
+
+impl ProxyDialer {
+    /// Opens connections through the proxy at `proxy`.
+    pub fn new(proxy: SocketAddr) -> Self {
+        Self { proxy }
+    }
+}
+
+impl Dial for ProxyDialer {
+    fn dial(&self, address: SocketAddr) -> Dialing {
+        let proxy = self.proxy;
+        Box::pin(async move {
+            let address = address.to_string();
+            let connected = relay::connect_through(proxy, &address, PROXIED_LIFETIME).await;
+            connected.map_err(|err| match err {
+                RelayError::Refused => io::ErrorKind::ConnectionRefused.into(),
+                RelayError::Silent => io::ErrorKind::TimedOut.into(),
+                RelayError::Unavailable(why) => io::Error::other(why),
+            })
+        })
+    }
+}
