Soak: nodes lose their paths to all instances

One to all but one of the nodes now lose their paths several times in a row (refused, silent, open connections reset or not), an engine crashes in half of the cases, and the judge compares what callers got at these nodes and at the others, by the stated bound. Runs without it are as before: they use no proxy.

--- a/crates/workshold-gateway/tests/soak.rs
+++ b/crates/workshold-gateway/tests/soak.rs
@@ -79,6 +79,13 @@
     run_and_check(Options { limits: 2, retry_after_faults: 8, callers: 24, ..options }, 42).await;
 }
 
+/// Some nodes lose their paths to all instances while engines crash.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nodes_that_lose_their_paths_to_all_instances_still_serve() {
+    let options = options("paths", Duration::ZERO, Duration::ZERO, false);
+    run_and_check(Options { path_losses: 3, callers: 24, ..options }, 51).await;
+}
+
 async fn play(
     name: &str,
     seed: u64,
@@ -105,6 +112,7 @@
         silences: 0,
         limits: 0,
         retry_after_faults: 0,
+        path_losses: 0,
         recovers_within: RECOVERS_WITHIN,
     }
 }
--- a/crates/workshold-soak/src/judge.rs
+++ b/crates/workshold-soak/src/judge.rs
@@ -58,6 +58,8 @@
     KeepsToLimits,
     /// a node sends nothing to an instance that has asked it for rest
     LetsRest,
+    /// a node that loses its paths to all instances soon serves nearly as well as the others
+    ServesCutOff,
 }
 
 /// A broken promise and the observation that shows it.
@@ -96,10 +98,28 @@
     /// From the first silence of the store without other faults until the configuration written
     /// after the last one had time to propagate; `None` if there was none.
     pub silences: Option<(Instant, Instant)>,
+    /// Periods in which some nodes had no path to any instance.
+    pub cut_off: Vec<CutOffPeriod>,
     /// Periods of faults that may keep nodes from learning that an instance is draining.
     pub visibility_faults: Vec<(Instant, Instant)>,
 }
 
+/// A period in which some nodes had no path to any instance.
+#[derive(Debug, Clone)]
+pub struct CutOffPeriod {
+    /// Indices of the nodes.
+    pub nodes: Vec<usize>,
+    /// When their paths were lost.
+    pub from: Instant,
+    /// When the paths were back.
+    pub until: Instant,
+}
+
+/// Time after the loss of its paths within which a node serves again.
+const CUT_OFF_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Requests that may fail at cut-off nodes, beside one in [`CUT_OFF_FAILURES_ONE_IN`] of all.
+const CUT_OFF_FAILURES_MAX: usize = 10;
+const CUT_OFF_FAILURES_ONE_IN: usize = 50;
 /// The team that owns all keys.
 const TEAM: &str = "night-desk";
 /// Attempts that the configuration allows for a stream and for a repeatable request.
@@ -148,9 +168,43 @@
     breaches.extend(check_crash_requests(record));
     breaches.extend(check_retry_after(record));
     breaches.extend(check_announced_departures(record));
+    breaches.extend(record.cut_off.iter().filter_map(|period| check_cut_off(period, record)));
     breaches
 }
 
+/// Checks that cut-off nodes serve at least two thirds as large a part of their requests as the
+/// others. Requests with revoked keys and those whose callers left are not counted.
+fn check_cut_off(period: &CutOffPeriod, record: &Record) -> Option<Breach> {
+    let is_in_period = |outcome: &&Outcome| {
+        outcome.sent >= period.from + CUT_OFF_TIMEOUT && outcome.sent < period.until
+    };
+    let is_served = |outcome: &Outcome| match &outcome.result {
+        CallerResult::Answer { status: 401, .. } | CallerResult::Left => None,
+        CallerResult::Answer { status, .. } => Some(*status == 200),
+        CallerResult::NoConnection | CallerResult::Cut(_) => Some(false),
+    };
+    let mut cut_off = (0, 0);
+    let mut others = (0, 0);
+    for outcome in record.outcomes.iter().filter(is_in_period) {
+        let Some(is_served) = is_served(outcome) else { continue };
+        let is_cut_off = period.nodes.contains(&outcome.node.0);
+        let (served, sent) = if is_cut_off { &mut cut_off } else { &mut others };
+        *served += usize::from(is_served);
+        *sent += 1;
+    }
+    let failures_max = CUT_OFF_FAILURES_MAX + (cut_off.1 + others.1) / CUT_OFF_FAILURES_ONE_IN;
+    let is_worse = 3 * cut_off.0 * others.1 < 2 * others.0 * cut_off.1;
+    let what = || {
+        let ((served, sent), (others_served, others_sent)) = (cut_off, others);
+        let nodes = &period.nodes;
+        format!(
+            "nodes {nodes:?} served {served} of {sent}, the others {others_served} of {others_sent}"
+        )
+    };
+    let is_broken = is_worse && cut_off.1 - cut_off.0 > failures_max;
+    is_broken.then(|| Breach { promise: Promise::ServesCutOff, what: what() })
+}
+
 /// Checks that a crashing request is forwarded only a few more times once three instances have
 /// crashed under it and all nodes had time to hear of that.
 fn check_crash_requests(record: &Record) -> Option<Breach> {
@@ -306,6 +360,10 @@
     let CallerResult::Cut(why) = &outcome.result else { return None };
     let what = || format!("{} at node {}: {why}", outcome.id, outcome.node.0);
     let overlaps = |(from, to)| outcome.ended >= from && outcome.sent <= to;
+    // The loss of a path is a fault like the others.
+    if record.cut_off.iter().any(|period| overlaps((period.from, period.until))) {
+        return None;
+    }
     let promise = match record.planned {
         Some(planned) if overlaps(planned) => Promise::PlannedCutsNothing,
         _ => Promise::StopCutsNothing,
--- a/crates/workshold-soak/src/main.rs
+++ b/crates/workshold-soak/src/main.rs
@@ -54,6 +54,8 @@
         .map(|n| n as usize);
     let retry_after_faults =
         number("rests", "Instances that ask for rest or leave beside those", 4).map(|n| n as usize);
+    let path_losses = number("path-losses", "Times that nodes lose their paths to instances", 2)
+        .map(|n| n as usize);
     let recovers_within =
         number("recovers-within", "Seconds until all is served again", 12).map(secs);
     let with_engine_restarts = bpaf::long("earlier-faults")
@@ -80,6 +82,7 @@
         silences,
         limits,
         retry_after_faults,
+        path_losses,
         recovers_within
     });
     let first = number("first", "The first seed", 1);
--- a/crates/workshold-soak/src/nodes.rs
+++ b/crates/workshold-soak/src/nodes.rs
@@ -41,6 +41,8 @@
     /// Number of times that its process was started.
     pub incarnations: u32,
     store: SocketAddr,
+    /// Address of the proxy through which it reaches instances; `None` if it reaches them directly.
+    egress: Option<SocketAddr>,
     binary: PathBuf,
     folder: PathBuf,
     child: Option<Child>,
@@ -53,8 +55,15 @@
 pub type UnexpectedExit = String;
 
 impl SoakNode {
-    /// Creates a node that is not started yet and uses the store at `store`.
-    pub fn new(name: &str, binary: &Path, folder: &Path, store: SocketAddr) -> Self {
+    /// Creates a node that is not started yet, uses the store at `store` and reaches instances
+    /// through the proxy at `egress` if there is one.
+    pub fn new(
+        name: &str,
+        binary: &Path,
+        folder: &Path,
+        store: SocketAddr,
+        egress: Option<SocketAddr>,
+    ) -> Self {
         Self {
             name: name.to_owned(),
             callers: free_address(),
@@ -63,6 +72,7 @@
             control: free_address(),
             incarnations: 0,
             store,
+            egress,
             binary: binary.to_owned(),
             folder: folder.to_owned(),
             child: None,
@@ -83,13 +93,12 @@
         self.incarnations += 1;
         let log = self.folder.join(format!("{}-{}.log", self.name, self.incarnations));
         let log = File::create(log)?;
-        let child = Command::new(&self.binary)
-            .arg("--settings")
-            .arg(&settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
+        let mut command = Command::new(&self.binary);
+        command.arg("--settings").arg(&settings);
+        if let Some(egress) = self.egress {
+            command.arg("--instance-proxy").arg(egress.to_string());
+        }
+        let child = command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log).spawn()?;
         self.child = Some(child);
         Ok(())
     }
--- a/crates/workshold-soak/src/plan.rs
+++ b/crates/workshold-soak/src/plan.rs
@@ -275,6 +275,47 @@
     (0..count).map(|_| retry_after_fault()).collect()
 }
 
+/// Some nodes lose their network paths to all instances for a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PathLoss {
+    /// Time since the end of the previous one.
+    pub delay: Duration,
+    /// How long it lasts.
+    pub duration: Duration,
+    /// Index of the first affected node, modulo their number.
+    pub first: usize,
+    /// Number of affected nodes, modulo the number of those that can be affected: one is spared.
+    pub count: usize,
+    /// Whether new connections are refused, instead of silence.
+    pub is_refusing: bool,
+    /// Whether open connections are closed.
+    pub is_reset: bool,
+    /// Index of an engine that crashes meanwhile; `None` if none does.
+    pub crashed_engine: Option<usize>,
+}
+
+/// Time between two losses of paths.
+const PATH_LOSS_GAP_MS: (u64, u64) = (300, 2_500);
+/// How long paths are lost: longer than nodes need to serve again.
+const PATH_LOSS_DURATION_MS: (u64, u64) = (4_500, 8_000);
+
+/// Draws `count` losses of paths from `seed`.
+pub fn draw_path_losses(seed: u64, count: usize) -> Vec<PathLoss> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut path_loss = || PathLoss {
+        delay: Duration::from_millis(rng.random_range(PATH_LOSS_GAP_MS.0..PATH_LOSS_GAP_MS.1)),
+        duration: Duration::from_millis(
+            rng.random_range(PATH_LOSS_DURATION_MS.0..PATH_LOSS_DURATION_MS.1),
+        ),
+        first: rng.random_range(0..1_000),
+        count: rng.random_range(0..1_000),
+        is_refusing: rng.random(),
+        is_reset: rng.random(),
+        crashed_engine: rng.random::<bool>().then(|| rng.random_range(0..1_000)),
+    };
+    (0..count).map(|_| path_loss()).collect()
+}
+
 /// Draws faults of the given kinds over `length`.
 fn draw_kinds(kinds: &[FaultKind], seed: u64, length: Duration) -> Vec<Fault> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
--- a/crates/workshold-soak/src/run.rs
+++ b/crates/workshold-soak/src/run.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
@@ -15,7 +14,9 @@
 use parking_lot::Mutex;
 use tokio::task::JoinSet;
 use workshold_platform_standin::caller;
+use workshold_platform_standin::egress::EgressProxy;
 use workshold_platform_standin::instance::InstanceBehaviour;
+use workshold_platform_standin::path::PathState;
 use workshold_platform_standin::proxy::LinkState;
 use workshold_platform_standin::proxy::Proxy;
 use workshold_platform_standin::store::StoreBehaviour;
@@ -29,6 +30,7 @@
 use crate::judge;
 use crate::judge::Breach;
 use crate::judge::CONFIG_PROPAGATION_TIMEOUT;
+use crate::judge::CutOffPeriod;
 use crate::judge::Promise;
 use crate::judge::Record;
 use crate::nodes::MEMORY_MAX_KB;
@@ -36,6 +38,7 @@
 use crate::plan;
 use crate::plan::Fault;
 use crate::plan::FaultKind;
+use crate::plan::PathLoss;
 use crate::plan::RateLimitFault;
 use crate::plan::RetryAfterFault;
 use crate::plan::StoreSilence;
@@ -68,6 +71,8 @@
     pub limits: usize,
     /// Number of instances that send Retry-After or announce a departure during the rate limits.
     pub retry_after_faults: usize,
+    /// Number of times that some nodes lose their paths to all instances, after the planned work.
+    pub path_losses: usize,
     /// Every node has to serve again within this time after the last fault.
     pub recovers_within: Duration,
 }
@@ -105,10 +110,13 @@
     fleet: Arc<Fleet>,
     nodes: Vec<tokio::sync::Mutex<SoakNode>>,
     links: Vec<Proxy>,
+    /// The proxy of each node through which it reaches instances; empty if paths are never lost.
+    egresses: Vec<EgressProxy>,
     callers: Arc<Callers>,
     probes: AtomicU32,
     breaches: Mutex<Vec<Breach>>,
     visibility_faults: Mutex<Vec<(Instant, Instant)>>,
+    cut_off: Mutex<Vec<CutOffPeriod>>,
 }
 
 /// Maximum age of the backup that the store is restored from.
@@ -171,6 +179,7 @@
             run_planned_work(&harness, plan::draw_planned(seed, options.planned)).await;
             planned = Some((faults_ended_at, Instant::now()));
         }
+        run_path_losses(&harness, plan::draw_path_losses(seed, options.path_losses)).await;
         if options.silences > 0 {
             let from = Instant::now();
             run_store_silences(&harness, plan::draw_silences(seed, options.silences)).await;
@@ -217,6 +226,7 @@
         planned,
         silences,
         visibility_faults: harness.visibility_faults.lock().clone(),
+        cut_off: harness.cut_off.lock().clone(),
     };
     breaches.extend(judge::judge(&record));
     let is_served =
@@ -230,14 +240,21 @@
     let folder = options.folder.join(format!("seed-{seed}"));
     std::fs::create_dir_all(&folder).map_err(SoakError::Machine)?;
     let fleet = Fleet::start(options.size).await;
-    let (mut nodes, mut links) = (Vec::new(), Vec::new());
+    let (mut nodes, mut links, mut egresses) = (Vec::new(), Vec::new(), Vec::new());
     for i in 0..options.size.nodes {
         let link = Proxy::start();
         link.set_target(Some(fleet.store.address));
-        let mut node = make_node(&options.binary, &folder, i, &link);
+        let egress = match options.path_losses {
+            0 => None,
+            _ => Some(EgressProxy::start().await),
+        };
+        let name = format!("node-{i}");
+        let egress_address = egress.as_ref().map(|egress| egress.address);
+        let mut node = SoakNode::new(&name, &options.binary, &folder, link.address, egress_address);
         node.start().map_err(SoakError::Machine)?;
         nodes.push(node);
         links.push(link);
+        egresses.extend(egress);
     }
     let endpoint = |node: &SoakNode| NodeEndpoint {
         callers: node.callers,
@@ -246,13 +263,17 @@
     };
     let callers = Callers::new(Arc::clone(&fleet), nodes.iter().map(endpoint).collect());
     let nodes = nodes.into_iter().map(tokio::sync::Mutex::new).collect();
-    let (breaches, visibility_faults) = (Mutex::default(), Mutex::default());
-    let probes = AtomicU32::new(0);
-    Ok(Arc::new(Harness { fleet, nodes, links, callers, probes, breaches, visibility_faults }))
-}
-
-fn make_node(binary: &Path, folder: &Path, i: usize, link: &Proxy) -> SoakNode {
-    SoakNode::new(&format!("node-{i}"), binary, folder, link.address)
+    Ok(Arc::new(Harness {
+        fleet,
+        nodes,
+        links,
+        egresses,
+        callers,
+        probes: AtomicU32::new(0),
+        breaches: Mutex::default(),
+        visibility_faults: Mutex::default(),
+        cut_off: Mutex::default(),
+    }))
 }
 
 /// Reports processes that exit unexpectedly, and restarts them.
@@ -298,6 +319,32 @@
     tokio::time::sleep(SETTLE_TIME).await;
 }
 
+/// Takes the paths to all instances from some nodes, one loss after the other.
+async fn run_path_losses(harness: &Arc<Harness>, losses: Vec<PathLoss>) {
+    for loss in losses {
+        tokio::time::sleep(loss.delay).await;
+        let len = harness.nodes.len();
+        let count = 1 + loss.count % len.saturating_sub(1).max(1);
+        let nodes: Vec<usize> = (0..count).map(|i| (loss.first + i) % len).collect();
+        let state = if loss.is_refusing { PathState::Refusing } else { PathState::Silent };
+        let from = Instant::now();
+        for path in nodes.iter().map(|node| &harness.egresses[*node].path) {
+            path.set_state(state);
+            if loss.is_reset {
+                path.reset();
+            }
+        }
+        match loss.crashed_engine {
+            Some(target) => harness.fleet.crash_engine(target, loss.duration).await,
+            None => tokio::time::sleep(loss.duration).await,
+        }
+        let until = Instant::now();
+        nodes.iter().for_each(|node| harness.egresses[*node].path.set_state(PathState::Open));
+        harness.cut_off.lock().push(CutOffPeriod { nodes, from, until });
+    }
+    tokio::time::sleep(SETTLE_TIME).await;
+}
+
 /// Silences the store repeatedly, and writes a configuration after each silence.
 async fn run_store_silences(harness: &Arc<Harness>, silences: Vec<StoreSilence>) {
     for StoreSilence { duration, config_delay } in silences {
--- a/crates/workshold-soak/tests/judge.rs
+++ b/crates/workshold-soak/tests/judge.rs
@@ -11,6 +11,7 @@
 use workshold_soak::callers::Outcome;
 use workshold_soak::callers::RequestKind;
 use workshold_soak::fleet::Key;
+use workshold_soak::judge::CutOffPeriod;
 use workshold_soak::judge::Promise;
 use workshold_soak::judge::Record;
 use workshold_soak::judge::judge;
@@ -305,3 +306,61 @@
     let seen = breaches_after_notice(of_node_0, of_node_1, true);
     assert_eq!(seen, vec![Promise::LeavingGetsNothing; breaches]);
 }
+
+/// Breaches if `served` of `sent` requests at a cut-off node are served, all of them `after` the
+/// loss of its paths, and all requests at another node.
+fn breaches_while_cut_off(served: usize, sent: usize, after: Duration) -> Vec<Promise> {
+    let mut case = Case::new(RequestKind::Chat);
+    let from = case.at(30);
+    let first = case.record.outcomes[0].clone();
+    let outcome = |node: usize, i: usize, status: u16| Outcome {
+        id: format!("c-{node}-{i}"),
+        node: (node, 1),
+        sent: from + after,
+        ended: from + after,
+        result: answer(status, None, String::new()),
+        ..first.clone()
+    };
+    let cut_off = (0..sent).map(|i| outcome(0, i, if i < served { 200 } else { 503 }));
+    case.record.outcomes.extend(cut_off);
+    case.record.outcomes.extend((0..100).map(|i| outcome(1, i, 200)));
+    case.record.cut_off = vec![CutOffPeriod { nodes: vec![0], from, until: case.at(40) }];
+    let promises = judge(&case.record).into_iter().map(|breach| breach.promise);
+    promises.filter(|promise| *promise == Promise::ServesCutOff).collect()
+}
+
+#[rstest]
+#[case::nothing(0, 30, 3, true)]
+#[case::half(15, 30, 3, true)]
+#[case::two_thirds(20, 30, 3, false)]
+#[case::few_failures(0, 12, 3, false)]
+#[case::too_early(0, 30, 2, false)]
+fn a_cut_off_node_serves_two_thirds_as_much_as_the_others(
+    #[case] served: usize,
+    #[case] sent: usize,
+    #[case] after_s: u64,
+    #[case] is_broken: bool,
+) {
+    let expected = if is_broken { vec![Promise::ServesCutOff] } else { Vec::new() };
+    assert_eq!(breaches_while_cut_off(served, sent, Duration::from_secs(after_s)), expected);
+}
+
+#[rstest]
+#[case::during_the_loss(30, 0)]
+#[case::after_the_loss(45, 1)]
+fn only_a_loss_of_paths_excuses_a_stream_that_is_cut_outside_faults(
+    #[case] sent_s: u64,
+    #[case] breaches: usize,
+) {
+    let mut case = Case::new(RequestKind::Chat);
+    let (from, until, sent) = (case.at(30), case.at(40), case.at(sent_s));
+    let outcome = Outcome {
+        sent,
+        ended: sent + Duration::from_secs(1),
+        result: CallerResult::Cut("it broke off".to_owned()),
+        ..case.record.outcomes[0].clone()
+    };
+    case.record.outcomes = vec![outcome];
+    case.record.cut_off = vec![CutOffPeriod { nodes: vec![0], from, until }];
+    assert_eq!(case.broken_promises(), vec![Promise::StopCutsNothing; breaches]);
+}
--- a/crates/workshold-soak/tests/plan.rs
+++ b/crates/workshold-soak/tests/plan.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use workshold_soak::plan::FaultKind;
+use workshold_soak::plan::PathLoss;
 use workshold_soak::plan::draw;
 use workshold_soak::plan::draw_limits;
+use workshold_soak::plan::draw_path_losses;
 use workshold_soak::plan::draw_planned;
 use workshold_soak::plan::draw_retry_after_faults;
 use workshold_soak::plan::draw_with_restarts;
@@ -78,3 +80,15 @@
     let leave = rests.iter().filter(|resting| resting.tenths.is_none()).count();
     assert!(leave * 5 > rests.len() && leave * 2 < rests.len(), "{leave} of {}", rests.len());
 }
+
+#[test]
+fn path_losses_depend_on_the_seed_and_cover_all_forms() {
+    assert_eq!(draw_path_losses(7, 20), draw_path_losses(7, 20));
+    let losses: Vec<_> = (0..20).flat_map(|seed| draw_path_losses(seed, 5)).collect();
+    for (is_refusing, is_reset) in [(false, false), (false, true), (true, false), (true, true)] {
+        let is_form =
+            |loss: &&PathLoss| loss.is_refusing == is_refusing && loss.is_reset == is_reset;
+        assert!(losses.iter().any(|loss| is_form(&loss)));
+    }
+    assert!(losses.iter().any(|loss| loss.crashed_engine.is_some()));
+}
