Relayed connections are no new losses of a path

By reading: each connection through a peer counted as a fresh loss of the path. So a path to a busy instance was never tried again, since a try was due 300 ms after the last connection, and a node that had reached other instances meanwhile still took itself for cut off and relayed nothing. Two tests of LostPaths, red before, green now. connect is split in two besides.

--- a/crates/workshold-core/src/hosted/lost_paths.rs
+++ b/crates/workshold-core/src/hosted/lost_paths.rs
@@ -45,14 +45,13 @@
         self.by_instance.remove(id).is_some()
     }
 
-    /// Records that a peer has reached an instance that this node has just tried in vain. Returns
-    /// whether its path was not known to be lost.
+    /// Records that a peer has reached an instance that this node has tried in vain. Returns whether
+    /// its path was not known to be lost.
     pub fn on_reached_by_peer(&mut self, id: &K, now: Millis) -> bool {
-        self.lost_at = Some(now);
-        if let Some(path) = self.by_instance.get_mut(id) {
-            path.tried_at = now;
+        if self.is_lost(id) {
             return false;
         }
+        self.lost_at = Some(now);
         self.by_instance.insert(id.clone(), LostPath { since: now, tried_at: now });
         true
     }
--- a/crates/workshold-core/tests/hosted/lost_paths.rs
+++ b/crates/workshold-core/tests/hosted/lost_paths.rs
@@ -65,6 +65,25 @@
     assert_eq!(paths.take_due(NOW + Millis(RETRY_INTERVAL.0 * 4)).len(), 6);
 }
 
+/// Guards against a path that is never tried again because many requests go through peers.
+#[test]
+fn connections_through_peers_do_not_put_off_the_next_try() {
+    let mut paths = lost(1);
+    for passed in 1..RETRY_INTERVAL.0 {
+        paths.on_reached_by_peer(&0, NOW + Millis(passed));
+    }
+    assert_eq!(paths.take_due(NOW + RETRY_INTERVAL), [0]);
+}
+
+/// Guards against a node that relays nothing because peers relay for it to one instance.
+#[test]
+fn connections_through_peers_over_a_path_known_to_be_lost_are_no_new_loss() {
+    let mut paths = lost(1);
+    paths.on_reached(&1, NOW + Millis(1));
+    paths.on_reached_by_peer(&0, NOW + Millis(2));
+    assert!(!paths.is_cut_off());
+}
+
 #[test]
 fn paths_to_instances_that_are_gone_are_dropped() {
     let mut paths = lost(3);
--- a/crates/workshold-gateway/src/node/paths.rs
+++ b/crates/workshold-gateway/src/node/paths.rs
@@ -9,6 +9,7 @@
 use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
 use futures_util::future::Either;
@@ -109,35 +110,26 @@
         times: ConnectTimes,
     ) -> Result<InstanceConnection, ConnectError> {
         if self.is_path_lost(id) {
-            match self.connect_relayed(id, address, times.lifetime).await {
-                Err(ConnectError::CutOff) => {}
-                result => return result,
-            }
-            let direct = self.connect_direct(id, address, times.connect).await;
-            return direct.map_err(|_| ConnectError::CutOff);
+            return self.connect_over_lost_path(id, address, times).await;
         }
-        let direct = Box::pin(self.connect_direct(id, address, times.connect));
-        let delay = Box::pin(tokio::time::sleep(RELAY_DELAY));
-        let (own_error, direct) = match select(direct, delay).await {
-            Either::Left((Ok(connection), _)) => return Ok(connection),
-            Either::Left((Err(err), _)) => (Some(err), None),
-            Either::Right((_, direct)) => (None, Some(direct)),
+        let mut direct = pin!(self.connect_direct(id, address, times.connect));
+        let own_error = match tokio::time::timeout(RELAY_DELAY, &mut direct).await {
+            Ok(Ok(connection)) => return Ok(connection),
+            Ok(Err(err)) => Some(err),
+            Err(_) => None,
         };
         if !self.is_peer_worth_asking(id) {
-            return match (own_error, direct) {
-                (None, Some(direct)) => direct.await,
-                (own_error, _) => Err(own_error.unwrap_or(ConnectError::Silent)),
+            return match own_error {
+                Some(err) => Err(err),
+                None => direct.await,
             };
         }
-        let relayed = Box::pin(self.connect_relayed(id, address, times.lifetime));
-        let Some(direct) = direct else {
-            let own_error = own_error.unwrap_or(ConnectError::Silent);
-            return relayed.await.map_err(|err| more_certain(own_error, err));
-        };
+        let relayed = pin!(self.connect_relayed(id, address, times.lifetime));
+        if let Some(own) = own_error {
+            return relayed.await.map_err(|err| more_certain(own, err));
+        }
         match select(direct, relayed).await {
-            Either::Left((Ok(connection), _)) | Either::Right((Ok(connection), _)) => {
-                Ok(connection)
-            }
+            Either::Left((Ok(first), _)) | Either::Right((Ok(first), _)) => Ok(first),
             Either::Left((Err(own), relayed)) => {
                 relayed.await.map_err(|err| more_certain(own, err))
             }
@@ -145,6 +137,22 @@
         }
     }
 
+    /// Opens a connection through a peer, or over this node's own path if no peer relays.
+    async fn connect_over_lost_path(
+        &self,
+        id: &Identity,
+        address: &str,
+        times: ConnectTimes,
+    ) -> Result<InstanceConnection, ConnectError> {
+        match self.connect_relayed(id, address, times.lifetime).await {
+            Err(ConnectError::CutOff) => {
+                let direct = self.connect_direct(id, address, times.connect).await;
+                direct.map_err(|_| ConnectError::CutOff)
+            }
+            result => result,
+        }
+    }
+
     /// Opens a connection over this node's own path.
     ///
     /// # Errors
@@ -284,8 +292,8 @@
         self.paths.lost.lock().on_reached(id, self.now());
     }
 
-    /// Notes that a peer has reached an instance that this node has just tried in vain. Requests
-    /// that wait on connections over the lost path have to go elsewhere.
+    /// Notes that a peer has reached an instance that this node has tried in vain. Requests that
+    /// wait on connections over the lost path have to go elsewhere.
     fn note_reached_by_peer(&self, id: &Identity) {
         let is_new = self.paths.lost.lock().on_reached_by_peer(id, self.now());
         if !is_new {
