Tunnels: a name of their own, and more time where there is no other way

"Relay" already means a node that passes on heartbeats, so connections through a peer are tunnels now: http::tunnel, callers::tunnel, node::tunnel_peers and the metrics tunnels_*. Names only, but for one change: over a path that is known to be lost a peer gets 150 ms in place of 45 to open a tunnel, since nothing else is left to try.

--- a/crates/workshold-core/tests/hosted/lost_paths.rs
+++ b/crates/workshold-core/tests/hosted/lost_paths.rs
@@ -34,7 +34,7 @@
     assert!(!paths.is_lost(&0) && paths.is_empty());
 }
 
-/// Guards against a node that relays for others although it reaches nothing itself.
+/// Guards against a node that opens tunnels for others although it reaches nothing itself.
 #[test]
 fn a_node_is_cut_off_while_it_has_reached_nothing_since_it_lost_a_path() {
     let mut paths = LostPaths::default();
@@ -75,7 +75,7 @@
     assert_eq!(paths.take_due(NOW + RETRY_INTERVAL), [0]);
 }
 
-/// Guards against a node that relays nothing because peers relay for it to one instance.
+/// Guards against a node that opens no tunnels because it uses one itself.
 #[test]
 fn connections_through_peers_over_a_path_known_to_be_lost_are_no_new_loss() {
     let mut paths = lost(1);
--- a/crates/workshold-gateway/src/callers.rs
+++ b/crates/workshold-gateway/src/callers.rs
@@ -3,6 +3,6 @@
 pub mod control;
 pub mod directory;
 pub mod reading;
-pub mod relay;
 pub mod requests;
 pub mod responses;
+pub mod tunnel;
--- a/crates/workshold-gateway/src/callers/relay.rs
+++ b/crates/workshold-gateway/src/callers/tunnel.rs
@@ -1,4 +1,4 @@
-//! Relays connections of other nodes to instances that those cannot reach.
+//! Opens connections for other nodes to instances that those cannot reach, and forwards them.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use smol_str::SmolStr;
 use workshold_core::hosted::identity::Identity;
-use workshold_http::relay;
+use workshold_http::tunnel;
 use workshold_protocol::Millis;
 
 use crate::callers::responses;
@@ -20,14 +20,14 @@
 
 /// Time to connect to an instance for another node: shorter than that node waits.
 const CONNECT_TIMEOUT: Millis = Millis(20);
-/// Longest that a connection is relayed.
+/// Longest life of a tunnel.
 const LIFETIME_MAX: Duration = Duration::from_secs(60);
 
 /// Handles a request to open a connection to an instance. Only instances of the list are connected
 /// to, only by this node itself, and only while it reaches instances and is not about to stop.
 pub async fn handle(node: Arc<Node>, req: Request<Incoming>) -> Response<ResponseBody> {
     let refuse = |status, why| {
-        node.metrics.count(Metric::RelaysRefused);
+        node.metrics.count(Metric::TunnelsRefused);
         responses::plain_text(status, why)
     };
     let address = req.uri().authority().map(|authority| SmolStr::new(authority.as_str()));
@@ -40,23 +40,23 @@
     if node.is_cut_off() || node.is_path_lost(&id) {
         return refuse(StatusCode::SERVICE_UNAVAILABLE, "this node does not reach it either");
     }
-    let Some(permit) = node.relay_permit() else {
-        return refuse(StatusCode::SERVICE_UNAVAILABLE, "this node relays as much as it may");
+    let Some(permit) = node.tunnel_permit() else {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, "this node has as many tunnels as it may");
     };
     if node.suspicions.lock().is_unreachable_from_here(&id) {
-        return refuse(relay::SILENT, "this node does not reach it");
+        return refuse(tunnel::SILENT, "this node does not reach it");
     }
     let connection = match node.connect_direct(&id, &address, CONNECT_TIMEOUT).await {
         Ok(connection) => connection,
-        Err(ConnectError::Refused) => return refuse(relay::REFUSED, "it refuses connections"),
-        Err(_) => return refuse(relay::SILENT, "it does not answer"),
+        Err(ConnectError::Refused) => return refuse(tunnel::REFUSED, "it refuses connections"),
+        Err(_) => return refuse(tunnel::SILENT, "it does not answer"),
     };
-    node.metrics.count(Metric::Relayed);
+    node.metrics.count(Metric::TunnelsOpened);
     let time_left = time_left(&req);
     let guard = node.begin_request();
     tokio::spawn(async move {
         // A connection that breaks is noticed by the node that asked for it.
-        let _ = relay::forward(req, connection.stream, time_left).await;
+        let _ = tunnel::forward(req, connection.stream, time_left).await;
         drop((guard, permit));
     });
     Response::new(responses::full_body(Default::default()))
@@ -71,7 +71,7 @@
 
 /// How long the connection may last, as the other node says.
 fn time_left(req: &Request<Incoming>) -> Duration {
-    let stated = req.headers().get(relay::TIME_LEFT).and_then(|value| value.to_str().ok());
+    let stated = req.headers().get(tunnel::TIME_LEFT).and_then(|value| value.to_str().ok());
     let stated = stated.and_then(|text| text.parse().ok()).map(Duration::from_millis);
     stated.map_or(LIFETIME_MAX, |time| time.min(LIFETIME_MAX))
 }
--- a/crates/workshold-gateway/src/daemon.rs
+++ b/crates/workshold-gateway/src/daemon.rs
@@ -31,9 +31,9 @@
 
 use crate::callers::control;
 use crate::callers::directory;
-use crate::callers::relay;
 use crate::callers::requests;
 use crate::callers::responses::ResponseBody;
+use crate::callers::tunnel;
 use crate::events::Event;
 use crate::events::emit;
 use crate::node::Node;
@@ -174,7 +174,7 @@
 /// Handles a request to the control server.
 async fn handle_control(node: Arc<Node>, req: Request<Incoming>) -> Response<ResponseBody> {
     if req.method() == Method::CONNECT {
-        return relay::handle(node, req).await;
+        return tunnel::handle(node, req).await;
     }
     control::handle(&node, &req)
 }
--- a/crates/workshold-gateway/src/metrics.rs
+++ b/crates/workshold-gateway/src/metrics.rs
@@ -58,9 +58,9 @@
     CallersGone = "callers_gone", "counter", "callers who disconnected before the end of the answer";
     SlowCallers = "slow_callers", "counter", "callers disconnected because they did not read their answers; not counted in callers_gone";
     BodiesNotTaken = "bodies_not_taken", "counter", "attempts ended because the instance did not take the request's body";
-    RelaysAsked = "relays_asked", "counter", "connections to instances for which a peer was asked";
-    Relayed = "relayed", "counter", "connections to instances opened for other nodes";
-    RelaysRefused = "relays_refused", "counter", "connections to instances that another node asked for and did not get";
+    TunnelsAsked = "tunnels_asked", "counter", "connections to instances that a peer was asked to open and forward";
+    TunnelsOpened = "tunnels_opened", "counter", "connections to instances opened and forwarded for other nodes";
+    TunnelsRefused = "tunnels_refused", "counter", "connections to instances that another node asked for and did not get";
     Orders = "orders", "counter", "orders given to instances";
     ConfigReads = "config_reads", "counter", "reads of the configuration from the store";
     ListReads = "list_reads", "counter", "reads of the list of instances from the store";
--- a/crates/workshold-gateway/src/node.rs
+++ b/crates/workshold-gateway/src/node.rs
@@ -7,7 +7,7 @@
 //! - [`admission`]: which requests are admitted under overload.
 //! - [`evacuations`]: evacuated data centres, and instances that are cold.
 //! - [`paths`]: connections to instances, over this node's own network path or through a peer.
-//! - [`relays`]: which peers are asked to relay a connection.
+//! - [`tunnel_peers`]: which peers are asked for a tunnel.
 //! - [`instance_limits`]: rate limits, backoffs and departures that instances announce, and the
 //!   permit for each request.
 //! - [`readers`]: the bytes held for callers and instances that do not read them.
@@ -21,10 +21,10 @@
 mod paths;
 mod quarantine;
 mod readers;
-pub mod relays;
 mod retry_budget;
 mod store_access;
 mod suspicions;
+pub mod tunnel_peers;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -181,7 +181,7 @@
     NoQuarantine,
     /// nothing can take requests
     NoTargets,
-    /// it has lost its paths to the instances, and no peer relays
+    /// it has lost its paths to the instances, and no peer opens a tunnel
     Isolated,
     /// it is stopping
     Leaving,
@@ -214,8 +214,8 @@
     pub suspicions: Mutex<Suspicions<Identity>>,
     /// What this node knows of its network paths to instances.
     paths: Paths,
-    /// Connections that may still be relayed for other nodes.
-    relay_permits: Arc<Semaphore>,
+    /// Tunnels that may still be opened for other nodes.
+    tunnel_permits: Arc<Semaphore>,
     /// Incremented on each change of the suspicions or the quarantine, to wake waiting requests.
     pub suspicion_changed: watch::Sender<u64>,
     /// Mean time between the events of a stream, by instance.
@@ -328,7 +328,7 @@
         let is_first_start = settings.node.is_first_start;
         let peers = Peers::with_class(settings.limits.class());
         let readers = Readers::new(settings.read_budget_rules());
-        let relay_permits = Arc::new(Semaphore::new(settings.relayed_connections()));
+        let tunnel_permits = Arc::new(Semaphore::new(settings.tunnels_max()));
         let store = Store::new(&settings.store.address);
         let config_store = Store::new(&settings.store.address);
         let list_store = Store::new(&settings.store.address);
@@ -351,7 +351,7 @@
             last_build: Mutex::default(),
             suspicions: Mutex::default(),
             paths: Paths::default(),
-            relay_permits,
+            tunnel_permits,
             suspicion_changed: watch::Sender::new(0),
             gaps: Mutex::default(),
             quarantine: Mutex::default(),
@@ -644,13 +644,13 @@
         RequestGuard { node: Arc::clone(self), reader: None }
     }
 
-    /// A permit to relay one more connection for another node; `None` if this node relays as many
+    /// A permit for one more tunnel of another node; `None` if this node has as many
     /// as it may.
-    pub fn relay_permit(&self) -> Option<OwnedSemaphorePermit> {
-        Arc::clone(&self.relay_permits).try_acquire_owned().ok()
+    pub fn tunnel_permit(&self) -> Option<OwnedSemaphorePermit> {
+        Arc::clone(&self.tunnel_permits).try_acquire_owned().ok()
     }
 
-    /// Number of requests in flight, and of connections that are relayed for other nodes.
+    /// Number of requests in flight, and of tunnels of other nodes.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
     }
--- a/crates/workshold-gateway/src/node/paths.rs
+++ b/crates/workshold-gateway/src/node/paths.rs
@@ -2,7 +2,7 @@
 //! path is lost.
 //!
 //! A failed connection shows nothing of the instance while a peer can still open one. So a peer is
-//! asked before the failure counts, and the peer then relays the connection. Everything else about
+//! asked before the failure counts, and the peer then forwards the connection. Everything else about
 //! a request, such as its permit, its attempts and its deadline, stays with this node.
 
 use std::collections::HashMap;
@@ -21,24 +21,24 @@
 use workshold_core::hosted::identity::Identity;
 use workshold_core::hosted::lost_paths::LostPaths;
 use workshold_core::hosted::suspicion::ProbeResult;
-use workshold_http::relay;
-use workshold_http::relay::RelayError;
+use workshold_http::tunnel;
+use workshold_http::tunnel::TunnelError;
 use workshold_protocol::Millis;
 
 use crate::events::Event;
 use crate::events::emit;
 use crate::metrics::Metric;
 use crate::node::Node;
-use crate::node::relays;
-use crate::node::relays::RelayCandidate;
+use crate::node::tunnel_peers;
+use crate::node::tunnel_peers::TunnelPeer;
 
 /// A connection to an instance.
 #[derive(Debug)]
 pub struct InstanceConnection {
     /// The connection, on which nothing was sent.
     pub stream: TcpStream,
-    /// Whether a peer relays it.
-    pub is_relayed: bool,
+    /// Whether a peer forwards it.
+    pub is_tunneled: bool,
 }
 
 /// Why there is no connection to an instance.
@@ -48,7 +48,7 @@
     Refused,
     /// There was no answer in time.
     Silent,
-    /// The path from this node is lost, and no peer relays a connection now.
+    /// The path from this node is lost, and no peer opens a tunnel now.
     CutOff,
 }
 
@@ -66,7 +66,7 @@
 pub struct ConnectTimes {
     /// Time to connect over this node's own path.
     pub connect: Millis,
-    /// Time after which a relay closes the connection.
+    /// Time after which a tunnel is closed.
     pub lifetime: Millis,
 }
 
@@ -74,25 +74,28 @@
 #[derive(Debug, Default)]
 pub struct Paths {
     lost: Mutex<LostPaths<Identity>>,
-    /// Peers that relayed nothing when they were last asked, and when that was.
-    unavailable_relays: Mutex<HashMap<SocketAddr, Millis>>,
-    /// Since when every peer that was asked has relayed nothing; `None` if the last one did.
-    relays_failing_since: Mutex<Option<Millis>>,
+    /// Peers that opened no tunnel when they were last asked, and when that was.
+    unavailable_peers: Mutex<HashMap<SocketAddr, Millis>>,
+    /// Since when every peer that was asked has opened no tunnel; `None` if the last one did.
+    tunnels_failing_since: Mutex<Option<Millis>>,
 }
 
 /// A peer is asked to connect as well after this time without an answer from an instance: several
 /// round trips within a region.
-const RELAY_DELAY: Duration = Duration::from_millis(20);
+const TUNNEL_DELAY: Duration = Duration::from_millis(20);
 /// Time within which a peer has to connect to an instance and say so.
-const RELAY_TIMEOUT: Millis = Millis(45);
+const TUNNEL_TIMEOUT: Millis = Millis(45);
+/// The same if this node's own path is lost, so that there is no other way: longer than a busy peer
+/// pauses.
+const ONLY_TUNNEL_TIMEOUT: Millis = Millis(150);
 /// Peers that are asked one after the other for one connection.
-const RELAYS_TRIED_MAX: usize = 3;
+const TUNNEL_PEERS_MAX: usize = 3;
 /// Peers that are asked at once before an instance is suspected: one alone may be cut off as well.
 const WITNESSES: usize = 2;
-/// Time for which a peer that relayed nothing is not asked while there are others.
+/// Time for which a peer that opened no tunnel is not asked while there are others.
 const UNAVAILABLE_FOR: Millis = Millis(1_000);
-/// A cut-off node for which no peer has relayed anything for this long cannot serve.
-const RELAYS_FAILING_MAX: Millis = Millis(500);
+/// A cut-off node for which no peer has opened a tunnel for this long cannot serve.
+const TUNNELS_FAILING_MAX: Millis = Millis(500);
 /// Lifetime of a connection that only shows whether an instance answers.
 const PROBE_LIFETIME: Millis = Millis(200);
 
@@ -113,7 +116,7 @@
             return self.connect_over_lost_path(id, address, times).await;
         }
         let mut direct = pin!(self.connect_direct(id, address, times.connect));
-        let own_error = match tokio::time::timeout(RELAY_DELAY, &mut direct).await {
+        let own_error = match tokio::time::timeout(TUNNEL_DELAY, &mut direct).await {
             Ok(Ok(connection)) => return Ok(connection),
             Ok(Err(err)) => Some(err),
             Err(_) => None,
@@ -124,27 +127,27 @@
                 None => direct.await,
             };
         }
-        let relayed = pin!(self.connect_relayed(id, address, times.lifetime));
+        let through_peer = pin!(self.connect_tunneled(id, address, TUNNEL_TIMEOUT, times.lifetime));
         if let Some(own) = own_error {
-            return relayed.await.map_err(|err| more_certain(own, err));
+            return through_peer.await.map_err(|err| more_certain(own, err));
         }
-        match select(direct, relayed).await {
+        match select(direct, through_peer).await {
             Either::Left((Ok(first), _)) | Either::Right((Ok(first), _)) => Ok(first),
-            Either::Left((Err(own), relayed)) => {
-                relayed.await.map_err(|err| more_certain(own, err))
+            Either::Left((Err(own), through_peer)) => {
+                through_peer.await.map_err(|err| more_certain(own, err))
             }
             Either::Right((Err(err), direct)) => direct.await.map_err(|own| more_certain(own, err)),
         }
     }
 
-    /// Opens a connection through a peer, or over this node's own path if no peer relays.
+    /// Opens a connection through a peer, or over this node's own path if no peer opens a tunnel.
     async fn connect_over_lost_path(
         &self,
         id: &Identity,
         address: &str,
         times: ConnectTimes,
     ) -> Result<InstanceConnection, ConnectError> {
-        match self.connect_relayed(id, address, times.lifetime).await {
+        match self.connect_tunneled(id, address, ONLY_TUNNEL_TIMEOUT, times.lifetime).await {
             Err(ConnectError::CutOff) => {
                 let direct = self.connect_direct(id, address, times.connect).await;
                 direct.map_err(|_| ConnectError::CutOff)
@@ -169,7 +172,7 @@
         match tokio::time::timeout(within.to_duration(), dialing).await {
             Ok(Ok(stream)) => {
                 self.note_reached(id);
-                Ok(InstanceConnection { stream, is_relayed: false })
+                Ok(InstanceConnection { stream, is_tunneled: false })
             }
             Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused => {
                 Err(ConnectError::Refused)
@@ -180,21 +183,22 @@
 
     /// Opens a connection through a peer. If that succeeds, this node's own path is lost, since it
     /// was tried before.
-    async fn connect_relayed(
+    async fn connect_tunneled(
         &self,
         id: &Identity,
         address: &str,
+        within: Millis,
         lifetime: Millis,
     ) -> Result<InstanceConnection, ConnectError> {
-        for relay in self.choose_relays(id, RELAYS_TRIED_MAX) {
-            let err = match self.connect_through(relay, address, lifetime).await {
+        for peer in self.choose_tunnel_peers(id, TUNNEL_PEERS_MAX) {
+            let err = match self.connect_through(peer, address, within, lifetime).await {
                 Ok(stream) => {
                     self.note_reached_by_peer(id);
-                    return Ok(InstanceConnection { stream, is_relayed: true });
+                    return Ok(InstanceConnection { stream, is_tunneled: true });
                 }
-                Err(RelayError::Unavailable(_)) => continue,
-                Err(RelayError::Refused) => ConnectError::Refused,
-                Err(RelayError::Silent) => ConnectError::Silent,
+                Err(TunnelError::Unavailable(_)) => continue,
+                Err(TunnelError::Refused) => ConnectError::Refused,
+                Err(TunnelError::Silent) => ConnectError::Silent,
             };
             self.paths.lost.lock().on_unreachable(id);
             return Err(err);
@@ -202,25 +206,26 @@
         Err(ConnectError::CutOff)
     }
 
-    /// Opens a connection through one peer, and remembers if that relays none now.
+    /// Opens a connection through one peer, and remembers if that opens none now.
     async fn connect_through(
         &self,
-        relay: SocketAddr,
+        peer: SocketAddr,
         address: &str,
+        within: Millis,
         lifetime: Millis,
-    ) -> Result<TcpStream, RelayError> {
-        self.metrics.count(Metric::RelaysAsked);
-        let connecting = relay::connect_through(relay, address, lifetime.to_duration());
-        let result = tokio::time::timeout(RELAY_TIMEOUT.to_duration(), connecting).await;
+    ) -> Result<TcpStream, TunnelError> {
+        self.metrics.count(Metric::TunnelsAsked);
+        let connecting = tunnel::connect_through(peer, address, lifetime.to_duration());
+        let result = tokio::time::timeout(within.to_duration(), connecting).await;
         let result =
-            result.unwrap_or_else(|_| Err(RelayError::Unavailable("it does not answer".into())));
+            result.unwrap_or_else(|_| Err(TunnelError::Unavailable("it does not answer".into())));
         let now = self.now();
-        if matches!(result, Err(RelayError::Unavailable(_))) {
-            self.paths.unavailable_relays.lock().insert(relay, now);
-            self.paths.relays_failing_since.lock().get_or_insert(now);
+        if matches!(result, Err(TunnelError::Unavailable(_))) {
+            self.paths.unavailable_peers.lock().insert(peer, now);
+            self.paths.tunnels_failing_since.lock().get_or_insert(now);
         } else {
-            self.paths.unavailable_relays.lock().remove(&relay);
-            *self.paths.relays_failing_since.lock() = None;
+            self.paths.unavailable_peers.lock().remove(&peer);
+            *self.paths.tunnels_failing_since.lock() = None;
         }
         result
     }
@@ -231,13 +236,13 @@
         if !self.is_peer_worth_asking(id) {
             return None;
         }
-        let relays = self.choose_relays(id, WITNESSES);
-        let answers = relays.into_iter().map(|relay| async move {
-            match self.connect_through(relay, address, PROBE_LIFETIME).await {
+        let peers = self.choose_tunnel_peers(id, WITNESSES);
+        let answers = peers.into_iter().map(|peer| async move {
+            match self.connect_through(peer, address, TUNNEL_TIMEOUT, PROBE_LIFETIME).await {
                 Ok(_) => Some(ProbeResult::Answers),
-                Err(RelayError::Refused) => Some(ProbeResult::Refused),
-                Err(RelayError::Silent) => Some(ProbeResult::Silent),
-                Err(RelayError::Unavailable(_)) => None,
+                Err(TunnelError::Refused) => Some(ProbeResult::Refused),
+                Err(TunnelError::Silent) => Some(ProbeResult::Silent),
+                Err(TunnelError::Unavailable(_)) => None,
             }
         });
         let answers = join_all(answers).await;
@@ -258,10 +263,10 @@
         !is_hopeless || self.is_cut_off()
     }
 
-    /// Peers to relay a connection to an instance. The first one is in the instance's data centre if
+    /// Peers for a tunnel to an instance. The first one is in the instance's data centre if
     /// possible, since the bytes then cross between data centres no more often than on the direct
     /// path; the others are elsewhere, since all nodes of a data centre may be cut off together.
-    fn choose_relays(&self, id: &Identity, most: usize) -> Vec<SocketAddr> {
+    fn choose_tunnel_peers(&self, id: &Identity, most: usize) -> Vec<SocketAddr> {
         let now = self.now();
         let own = self.settings().node.data_centre.clone();
         let data_centre = {
@@ -270,21 +275,21 @@
             entry.map_or_else(|| own.clone(), |entry| entry.instance.data_centre.clone())
         };
         let unavailable: HashSet<SocketAddr> = {
-            let mut unavailable = self.paths.unavailable_relays.lock();
+            let mut unavailable = self.paths.unavailable_peers.lock();
             unavailable.retain(|_, at| now.since(*at) < UNAVAILABLE_FOR);
             unavailable.keys().copied().collect()
         };
         let peers = self.peers.lock();
         let ready = peers.heard(now).filter(|(_, peer)| peer.heartbeat.is_ready);
-        let candidates: Vec<RelayCandidate> = ready
-            .map(|(address, peer)| RelayCandidate {
+        let candidates: Vec<TunnelPeer> = ready
+            .map(|(address, peer)| TunnelPeer {
                 address: *address,
                 data_centre: peer.heartbeat.data_centre.clone(),
                 is_unavailable: unavailable.contains(address),
             })
             .collect();
         drop(peers);
-        relays::order(candidates, data_centre.as_str(), own.as_str(), most, &mut rand::rng())
+        tunnel_peers::order(candidates, data_centre.as_str(), own.as_str(), most, &mut rand::rng())
     }
 
     /// Notes that this node has reached an instance by itself.
@@ -322,10 +327,10 @@
 
     /// Whether this node reaches no instance, neither by itself nor through a peer.
     pub fn is_isolated(&self) -> bool {
-        let failing_since = *self.paths.relays_failing_since.lock();
+        let failing_since = *self.paths.tunnels_failing_since.lock();
         let now = self.now();
         self.is_cut_off()
-            && failing_since.is_some_and(|since| now.since(since) >= RELAYS_FAILING_MAX)
+            && failing_since.is_some_and(|since| now.since(since) >= TUNNELS_FAILING_MAX)
     }
 
     /// Number of instances that peers reach and this node does not.
@@ -352,8 +357,8 @@
 
 /// Why neither this node's own path nor a peer led to an instance. Only a refusal that a peer
 /// confirms comes from the instance's host; a node without peers believes its own.
-fn more_certain(own: ConnectError, relayed: ConnectError) -> ConnectError {
-    match (own, relayed) {
+fn more_certain(own: ConnectError, through_peer: ConnectError) -> ConnectError {
+    match (own, through_peer) {
         (own, ConnectError::CutOff) => own,
         (ConnectError::Refused, ConnectError::Refused) => ConnectError::Refused,
         _ => ConnectError::Silent,
--- a/crates/workshold-gateway/src/node/relays.rs
+++ b/crates/workshold-gateway/src/node/tunnel_peers.rs
@@ -1,18 +1,18 @@
-//! Which peers are asked to relay a connection, and in which order.
+//! Which peers are asked for a tunnel, and in which order.
 
 use std::net::SocketAddr;
 
 use rand::Rng;
 use smol_str::SmolStr;
 
-/// A peer that may relay a connection.
+/// A peer that may open a tunnel.
 #[derive(Debug, Clone)]
-pub struct RelayCandidate {
+pub struct TunnelPeer {
     /// Its address for other nodes.
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: SmolStr,
-    /// Whether it relayed nothing when it was asked a moment ago.
+    /// Whether it opened no tunnel when it was asked a moment ago.
     pub is_unavailable: bool,
 }
 
@@ -21,13 +21,13 @@
 /// of other data centres than the first as far as there are any. Those that are unavailable come
 /// last.
 pub fn order(
-    mut candidates: Vec<RelayCandidate>,
+    mut candidates: Vec<TunnelPeer>,
     nearest: &str,
     own: &str,
     most: usize,
     rng: &mut impl Rng,
 ) -> Vec<SocketAddr> {
-    let distance = |candidate: &RelayCandidate| match candidate.data_centre.as_str() {
+    let distance = |candidate: &TunnelPeer| match candidate.data_centre.as_str() {
         location if location == nearest => 0,
         location if location == own => 1,
         _ => 2,
--- a/crates/workshold-gateway/src/proxy/attempt.rs
+++ b/crates/workshold-gateway/src/proxy/attempt.rs
@@ -73,8 +73,8 @@
     pub sent_at: Millis,
     /// Whether the body has ended.
     pub is_complete: bool,
-    /// Whether a peer relays the connection.
-    pub is_relayed: bool,
+    /// Whether a peer forwards the connection.
+    pub is_tunneled: bool,
     _connection_task: ConnectionTask,
     in_flight: InFlight,
 }
@@ -91,8 +91,8 @@
 /// Logged reason of an attempt at an instance that neither this node nor a peer reaches.
 const COULD_NOT_CONNECT: &str = "could not connect";
 
-/// Logged reason of an attempt while this node's path is lost and no peer relays.
-pub const CUT_OFF: &str = "this node has lost its path to the instance, and no peer relays";
+/// Logged reason of an attempt while this node's path is lost and no peer opens a tunnel.
+pub const CUT_OFF: &str = "this node has lost its path to the instance, and no peer opens a tunnel";
 
 /// How an attempt failed, and the reason for logs.
 pub type Failure = (AttemptEnd, &'static str);
@@ -108,8 +108,8 @@
     pub last: Option<u64>,
     /// Set once a byte of the request may have been sent.
     pub is_sent: Arc<AtomicBool>,
-    /// Set if a peer relays the connection.
-    pub is_relayed: Arc<AtomicBool>,
+    /// Set if a peer forwards the connection.
+    pub is_tunneled: Arc<AtomicBool>,
 }
 
 /// Sends a request, and waits for the complete response or the first events of a stream. Only the
@@ -122,10 +122,10 @@
     node: Arc<Node>,
     params: AttemptParams,
 ) -> Result<AttemptResponse, Failure> {
-    let AttemptParams { request, target, last, is_sent, is_relayed } = params;
+    let AttemptParams { request, target, last, is_sent, is_tunneled } = params;
     let in_flight = node.loads.begin(&target.id, request.prompt_tokens as u32);
-    let (connected, has_relay) = connect(&node, &request, &target).await?;
-    is_relayed.store(has_relay, Ordering::Relaxed);
+    let (connected, is_through_peer) = connect(&node, &request, &target).await?;
+    is_tunneled.store(is_through_peer, Ordering::Relaxed);
     let left = request.left(node.now());
     if left <= MIN_TIME_LEFT {
         return Err((AttemptEnd::NotSent, "too little time left before the deadline"));
@@ -166,7 +166,7 @@
         framer: Framer::after(last),
         sent_at: sent,
         is_complete: false,
-        is_relayed: has_relay,
+        is_tunneled: is_through_peer,
         _connection_task: driver,
         in_flight,
     };
@@ -183,7 +183,7 @@
     Ok(AttemptResponse::Stream(Box::new((parts, event_stream))))
 }
 
-/// Connects to a target. Returns the connection, and whether a peer relays it.
+/// Connects to a target. Returns the connection, and whether a peer forwards it.
 async fn connect(
     node: &Node,
     request: &AdmittedRequest,
@@ -191,14 +191,14 @@
 ) -> Result<(FreshConnection, bool), Failure> {
     let times = ConnectTimes { connect: CONNECT_TIMEOUT, lifetime: request.left(node.now()) };
     let connected = node.connect(&target.id, &target.address, times).await;
-    let InstanceConnection { stream, is_relayed } = connected.map_err(|err| {
+    let InstanceConnection { stream, is_tunneled } = connected.map_err(|err| {
         node.probe(&target.id, &target.address, ProbeTask::ForSelf);
         let reason = if err == ConnectError::CutOff { CUT_OFF } else { COULD_NOT_CONNECT };
         (AttemptEnd::NotSent, reason)
     })?;
     let started = client::start(&target.address, stream, MAX_BUF_LEN).await;
     let connection = started.map_err(|_| (AttemptEnd::NotSent, COULD_NOT_CONNECT))?;
-    Ok((connection, is_relayed))
+    Ok((connection, is_tunneled))
 }
 
 /// The instance as the reader of the request's body, until the head of its response comes.
--- a/crates/workshold-gateway/src/proxy/attempts.rs
+++ b/crates/workshold-gateway/src/proxy/attempts.rs
@@ -52,8 +52,8 @@
     first_event_at: Option<Millis>,
     /// Whether a byte of the request may have been sent.
     is_sent: Arc<AtomicBool>,
-    /// Whether a peer relays the connection.
-    is_relayed: Arc<AtomicBool>,
+    /// Whether a peer forwards the connection.
+    is_tunneled: Arc<AtomicBool>,
     stage: Stage,
 }
 
@@ -66,13 +66,13 @@
         last: Option<u64>,
     ) -> Self {
         let is_sent = Arc::new(AtomicBool::new(false));
-        let is_relayed = Arc::new(AtomicBool::new(false));
+        let is_tunneled = Arc::new(AtomicBool::new(false));
         let params = AttemptParams {
             request: Arc::clone(request),
             target: Arc::clone(&target),
             last,
             is_sent: Arc::clone(&is_sent),
-            is_relayed: Arc::clone(&is_relayed),
+            is_tunneled: Arc::clone(&is_tunneled),
         };
         let pending = Box::pin(attempt::send_request(Arc::clone(node), params));
         Self {
@@ -80,7 +80,7 @@
             last_data_at: node.now(),
             first_event_at: None,
             is_sent,
-            is_relayed,
+            is_tunneled,
             stage: Stage::Pending(pending),
         }
     }
@@ -89,13 +89,13 @@
     pub fn streaming(event_stream: EventStream, now: Millis) -> Self {
         let target = Arc::clone(&event_stream.target);
         let is_sent = Arc::new(AtomicBool::new(true));
-        let is_relayed = Arc::new(AtomicBool::new(event_stream.is_relayed));
+        let is_tunneled = Arc::new(AtomicBool::new(event_stream.is_tunneled));
         Self {
             target,
             last_data_at: now,
             first_event_at: Some(now),
             is_sent,
-            is_relayed,
+            is_tunneled,
             stage: Stage::Streaming(event_stream),
         }
     }
@@ -198,12 +198,12 @@
         limits: WaitLimits,
     ) -> AttemptEvent {
         let newest = self.running.last().expect("an attempt is under way");
-        let (target, is_relayed) = (Arc::clone(&newest.target), Arc::clone(&newest.is_relayed));
+        let (target, is_tunneled) = (Arc::clone(&newest.target), Arc::clone(&newest.is_tunneled));
         let outcomes = self.running.iter_mut().map(|attempt| Box::pin(attempt.next_data()));
         let first = tokio::select! {
             biased;
             (outcome, index, _) = select_all(outcomes) => Ok((outcome, index)),
-            wait_over = wait::until_over(node, &target, limits, &is_relayed) => Err(wait_over),
+            wait_over = wait::until_over(node, &target, limits, &is_tunneled) => Err(wait_over),
         };
         let (outcome, index) = match first {
             Ok(first) => first,
--- a/crates/workshold-gateway/src/proxy/wait.rs
+++ b/crates/workshold-gateway/src/proxy/wait.rs
@@ -60,12 +60,12 @@
 /// Waits until the wait for a response of `target` is over or the target is suspected. Probes the
 /// target's group meanwhile, as far as there is no other evidence that it works.
 ///
-/// `is_relayed` tells whether a peer relays the connection, which is not known before it is open.
+/// `is_tunneled` tells whether a peer forwards the connection, which is not known before it is open.
 pub async fn until_over(
     node: &Arc<Node>,
     target: &Arc<Target>,
     limits: WaitLimits,
-    is_relayed: &AtomicBool,
+    is_tunneled: &AtomicBool,
 ) -> WaitOver {
     let mut changed = node.suspicion_changed.subscribe();
     let deadline = limits.deadline - RESPONSE_LEAD_TIME;
@@ -79,7 +79,7 @@
     let suspect_at = full_silence
         .map(|after| (limits.last_data_at + Millis(after.0 / 2)).max(limits.no_suspicion_before));
     loop {
-        let is_path_suspected = !is_relayed.load(Ordering::Relaxed)
+        let is_path_suspected = !is_tunneled.load(Ordering::Relaxed)
             && node.is_silent_since_path_loss(&target.id, limits.last_data_at);
         let is_group_suspected =
             suspect_at.is_some() && (is_path_suspected || node.is_suspected(target));
--- a/crates/workshold-gateway/src/settings.rs
+++ b/crates/workshold-gateway/src/settings.rs
@@ -211,8 +211,8 @@
 const CONFIG_FOLLOWERS: f64 = 32.0;
 /// File descriptors reserved for the store, probes of suspected instances, peers and files.
 const RESERVED_DESCRIPTORS: usize = 300;
-/// Fraction of the other descriptors, as a divisor, for connections relayed for other nodes.
-const RELAYED_DIVISOR: usize = 8;
+/// Fraction of the other descriptors, as a divisor, for tunnels of other nodes.
+const TUNNEL_DIVISOR: usize = 8;
 /// Bytes waiting for one caller at which its stream is not read further.
 const STREAM_UNREAD_MAX: u64 = 64 * 1024;
 /// Part of the memory that may hold bytes for callers and instances that have not read them.
@@ -316,13 +316,13 @@
     /// Most connections that callers may have open. Each may need a second descriptor, for an
     /// upstream.
     pub fn caller_connections(&self) -> usize {
-        (self.connection_pairs() - self.relayed_connections()).max(64)
+        (self.connection_pairs() - self.tunnels_max()).max(64)
     }
 
-    /// Most connections that are relayed for other nodes at the same time. Each needs two
+    /// Most tunnels that are open for other nodes at the same time. Each needs two
     /// descriptors.
-    pub fn relayed_connections(&self) -> usize {
-        self.connection_pairs() / RELAYED_DIVISOR
+    pub fn tunnels_max(&self) -> usize {
+        self.connection_pairs() / TUNNEL_DIVISOR
     }
 
     /// Pairs of connections for which there are descriptors.
--- a/crates/workshold-gateway/src/tasks/probing.rs
+++ b/crates/workshold-gateway/src/tasks/probing.rs
@@ -252,7 +252,7 @@
     }
 }
 
-/// Tries lost paths again at an interval, until the node ends. While no peer relays either, peers
+/// Tries lost paths again at an interval, until the node ends. While no peer opens a tunnel either, peers
 /// are asked as well: an isolated node gets no requests that would ask them.
 pub async fn retry_paths(node: Arc<Node>) {
     loop {
--- a/crates/workshold-http/src/dial.rs
+++ b/crates/workshold-http/src/dial.rs
@@ -9,8 +9,8 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
-use crate::relay;
-use crate::relay::RelayError;
+use crate::tunnel;
+use crate::tunnel::TunnelError;
 
 /// A connection that is being opened.
 pub type Dialing = Pin<Box<dyn Future<Output = io::Result<TcpStream>> + Send>>;
@@ -65,11 +65,11 @@
         let proxy = self.proxy;
         Box::pin(async move {
             let address = address.to_string();
-            let connected = relay::connect_through(proxy, &address, PROXIED_LIFETIME).await;
+            let connected = tunnel::connect_through(proxy, &address, PROXIED_LIFETIME).await;
             connected.map_err(|err| match err {
-                RelayError::Refused => io::ErrorKind::ConnectionRefused.into(),
-                RelayError::Silent => io::ErrorKind::TimedOut.into(),
-                RelayError::Unavailable(why) => io::Error::other(why),
+                TunnelError::Refused => io::ErrorKind::ConnectionRefused.into(),
+                TunnelError::Silent => io::ErrorKind::TimedOut.into(),
+                TunnelError::Unavailable(why) => io::Error::other(why),
             })
         })
     }
--- a/crates/workshold-http/src/lib.rs
+++ b/crates/workshold-http/src/lib.rs
@@ -5,17 +5,17 @@
 //! - [`client`] opens a new connection for each request, so that it is always known whether any
 //!   byte of the request was sent.
 //! - [`dial`] opens connections whose network path may be at fault.
-//! - [`relay`] opens connections through another node.
 //! - [`body`] has helpers for request and response bodies.
+//! - [`tunnel`] opens connections through another node.
 //! - [`write_progress`] observes how fast the other side takes what is sent to it.
 //! - [`signals`] translates Unix signals into actions.
 
 pub mod body;
 pub mod client;
 pub mod dial;
-pub mod relay;
 pub mod server;
 pub mod signals;
+pub mod tunnel;
 pub mod write_progress;
 
 pub use crate::body::Body;
--- a/crates/workshold-http/src/relay.rs
+++ b/crates/workshold-http/src/tunnel.rs
@@ -1,7 +1,7 @@
-//! Connections through a relay: a node that has lost its network path to a server asks another one
+//! Tunnels: a node that has lost its network path to a server asks another one
 //! to open a connection, with the method `CONNECT`, and to forward all bytes in both directions.
 //!
-//! A relay connects by itself and never through another relay, so there is one hop and no loop.
+//! A peer connects by itself and never through another tunnel, so there is one hop and no loop.
 //! It answers only once it has connected: until then no byte has reached the server.
 
 use std::io;
@@ -23,38 +23,38 @@
 
 use crate::write_progress::ObservedStream;
 
-/// Time in ms after which the relay closes the connection, however much is still sent.
+/// Time in ms after which the peer closes the connection, however much is still sent.
 pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
-/// The relay's answer if the server refused the connection.
+/// The peer's answer if the server refused the connection.
 pub const REFUSED: StatusCode = StatusCode::BAD_GATEWAY;
-/// The relay's answer if the server did not answer in time.
+/// The peer's answer if the server did not answer in time.
 pub const SILENT: StatusCode = StatusCode::GATEWAY_TIMEOUT;
 
-/// Why there is no connection through a relay.
+/// Why there is no tunnel.
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
-pub enum RelayError {
-    /// the relay takes no connection now: {0}
+pub enum TunnelError {
+    /// the peer opens no tunnel now: {0}
     Unavailable(String),
-    /// the relay was refused by the server
+    /// the peer was refused by the server
     Refused,
-    /// the relay got no answer from the server
+    /// the peer got no answer from the server
     Silent,
 }
 
-impl std::error::Error for RelayError {}
+impl std::error::Error for TunnelError {}
 
-/// Opens a connection to `address` through the relay at `relay`, which closes it after `time_left`.
-/// The relay's answer is waited for without a time limit.
+/// Opens a connection to `address` through the node at `peer`, which closes it after `time_left`.
+/// The peer's answer is waited for without a time limit.
 ///
 /// # Errors
 ///
-/// A [`RelayError`]; in all cases nothing was sent to the server.
+/// A [`TunnelError`]; in all cases nothing was sent to the server.
 pub async fn connect_through(
-    relay: SocketAddr,
+    peer: SocketAddr,
     address: &str,
     time_left: Duration,
-) -> Result<TcpStream, RelayError> {
-    let stream = TcpStream::connect(relay).await.map_err(unavailable)?;
+) -> Result<TcpStream, TunnelError> {
+    let stream = TcpStream::connect(peer).await.map_err(unavailable)?;
     stream.set_nodelay(true).map_err(unavailable)?;
     let (mut sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(unavailable)?;
@@ -68,8 +68,8 @@
     let res = sender.send_request(req).await.map_err(unavailable)?;
     match res.status() {
         StatusCode::OK => {}
-        REFUSED => return Err(RelayError::Refused),
-        SILENT => return Err(RelayError::Silent),
+        REFUSED => return Err(TunnelError::Refused),
+        SILENT => return Err(TunnelError::Silent),
         status => return Err(unavailable(status)),
     }
     let upgraded = hyper::upgrade::on(res).await.map_err(unavailable)?;
@@ -84,8 +84,8 @@
     Ok(parts.io.into_inner())
 }
 
-fn unavailable(why: impl ToString) -> RelayError {
-    RelayError::Unavailable(why.to_string())
+fn unavailable(why: impl ToString) -> TunnelError {
+    TunnelError::Unavailable(why.to_string())
 }
 
 /// Forwards all bytes between the client that sent `req`, which has been answered with 200, and
