--- a/crates/workshold-gateway/tests/platform/cut_off.rs
+++ b/crates/workshold-gateway/tests/platform/cut_off.rs
@@ -55,15 +55,6 @@
     }
 }
 
-/// The value of a node's metric; a counter has no line before it is first counted.
-async fn metric(node: &TestNode, name: &str) -> u64 {
-    let (_, body) = caller::get(node.control, "/metrics").await.unwrap();
-    let text = String::from_utf8(body.to_vec()).unwrap();
-    let prefix = format!("workshold_{name} ");
-    let line = text.lines().find_map(|line| line.strip_prefix(&prefix));
-    line.map_or(0, |value| value.parse().unwrap())
-}
-
 /// Sends first tries to a node, none of them repeated, and returns how many were served.
 async fn served_first_tries(node: &TestNode, name: &str) -> usize {
     let mut tries = JoinSet::new();
@@ -197,19 +188,19 @@
     fleet.paths[0].reset();
     let served = served_first_tries(&fleet.nodes[0], "cut").await;
     assert!(served > 0);
-    assert!(metric(&fleet.nodes[0], "paths_lost").await > 0);
+    assert!(fleet.nodes[0].metric("paths_lost").await > 0);
     for node in &fleet.nodes {
-        assert_eq!(metric(node, "in_doubt").await, 0);
-        assert_eq!(metric(node, "held").await, 0);
+        assert_eq!(node.metric("in_doubt").await, 0);
+        assert_eq!(node.metric("held").await, 0);
     }
     let mut opened = 0;
     for node in &fleet.nodes[1..] {
-        opened += metric(node, "tunnels_opened").await;
+        opened += node.metric("tunnels_opened").await;
     }
     assert!(opened > 0);
-    assert_eq!(metric(&fleet.nodes[0], "tunnels_opened").await, 0);
+    assert_eq!(fleet.nodes[0].metric("tunnels_opened").await, 0);
     fleet.paths[0].set_state(PathState::Open);
-    wait_for("all paths back", || async { metric(&fleet.nodes[0], "paths_lost").await == 0 }).await;
+    wait_for("all paths back", || async { fleet.nodes[0].metric("paths_lost").await == 0 }).await;
 }
 
 /// Guards against a node that goes on to take callers although neither it nor a peer reaches an
@@ -220,7 +211,7 @@
     for i in 0..2 {
         fleet.paths[i].set_state(PathState::Silent);
         served_first_tries(&fleet.nodes[i], &format!("cut-{i}")).await;
-        assert!(metric(&fleet.nodes[i], "paths_lost").await > 0);
+        assert!(fleet.nodes[i].metric("paths_lost").await > 0);
     }
     // The only node that reaches the instances ends.
     fleet.nodes.truncate(2);
--- a/crates/workshold-gateway/tests/platform/shared_probes.rs
+++ b/crates/workshold-gateway/tests/platform/shared_probes.rs
@@ -46,20 +46,11 @@
     (deployment, nodes)
 }
 
-/// The value of a node's metric; a counter has no line before it is first counted.
-async fn metric(node: &TestNode, name: &str) -> u64 {
-    let (_, body) = caller::get(node.control, "/metrics").await.unwrap();
-    let text = String::from_utf8(body.to_vec()).unwrap();
-    let prefix = format!("workshold_{name} ");
-    let line = text.lines().find_map(|line| line.strip_prefix(&prefix));
-    line.map_or(0, |value| value.parse().unwrap())
-}
-
 /// The number of probes that all nodes have sent.
 async fn probes(nodes: &[TestNode]) -> u64 {
     let mut sum = 0;
     for node in nodes {
-        sum += metric(node, "looks").await;
+        sum += node.metric("looks").await;
     }
     sum
 }
@@ -115,7 +106,7 @@
     member.expect("only heads run requests").crash();
     let lost_at = Instant::now();
     for node in &nodes {
-        while metric(node, "in_doubt").await == 0 {
+        while node.metric("in_doubt").await == 0 {
             let elapsed = lost_at.elapsed();
             assert!(elapsed <= FOUND_WITHIN, "{elapsed:?} after the loss a node does not know it");
             send_request(&nodes, &mut requests, sent);
--- a/crates/workshold-gateway/tests/platform/support/mod.rs
+++ b/crates/workshold-gateway/tests/platform/support/mod.rs
@@ -85,6 +85,15 @@
         }
     }
 
+    /// The value of a metric; a counter has no line before it is first counted.
+    pub async fn metric(&self, name: &str) -> u64 {
+        let (_, body) = caller::get(self.control, "/metrics").await.unwrap();
+        let text = String::from_utf8(body.to_vec()).unwrap();
+        let prefix = format!("workshold_{name} ");
+        let line = text.lines().find_map(|line| line.strip_prefix(&prefix));
+        line.map_or(0, |value| value.parse().unwrap())
+    }
+
     /// Waits until the node reports that it is ready.
     pub async fn ready(&self) {
         wait_for("a ready node", || caller::is_ready(self.readiness)).await;
--- a/crates/workshold-http/src/tunnel.rs
+++ b/crates/workshold-http/src/tunnel.rs
@@ -1,5 +1,5 @@
-//! Tunnels: a node that has lost its network path to a server asks another one
-//! to open a connection, with the method `CONNECT`, and to forward all bytes in both directions.
+//! Tunnels: a node that has lost its network path to a server asks another one to open a
+//! connection, with the method `CONNECT`, and to forward all bytes in both directions.
 //!
 //! A peer connects by itself and never through another tunnel, so there is one hop and no loop.
 //! It answers only once it has connected: until then no byte has reached the server.
