Log the shared parts of the prompt of each failed attempt

Logs named requests by id and content alone, so that no line could say what requests have in common that end instances one after the other. W1404 now lists the ids of the parts that other requests may share; the last part is the request's own and is left out.

--- a/crates/workshold-gateway/src/proxy.rs
+++ b/crates/workshold-gateway/src/proxy.rs
@@ -27,6 +27,7 @@
 use workshold_core::hosted::retry_policy::AttemptsUsed;
 use workshold_core::hosted::retry_policy::NextStep;
 use workshold_core::hosted::serving_config::RequestKind;
+use workshold_platform::prompt;
 use workshold_protocol::Millis;
 
 use crate::callers::requests::AdmittedRequest;
@@ -250,6 +251,7 @@
             &[
                 ("request", &self.request.id),
                 ("fingerprint", &self.request.fingerprint.to_string()),
+                ("parts", &prompt::shared_parts(&self.request.headers).join(",")),
                 ("instance", target.id.as_str()),
                 ("ending", &format!("{ending:?}")),
                 ("why", self.reason),
