--- a/crates/workshold-gateway/tests/failover.rs
+++ b/crates/workshold-gateway/tests/failover.rs
@@ -74,6 +74,9 @@
     Refuse,
     /// A stream of events.
     Stream(Vec<Step>),
+    /// A body without a length or chunks, which the end of the connection ends; with `crashes`
+    /// the upstream's process ends with it.
+    Unframed { body: &'static str, crashes: bool },
 }
 
 /// A silence, in ms, longer than the one after which an upstream is probed and longer than other
@@ -99,6 +102,12 @@
         let index = arrived.len() - 1;
         (index, self.replies.lock().get(index).cloned())
     }
+
+    /// Refuses new connections at an address from now on.
+    fn stop_listening(&self, at: SocketAddr) {
+        let listeners = self.listeners.lock();
+        listeners.iter().filter(|(own, _)| *own == at).for_each(|(_, task)| task.abort());
+    }
 }
 
 async fn upstream(script: Arc<Script>) -> SocketAddr {
@@ -129,6 +138,16 @@
             stream.write_all(refusal.as_bytes()).await.unwrap();
             return;
         }
+        Some(Reply::Unframed { body, crashes }) => {
+            let text = format!("HTTP/1.1 200 OK\r\nx-response-stamp: s\r\n\r\n{body}");
+            stream.write_all(text.as_bytes()).await.unwrap();
+            tokio::time::sleep(Duration::from_millis(SHORT_PAUSE_MS)).await;
+            if crashes {
+                script.stop_listening(address);
+                tokio::task::yield_now().await;
+            }
+            return;
+        }
         Some(Reply::Stream(steps)) => steps,
     };
     if !play(&mut stream, &steps).await {
@@ -201,17 +220,22 @@
 
     /// Runs a request until its answer begins.
     async fn run_request(&self) -> Response<ResponseBody> {
+        self.run_request_for("/chat/x").await
+    }
+
+    /// Runs a request for `path` until its answer begins.
+    async fn run_request_for(&self, path: &str) -> Response<ResponseBody> {
         let serving_config = self.node.serving_config().unwrap();
-        let route = Arc::clone(serving_config.route("lot.example", "/chat/x").unwrap());
+        let route = Arc::clone(serving_config.route("lot.example", path).unwrap());
         let received_at = self.node.now();
         let request = AdmittedRequest {
             id: SmolStr::new("r-1"),
             service: ServiceName::new("llm").unwrap(),
             method: Method::POST,
-            path: SmolStr::new("/chat/x"),
+            path: SmolStr::new(path),
             headers: HeaderMap::new(),
             body: Bytes::new(),
-            fingerprint: Fingerprint::of(Some("t-1"), "/chat/x", b""),
+            fingerprint: Fingerprint::of(Some("t-1"), path, b""),
             caller: 0,
             rank: 0,
             model: Some(SmolStr::new("m1")),
@@ -406,3 +430,59 @@
         std::iter::repeat(()).take_while(|()| fixture.node.take_retry(&service)).count();
     assert_eq!(retries_left, 8, "four fifths of the slack must be left");
 }
+
+const TWO_EVENTS: &str = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n";
+
+fn rest_after(last: u64) -> Reply {
+    Reply::Stream(vec![Event(last + 1), End])
+}
+
+/// Guards against a stream that is taken for complete although its instance's process ended before
+/// the last event, because the end of the connection may also mark the end of a complete stream.
+#[rstest]
+#[case::no_event_crash("", true, rest_after(0), vec![1])]
+#[case::no_event("", false, rest_after(0), vec![1])]
+#[case::torn_event("id: 1\ndata: x\n\nid: 2\nda", false, rest_after(1), vec![1, 2])]
+#[case::whole_events_crash(TWO_EVENTS, true, rest_after(2), vec![1, 2, 3])]
+#[tokio::test]
+async fn an_unframed_stream_that_broke_off_continues_elsewhere(
+    #[case] body: &'static str,
+    #[case] crashes: bool,
+    #[case] rest: Reply,
+    #[case] expected: Vec<u64>,
+) {
+    let replies = vec![Reply::Unframed { body, crashes }, rest];
+    let fixture = Fixture::start(2, replies, LARGE_SLACK).await;
+    assert_eq!(events(fixture.run_request().await).await, Ok(expected));
+    assert_eq!(fixture.arrived(), 2);
+}
+
+/// Guards against a complete stream that is requested again because its end is not marked.
+#[tokio::test]
+async fn an_unframed_stream_of_a_running_process_is_complete() {
+    let replies = vec![Reply::Unframed { body: TWO_EVENTS, crashes: false }];
+    let fixture = Fixture::start(2, replies, LARGE_SLACK).await;
+    assert_eq!(events(fixture.run_request().await).await, Ok(vec![1, 2]));
+    assert_eq!(fixture.arrived(), 1);
+}
+
+/// Guards against a part of an answer that is taken for the whole, because the instance's process
+/// ended and the answer has neither a length nor chunks.
+#[rstest]
+#[case::empty("", true, 2)]
+#[case::partial("par", true, 2)]
+#[case::whole("whole", false, 1)]
+#[tokio::test]
+async fn an_unframed_answer_is_complete_only_if_its_process_still_runs(
+    #[case] body: &'static str,
+    #[case] crashes: bool,
+    #[case] arrived: usize,
+) {
+    let replies =
+        vec![Reply::Unframed { body, crashes }, Reply::Unframed { body: "whole", crashes: false }];
+    let fixture = Fixture::start(2, replies, LARGE_SLACK).await;
+    let res = fixture.run_request_for("/plate/x").await;
+    assert_eq!(res.status(), 200);
+    assert_eq!(res.into_body().collect().await.unwrap().to_bytes(), "whole");
+    assert_eq!(fixture.arrived(), arrived);
+}
--- a/crates/workshold-gateway/tests/platform/ending.rs
+++ b/crates/workshold-gateway/tests/platform/ending.rs
@@ -7,20 +7,27 @@
 //! it had attempts. Requests were recognized by their id alone and forgotten once answered, so
 //! nodes could not tell that a new arrival was the same request. Path, caller and body identify
 //! it: that combination never had any result but the end of the instance, and no other content
-//! had. The stand-in instances end on one such body.
+//! had. The stand-in instances end on one such body, and on any request with one such part in its
+//! prompt.
 
 use std::time::Duration;
 
 use crate::support::TestNode;
 use hyper::Method;
+use rstest::rstest;
 use workshold_http::client;
 use workshold_platform_standin::caller;
 use workshold_platform_standin::deployment::Deployment;
 use workshold_platform_standin::instance::CRASH_BODY;
+use workshold_platform_standin::instance::CRASH_PART;
 use workshold_platform_standin::instance::StandInInstance;
 use workshold_platform_standin::wait_for;
 
 const LARGE_RETRY_BUDGET: &str = "repeat_slack = 100.0";
+/// Ended instances after which at most [`LATE_SENDS_MAX`] requests with a part that ends instances
+/// may still be sent, once all nodes have had time to learn of the fifth.
+const PART_ENDS: usize = 5;
+const LATE_SENDS_MAX: usize = 3;
 /// Ended instances after which a request is quarantined.
 const QUARANTINE_ENDS: usize = 3;
 /// Time for an end to reach all nodes by gossip.
@@ -172,3 +179,62 @@
     let address = node.control.to_string();
     client::call_raw(&address, Method::DELETE, &path, GOSSIP_TIME).await.is_ok()
 }
+
+/// A prompt of which only the last part is its own; `crash_at` is the position of the part that
+/// ends instances, if it has one.
+fn prompt(id: &str, crash_at: Option<usize>) -> String {
+    let mut parts = vec!["5a:40".to_owned(), "5b:60".to_owned(), format!("f{id}:80")];
+    if let Some(at) = crash_at {
+        parts.insert(at, format!("{CRASH_PART}:40"));
+    }
+    parts.join(",")
+}
+
+/// Sends a request whose id is a hexadecimal number. Returns its status; 0 if there is no answer.
+async fn send_prompt(node: &TestNode, id: &str, path: &str, crash_at: Option<usize>) -> u16 {
+    let req = caller::request_with_prompt(id, path, "k1", &prompt(id, crash_at));
+    caller::send(node.callers, req).await.map_or(0, |(res, _)| res.status().as_u16())
+}
+
+/// Guards against requests that are all different but for one part of their prompts, and that end
+/// one instance after the other, while sound requests with the same caller and the same other parts
+/// are refused or lose their instances.
+#[rstest]
+#[case::stream_middle("/chat/x", 1, 18, 0)]
+#[case::stream_first("/chat/x", 0, 18, 0)]
+#[case::plain_middle("/plate/x", 1, 2, 14)]
+#[case::at_most_once("/print/x", 2, 2, 14)]
+#[tokio::test]
+async fn requests_that_share_a_part_that_ends_instances_are_quarantined(
+    #[case] path: &str,
+    #[case] crash_at: usize,
+    #[case] engines: usize,
+    #[case] gates: usize,
+) {
+    let deployment = Deployment::start(engines, gates).await;
+    let instances = if gates > 0 { &deployment.gates } else { &deployment.engines };
+    let nodes = ["n-1", "n-2", "n-3"]
+        .map(|name| TestNode::start(name, &deployment.store, LARGE_RETRY_BUDGET));
+    for node in &nodes {
+        node.serving().await;
+    }
+    let mut round = 0;
+    while ended_count(instances) < PART_ENDS && round < 12 {
+        send_prompt(&nodes[round % 3], &format!("a{round}"), path, Some(crash_at)).await;
+        send_prompt(&nodes[(round + 1) % 3], &format!("b{round}"), path, None).await;
+        tokio::time::sleep(SLOW_RESEND_INTERVAL).await;
+        round += 1;
+    }
+    tokio::time::sleep(GOSSIP_TIME).await;
+    let ended_before = ended_count(instances);
+    for round in 0..9 {
+        let node = &nodes[round % 3];
+        let status = send_prompt(node, &format!("c{round}"), path, Some(crash_at)).await;
+        let sound_status = send_prompt(node, &format!("d{round}"), path, None).await;
+        assert_eq!(sound_status, 200, "a sound request with the same other parts, round {round}");
+        let ended_later = ended_count(instances) - ended_before;
+        assert!(ended_later <= LATE_SENDS_MAX, "{ended_later} more ended, answered {status}");
+    }
+    let status = send_prompt(&nodes[0], "e0", path, Some(crash_at)).await;
+    assert_eq!(status, 503, "a request with the part is refused");
+}
