Responses that end with their connection are complete only if the instance runs

Callers got an empty 200, or some events of a stream as a complete answer, when an instance's process ended during a response with neither a length nor chunks. Such an end was taken for a success, which also cleared the request in the quarantine.

After such a body a connection to the instance is opened: one that takes it still runs; otherwise the response broke off. A stream that so ends without any event has always broken off. An instance that is leaving takes no connections and is believed.

Tests: five cases of an_unframed_... were red and are green; three more show that complete responses are not requested again.

--- a/crates/workshold-gateway/src/node/quarantine.rs
+++ b/crates/workshold-gateway/src/node/quarantine.rs
@@ -54,15 +54,14 @@
     /// down as planned is not counted: its process ends for other reasons.
     pub fn note_connection_lost(&self, req: &AdmittedRequest, target: &Target) -> bool {
         let now = self.now();
-        let (domain, is_leaving) = {
+        if self.is_announced_leaving(target) {
+            return false;
+        }
+        let domain = {
             let list = self.list.lock();
             let entry = list.roster.incarnation(&target.id);
-            let domain = entry.and_then(|entry| entry.instance.domain.clone());
-            (domain, entry.is_some_and(Entry::is_leaving))
+            entry.and_then(|entry| entry.instance.domain.clone())
         };
-        if is_leaving {
-            return false;
-        }
         let domain = domain.as_ref().map(|domain| domain.as_str());
         let place = quarantine::place(domain, target.data_centre.as_str());
         let incarnation = quarantine::incarnation(&target.id);
@@ -72,6 +71,12 @@
         self.is_suspect(&req.request_keys)
     }
 
+    /// Whether a target has said that it shuts down as planned.
+    pub fn is_announced_leaving(&self, target: &Target) -> bool {
+        let list = self.list.lock();
+        list.roster.incarnation(&target.id).is_some_and(Entry::is_leaving)
+    }
+
     /// Notes that an incarnation of an instance has ended.
     pub(super) fn note_process_ended(&self, id: &Identity) {
         let now = self.now();
--- a/crates/workshold-gateway/src/proxy/attempt.rs
+++ b/crates/workshold-gateway/src/proxy/attempt.rs
@@ -11,6 +11,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderMap;
@@ -18,6 +19,7 @@
 use hyper::http::response::Parts;
 use workshold_core::hosted::retry_policy::AttemptEnd;
 use workshold_core::hosted::serving_config::RequestKind;
+use workshold_core::hosted::suspicion::ProbeResult;
 use workshold_http::body::Body;
 use workshold_http::body::full;
 use workshold_http::client;
@@ -42,6 +44,7 @@
 use crate::proxy::MIN_TIME_LEFT;
 use crate::proxy::framing::Framer;
 use crate::routing_table::Target;
+use crate::tasks::probing;
 
 /// Longest wait for a connection to an instance.
 const CONNECT_TIMEOUT: Millis = Millis(40);
@@ -61,10 +64,13 @@
 
 /// A stream of events from an instance.
 pub struct EventStream {
+    node: Arc<Node>,
     /// The instance that sends it.
     pub target: Arc<Target>,
     /// The rest of the body.
     pub body: Incoming,
+    /// Whether only the end of the connection marks the end of the body.
+    is_unframed: bool,
     /// Whole events that are not forwarded yet.
     pub ready: Bytes,
     /// Splits the body into events.
@@ -149,7 +155,7 @@
     check_head(&request, &res)?;
     let is_stream = request.route.kind == RequestKind::Stream && res.status().is_success();
     if !is_stream {
-        let complete = read_complete(res).await?;
+        let complete = read_complete(&node, &target, res).await?;
         let took = node.now().since(sent);
         node.gaps.lock().on_gap(&target.id, took);
         if complete.status().is_success() {
@@ -160,7 +166,9 @@
     }
     let (parts, body) = res.into_parts();
     let mut event_stream = EventStream {
+        node: Arc::clone(&node),
         target: Arc::clone(&target),
+        is_unframed: is_unframed(&parts.headers, &body),
         body,
         ready: Bytes::new(),
         framer: Framer::after(last),
@@ -312,14 +320,41 @@
 }
 
 /// Reads the whole body, up to [`BUFFERED_LEN_MAX`] bytes.
-async fn read_complete(res: Response<Incoming>) -> Result<Response<ResponseBody>, Failure> {
+async fn read_complete(
+    node: &Node,
+    target: &Target,
+    res: Response<Incoming>,
+) -> Result<Response<ResponseBody>, Failure> {
     let (mut parts, body) = res.into_parts();
+    let is_unframed = is_unframed(&parts.headers, &body);
     let collected = Limited::new(body, BUFFERED_LEN_MAX).collect().await;
     let bytes = collected.map_err(|_| (AttemptEnd::Broken, "the response broke off"))?.to_bytes();
+    if is_unframed {
+        check_unframed_end(node, target).await?;
+    }
     responses::remove_hop_by_hop(&mut parts.headers);
     Ok(Response::from_parts(parts, responses::full_body(bytes)))
 }
 
+/// Whether a body has neither a length nor chunks, so that the end of the connection ends it.
+fn is_unframed(headers: &HeaderMap, body: &Incoming) -> bool {
+    let has_length = body.is_end_stream() || body.size_hint().exact().is_some();
+    !has_length && !headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+/// Checks that a connection whose end marked the end of a body was not ended by the end of the
+/// instance's process: an instance that takes connections still runs. One that is leaving takes
+/// none and completes its responses.
+async fn check_unframed_end(node: &Node, target: &Target) -> Result<(), Failure> {
+    if node.is_announced_leaving(target) {
+        return Ok(());
+    }
+    match probing::probe_instance(node, &target.id, &target.address).await {
+        Some(ProbeResult::Answers) => Ok(()),
+        _ => Err((AttemptEnd::Broken, "the response ended together with its instance")),
+    }
+}
+
 impl EventStream {
     /// Reads the next bytes; whole events are then in `ready`. Cancel safe: no bytes are lost if
     /// the future is dropped.
@@ -341,7 +376,13 @@
             None if self.framer.has_partial_event() => {
                 Err((AttemptEnd::Broken, "the stream ended in the middle of an event"))
             }
+            None if self.is_unframed && self.framer.is_empty() => {
+                Err((AttemptEnd::Broken, "the stream ended before its first event"))
+            }
             None => {
+                if self.is_unframed {
+                    check_unframed_end(&self.node, &self.target).await?;
+                }
                 self.is_complete = true;
                 Ok(())
             }
--- a/crates/workshold-gateway/src/proxy/framing.rs
+++ b/crates/workshold-gateway/src/proxy/framing.rs
@@ -36,6 +36,11 @@
         self.event_count
     }
 
+    /// Whether the caller has no event, and none was returned.
+    pub fn is_empty(&self) -> bool {
+        self.event_count == 0 && self.last.is_none()
+    }
+
     /// Length of the unfinished event in the buffer, in bytes.
     pub fn partial_len(&self) -> usize {
         self.buf.len()
