Soak and gossip tests: a prompt part that ends instances

The soak sends ever new requests that share a part (--ending-part), and the prompts of its other streams share parts with each other and with these. The judge counts what runs later than 3 s after the fifth.

--- a/crates/workshold-gateway/tests/gossip.rs
+++ b/crates/workshold-gateway/tests/gossip.rs
@@ -26,6 +26,9 @@
 use crate::fleet::SimNode;
 use crate::fleet::address;
 
+/// Time in which nodes have to know what others have seen.
+const CONTACT_TIME: Millis = Millis(3_000);
+
 #[rstest]
 #[case(10)]
 #[case(100)]
@@ -206,6 +209,45 @@
     assert!(sent <= quiet * 2, "{sent} datagrams, and {quiet} in the same time without the ends");
 }
 
+/// Guards against a part that ends instances and that only some nodes hold in time, because what
+/// they hear of its ends is lost among the records of requests that were at the same instances. Each
+/// end is seen by one node for the part, and by twenty for two sound requests each.
+#[rstest]
+#[case(9)]
+#[case(71)]
+#[case(350)]
+fn a_harmful_prompt_part_is_held_everywhere_in_time(#[case] nodes: usize) {
+    let mut fleet = Fleet::start(nodes);
+    fleet.run(SETTLE_TIME);
+    let part = |id: &str| RequestKey::prompt_part(Fingerprint::of_prompt_part(id), 7);
+    let harmful = part("c0");
+    for incarnation in 1..=3_u64 {
+        let now = fleet.now;
+        let witness = incarnation as usize * nodes / 4;
+        for (i, request) in (0..40).map(|n| ((witness + n / 2) % nodes, n)) {
+            let name = format!("r-{incarnation}-{request}");
+            let content = RequestKey::content(Fingerprint::of(Some("a"), "/x", name.as_bytes()), 7);
+            let subject = part(&format!("6{:x}", (incarnation * 7 + request as u64) % 60));
+            let own = if request == 0 { harmful } else { part("5b") };
+            let quarantine = &mut fleet.nodes[i].quarantine;
+            if request % 3 == 1 {
+                quarantine.on_completed(&[part("5a"), part("5b"), subject], now - Millis(500));
+            }
+            let keys = [content, part("5a"), own, subject];
+            quarantine.on_connection_broken(keys, incarnation, incarnation as u32, now);
+            quarantine.on_process_ended(incarnation, now);
+            fleet.nodes[i].next_heartbeat_at = now;
+        }
+        fleet.run(Millis(200));
+    }
+    fleet.run(CONTACT_TIME - Millis(200));
+    let holds = |node: &&SimNode, key| node.quarantine.quarantined_key(&[key], fleet.now).is_some();
+    let holding = fleet.nodes.iter().filter(|node| holds(node, harmful)).count();
+    assert_eq!(holding, nodes, "nodes that hold the part");
+    let holding_shared = fleet.nodes.iter().filter(|node| holds(node, part("5a"))).count();
+    assert_eq!(holding_shared, 0, "nodes that hold a part that sound requests share");
+}
+
 /// Records two ends under a fingerprint at a node: one more quarantines it.
 fn add_suspect(fleet: &mut Fleet, at: usize, fingerprint: Fingerprint) {
     let now = fleet.now;
--- a/crates/workshold-gateway/tests/soak.rs
+++ b/crates/workshold-gateway/tests/soak.rs
@@ -48,6 +48,14 @@
     run_and_check(Options { with_crashing_requests: true, ..options }, 11).await;
 }
 
+/// Ever new requests share a prompt part that crashes instances, and sound requests share their
+/// other parts, while nodes are killed and cut off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_prompt_part_that_crashes_instances_is_soon_quarantined() {
+    let options = options("ending-part", Duration::from_secs(8), Duration::ZERO, false);
+    run_and_check(Options { with_crashing_parts: true, ..options }, 12).await;
+}
+
 /// Three nodes poll the store in step, so that none learns of a change before the others.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn changes_after_a_store_outage_take_effect_in_time() {
@@ -108,6 +116,7 @@
         with_engine_restarts,
         with_store_restores: false,
         with_crashing_requests: false,
+        with_crashing_parts: false,
         planned,
         silences: 0,
         limits: 0,
--- a/crates/workshold-soak/src/callers.rs
+++ b/crates/workshold-soak/src/callers.rs
@@ -11,8 +11,10 @@
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 use workshold_platform_standin::caller;
+use workshold_platform_standin::caller::CallerRequest;
 use workshold_platform_standin::caller::Failure;
 use workshold_platform_standin::instance::CRASH_BODY;
+use workshold_platform_standin::instance::CRASH_PART;
 
 use crate::fleet::Fleet;
 
@@ -88,6 +90,16 @@
     pub incarnation: u32,
 }
 
+/// A request of one kind; the prompts of streams share parts.
+fn request(id: &str, kind: RequestKind, key: &str) -> CallerRequest {
+    if kind != RequestKind::Chat {
+        return caller::request(id, &kind.path(id), key);
+    }
+    let subject = id.bytes().fold(0_u8, u8::wrapping_add) % SUBJECTS;
+    let parts = format!("{SHARED_PART}:40,6{subject:02x}:60,{}:80", own_part(id));
+    caller::request_with_prompt(id, &kind.path(id), key, &parts)
+}
+
 /// All callers, and the results of their requests.
 pub struct Callers {
     fleet: Arc<Fleet>,
@@ -96,8 +108,48 @@
     is_stopped: Mutex<bool>,
 }
 
-/// Prefix of the ids of requests that crash any instance which runs them.
-pub const CRASH_ID_PREFIX: &str = "ends-";
+/// What crashes any instance that runs a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashCause {
+    /// Its content: the same request is sent again and again.
+    Content,
+    /// A part of its prompt; no two requests are alike.
+    PromptPart,
+}
+
+impl CrashCause {
+    /// All causes.
+    pub const ALL: [Self; 2] = [Self::Content, Self::PromptPart];
+
+    /// Prefix of the ids of requests that crash instances for this cause.
+    pub fn id_prefix(self) -> &'static str {
+        match self {
+            Self::Content => "ends-",
+            Self::PromptPart => "part-ends-",
+        }
+    }
+
+    fn request(self, id: &str, key: &str) -> CallerRequest {
+        match self {
+            Self::Content => caller::request_with(id, CRASH_PATH, key, CRASH_BODY),
+            Self::PromptPart => {
+                let parts = format!("{SHARED_PART}:40,{CRASH_PART}:60,{}:80", own_part(id));
+                caller::request_with_prompt(id, CRASH_PATH, key, &parts)
+            }
+        }
+    }
+}
+
+/// The first part of the prompts of all streams.
+const SHARED_PART: &str = "5a";
+/// Number of second parts, of which each stream's prompt has one.
+const SUBJECTS: u8 = 12;
+
+/// The last part of the prompt of a request, which no other one has.
+fn own_part(id: &str) -> String {
+    id.bytes().map(|byte| format!("{byte:02x}")).collect()
+}
+
 const CRASH_PATH: &str = "/chat/ending";
 /// Interval between such requests.
 const CRASH_REQUEST_INTERVAL: Duration = Duration::from_millis(300);
@@ -171,7 +223,7 @@
     }
 
     /// Sends crashing requests to random nodes until [`Self::stop`].
-    pub async fn send_crash_requests(self: Arc<Self>, seed: u64) {
+    pub async fn send_crash_requests(self: Arc<Self>, seed: u64, cause: CrashCause) {
         let mut rng =
             ChaCha8Rng::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(CRASH_CALLER_NUMBER));
         for count in 0.. {
@@ -181,9 +233,9 @@
             }
             let endpoint = { self.endpoints.lock().choose(&mut rng).copied() };
             let (Some(endpoint), Some(key)) = (endpoint, self.fleet.keys().pop()) else { continue };
-            let id = format!("{CRASH_ID_PREFIX}{seed}-{count}");
+            let id = format!("{}{seed}-{count}", cause.id_prefix());
             let sent = Instant::now();
-            let req = caller::request_with(&id, CRASH_PATH, &key.text, CRASH_BODY);
+            let req = cause.request(&id, &key.text);
             // The answer does not matter; the judge counts where the request ran.
             let _ = caller::send(endpoint.callers, req).await;
             self.note_probe(id, RequestKind::Chat, &key.text, sent);
@@ -214,7 +266,7 @@
             (node, endpoints[node].incarnation)
         };
         let sent = Instant::now();
-        let asking = caller::send(address, caller::request(&id, &kind.path(&id), &key));
+        let asking = caller::send(address, request(&id, kind, &key));
         let stays = Duration::from_millis(if leaves { rng.random_range(0..600) } else { 60_000 });
         let result = match tokio::time::timeout(stays, asking).await {
             Err(_) => CallerResult::Left,
--- a/crates/workshold-soak/src/judge.rs
+++ b/crates/workshold-soak/src/judge.rs
@@ -12,8 +12,8 @@
 use workshold_platform_standin::monitor::Arrival;
 use workshold_platform_standin::monitor::Run;
 
-use crate::callers::CRASH_ID_PREFIX;
 use crate::callers::CallerResult;
+use crate::callers::CrashCause;
 use crate::callers::Outcome;
 use crate::callers::RequestKind;
 use crate::fleet::Key;
@@ -132,6 +132,8 @@
 pub const CONFIG_PROPAGATION_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Instances that have to crash under a request before nodes recognise it as a crashing request.
 const CRASHES_UNTIL_KNOWN: usize = 3;
+/// Instances that have to crash under requests with one prompt part before nodes recognise it.
+const PART_CRASHES_UNTIL_KNOWN: usize = 5;
 /// Time until all nodes have heard that a request crashes instances.
 const CRASH_GOSSIP_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Times that a crashing request may still be forwarded after [`CRASH_GOSSIP_TIMEOUT`].
@@ -165,7 +167,8 @@
     breaches.extend(check_only_requested(record));
     breaches.extend(check_version_order(record));
     breaches.extend(check_draining_instances(record));
-    breaches.extend(check_crash_requests(record));
+    breaches
+        .extend(CrashCause::ALL.iter().filter_map(|cause| check_crash_requests(record, *cause)));
     breaches.extend(check_retry_after(record));
     breaches.extend(check_announced_departures(record));
     breaches.extend(record.cut_off.iter().filter_map(|period| check_cut_off(period, record)));
@@ -205,16 +208,24 @@
     is_broken.then(|| Breach { promise: Promise::ServesCutOff, what: what() })
 }
 
-/// Checks that a crashing request is forwarded only a few more times once three instances have
-/// crashed under it and all nodes had time to hear of that.
-fn check_crash_requests(record: &Record) -> Option<Breach> {
+/// Checks that crashing requests are forwarded only a few more times once enough instances have
+/// crashed under them for one cause and all nodes had time to hear of that.
+fn check_crash_requests(record: &Record, cause: CrashCause) -> Option<Breach> {
     let mut runs: Vec<&Run> =
-        record.runs.iter().filter(|run| run.request.starts_with(CRASH_ID_PREFIX)).collect();
+        record.runs.iter().filter(|run| run.request.starts_with(cause.id_prefix())).collect();
     runs.sort_by_key(|run| run.at);
-    let third = runs.get(CRASHES_UNTIL_KNOWN - 1)?.at;
-    let late = runs.iter().filter(|run| run.at > third + CRASH_GOSSIP_TIMEOUT).count();
-    let what =
-        || format!("{} ended, {late} of them {CRASH_GOSSIP_TIMEOUT:?} after the third", runs.len());
+    let until_known = match cause {
+        CrashCause::Content => CRASHES_UNTIL_KNOWN,
+        CrashCause::PromptPart => PART_CRASHES_UNTIL_KNOWN,
+    };
+    let known = runs.get(until_known - 1)?.at;
+    let late = runs.iter().filter(|run| run.at > known + CRASH_GOSSIP_TIMEOUT).count();
+    let what = || {
+        format!(
+            "{cause:?}: {} ended, {late} of them {CRASH_GOSSIP_TIMEOUT:?} after {until_known}",
+            runs.len()
+        )
+    };
     (late > LATE_CRASHES_MAX).then(|| Breach { promise: Promise::EndsFew, what: what() })
 }
 
--- a/crates/workshold-soak/src/main.rs
+++ b/crates/workshold-soak/src/main.rs
@@ -69,6 +69,9 @@
     let with_crashing_requests = bpaf::long("ending")
         .help("With a request that ends whoever begins to run it, asked again and again")
         .switch();
+    let with_crashing_parts = bpaf::long("ending-part")
+        .help("With ever new requests that share a prompt part which ends whoever begins to run it")
+        .switch();
     let options = bpaf::construct!(Options {
         binary,
         folder,
@@ -78,6 +81,7 @@
         with_engine_restarts,
         with_store_restores,
         with_crashing_requests,
+        with_crashing_parts,
         planned,
         silences,
         limits,
--- a/crates/workshold-soak/src/run.rs
+++ b/crates/workshold-soak/src/run.rs
@@ -23,6 +23,7 @@
 
 use crate::callers::CallerResult;
 use crate::callers::Callers;
+use crate::callers::CrashCause;
 use crate::callers::NodeEndpoint;
 use crate::callers::RequestKind;
 use crate::fleet::Fleet;
@@ -62,6 +63,8 @@
     pub with_store_restores: bool,
     /// Whether requests that crash any instance which runs them are sent to all nodes.
     pub with_crashing_requests: bool,
+    /// Whether requests that share a prompt part which crashes any instance are sent to all nodes.
+    pub with_crashing_parts: bool,
     /// Length of the period of planned work after the faults.
     pub planned: Duration,
     /// Number of silences of the store after the planned work, each followed by a new
@@ -158,8 +161,14 @@
     tokio::time::sleep(FAULT_FREE_PERIOD).await;
     let started_at = Instant::now();
     let mut ending = JoinSet::new();
-    if options.with_crashing_requests {
-        load.spawn(Arc::clone(&harness.callers).send_crash_requests(seed));
+    let crash_causes = [
+        (options.with_crashing_requests, CrashCause::Content),
+        (options.with_crashing_parts, CrashCause::PromptPart),
+    ];
+    for (_, cause) in crash_causes.into_iter().filter(|(is_sent, _)| *is_sent) {
+        load.spawn(Arc::clone(&harness.callers).send_crash_requests(seed, cause));
+    }
+    if options.with_crashing_requests || options.with_crashing_parts {
         ending.spawn(Arc::clone(&harness.fleet).replace_crashed());
     }
     let draw = match options {
--- a/crates/workshold-soak/tests/judge.rs
+++ b/crates/workshold-soak/tests/judge.rs
@@ -222,25 +222,28 @@
     #[case] more: u64,
     #[case] after_secs: u64,
 ) {
-    assert_eq!(ends_few(more, after_secs), Vec::<Promise>::new());
+    assert_eq!(ends_few("ends", 3, more, after_secs), Vec::<Promise>::new());
+    assert_eq!(ends_few("part-ends", 5, more, after_secs), Vec::<Promise>::new());
 }
 
 #[test]
 fn crashing_request_forwarded_too_often_is_reported() {
-    assert_eq!(ends_few(4, 20), [Promise::EndsFew]);
+    assert_eq!(ends_few("ends", 3, 4, 20), [Promise::EndsFew]);
+    assert_eq!(ends_few("part-ends", 5, 4, 20), [Promise::EndsFew]);
 }
 
-/// Breaches of [`Promise::EndsFew`] if three instances crash and `more` crash `after_secs` later.
-fn ends_few(more: u64, after_secs: u64) -> Vec<Promise> {
+/// Breaches of [`Promise::EndsFew`] if the `first` instances crash under requests whose ids have a
+/// prefix, and `more` crash `after_secs` later.
+fn ends_few(prefix: &str, first: u64, more: u64, after_secs: u64) -> Vec<Promise> {
     let start = Instant::now();
     let run = |n: u64, secs: u64| Run {
-        request: format!("ends-1-{n}"),
+        request: format!("{prefix}-1-{n}"),
         instance: format!("i-{n}"),
         team: Some("night-desk".to_owned()),
         at: start + Duration::from_secs(secs),
     };
-    let first = (0..3).map(|n| run(n, 1));
-    let runs = first.chain((0..more).map(|n| run(3 + n, 1 + after_secs))).collect();
+    let early = (0..first).map(|n| run(n, 1));
+    let runs = early.chain((0..more).map(|n| run(first + n, 1 + after_secs))).collect();
     let record = Record { runs, ..Record::default() };
     let broken = judge(&record).into_iter().map(|breach| breach.promise);
     broken.filter(|promise| *promise == Promise::EndsFew).collect()
