--- a/crates/workshold-core/src/hosted/quarantine/entry.rs
+++ b/crates/workshold-core/src/hosted/quarantine/entry.rs
@@ -28,7 +28,7 @@
 /// Incarnations anywhere that end within this time of each other count once against a prompt part:
 /// a frequent part is in requests at many instances, some of which may be lost at once.
 const PART_SHARED_CAUSE_WINDOW: Millis = Millis(100);
-/// How long a fingerprint is quarantined at first; each further end doubles that, up to
+/// How long a content is quarantined at first; each further end doubles that, up to
 /// [`QUARANTINE_MAX`]. Long enough for callers that retry to give up or be fixed, short enough for
 /// a caller that is refused wrongly and can't reach an operator.
 const QUARANTINE_MIN: Millis = Millis::from_secs(600);
@@ -139,13 +139,15 @@
         ends.chain(self.cleared).max().unwrap_or_default()
     }
 
-    /// Until when it is quarantined if it has as many ends as that takes. Requests with a part keep
-    /// coming in ever new forms, so the quarantine of a part lasts while they do.
+    /// Until when it is quarantined if it has as many ends as that takes. A trial with a harmful part
+    /// costs an instance at each node that tries, so the quarantine of a part is long, and lasts
+    /// while requests with it come.
     fn quarantined_until(&self) -> Millis {
-        let until = self.last_change() + quarantine_time(self.count);
         match self.kind {
-            KeyKind::Content => until,
-            KeyKind::PromptPart => until.max(self.last_refused + QUARANTINE_MIN),
+            KeyKind::Content => self.last_change() + quarantine_time(self.count),
+            KeyKind::PromptPart => {
+                (self.last_change() + QUARANTINE_MAX).max(self.last_refused + QUARANTINE_MIN)
+            }
         }
     }
 
