Quarantine: a content that was beside a part at each end does not hide it

A content now explains the ends of a part that no request has completed with only if it has twice as many; of a part that was sound all of them, as before.

--- a/crates/workshold-core/src/hosted/quarantine/culprits.rs
+++ b/crates/workshold-core/src/hosted/quarantine/culprits.rs
@@ -12,9 +12,10 @@
 use super::entry::Entry;
 use crate::hosted::fingerprint::Fingerprint;
 
-/// A part explains the ends of another that no request has completed with either if it has this
-/// many times as many. With fewer both are held until a request shows that one is sound: a frequent
-/// part, of which none has completed yet, may be at more ends than the one that causes them.
+/// A fingerprint explains the ends of another that no request has completed with either if it has
+/// this many times as many. With fewer both are held until a request shows that one is sound: a
+/// frequent part, of which none has completed yet, may be at more ends than the one that causes
+/// them.
 const DOMINANCE: usize = 2;
 
 /// The most ends of a culprit of each sort that was at one end; 0 without any.
@@ -39,11 +40,11 @@
     /// another: each is in few requests, so there is little to tell them apart by.
     fn explains(self, entry: &Entry) -> bool {
         let most_of_parts = self.new_part.max(self.sound_part);
-        let is_dominated = most_of_parts >= DOMINANCE * entry.independent;
+        let needed = DOMINANCE * entry.independent;
         match entry.kind {
-            KeyKind::Content => is_dominated,
+            KeyKind::Content => most_of_parts >= needed,
             KeyKind::PromptPart if entry.cleared.is_none() => {
-                is_dominated || self.content >= entry.independent
+                most_of_parts.max(self.content) >= needed
             }
             KeyKind::PromptPart => {
                 self.new_part > 0 || self.content > 0 || self.sound_part > entry.independent
@@ -81,8 +82,7 @@
 }
 
 /// The fingerprints that most likely caused ends that no culprit explains yet: those that no
-/// request has completed with before others, then those with the most ends, then contents before
-/// parts.
+/// request has completed with before others, then those with the most ends.
 fn likeliest_culprits(
     entries: &BTreeMap<Fingerprint, Entry>,
     culprits: &BTreeSet<Fingerprint>,
@@ -91,8 +91,7 @@
         .iter()
         .filter(|(fingerprint, entry)| entry.is_culprit() && !culprits.contains(fingerprint))
         .collect();
-    let likelihood =
-        |entry: &Entry| (entry.cleared.is_none(), entry.count, entry.kind == KeyKind::Content);
+    let likelihood = |entry: &Entry| (entry.cleared.is_none(), entry.count);
     let highest = candidates.iter().map(|(_, entry)| likelihood(entry)).max();
     let likeliest = candidates.iter().filter(|(_, entry)| Some(likelihood(entry)) == highest);
     likeliest.map(|(fingerprint, _)| **fingerprint).collect()
--- a/crates/workshold-core/tests/hosted/prompt_parts.rs
+++ b/crates/workshold-core/tests/hosted/prompt_parts.rs
@@ -121,20 +121,33 @@
     assert!(quarantine.quarantined_key(&[content("same")], at(24)).is_some());
 }
 
-/// Guards against a part that is taken for harmful in place of the content that is: a caller
-/// repeats a request that ends instances, and no other request has its part yet.
+/// Guards against a sound part that is taken for harmful in place of the content that is, and
+/// against one that became harmful and that the content hides.
 #[test]
-fn a_content_goes_before_its_parts() {
+fn a_content_explains_ends_of_a_sound_part() {
     let mut quarantine = Quarantine::default();
-    for n in 0..3 {
+    quarantine.on_completed(&request("before", &["6b"]), START - MINUTE);
+    for n in 0..6 {
         end(&mut quarantine, n, at(n), &[request("same", &["6b"])]);
     }
-    assert!(quarantine.quarantined_key(&[content("same")], at(3)).is_some());
-    assert!(!is_held(&quarantine, "6b", at(3)));
-    for n in 3..5 {
-        end(&mut quarantine, n, at(n), &[request("other", &["6b"])]);
+    assert!(quarantine.quarantined_key(&[content("same")], at(6)).is_some());
+    assert!(!is_held(&quarantine, "6b", at(6)));
+    for n in 6..11 {
+        end(&mut quarantine, n, at(n), &[request(&n.to_string(), &["6b"])]);
+    }
+    assert!(is_held(&quarantine, "6b", at(11)));
+}
+
+/// Guards against a harmful part that stays free because a request that was beside it at each end
+/// is held too, as a node reads it from the store.
+#[test]
+fn a_content_with_as_many_ends_does_not_hide_a_part() {
+    let mut quarantine = Quarantine::default();
+    for n in 0..3 {
+        let beside = vec![content("beside")];
+        end(&mut quarantine, n, at(n), &[beside, request(&n.to_string(), &["c0"])]);
     }
-    assert!(is_held(&quarantine, "6b", at(5)), "more ends than one content explains");
+    assert!(is_held(&quarantine, "c0", at(3)));
 }
 
 /// Guards against a new part that is held because instances with requests that have it are lost at
@@ -203,13 +216,18 @@
 }
 
 /// Guards against a quarantine that ends, and costs instances again, while requests with the part
-/// keep coming.
+/// keep coming, or at nodes that read it from the store hours later.
 #[test]
 fn a_part_is_held_for_as_long_as_it_is_asked_for() {
     let mut quarantine = after_ends(3, &["c0"]);
     let mut now = at(3);
-    for _ in 0..500 {
-        now = now + MINUTE;
+    let mut started_later = Quarantine::default();
+    for record in quarantine.take_unsaved() {
+        started_later.take(&record, false);
+    }
+    assert!(is_held(&started_later, "c0", now + Millis(20 * 60 * MINUTE.0)));
+    for _ in 0..300 {
+        now = now + Millis(9 * MINUTE.0);
         quarantine.forget(now);
         assert!(is_held(&quarantine, "c0", now));
         quarantine.on_refused(part("c0").fingerprint, now);
--- a/crates/workshold-model/src/quarantine.rs
+++ b/crates/workshold-model/src/quarantine.rs
@@ -1,5 +1,6 @@
-//! Randomized simulation of quarantine: a request that crashes every instance that runs it is sent
+//! Randomized simulation of quarantine: requests that crash every instance that runs them are sent
 //! to all nodes again and again, beside harmless requests. Nodes are killed and gossip is lost.
+//! Either it is the same request each time, or a prompt part is all that these requests share.
 //!
 //! The behaviour depends too much on time for a search of all states, so each run is generated from
 //! a seed. The nodes use the [`Quarantine`] of the daemon.
@@ -29,6 +30,10 @@
     CompletionClears,
     /// Requests are identified by their content. Broken: by their id.
     KeyedByContent,
+    /// Requests are identified by the parts of their prompts too. Broken: by their content alone.
+    KeyedByPart,
+    /// A completed run clears the parts of its prompt. Broken: only its content.
+    CompletionClearsParts,
 }
 
 impl BrokenRule {
@@ -40,6 +45,23 @@
         (Self::CompletionClears, Breach::InnocentQuarantined),
         (Self::KeyedByContent, Breach::SentWhileQuarantined),
     ];
+
+    /// The same for [`CrashCause::PromptPart`].
+    pub const OF_PARTS: &'static [(Self, Breach)] = &[
+        (Self::Gossip, Breach::InnocentQuarantined),
+        (Self::Persistence, Breach::ForgottenAfterRestart),
+        (Self::KeyedByPart, Breach::SentWhileQuarantined),
+        (Self::CompletionClearsParts, Breach::InnocentQuarantined),
+    ];
+}
+
+/// What crashes an instance that runs a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashCause {
+    /// Its content: the same request is sent each time.
+    Content,
+    /// A part of its prompt; the rest differs each time.
+    PromptPart,
 }
 
 /// A property that did not hold.
@@ -89,7 +111,7 @@
 /// One attempt of the crashing request.
 struct InFlight {
     node: usize,
-    request_key: RequestKey,
+    request_keys: Vec<RequestKey>,
     /// Number of the instance's process that runs it.
     process: u64,
     ends_at: Millis,
@@ -100,6 +122,7 @@
 /// The simulated nodes, attempts and gossip in flight, and the persisted records.
 pub struct QuarantineWorld {
     rng: ChaCha8Rng,
+    cause: CrashCause,
     broken: Option<BrokenRule>,
     now: Millis,
     nodes: Vec<Node>,
@@ -117,8 +140,18 @@
     ended_before_restart: Option<usize>,
     /// Sends later than [`SPREAD_TIME`] by nodes that should have known of the quarantine.
     late_sends: usize,
-    /// Since when any node has quarantined the harmless requests "hot" and "reset".
-    quarantined_since: [Option<Millis>; 2],
+    /// Since when any node has quarantined the harmless requests "hot" and "reset", or a part that
+    /// "hot" shares with the requests that crash instances.
+    quarantined_since: [Option<Millis>; 3],
+}
+
+/// A part in the prompts of all requests.
+const SHARED_PART: &str = "5a";
+/// A part that crashes instances.
+const CRASH_PART: &str = "c0";
+
+fn part_key(id: &str) -> RequestKey {
+    RequestKey::prompt_part(Fingerprint::of_prompt_part(id), 0)
 }
 
 fn request_key(name: &str) -> RequestKey {
@@ -127,10 +160,11 @@
 
 impl QuarantineWorld {
     /// Creates the simulation of `seed`, with one rule broken if one is given.
-    pub fn new(seed: u64, broken: Option<BrokenRule>) -> Self {
+    pub fn new(seed: u64, cause: CrashCause, broken: Option<BrokenRule>) -> Self {
         let node = || Node { quarantine: Quarantine::default(), started_at: Millis::ZERO };
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
+            cause,
             broken,
             now: START_TIME,
             nodes: (0..NODES).map(|_| node()).collect(),
@@ -142,7 +176,7 @@
             ended_instances: 0,
             ended_before_restart: None,
             late_sends: 0,
-            quarantined_since: [None; 2],
+            quarantined_since: [None; 3],
         }
     }
 
@@ -172,8 +206,12 @@
         if self.is_due(HOT_COMPLETION_INTERVAL) && self.broken != Some(BrokenRule::CompletionClears)
         {
             let node = self.rng.random_range(0..NODES);
-            let now = self.now;
-            self.nodes[node].quarantine.on_completed(&[request_key("hot")], now);
+            let (now, keys) = (self.now, self.request_keys("hot", &[SHARED_PART]));
+            let completed = match self.broken {
+                Some(BrokenRule::CompletionClearsParts) => &keys[..1],
+                _ => &keys[..],
+            };
+            self.nodes[node].quarantine.on_completed(completed, now);
         }
         if self.is_due(REQUEST_INTERVAL) {
             self.reset_connection();
@@ -189,31 +227,40 @@
     fn reset_connection(&mut self) {
         let node = self.rng.random_range(0..NODES);
         self.processes += 1;
-        self.break_connection(node, request_key("reset"), self.processes);
+        let keys = self.request_keys("reset", &[SHARED_PART]);
+        self.break_connection(node, keys, self.processes);
+    }
+
+    /// The keys of a request with these prompt parts, as far as nodes tell requests apart.
+    fn request_keys(&self, name: &str, parts: &[&str]) -> Vec<RequestKey> {
+        let has_parts =
+            self.cause == CrashCause::PromptPart && self.broken != Some(BrokenRule::KeyedByPart);
+        let parts = parts.iter().filter(|_| has_parts).map(|id| part_key(id));
+        std::iter::once(request_key(name)).chain(parts).collect()
     }
 
-    fn break_connection(&mut self, node: usize, request_key: RequestKey, process: u64) {
+    /// The keys of the next request that crashes its instance.
+    fn crash_request_keys(&self) -> Vec<RequestKey> {
+        let name = format!("r-{}", self.processes);
+        let is_same =
+            self.cause == CrashCause::Content && self.broken != Some(BrokenRule::KeyedByContent);
+        self.request_keys(if is_same { "ends" } else { &name }, &[SHARED_PART, CRASH_PART])
+    }
+
+    fn break_connection(&mut self, node: usize, request_keys: Vec<RequestKey>, process: u64) {
         let (now, is_process_end) =
             (self.now, self.broken == Some(BrokenRule::ProcessEndConfirmed));
         let quarantine = &mut self.nodes[node].quarantine;
-        quarantine.on_connection_broken([request_key], process, process as u32, now);
+        quarantine.on_connection_broken(request_keys, process, process as u32, now);
         if is_process_end {
             quarantine.on_process_ended(process, now);
         }
     }
 
     fn send(&mut self, node: usize, attempts: u32) {
-        let is_quarantined = |quarantine: &Quarantine, request_key: RequestKey, now| {
-            matches!(
-                quarantine.status(request_key.fingerprint, now),
-                QuarantineStatus::Quarantined(_)
-            )
-        };
         self.processes += 1;
-        let name = format!("r-{}", self.processes);
-        let by_id = self.broken == Some(BrokenRule::KeyedByContent);
-        let request_key = request_key(if by_id { &name } else { "ends" });
-        if is_quarantined(&self.nodes[node].quarantine, request_key, self.now) {
+        let request_keys = self.crash_request_keys();
+        if self.nodes[node].quarantine.quarantined_key(&request_keys, self.now).is_some() {
             return;
         }
         let is_known = self.third_end_at.is_some_and(|at| self.now.since(at) > SPREAD_TIME);
@@ -222,7 +269,7 @@
         let ends_at = self.now + CRASH_AFTER;
         self.in_flight.push(InFlight {
             node,
-            request_key,
+            request_keys,
             process: self.processes,
             ends_at,
             attempts,
@@ -236,7 +283,7 @@
                 .into_iter()
                 .partition(|in_flight| in_flight.ends_at <= now);
         self.in_flight = remaining;
-        for InFlight { node, request_key: ended_by, process, attempts, .. } in finished {
+        for InFlight { node, request_keys: ended_by, process, attempts, .. } in finished {
             self.ended_instances += 1;
             if self.ended_instances == 3 {
                 self.third_end_at = Some(now);
@@ -244,9 +291,11 @@
             self.break_connection(node, ended_by, process);
             // The instance also ran a frequent and a unique request, whose connections break too.
             let other_node = self.rng.random_range(0..NODES);
-            self.break_connection(other_node, request_key("hot"), process);
+            let hot = self.request_keys("hot", &[SHARED_PART]);
+            self.break_connection(other_node, hot, process);
             let unique_name = format!("once-{process}");
-            self.break_connection(other_node, request_key(&unique_name), process);
+            let unique = self.request_keys(&unique_name, &[SHARED_PART]);
+            self.break_connection(other_node, unique, process);
             for at in [node, other_node] {
                 self.nodes[at].quarantine.on_process_ended(process, now);
             }
@@ -320,8 +369,8 @@
         if self.ended_before_restart.is_some_and(|before| self.ended_instances > before) {
             return Some(Breach::ForgottenAfterRestart);
         }
-        for (at, name) in ["hot", "reset"].into_iter().enumerate() {
-            let fingerprint = request_key(name).fingerprint;
+        let harmless = [request_key("hot"), request_key("reset"), part_key(SHARED_PART)];
+        for (at, RequestKey { fingerprint, .. }) in harmless.into_iter().enumerate() {
             let is_quarantined = |node: &Node| {
                 matches!(
                     node.quarantine.status(fingerprint, self.now),
