Quarantine: ends that do not count leave room for those that do

An end that counts now replaces one that does not; one that does not count is not taken into a full record, so that two nodes cannot exchange them for ever. The same hides a content behind many ends at one place and moment.

Tests: a_harmful_part_is_soon_held_...::at_many_at_once (red before), ends_after_many_at_one_moment_count, nodes_with_full_records_soon_have_no_news.

--- a/crates/workshold-core/src/hosted/quarantine.rs
+++ b/crates/workshold-core/src/hosted/quarantine.rs
@@ -46,9 +46,6 @@
 const CONTENTS_PER_CALLER_MAX: usize = 64;
 /// Like [`CONTENTS_PER_CALLER_MAX`], for prompt parts, most of which several callers share.
 const PARTS_PER_CALLER_MAX: usize = 256;
-/// Largest number of ends kept of one fingerprint: as many already quarantine it for the longest
-/// time.
-const ENDS_MAX: usize = 12;
 /// Largest number of broken connections, and of ended incarnations, kept at once.
 const RECENT_MAX: usize = 2_048;
 /// Size of a set of fingerprints that completed. There are two of each kind: when the newer one is
@@ -342,15 +339,15 @@
         is_news |= entry.kind == KeyKind::PromptPart && entry.cleared.is_some() && !was_sound;
         for end in &record.ends {
             let is_outdated = entry.kind == KeyKind::PromptPart && !entry.counts(end.at);
-            let has_room = entry.ends.len() < ENDS_MAX || entry.ends.contains_key(&end.incarnation);
-            if is_outdated || !has_room {
+            if is_outdated {
                 continue;
             }
-            let known = entry.ends.entry(end.incarnation).or_insert_with(|| {
-                is_news = true;
-                self.are_counts_stale = true;
-                *end
-            });
+            let Some(known) = entry.ends.get_mut(&end.incarnation) else {
+                let is_added = entry.add_end(*end);
+                is_news |= is_added;
+                self.are_counts_stale |= is_added;
+                continue;
+            };
             // Of two reports of one end the one with the earlier time counts, in whichever order
             // they come. Nodes that don't know an incarnation's failure domain report another one
             // than those that do.
--- a/crates/workshold-core/src/hosted/quarantine/entry.rs
+++ b/crates/workshold-core/src/hosted/quarantine/entry.rs
@@ -33,6 +33,9 @@
 /// a caller that is refused wrongly and can't reach an operator.
 const QUARANTINE_MIN: Millis = Millis::from_secs(600);
 const QUARANTINE_MAX: Millis = Millis::from_secs(86_400);
+/// Largest number of ends kept of one fingerprint: as many already quarantine it for the longest
+/// time.
+const ENDS_MAX: usize = 12;
 /// How long ends under a fingerprint that was never quarantined, and clearances, are kept.
 const EVIDENCE_TTL: Millis = Millis::from_secs(600);
 
@@ -94,14 +97,16 @@
 
     /// Like [`Self::independent_ends`], without the incarnations whose end `is_explained`.
     pub fn count_ends(&self, is_explained: impl Fn(u64) -> bool) -> usize {
+        self.independent(is_explained).len()
+    }
+
+    /// The incarnations whose ends [`Self::count_ends`] counts.
+    fn independent(&self, is_explained: impl Fn(u64) -> bool) -> Vec<u64> {
         let is_open = |end: &&ProcessEnd| self.counts(end.at) && !is_explained(end.incarnation);
         let mut ends: Vec<&ProcessEnd> = self.ends.values().filter(is_open).collect();
-        if ends.len() < 2 {
-            return ends.len();
-        }
         ends.sort_by_key(|end| (end.at, end.incarnation));
         let mut last_by_place: BTreeMap<u32, Millis> = BTreeMap::new();
-        let mut count = 0;
+        let mut independent = Vec::new();
         for end in ends {
             let (place, window) = match self.kind {
                 KeyKind::Content => (end.place, SHARED_CAUSE_WINDOW),
@@ -109,10 +114,28 @@
             };
             if last_by_place.get(&place).is_none_or(|at| end.at.since(*at) >= window) {
                 last_by_place.insert(place, end.at);
-                count += 1;
+                independent.push(end.incarnation);
             }
         }
-        count
+        independent
+    }
+
+    /// Adds the end of an incarnation that has none yet. If there are [`ENDS_MAX`], it replaces one
+    /// that does not count, provided that it counts itself. Returns whether it was added.
+    pub fn add_end(&mut self, end: ProcessEnd) -> bool {
+        let is_full = self.ends.len() >= ENDS_MAX;
+        let before = self.independent_ends();
+        self.ends.insert(end.incarnation, end);
+        if !is_full {
+            return true;
+        }
+        let independent = self.independent(|_| false);
+        let others = self.ends.values().filter(|end| !independent.contains(&end.incarnation));
+        let latest = others.max_by_key(|end| (end.at, end.incarnation));
+        let latest = latest.map(|end| end.incarnation);
+        let replaced = latest.filter(|_| independent.len() > before);
+        self.ends.remove(&replaced.unwrap_or(end.incarnation));
+        replaced.is_some()
     }
 
     /// Number of ends that quarantine it.
--- a/crates/workshold-core/tests/hosted/prompt_parts.rs
+++ b/crates/workshold-core/tests/hosted/prompt_parts.rs
@@ -162,6 +162,20 @@
     assert!(!is_held(&quarantine, "6b", START + Millis(200)));
 }
 
+/// Guards against a harmful part that is never held, because ends that count once fill its record.
+#[test]
+fn ends_after_many_at_one_moment_count() {
+    let mut quarantine = Quarantine::default();
+    for n in 0..30 {
+        let now = START + Millis(n * 3);
+        end(&mut quarantine, n, now, &[request(&n.to_string(), &["c0"])]);
+    }
+    for n in 30..32 {
+        end(&mut quarantine, n, at(n), &[request(&n.to_string(), &["c0"])]);
+    }
+    assert!(is_held(&quarantine, "c0", at(32)));
+}
+
 /// Guards against a part that is held wrongly although requests with it complete that were under
 /// way, at this node or at another.
 #[test]
@@ -215,6 +229,26 @@
     assert!(nodes.iter_mut().all(|node| node.next_to_gossip(16, at(1)).is_empty()));
 }
 
+/// Guards against nodes that exchange the ends of a full record without end, since each has dropped
+/// others that do not count.
+#[test]
+fn nodes_with_full_records_soon_have_no_news() {
+    let mut nodes = [Quarantine::default(), Quarantine::default()];
+    for n in 0..60 {
+        let now = START + Millis(n * 7);
+        end(&mut nodes[n as usize % 2], n, now, &[request("r", &["c0"])]);
+    }
+    let mut news = 0;
+    for round in 0..40 {
+        for (from, to) in [(0, 1), (1, 0)] {
+            for record in nodes[from].next_to_gossip(16, at(9)) {
+                news += usize::from(nodes[to].take(&record, true) && round > 20);
+            }
+        }
+    }
+    assert_eq!(news, 0);
+}
+
 /// Guards against a quarantine that ends, and costs instances again, while requests with the part
 /// keep coming, or at nodes that read it from the store hours later.
 #[test]
@@ -569,6 +603,7 @@
 #[case::beside_a_burst(Day { harmful_rate: 4.0, burst: 6, ..CALM })]
 #[case::cold(Day { harmful_rate: 4.0, quiet: 0, ..CALM })]
 #[case::cold_and_often(Day { harmful_rate: 12.0, quiet: 0, ..CALM })]
+#[case::at_many_at_once(Day { heads: 200, rate: 99.0, harmful_rate: 60.0, ..CALM })]
 #[case::many_nodes(Day { nodes: 71, heads: 60, rate: 99.0, harmful_rate: 8.0, ..CALM })]
 fn a_harmful_part_is_soon_held_and_sound_ones_are_not(#[case] day: Day) {
     let (worst, sum) = play(day, 20);
