--- a/crates/workshold-core/src/hosted/quarantine.rs
+++ b/crates/workshold-core/src/hosted/quarantine.rs
@@ -7,7 +7,7 @@
 //! connection alone, silence, a refusal, or a failure reported by an instance that keeps running is
 //! none. All requests that were at the instance are implicated, though most of them are innocent.
 //! They are retried elsewhere, and the first one that completes anywhere clears its fingerprints.
-//! Ends that one fingerprint explains do not count against others ([`culprits`]).
+//! Ends that one fingerprint explains do not count against others (module `culprits`).
 //!
 //! The state is a set of process ends, each keyed by the incarnation that ended, and of
 //! clearances. Sets are merged by union, so the order, loss or repetition of messages between
@@ -338,7 +338,7 @@
         let mut is_news = entry.independent_ends() < before;
         is_news |= entry.kind == KeyKind::PromptPart && entry.cleared.is_some() && !was_sound;
         for end in &record.ends {
-            let is_outdated = entry.kind == KeyKind::PromptPart && !entry.counts(end.at);
+            let is_outdated = entry.kind == KeyKind::PromptPart && !entry.is_uncleared(end.at);
             if is_outdated {
                 continue;
             }
--- a/crates/workshold-core/src/hosted/quarantine/culprits.rs
+++ b/crates/workshold-core/src/hosted/quarantine/culprits.rs
@@ -1,8 +1,9 @@
 //! Finds which fingerprints explain the ends of instances.
 //!
 //! At each end several requests were starting or queued, each with its content and the parts of its
-//! prompt, and one of these is the cause. The fingerprints with the most ends explain them first;
-//! what is left over counts against the others.
+//! prompt, and one of these is the cause. Fingerprints that no request has completed with explain
+//! them before others, and those with more ends before those with fewer; what is left over counts
+//! against the rest.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -67,7 +68,7 @@
             return;
         }
         for culprit in likeliest.iter().map(|culprit| &entries[culprit]) {
-            for end in culprit.ends.values().filter(|end| culprit.counts(end.at)) {
+            for end in culprit.ends.values().filter(|end| culprit.is_uncleared(end.at)) {
                 explanations.entry(end.incarnation).or_default().add(culprit);
             }
         }
--- a/crates/workshold-core/src/hosted/quarantine/entry.rs
+++ b/crates/workshold-core/src/hosted/quarantine/entry.rs
@@ -85,8 +85,8 @@
         }
     }
 
-    /// Whether an end at this time counts: it came after the last clearance.
-    pub fn counts(&self, at: Millis) -> bool {
+    /// Whether an end at this time came after the last clearance, so that it counts.
+    pub fn is_uncleared(&self, at: Millis) -> bool {
         self.cleared.is_none_or(|cleared| at > cleared)
     }
 
@@ -102,7 +102,8 @@
 
     /// The incarnations whose ends [`Self::count_ends`] counts.
     fn independent(&self, is_explained: impl Fn(u64) -> bool) -> Vec<u64> {
-        let is_open = |end: &&ProcessEnd| self.counts(end.at) && !is_explained(end.incarnation);
+        let is_open =
+            |end: &&ProcessEnd| self.is_uncleared(end.at) && !is_explained(end.incarnation);
         let mut ends: Vec<&ProcessEnd> = self.ends.values().filter(is_open).collect();
         ends.sort_by_key(|end| (end.at, end.incarnation));
         let mut last_by_place: BTreeMap<u32, Millis> = BTreeMap::new();
--- a/crates/workshold-gateway/src/proxy/attempt.rs
+++ b/crates/workshold-gateway/src/proxy/attempt.rs
@@ -356,8 +356,9 @@
 }
 
 impl EventStream {
-    /// Reads the next bytes; whole events are then in `ready`. Cancel safe: no bytes are lost if
-    /// the future is dropped.
+    /// Reads the next bytes; whole events are then in `ready`. At the end of a body without framing
+    /// it checks that the instance still runs. Cancel safe: no bytes are lost if the future is
+    /// dropped.
     ///
     /// # Errors
     ///
