--- a/crates/workshold-gateway/tests/failover.rs
+++ b/crates/workshold-gateway/tests/failover.rs
@@ -220,11 +220,11 @@
 
     /// Runs a request until its answer begins.
     async fn run_request(&self) -> Response<ResponseBody> {
-        self.run_request_for("/chat/x").await
+        self.run_request_for("/chat/x", None).await
     }
 
-    /// Runs a request for `path` until its answer begins.
-    async fn run_request_for(&self, path: &str) -> Response<ResponseBody> {
+    /// Runs a request for `path`, whose caller has the events up to `last`, until its answer begins.
+    async fn run_request_for(&self, path: &str, last: Option<u64>) -> Response<ResponseBody> {
         let serving_config = self.node.serving_config().unwrap();
         let route = Arc::clone(serving_config.route("lot.example", path).unwrap());
         let received_at = self.node.now();
@@ -241,7 +241,7 @@
             rank: 0,
             model: Some(SmolStr::new("m1")),
             prompt_tokens: 100.0,
-            last_event_id: None,
+            last_event_id: last,
             received_at,
             deadline: received_at + Millis(6_000),
             route,
@@ -458,6 +458,24 @@
     assert_eq!(fixture.arrived(), 2);
 }
 
+/// Guards against a resumed stream without further events that is always requested again, or that is
+/// taken for complete although its instance's process ended.
+#[rstest]
+#[case::complete(false, vec![], 1)]
+#[case::crash(true, vec![3], 2)]
+#[tokio::test]
+async fn a_resumed_unframed_stream_may_have_no_further_event(
+    #[case] crashes: bool,
+    #[case] expected: Vec<u64>,
+    #[case] arrived: usize,
+) {
+    let replies = vec![Reply::Unframed { body: "", crashes }, rest_after(2)];
+    let fixture = Fixture::start(2, replies, LARGE_SLACK).await;
+    let res = fixture.run_request_for("/chat/x", Some(2)).await;
+    assert_eq!(events(res).await, Ok(expected));
+    assert_eq!(fixture.arrived(), arrived);
+}
+
 /// Guards against a complete stream that is requested again because its end is not marked.
 #[tokio::test]
 async fn an_unframed_stream_of_a_running_process_is_complete() {
@@ -482,7 +500,7 @@
     let replies =
         vec![Reply::Unframed { body, crashes }, Reply::Unframed { body: "whole", crashes: false }];
     let fixture = Fixture::start(2, replies, LARGE_SLACK).await;
-    let res = fixture.run_request_for("/plate/x").await;
+    let res = fixture.run_request_for("/plate/x", None).await;
     assert_eq!(res.status(), 200);
     assert_eq!(res.into_body().collect().await.unwrap().to_bytes(), "whole");
     assert_eq!(fixture.arrived(), arrived);
