Quarantine: an unknown part goes before sound ones, in gossip and in a full table

At an end most parts are known to be sound and have one end as well, so that the one of an unknown part could wait for many heartbeats or be evicted after them. Test an_unknown_part_goes_before_sound_ones: red before.

--- a/crates/workshold-core/src/hosted/quarantine.rs
+++ b/crates/workshold-core/src/hosted/quarantine.rs
@@ -389,12 +389,14 @@
         count < FINGERPRINTS_MAX || self.evict_weakest(|entry| entry.kind == kind)
     }
 
-    /// Drops the record with the fewest ends among those that `may_evict` accepts, unless all of
-    /// them are quarantined. Returns whether one was dropped.
+    /// Drops the record with the fewest ends among those that `may_evict` accepts, first one that
+    /// was cleared, unless all of them are quarantined. Returns whether one was dropped.
     fn evict_weakest(&mut self, may_evict: impl Fn(&Entry) -> bool) -> bool {
         let is_candidate = |entry: &Entry| may_evict(entry) && !entry.is_culprit();
         let candidates = self.entries.iter().filter(|(_, entry)| is_candidate(entry));
-        let weakest = candidates.min_by_key(|(_, entry)| (entry.independent, entry.last_change()));
+        let weakest = candidates.min_by_key(|(_, entry)| {
+            (entry.independent, entry.cleared.is_none(), entry.last_change())
+        });
         let weakest = weakest.map(|(fingerprint, _)| *fingerprint);
         weakest.is_some_and(|fingerprint| self.entries.remove(&fingerprint).is_some())
     }
@@ -428,17 +430,18 @@
         self.entries.values().any(|entry| entry.gossip_left > 0 && !entry.is_minor_change())
     }
 
-    /// Up to `max_count` records to be sent to peers now: changed ones, those with the most ends
-    /// first, and the next suspect or quarantined one in turn.
+    /// Up to `max_count` records to be sent to peers now: changed ones, those with the most ends and
+    /// those that were never cleared first, and the next suspect or quarantined one in turn.
     pub fn next_to_gossip(&mut self, max_count: usize, now: Millis) -> Vec<QuarantineRecord> {
         let in_turn = self.next_in_turn(now);
         let changed = self
             .entries
             .iter()
             .filter(|(fingerprint, entry)| entry.gossip_left > 0 && Some(**fingerprint) != in_turn);
-        let mut chosen: Vec<(usize, Fingerprint)> =
-            changed.map(|(fingerprint, entry)| (entry.gossip_weight, *fingerprint)).collect();
-        chosen.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        let priority = |entry: &Entry| (entry.gossip_weight, entry.cleared.is_none());
+        let mut chosen: Vec<((usize, bool), Fingerprint)> =
+            changed.map(|(fingerprint, entry)| (priority(entry), *fingerprint)).collect();
+        chosen.sort_by_key(|(priority, _)| std::cmp::Reverse(*priority));
         chosen.truncate(max_count - usize::from(in_turn.is_some()));
         let chosen = chosen.into_iter().map(|(_, chosen)| chosen).chain(in_turn);
         let to_record = |fingerprint: Fingerprint| {
--- a/crates/workshold-core/tests/hosted/prompt_parts.rs
+++ b/crates/workshold-core/tests/hosted/prompt_parts.rs
@@ -285,6 +285,25 @@
     assert!(quarantine.next_to_gossip(usize::MAX, now).len() <= 260);
 }
 
+/// Guards against an end of an unknown part that peers hear late, or that is forgotten, because sound
+/// parts were at the same instances.
+#[test]
+fn an_unknown_part_goes_before_sound_ones() {
+    let mut quarantine = Quarantine::default();
+    let sound: Vec<RequestKey> = (0..600).map(|n| part(&format!("5{n:x}"))).collect();
+    quarantine.on_completed(&sound, START - MINUTE);
+    end(&mut quarantine, 0, at(0), &[request("r", &["c0"])]);
+    for (n, keys) in sound.chunks(30).enumerate() {
+        end(&mut quarantine, 1 + n as u64, at(1 + n as u64), &[keys.to_vec()]);
+    }
+    let sent = quarantine.next_to_gossip(2, at(30));
+    assert!(sent.iter().any(|record| record.request_key == part("c0")));
+    for n in 40..42 {
+        end(&mut quarantine, n, at(n), &[request(&n.to_string(), &["c0"])]);
+    }
+    assert!(is_held(&quarantine, "c0", at(42)));
+}
+
 /// Guards against a verdict that no node writes to the store, since each saw only some of the ends.
 #[test]
 fn a_witness_saves_a_part_that_peers_ends_quarantine() {
