--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -3,6 +3,7 @@
 mod planned_stop;
 mod spot;
 mod tunnel;
+mod two;
 
 use std::path::PathBuf;
 
@@ -23,6 +24,7 @@
     let code = match name {
         "planned-stop" => planned_stop::run(gateway, folder, &record, has_trouble).await,
         "spot" => spot::run(gateway, folder, &record, has_trouble).await,
+        "two" => two::run(gateway, folder, &record, has_trouble).await,
         "tunnel" => tunnel::run(gateway, folder, &record, has_trouble).await,
         _ => NOT_RUN,
     };
--- a/review/standins/src/world.rs
+++ b/review/standins/src/world.rs
@@ -24,6 +24,8 @@
 use serde_json::Value;
 use serde_json::json;
 use workshold_platform_standin::caller;
+use workshold_platform_standin::proxy::LinkState;
+use workshold_platform_standin::proxy::Proxy;
 use workshold_platform_standin::store::PARTITIONS;
 use workshold_platform_standin::store::StandInStore;
 
@@ -55,6 +57,8 @@
     pub address: SocketAddr,
     child: Child,
     shared: Arc<Shared>,
+    /// The network path to it, if that can be cut.
+    path: Option<Proxy>,
 }
 
 struct Shared {
@@ -64,6 +68,7 @@
     ran: Mutex<Vec<String>>,
     is_listed: Mutex<bool>,
     has_ended: Mutex<bool>,
+    is_cut_off: Mutex<bool>,
 }
 
 /// How often a runner writes its entry.
@@ -79,7 +84,8 @@
             shown.as_object_mut().expect("an entry is an object").remove("id");
             shown.to_string()
         });
-        if *self.is_listed.lock().expect("no thread panics") {
+        let is_cut_off = *self.is_cut_off.lock().expect("no thread panics");
+        if *self.is_listed.lock().expect("no thread panics") && !is_cut_off {
             self.store.put("keyed.servers", &id, &text);
         }
     }
@@ -93,6 +99,7 @@
         id: &str,
         service: &str,
         domain: Option<&str>,
+        path: Option<Proxy>,
         args: &[&str],
     ) -> Self {
         let program = std::env::current_exe().expect("this program has a path");
@@ -105,10 +112,12 @@
             .expect("a runner can be started");
         let mut lines = BufReader::new(child.stdout.take().expect("its output is piped")).lines();
         let first = lines.next().and_then(Result::ok).unwrap_or_default();
-        let address: SocketAddr = first
-            .strip_prefix("ADDR ")
-            .and_then(|at| at.parse().ok())
-            .expect("it tells its address");
+        let own = first.strip_prefix("ADDR ").and_then(|at| at.parse().ok());
+        let own: SocketAddr = own.expect("it tells its address");
+        if let Some(path) = &path {
+            path.set_target(Some(own));
+        }
+        let address = path.as_ref().map_or(own, |path| path.address);
         let mut entry = json!({
             "id": id, "service": service, "address": address.to_string(), "zone": "a",
             "version": "v1", "slots": 17, "state": "ready", "cold_left_ms": 0, "sequence": 0,
@@ -125,6 +134,7 @@
             ran: Mutex::default(),
             is_listed: Mutex::new(true),
             has_ended: Mutex::new(false),
+            is_cut_off: Mutex::new(false),
         });
         shared.publish();
         let beating = Arc::clone(&shared);
@@ -159,7 +169,7 @@
                 }
             }
         });
-        Self { id: id.to_owned(), address, child, shared }
+        Self { id: id.to_owned(), address, child, shared, path }
     }
 
     /// Requests that it has begun to run.
@@ -173,6 +183,32 @@
         entry["group"]["rank"] == json!(0) && entry["group"]["state"] == json!("open")
     }
 
+    /// The group that it is in, with its epoch, rank and state, as it states itself.
+    pub fn membership(&self) -> Value {
+        self.shared.entry.lock().expect("no thread panics")["group"].clone()
+    }
+
+    /// Cuts its path to the nodes, or opens it again.
+    pub async fn set_cut_from_nodes(&self, is_cut: bool) {
+        let state = if is_cut { LinkState::Silent } else { LinkState::Open };
+        if let Some(path) = &self.path {
+            path.set_state(state).await;
+        }
+    }
+
+    /// Cuts it from the store, or lets it write its entry again.
+    pub fn set_cut_from_store(&self, is_cut: bool) {
+        *self.shared.is_cut_off.lock().expect("no thread panics") = is_cut;
+        if !is_cut {
+            self.shared.publish();
+        }
+    }
+
+    /// The store drops its entry, since it has missed three check-ins.
+    pub fn lapse(&self) {
+        self.shared.store.put("keyed.servers", &self.id, "");
+    }
+
     /// States that it drains.
     pub fn drain(&self) {
         self.shared.entry.lock().expect("no thread panics")["state"] = json!("draining");
@@ -256,7 +292,17 @@
 
     /// Starts a runner.
     pub fn add_runner(&mut self, id: &str, service: &str, domain: Option<&str>, args: &[&str]) {
-        let runner = RunnerProcess::start(&self.store, &self.record, id, service, domain, args);
+        let runner =
+            RunnerProcess::start(&self.store, &self.record, id, service, domain, None, args);
+        self.record.note(&format!("runner {id} of {service} listens at {}", runner.address));
+        self.runners.insert(id.to_owned(), runner);
+    }
+
+    /// Starts an engine whose path to the nodes can be cut.
+    pub fn add_engine_behind_path(&mut self, id: &str, service: &str, args: &[&str]) {
+        let path = Some(Proxy::start());
+        let runner =
+            RunnerProcess::start(&self.store, &self.record, id, service, Some("a-d0"), path, args);
         self.record.note(&format!("runner {id} of {service} listens at {}", runner.address));
         self.runners.insert(id.to_owned(), runner);
     }
