Review: the stand-ins build with the crates of the deploy build alone

Cause: the build of the stand-ins needs the crate nix, which the deploy file's build does not fetch; on a machine without a network it ended with "failed to download" on a new machine, after the deploy build alone. Change: signals are sent with the shell's kill.

--- a/review/standins/src/cases/planned_stop.rs
+++ b/review/standins/src/cases/planned_stop.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use nix::sys::signal::Signal;
 use workshold_platform_standin::caller;
 
 use super::BROKEN;
@@ -51,7 +50,7 @@
     let node: SocketAddr = world.nodes[0].callers;
     let resolved_at = Instant::now();
     if has_trouble {
-        world.nodes[0].signal(Signal::SIGTERM);
+        world.nodes[0].signal("TERM");
         record.note("SIGTERM to front-1; grace_s is 8");
     }
     let consumers: Vec<_> = SENT_AT_MS
--- a/review/standins/src/cases/tunnel.rs
+++ b/review/standins/src/cases/tunnel.rs
@@ -4,8 +4,6 @@
 use std::thread;
 use std::time::Duration;
 
-use nix::sys::signal::Signal;
-
 use super::BROKEN;
 use super::HELD;
 use super::NOT_RUN;
@@ -64,7 +62,7 @@
         .collect();
     tokio::time::sleep(Duration::from_millis(1_800)).await;
     if has_trouble {
-        world.nodes[1].signal(Signal::SIGKILL);
+        world.nodes[1].signal("KILL");
         record.note("SIGKILL to front-2");
     }
     let ended: Vec<_> = consumers.into_iter().map(|c| c.join().expect("no panic")).collect();
--- a/review/standins/src/world.rs
+++ b/review/standins/src/world.rs
@@ -18,9 +18,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use nix::sys::signal;
-use nix::sys::signal::Signal;
-use nix::unistd::Pid;
 use serde_json::Value;
 use serde_json::json;
 use workshold_platform_standin::caller;
@@ -245,9 +242,11 @@
 }
 
 impl NodeProcess {
-    /// Sends a signal.
-    pub fn signal(&self, signal: Signal) {
-        let _ = signal::kill(Pid::from_raw(self.child.id() as i32), signal);
+    /// Sends a signal, by its name without SIG.
+    pub fn signal(&self, signal: &str) {
+        let _ = Command::new("sh")
+            .args(["-c", "kill -s \"$0\" \"$1\"", signal, &self.child.id().to_string()])
+            .status();
     }
 
     /// Whether its process has ended.
