--- a/review/standins/src/cases/planned_stop.rs
+++ b/review/standins/src/cases/planned_stop.rs
@@ -34,7 +34,7 @@
         world.add_runner(&format!("i-app{i}"), "app", None, &["plain", "after-work", WORK_MS]);
     }
     for _ in 0..3 {
-        world.add_node(&[]);
+        world.add_node();
     }
     if !world.wait_until_ready().await {
         return NOT_RUN;
--- a/review/standins/src/cases/spot.rs
+++ b/review/standins/src/cases/spot.rs
@@ -35,7 +35,7 @@
         world.add_runner(&format!("i-llm{i}"), "llm", Some("a-d0"), &args);
     }
     for _ in 0..3 {
-        world.add_node(&[]);
+        world.add_node();
     }
     if !world.wait_until_ready().await {
         return NOT_RUN;
@@ -56,6 +56,7 @@
                     deadline_ms: 8_000,
                     model: Some("m1".to_owned()),
                 };
+                record.note(&format!("{} is sent to {node}", request.id));
                 let outcome = consumer::send(node, &request);
                 record.note(&format!(
                     "{} ends: status {}, complete {}, {} events, last {:?}, {:?}",
--- a/review/standins/src/cases/two.rs
+++ b/review/standins/src/cases/two.rs
@@ -41,7 +41,7 @@
         );
     }
     for _ in 0..3 {
-        world.add_node(&[]);
+        world.add_node();
     }
     if !world.wait_until_ready().await {
         return NOT_RUN;
@@ -62,6 +62,7 @@
                     deadline_ms: 6_000,
                     model: Some("m1".to_owned()),
                 };
+                record.note(&format!("{} is sent to {node}", request.id));
                 let outcome = consumer::send(node, &request);
                 let (status, is_complete) = (outcome.status, outcome.is_complete);
                 record.note(&format!("{}: status {status}, complete {is_complete}", request.id));
