review: stand-ins for the cases that stay

Change: the parts of the dropped cases go; a config that cannot be decoded and a runner that starts again are new.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,13 +5,13 @@
 //! it held, and 2 if the case couldn't run. With `TROUBLE=0` in the environment the disruption is
 //! left out. `review-2 runner ...` is a runner as a process of its own.
 
-mod cut_tunnel;
-mod leaving;
 mod names;
 mod node;
+mod reborn;
 mod record;
 mod runner;
 mod stop;
+mod unread;
 mod wire;
 
 use std::path::PathBuf;
@@ -50,9 +50,9 @@
     record.line(&format!("case {case}, disruption: {has_trouble}"));
     let played = async {
         match case.as_str() {
-            "cut-tunnel" => cut_tunnel::play(&record, has_trouble).await,
-            "leaving" => leaving::play(&record, has_trouble).await,
             "names" => names::play(&record, has_trouble).await,
+            "reborn" => reborn::play(&record, has_trouble).await,
+            "unread" => unread::play(&record, has_trouble).await,
             "stop" => stop::play(&record, has_trouble).await,
             _ => Verdict::NotRun(format!("there is no case {case}")),
         }
--- a/review/standins-2/src/node.rs
+++ b/review/standins-2/src/node.rs
@@ -115,10 +115,10 @@
         }
     }
 
-    /// Sends SIGTERM to its process.
-    pub fn terminate(&self) {
+    /// Sends a signal to its process.
+    pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+            let _ = Command::new("kill").args([&format!("-{name}"), &child.id().to_string()]).status();
         }
     }
 
@@ -143,14 +143,6 @@
         serde_json::from_slice(&got.body).unwrap_or_default()
     }
 
-    /// How many tunnels it has opened for other nodes since its start, by its metrics.
-    pub async fn tunnels_opened(&self) -> u64 {
-        let got = self.get(self.control, "/metrics").await;
-        let text = String::from_utf8_lossy(&got.body).into_owned();
-        let lines = text.lines().filter(|line| !line.starts_with('#') && line.contains("tunnels_opened"));
-        lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum::<f64>() as u64
-    }
-
     /// The addresses that it tells clients to use.
     pub async fn resolve(&self) -> Vec<String> {
         let got = self.get(self.directory, "/v1/resolve?name=lot.example&zone=hala-a").await;
--- a/review/standins-2/src/stop.rs
+++ b/review/standins-2/src/stop.rs
@@ -50,7 +50,7 @@
     }
     let resolved = Instant::now();
     if has_trouble {
-        nodes[0].terminate();
+        nodes[0].signal("TERM");
         record.line(&format!("SIGTERM to {}", nodes[0].name));
     }
     tokio::time::sleep(SENT_AFTER.saturating_sub(resolved.elapsed())).await;
