--- a/review/8/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 stand_ins=target/review-2/release/review-2
 [ -x "$stand_ins" ] && [ -x target/release/workshold-gateway ] || exit 2
-exec "$stand_ins" names review/8
+exec "$stand_ins" names review/6
