core: the size of a model does not bound how long a plan takes

What callers saw: nothing yet.

Cause: the planner tries each number of groups that could be closed in favour of a model, up to the one that the configured sizes give, however few groups serve. The reserve plan looks for a gain over as many groups. Stacks of three such processes were in Planner::candidates.

Change: the tries end with the groups that serve, and with the largest number of groups whose utility is known, beyond which it is constant. Plans are the same as before: the reference planner keeps its own form and still agrees.

--- a/crates/workshold-core/src/hosted/capacity.rs
+++ b/crates/workshold-core/src/hosted/capacity.rs
@@ -222,8 +222,12 @@
 
     /// Utility of `groups`, rounded; constant beyond the largest number that was computed.
     pub fn of(&self, groups: f64) -> f64 {
-        let last = self.by_groups.len() - 1;
-        self.by_groups[(groups.max(0.0).round() as usize).min(last)]
+        self.by_groups[(groups.max(0.0).round() as usize).min(self.max_groups())]
+    }
+
+    /// The largest number of groups that was computed.
+    pub fn max_groups(&self) -> usize {
+        self.by_groups.len() - 1
     }
 
     /// Change in utility from adding `more` groups to `groups`; negative if `more` is.
--- a/crates/workshold-core/src/hosted/planner.rs
+++ b/crates/workshold-core/src/hosted/planner.rs
@@ -175,7 +175,8 @@
             }
             let others = (0..self.models.len()).filter(|other| *other != model);
             for other in others {
-                let max_closed = self.models[model].size.div_ceil(self.models[other].size);
+                let replaced = self.models[model].size.div_ceil(self.models[other].size);
+                let max_closed = replaced.min(self.serving_groups(domain, other).count());
                 candidates
                     .extend((1..=max_closed).filter_map(|n| self.convert(domain, model, other, n)));
             }
@@ -200,7 +201,7 @@
     ) -> Option<Candidate> {
         let donors = self.groups_to_close_for(domain, model, donor, closed)?;
         let (own_size, donor_size) = (self.models[model].size, self.models[donor].size);
-        let formed = (closed * donor_size / own_size).max(1);
+        let formed = (closed.saturating_mul(donor_size) / own_size).max(1);
         let from_groups = donors.iter().flat_map(|group| group.members.iter());
         let all: Vec<&Host> = self.domains[domain].free.iter().chain(from_groups).collect();
         let members = self.soonest_ready(all.iter().copied(), model, formed * own_size)?;
@@ -213,6 +214,11 @@
         self.candidate(domain, model, &members, &donors, kind)
     }
 
+    /// The groups of `model` that serve in a domain.
+    fn serving_groups(&self, domain: usize, model: usize) -> impl Iterator<Item = &ServingGroup> {
+        self.domains[domain].serving_groups.iter().filter(move |group| group.model == model)
+    }
+
     /// The `count` groups whose members need the fewest loads to serve `model`.
     fn groups_to_close_for(
         &self,
@@ -221,9 +227,7 @@
         other: usize,
         count: usize,
     ) -> Option<Vec<&ServingGroup>> {
-        let serving_groups = self.domains[domain].serving_groups.iter();
-        let mut donors: Vec<&ServingGroup> =
-            serving_groups.filter(|group| group.model == other).collect();
+        let mut donors: Vec<&ServingGroup> = self.serving_groups(domain, other).collect();
         let load_count = |group: &ServingGroup| {
             group.members.iter().filter(|host| host.readiness[model].needs_load).count()
         };
--- a/crates/workshold-core/src/hosted/planner/reserve.rs
+++ b/crates/workshold-core/src/hosted/planner/reserve.rs
@@ -189,7 +189,8 @@
     /// group for them cannot pay.
     fn is_marginal(&self, model: &Model) -> bool {
         let largest_size = self.models.iter().map(|model| model.size).max().unwrap_or_default();
-        let max_formed = (largest_size / model.size).max(1);
+        let max_formed =
+            (largest_size / model.size).clamp(1, model.utility_low.max_groups().max(1));
         let gain_low = |formed: usize| model.utility_low.gain(model.groups, formed as f64);
         let gain = model.utility.gain(model.groups, 1.0);
         let gain = (1..=max_formed).map(gain_low).fold(gain, f64::max);
--- a/crates/workshold-core/tests/hosted/planning.rs
+++ b/crates/workshold-core/tests/hosted/planning.rs
@@ -3,6 +3,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
 use workshold_core::hosted::capacity::CapacityEstimate;
 use workshold_core::hosted::capacity::Utility;
 use workshold_core::hosted::capacity::Workload;
@@ -14,6 +15,7 @@
 use workshold_core::hosted::planner::Limits;
 use workshold_core::hosted::planner::Model;
 use workshold_core::hosted::planner::ServingGroup;
+use workshold_core::hosted::planner::plan_with_reserve;
 use workshold_core::hosted::serving_config::Engine;
 use workshold_core::hosted::serving_config::ModelSpec;
 use workshold_protocol::Millis;
@@ -136,6 +138,30 @@
     assert_eq!(big * 4 + small * 2, 928);
 }
 
+/// Guards against a planning round whose time grows with the size of a model that fits nowhere: the
+/// node answered nobody meanwhile.
+#[rstest]
+#[case::largest(usize::MAX)]
+#[case::whole_multiple(usize::MAX - 1)]
+#[case::moderate(4_000_000_000)]
+fn a_model_larger_than_any_domain_does_not_delay_the_plan(#[case] size: usize) {
+    let mut engine = engine();
+    engine.models[0].size = size;
+    let workloads = [workload(50.0), workload(10.0)];
+    let mut models = models(&engine, &workloads, [0.0, 3.0]);
+    models.iter_mut().for_each(|model| model.utility_remembered = Some(model.utility.clone()));
+    for seed in 0..20 {
+        let mut domains = random_domains(&mut ChaCha8Rng::seed_from_u64(seed));
+        for domain in &mut domains {
+            domain.serving_groups.iter_mut().for_each(|group| group.model = 1);
+        }
+        let limits = Limits { may_close: true, may_load_on_join: false, max_loads: 12 };
+        let plan = plan_with_reserve(&domains, &models, limits, 6);
+        let changes = plan.present.iter().chain(&plan.reserve);
+        assert!(changes.into_iter().all(|change| change.model == 1), "seed {seed}");
+    }
+}
+
 /// Demand of `requests` per second, each with a prompt of 1,000 tokens and 20 events.
 pub fn workload(requests: f64) -> Workload {
     Workload {
--- a/crates/workshold-gateway/tests/platform.rs
+++ b/crates/workshold-gateway/tests/platform.rs
@@ -4,6 +4,8 @@
 mod admission;
 #[path = "platform/backoff.rs"]
 mod backoff;
+#[path = "platform/configs.rs"]
+mod configs;
 #[path = "platform/cut_off.rs"]
 mod cut_off;
 #[path = "platform/daemon.rs"]
