--- a/crates/workshold-gateway/src/callers/control.rs
+++ b/crates/workshold-gateway/src/callers/control.rs
@@ -13,6 +13,7 @@
 use workshold_core::hosted::store_era::Era;
 use workshold_core::hosted::store_era::LogPosition;
 
+use crate::VERSION;
 use crate::callers::responses;
 use crate::callers::responses::ResponseBody;
 use crate::events::Event;
@@ -148,6 +149,7 @@
     let readiness = node.readiness();
     json!({
         "node": node.settings().node.name,
+        "version": VERSION,
         "readiness": readiness.map_or_else(|why| why.to_string(), |()| "it serves".to_owned()),
         "config": node.config_age().map(|(version, age)| json!({ "version": version, "age_ms": age.0 })),
         "refuses_stale_keys": node.settings().bounds.refuse_stale_keys,
--- a/crates/workshold-gateway/src/daemon.rs
+++ b/crates/workshold-gateway/src/daemon.rs
@@ -29,6 +29,7 @@
 use workshold_protocol::Millis;
 use workshold_protocol::clock::SystemClock;
 
+use crate::VERSION;
 use crate::callers::control;
 use crate::callers::directory;
 use crate::callers::requests;
@@ -119,7 +120,8 @@
     background_tasks.spawn(tasks::upkeep::run(Arc::clone(&node)));
     background_tasks.spawn(watch_settings(Arc::clone(&node), path.clone()));
     let lease = tokio::spawn(tasks::leasing::hold_lease(Arc::clone(&node)));
-    emit(Event::Started, &[("callers", &node.settings().listen.callers.to_string())]);
+    let address = node.settings().listen.callers.to_string();
+    emit(Event::Started, &[("version", VERSION), ("callers", &address)]);
     loop {
         tokio::select! {
             _ = background_tasks.join_next() => return Err(DaemonError::TaskEnded),
--- a/crates/workshold-gateway/src/lib.rs
+++ b/crates/workshold-gateway/src/lib.rs
@@ -23,3 +23,8 @@
 pub mod store_monitor;
 pub mod tasks;
 pub mod tunnel;
+
+/// The version of this program, with the identity of the sources that it was built from, as
+/// `scripts/source-id` prints it.
+pub const VERSION: &str =
+    concat!(env!("CARGO_PKG_VERSION"), " (sources ", env!("WORKSHOLD_SOURCES"), ")");
--- a/crates/workshold-gateway/src/main.rs
+++ b/crates/workshold-gateway/src/main.rs
@@ -45,7 +45,7 @@
         .footer(
             "SIGTERM stops it with a plan, SIGHUP reads the settings, SIGUSR1 prints its state.",
         )
-        .version(env!("CARGO_PKG_VERSION"))
+        .version(workshold_gateway::VERSION)
 }
 
 #[expect(clippy::print_stderr, reason = "the logger is not running yet")]
