gateway: a background task that ends no longer cuts the requests in flight

Cause: a node ends at once when one of its background tasks ends. The requests in flight need none of them for the moment that they last.

Change: the node then stops as it does for SIGTERM, and ends with an error once its requests have ended. W1008 names the reason. A node without callers ends at once, as before, so that its next process starts sooner.

Ruled out: to start the task again. It would find the state that the panic left.

--- a/crates/workshold-gateway/src/daemon.rs
+++ b/crates/workshold-gateway/src/daemon.rs
@@ -122,20 +122,28 @@
     let lease = tokio::spawn(tasks::leasing::hold_lease(Arc::clone(&node)));
     let address = node.settings().listen.callers.to_string();
     emit(Event::Started, &[("version", VERSION), ("callers", &address)]);
-    loop {
+    let ended = loop {
         tokio::select! {
-            _ = background_tasks.join_next() => return Err(DaemonError::TaskEnded),
+            task = background_tasks.join_next() => {
+                let why = task.and_then(Result::err).map(|err| err.to_string());
+                emit(Event::TaskEnded, &[("why", &why.unwrap_or_default())]);
+                break Err(DaemonError::TaskEnded);
+            }
             wanted = signals.next() => match wanted {
                 SignalAction::Reload => reload(&node, &path),
                 SignalAction::Dump => print_state(&node),
-                SignalAction::Stop => break,
+                SignalAction::Stop => break Ok(()),
             },
         }
+    };
+    // Without a task the node cannot go on for long, but its callers lose nothing. A node without
+    // callers ends at once, so that its next process starts sooner.
+    if ended.is_ok() || node.has_local_traffic() {
+        stop(&node, callers, &server_state).await;
     }
-    stop(&node, callers, &server_state).await;
     lease.abort();
     emit(Event::Stopped, &[("in_flight", &node.in_flight().to_string())]);
-    Ok(())
+    ended
 }
 
 /// Prints the node's state as JSON, on SIGUSR1.
--- a/crates/workshold-gateway/src/events.rs
+++ b/crates/workshold-gateway/src/events.rs
@@ -12,6 +12,7 @@
     Stopped = 1005, Info, "the node has stopped", "Nothing.";
     SettingsTaken = 1006, Info, "changed settings are in force", "Nothing.";
     SettingsRefused = 1007, Error, "changed settings are not valid; the old ones stay in force", "Fix the file; the event names the error.";
+    TaskEnded = 1008, Error, "a background task has ended unexpectedly; the node finishes its requests and ends", "Report it as a bug, with the reason and what the node printed before.";
     StoreLost = 1101, Warn, "the store does not answer", "Serving continues. Check the store, unless later_questions were answered: then only this request was lost.";
     StoreBack = 1102, Info, "the store answers again", "Nothing.";
     ConfigTaken = 1103, Info, "a configuration is in force", "Nothing.";
--- a/crates/workshold-gateway/tests/platform.rs
+++ b/crates/workshold-gateway/tests/platform.rs
@@ -34,6 +34,8 @@
 mod store_restore;
 #[path = "platform/support/mod.rs"]
 mod support;
+#[path = "platform/task_end.rs"]
+mod task_end;
 #[path = "platform/tunnel_end.rs"]
 mod tunnel_end;
 #[path = "platform/unframed.rs"]
--- a/crates/workshold-gateway/tests/platform/support/mod.rs
+++ b/crates/workshold-gateway/tests/platform/support/mod.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinHandle;
 use workshold_gateway::daemon;
 use workshold_gateway::settings;
+use workshold_gateway::settings::Settings;
 use workshold_http::dial::Dial;
 use workshold_http::dial::TcpDialer;
 use workshold_http::signals::Signals;
@@ -21,6 +22,27 @@
 use workshold_platform_standin::store::StandInStore;
 use workshold_platform_standin::wait_for;
 
+/// Settings of a node at free addresses. `bounds` are lines of the `[bounds]` section.
+pub fn test_settings(
+    name: &str,
+    store: SocketAddr,
+    bounds: &str,
+    is_first_start: bool,
+) -> Settings {
+    let addresses: Vec<SocketAddr> = (0..4).map(|_| free_address()).collect();
+    let text = format!(
+        "[node]\nname = \"{name}\"\ndata_centre = \"a\"\nis_first_start = {is_first_start}\n\
+         [listen]\ncallers = \"{}\"\nreadiness = \"{}\"\ndirectory = \"{}\"\npeers_port = {}\n\
+         [store]\naddress = \"{}\"\nparts = 4\n[limits]\ndescriptors = 1000\n[bounds]\n{bounds}\n",
+        addresses[0],
+        addresses[1],
+        addresses[2],
+        addresses[3].port(),
+        store,
+    );
+    settings::parse(&text).unwrap()
+}
+
 /// A node that runs as a task of the test and is aborted when dropped.
 pub struct TestNode {
     pub callers: SocketAddr,
@@ -77,18 +99,9 @@
         dialer: Box<dyn Dial>,
         runtime: Option<Runtime>,
     ) -> Self {
-        let addresses: Vec<SocketAddr> = (0..4).map(|_| free_address()).collect();
-        let text = format!(
-            "[node]\nname = \"{name}\"\ndata_centre = \"a\"\nis_first_start = {is_first_start}\n\
-             [listen]\ncallers = \"{}\"\nreadiness = \"{}\"\ndirectory = \"{}\"\npeers_port = {}\n\
-             [store]\naddress = \"{}\"\nparts = 4\n[limits]\ndescriptors = 1000\n[bounds]\n{bounds}\n",
-            addresses[0],
-            addresses[1],
-            addresses[2],
-            addresses[3].port(),
-            store,
-        );
-        let settings = settings::parse(&text).unwrap();
+        let settings = test_settings(name, store, bounds, is_first_start);
+        let listen = settings.listen.clone();
+        let control = settings.control();
         let running = async move {
             let path = PathBuf::from("/nonexistent");
             let signals = Signals::new().unwrap();
@@ -100,10 +113,10 @@
             None => tokio::spawn(running),
         };
         Self {
-            callers: addresses[0],
-            readiness: addresses[1],
-            directory: addresses[2],
-            control: addresses[3],
+            callers: listen.callers,
+            directory: listen.directory,
+            readiness: listen.readiness,
+            control,
             task,
             runtime,
         }
