gateway: a test for callers that read slowly at a planned stop

The stop has waited for callers that have not read their whole response since requests that outlast it are rejected, without a test of its own.

It waits for the head of the response now.

--- a/crates/workshold-gateway/tests/platform/daemon.rs
+++ b/crates/workshold-gateway/tests/platform/daemon.rs
@@ -15,6 +15,8 @@
 use rstest::rstest;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use workshold_platform_standin::caller;
 use workshold_platform_standin::deployment::Deployment;
@@ -22,8 +24,12 @@
 use workshold_platform_standin::free_address;
 use workshold_platform_standin::instance::InstanceBehaviour;
 use workshold_platform_standin::instance::STREAM_EVENTS;
+use workshold_platform_standin::store::StandInStore;
 use workshold_platform_standin::wait_for;
 
+use crate::support::wire::read_request;
+use crate::support::wire::respond;
+
 const BINARY: &str = env!("CARGO_BIN_EXE_workshold-gateway");
 
 /// A node in a separate process, which is killed when dropped.
@@ -242,6 +248,66 @@
     assert!(node.wait_for_exit(Duration::from_secs(2)).await.success());
 }
 
+/// Length of a large response: more than the sockets on its way hold.
+const LARGE_LEN: usize = 4_000_000;
+
+/// Starts an instance of the service `gate` with large responses.
+async fn start_large_gate(store: &StandInStore) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(respond_large(stream));
+        }
+    });
+    let entry = format!(
+        r#"{{"service":"gate","address":"{address}","zone":"a","slots":6,"state":"ready"}}"#
+    );
+    store.put("keyed.servers", "i-large", &entry);
+}
+
+async fn respond_large(mut stream: TcpStream) {
+    let Some(req) = read_request(&mut stream).await else { return };
+    let id = req.header("x-request-id").unwrap_or_default();
+    let headers =
+        format!("X-Instance-Id: i-large\r\nX-Request-Id: {id}\r\nX-Response-Stamp: i-large\r\n");
+    let body = if req.path == "/health" { String::new() } else { "x".repeat(LARGE_LEN) };
+    respond(stream, "200 OK", &headers, &body).await;
+}
+
+/// Guards against a response that a planned stop cuts because its caller reads it slowly, though
+/// within its time limit and the stop.
+#[tokio::test]
+async fn a_planned_stop_waits_for_a_caller_that_reads_slowly() {
+    let deployment = Deployment::start(2, 0).await;
+    start_large_gate(&deployment.store).await;
+    let long = config(2, "k1").replace("\"timeout_ms\":1000", "\"timeout_ms\":4000");
+    deployment.store.configure(&long);
+    // The stop cuts what is in flight 2.3 s after the signal; callers use the address for 1.5 s.
+    let mut node = NodeProcess::start("reads", deployment.store.address, 3.0).await;
+    node.wait_for_open_group().await;
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(16 * 1024).unwrap();
+    let mut stream = socket.connect(node.callers).await.unwrap();
+    let head = "POST /print/x HTTP/1.1\r\nhost: lot.example\r\napi-key: k1\r\nx-request-id: r-1\r\n\
+                x-deadline-milliseconds: 3000\r\ncontent-length: 0\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut buf = vec![0; 16 * 1024];
+    let mut read = stream.read(&mut buf).await.unwrap();
+    assert!(buf.starts_with(b"HTTP/1.1 200"), "{}", String::from_utf8_lossy(&buf[..read]));
+    node.signal("TERM");
+    let began = Instant::now();
+    let reading_time = Duration::from_millis(1_950);
+    while read < LARGE_LEN {
+        let len = stream.read(&mut buf).await.unwrap();
+        assert!(len > 0, "cut after {read} bytes and {:?}", began.elapsed());
+        read += len;
+        let due = reading_time.mul_f64(read as f64 / LARGE_LEN as f64);
+        tokio::time::sleep(due.saturating_sub(began.elapsed())).await;
+    }
+    assert!(node.wait_for_exit(Duration::from_secs(1)).await.success());
+}
+
 #[tokio::test]
 async fn further_stop_signals_do_not_cut_a_planned_stop_short() {
     let deployment = Deployment::start(2, 1).await;
