--- a/crates/workshold-core/src/hosted/planner.rs
+++ b/crates/workshold-core/src/hosted/planner.rs
@@ -175,8 +175,8 @@
             }
             let others = (0..self.models.len()).filter(|other| *other != model);
             for other in others {
-                let replaced = self.models[model].size.div_ceil(self.models[other].size);
-                let max_closed = replaced.min(self.serving_groups(domain, other).count());
+                let needed = self.models[model].size.div_ceil(self.models[other].size);
+                let max_closed = needed.min(self.serving_groups(domain, other).count());
                 candidates
                     .extend((1..=max_closed).filter_map(|n| self.convert(domain, model, other, n)));
             }
--- a/crates/workshold-gateway/build.rs
+++ b/crates/workshold-gateway/build.rs
@@ -26,7 +26,7 @@
 
 /// The output of `scripts/source-id`; `None` where it cannot run.
 fn source_id() -> Option<String> {
-    let output = Command::new("../../scripts/source-id").output().ok()?;
+    let output = Command::new("sh").arg("../../scripts/source-id").output().ok()?;
     let id = String::from_utf8(output.stdout).ok()?;
     output.status.success().then(|| id.trim().to_owned())
 }
--- a/crates/workshold-gateway/tests/build.rs
+++ b/crates/workshold-gateway/tests/build.rs
@@ -21,7 +21,7 @@
 }
 
 fn source_id() -> String {
-    output(&mut Command::new(format!("{ROOT}/scripts/source-id")))
+    output(Command::new("sh").arg(format!("{ROOT}/scripts/source-id")))
 }
 
 /// Guards against programs of which nobody can tell what they were built from.
