--- a/crates/workshold-gateway/tests/build.rs
+++ b/crates/workshold-gateway/tests/build.rs
@@ -108,6 +108,22 @@
     tree.lines().map(name_and_version).collect()
 }
 
+/// Guards against a crate that the gateway is built from and that its identity leaves out.
+#[rstest]
+#[case::hash("scripts/source-id")]
+#[case::compiled_anew("scripts/build-gateway")]
+#[case::watched("crates/workshold-gateway/build.rs")]
+fn every_crate_of_the_gateway_is_listed(#[case] list: &str) {
+    let text = fs::read_to_string(Path::new(ROOT).join(list)).unwrap();
+    let packages = packages(Path::new(ROOT), "workshold-gateway");
+    let names = packages.iter().filter_map(|package| package.split(' ').next());
+    for name in names.filter(|name| name.starts_with("workshold-")) {
+        let folder = if name == "workshold-platform" { "platform" } else { name };
+        let is_own = name == "workshold-gateway" && list.ends_with("build.rs");
+        assert!(is_own || text.contains(folder), "{list} lacks {name}");
+    }
+}
+
 /// Guards against stand-ins of the review that no longer build: their scripts then end as if a
 /// case had failed. They have lock files of their own and build without a network, after nothing
 /// but the gateway.
--- a/crates/workshold-gateway/tests/platform/configs.rs
+++ b/crates/workshold-gateway/tests/platform/configs.rs
@@ -31,7 +31,7 @@
 const MODEL: &str = "/services/0/engine/models/1";
 
 /// Guards against a value that a configuration may have and that keeps a node busy: it answered
-/// nobody until the configuration was replaced.
+/// nobody any more.
 #[rstest]
 #[case::size_largest("size", json!(u64::MAX))]
 #[case::size_beyond_the_fleet("size", json!(4_000_000_000_u64))]
